--- /dev/null
+++ b/crates/oleander-batch/src/main.rs
@@ -0,0 +1,3 @@
+//! oleander-batch.
+
+fn main() {}
--- /dev/null
+++ b/crates/oleander-console/src/main.rs
@@ -0,0 +1,3 @@
+//! oleander-console.
+
+fn main() {}
--- /dev/null
+++ b/crates/oleander-core/src/lib.rs
@@ -0,0 +1,20 @@
+//! Identifiers, units and shared wire types of the serving system.
+//!
+//! Everything here is plain data: no clock, no input or output. The deciding crates take a
+//! [`Time`] as an argument and return typed actions.
+
+mod macros;
+
+pub mod api;
+pub mod event;
+pub mod hash;
+pub mod ids;
+pub mod units;
+
+pub use api::{ApiError, ErrorCode, Ran};
+pub use event::{Event, EventKind};
+pub use ids::{
+    AttemptId, CallId, ChunkIndex, DigestId, Fence, FileId, HostId, ItemIndex, JobId, LotIndex,
+    ModelId, ParseIdError, RequestId, Revision, ServiceId, ShardId, TargetId, WorkspaceId, ZoneId,
+};
+pub use units::{Bytes, ParseUnitError, Rate, Span, Time, Tokens};
--- /dev/null
+++ b/crates/oleander-core/tests/units.rs
@@ -0,0 +1,29 @@
+//! Properties of identifiers and units.
+
+use oleander_core::{HostId, ParseIdError, Span, Time, hash};
+use quickcheck::quickcheck;
+
+quickcheck! {
+    fn spans_print_and_parse_back(micros: u64) -> bool {
+        Span(micros).to_string().parse() == Ok(Span(micros))
+    }
+
+    fn since_never_underflows(a: u64, b: u64) -> bool {
+        Time(a).since(Time(b)).0 == a.saturating_sub(b)
+    }
+
+    fn owner_stays_when_another_host_leaves(key: String, hosts: Vec<String>, gone: usize) -> bool {
+        let Some(owner) = hash::rendezvous(&key, &hosts) else { return hosts.is_empty() };
+        let gone = &hosts[gone % hosts.len()];
+        let rest: Vec<&String> = hosts.iter().filter(|h| *h != gone).collect();
+        gone == owner || hash::rendezvous(&key, rest) == Some(owner)
+    }
+}
+
+#[test]
+fn host_ids_are_checked() {
+    assert!("entry-1".parse::<HostId>().is_ok());
+    assert_eq!("".parse::<HostId>(), Err(ParseIdError::Empty));
+    assert_eq!("a/b".parse::<HostId>(), Err(ParseIdError::BadCharacter('/')));
+    assert_eq!("a".repeat(65).parse::<HostId>(), Err(ParseIdError::TooLong(64)));
+}
--- /dev/null
+++ b/crates/oleander-entry/src/main.rs
@@ -0,0 +1,3 @@
+//! oleander-entry.
+
+fn main() {}
--- /dev/null
+++ b/crates/oleander-members/src/lib.rs
@@ -0,0 +1,1 @@
+//! oleander-members.
--- /dev/null
+++ b/crates/oleander-platform/src/memory.rs
@@ -0,0 +1,157 @@
+//! An in-memory platform for tests, with outages and lost answers.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use oleander_core::Revision;
+use parking_lot::Mutex;
+
+use crate::{
+    object::{Created, HostView, Listed, Listing, Object, Updated},
+    platform::{Platform, PlatformError},
+};
+
+const POLL_INTERVAL: Duration = Duration::from_millis(5);
+
+/// Faults that the in-memory platform shows.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct MemoryFaults {
+    /// Every call fails without effect.
+    pub down: bool,
+    /// Number of coming writes that take effect but fail.
+    pub lost_answers: u32,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    revision: u64,
+    objects: BTreeMap<String, Object>,
+    hosts: Option<HostView>,
+    faults: MemoryFaults,
+}
+
+/// A platform that lives in this process.
+#[derive(Debug, Clone, Default)]
+pub struct MemoryPlatform {
+    state: Arc<Mutex<State>>,
+}
+
+impl MemoryPlatform {
+    /// An empty store.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Sets the faults shown from now on.
+    pub fn set_faults(&self, faults: MemoryFaults) {
+        self.state.lock().faults = faults;
+    }
+
+    /// Sets the list of hosts.
+    pub fn set_hosts(&self, hosts: HostView) {
+        self.state.lock().hosts = Some(hosts);
+    }
+}
+
+impl State {
+    fn check_up(&self) -> Result<(), PlatformError> {
+        if self.faults.down {
+            return Err(PlatformError::Unreachable("the test set an outage".to_owned()));
+        }
+        Ok(())
+    }
+
+    fn write(&mut self, key: &str, body: Bytes) -> Result<Revision, PlatformError> {
+        self.revision += 1;
+        let revision = Revision(self.revision);
+        self.objects.insert(key.to_owned(), Object { revision, body });
+        if self.faults.lost_answers > 0 {
+            self.faults.lost_answers -= 1;
+            return Err(PlatformError::NoAnswer("the test lost the answer".to_owned()));
+        }
+        Ok(revision)
+    }
+}
+
+impl Platform for MemoryPlatform {
+    async fn get(&self, key: &str) -> Result<Option<Object>, PlatformError> {
+        let state = self.state.lock();
+        state.check_up()?;
+        Ok(state.objects.get(key).cloned())
+    }
+
+    async fn create(&self, key: &str, body: Bytes) -> Result<Created, PlatformError> {
+        let mut state = self.state.lock();
+        state.check_up()?;
+        if state.objects.contains_key(key) {
+            return Ok(Created::Exists);
+        }
+        state.write(key, body).map(Created::New)
+    }
+
+    async fn update(
+        &self,
+        key: &str,
+        body: Bytes,
+        expected: Revision,
+    ) -> Result<Updated, PlatformError> {
+        let mut state = self.state.lock();
+        state.check_up()?;
+        let current = state.objects.get(key).map(|object| object.revision);
+        if current != Some(expected) {
+            return Ok(Updated::Stale(current));
+        }
+        state.write(key, body).map(Updated::Done)
+    }
+
+    async fn list(
+        &self,
+        prefix: &str,
+        after: &str,
+        limit: usize,
+    ) -> Result<Listing, PlatformError> {
+        let state = self.state.lock();
+        state.check_up()?;
+        let mut objects: Vec<Listed> = state
+            .objects
+            .range(prefix.to_owned()..)
+            .take_while(|(key, _)| key.starts_with(prefix))
+            .filter(|(key, _)| key.as_str() > after)
+            .take(limit + 1)
+            .map(|(key, object)| Listed {
+                key: key.clone(),
+                revision: object.revision,
+                size: object.body.len() as u64,
+            })
+            .collect();
+        let more = objects.len() > limit;
+        objects.truncate(limit);
+        Ok(Listing { revision: Revision(state.revision), objects, more })
+    }
+
+    async fn changed(&self, prefix: &str, from: Revision) -> Result<Revision, PlatformError> {
+        loop {
+            {
+                let state = self.state.lock();
+                state.check_up()?;
+                let newest = state
+                    .objects
+                    .iter()
+                    .filter(|(key, object)| key.starts_with(prefix) && object.revision > from)
+                    .map(|(_, object)| object.revision)
+                    .max();
+                if let Some(newest) = newest {
+                    return Ok(newest);
+                }
+            }
+            tokio::time::sleep(POLL_INTERVAL).await;
+        }
+    }
+
+    async fn hosts(&self) -> Result<HostView, PlatformError> {
+        let state = self.state.lock();
+        state.check_up()?;
+        Ok(state.hosts.clone().unwrap_or(HostView { revision: Revision(0), hosts: Vec::new() }))
+    }
+}
--- /dev/null
+++ b/crates/oleander-routing/src/lib.rs
@@ -0,0 +1,1 @@
+//! oleander-routing.
--- /dev/null
+++ b/crates/oleanderctl/src/main.rs
@@ -0,0 +1,3 @@
+//! oleanderctl.
+
+fn main() {}
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! standin.
