--- /dev/null
+++ b/crates/oleander-host/src/logs.rs
@@ -0,0 +1,71 @@
+//! Logs to the console, and to a file if one is set.
+
+use std::{fmt, io};
+
+use log::LevelFilter;
+use log4rs::{
+    append::{
+        Append,
+        console::{ConsoleAppender, Target},
+        file::FileAppender,
+    },
+    config::{Appender, Config, Root},
+    encode::{Encode, json::JsonEncoder, pattern::PatternEncoder},
+};
+
+use crate::settings::LogSettings;
+
+/// Line layout of logs for people.
+const PATTERN: &str = "{d(%Y-%m-%dT%H:%M:%S%.6f)(utc)} {l:5} {t} {m}{n}";
+
+/// Why logs can't be set up.
+#[derive(Debug)]
+pub enum LogError {
+    /// The log file can't be opened.
+    Open(io::Error),
+    /// The logger refused its configuration, or one is already set.
+    Setup(String),
+}
+
+impl fmt::Display for LogError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Open(error) => write!(f, "can't open the log file: {error}"),
+            Self::Setup(reason) => write!(f, "can't set up logs: {reason}"),
+        }
+    }
+}
+
+impl std::error::Error for LogError {}
+
+/// Sets up the process-wide logger; once a process.
+///
+/// # Errors
+///
+/// Returns an error if the log file can't be opened or a logger is already set.
+pub fn init(settings: &LogSettings) -> Result<(), LogError> {
+    let level = LevelFilter::from(settings.level);
+    let appender = open(settings)?;
+    let config = Config::builder()
+        .appender(Appender::builder().build("main", appender))
+        .build(Root::builder().appender("main").build(level))
+        .map_err(|e| LogError::Setup(e.to_string()))?;
+    log4rs::init_config(config).map(|_| ()).map_err(|e| LogError::Setup(e.to_string()))
+}
+
+fn open(settings: &LogSettings) -> Result<Box<dyn Append>, LogError> {
+    match &settings.file {
+        Some(file) => {
+            let file = FileAppender::builder().encoder(encoder(settings.json)).build(file);
+            Ok(Box::new(file.map_err(LogError::Open)?))
+        }
+        None => {
+            let console = ConsoleAppender::builder().target(Target::Stderr);
+            Ok(Box::new(console.encoder(encoder(settings.json)).build()))
+        }
+    }
+}
+
+fn encoder(json: bool) -> Box<dyn Encode> {
+    if json { Box::new(JsonEncoder::new()) } else { Box::new(PatternEncoder::new(PATTERN)) }
+}
