Add oleander-members: membership at a flat cost a host

Probing of one member a round with relays, suspicion and refutation; news ride in the probes within a byte bound; the platform's list adds, marks and removes but direct evidence goes before it. Facts have their own room in messages: with one order for all news they waited until news about members had been told to the end (48 hosts after a cold start: not at all hosts within 20 rounds).

--- /dev/null
+++ b/crates/oleander-members/src/config.rs
@@ -0,0 +1,95 @@
+//! Intervals and bounds of the membership protocol.
+
+use oleander_core::{Span, value};
+
+value! {
+    /// Intervals and bounds; the same on all hosts.
+    pub struct MembersConfig {
+        pub(crate) probe_interval: Span,
+        pub(crate) ack_timeout: Span,
+        pub(crate) relays: usize,
+        pub(crate) suspicion_rounds: u64,
+        pub(crate) spread_factor: u32,
+        pub(crate) message_bytes: usize,
+        pub(crate) refresh_bytes: usize,
+        pub(crate) page_bytes: usize,
+        pub(crate) absent_retention: Span,
+        pub(crate) unlisted_retention: Span,
+    }
+}
+
+impl Default for MembersConfig {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl MembersConfig {
+    /// The standard intervals and bounds.
+    #[must_use]
+    pub const fn new() -> Self {
+        Self {
+            probe_interval: Span::from_millis(600),
+            ack_timeout: Span::from_millis(200),
+            relays: 3,
+            suspicion_rounds: 3,
+            spread_factor: 3,
+            message_bytes: 256,
+            refresh_bytes: 48,
+            page_bytes: 1_024,
+            absent_retention: Span::from_secs(60),
+            unlisted_retention: Span::from_secs(3_600),
+        }
+    }
+
+    /// Sets the time between probes.
+    #[must_use]
+    pub const fn probe_interval(mut self, interval: Span) -> Self {
+        self.probe_interval = interval;
+        self
+    }
+
+    /// Sets the time after which an unanswered probe goes through relays; below the interval.
+    #[must_use]
+    pub const fn ack_timeout(mut self, timeout: Span) -> Self {
+        self.ack_timeout = timeout;
+        self
+    }
+
+    /// Sets the number of relays of an unanswered probe.
+    #[must_use]
+    pub const fn relays(mut self, relays: usize) -> Self {
+        self.relays = relays;
+        self
+    }
+
+    /// Sets the bound of an ordinary message, in encoded bytes.
+    #[must_use]
+    pub const fn message_bytes(mut self, bytes: usize) -> Self {
+        self.message_bytes = bytes;
+        self
+    }
+
+    /// Longest time between two ticks at which all timeouts are met in time.
+    #[must_use]
+    pub const fn tick_interval(&self) -> Span {
+        Span(self.ack_timeout.0 / 2)
+    }
+
+    /// Time between suspicion and failure among `hosts` hosts.
+    #[must_use]
+    pub fn suspicion_timeout(&self, hosts: usize) -> Span {
+        self.probe_interval * (self.suspicion_rounds + log_rounds(hosts))
+    }
+
+    /// Number of messages that carry one change among `hosts` hosts.
+    #[must_use]
+    pub(crate) fn spread_limit(&self, hosts: usize) -> u32 {
+        self.spread_factor * u32::try_from(log_rounds(hosts)).unwrap_or(u32::MAX)
+    }
+}
+
+/// Binary logarithm of the number of hosts, rounded up, at least one.
+fn log_rounds(hosts: usize) -> u64 {
+    u64::from((hosts + 1).next_power_of_two().ilog2().max(1))
+}
