--- a/crates/oleander-members/tests/detection.rs
+++ b/crates/oleander-members/tests/detection.rs
@@ -85,6 +85,27 @@
     }
 }
 
+#[test]
+fn a_pause_does_not_count_as_time_to_refute() {
+    for seed in SEEDS {
+        let mut net = Network::settled(8, seed);
+        net.nodes[1].group = 1;
+        let suspected =
+            |net: &Network| net.nodes[0].members.state(&host(1)) == Some(MemberState::Suspect);
+        assert!(net.rounds_until(20, suspected).is_some(), "seed {seed}");
+        net.nodes[1].group = 0;
+        net.nodes[0].paused = true;
+        net.run(40);
+        net.resume_cut_off(0);
+        net.run(20);
+        let failed = |change: &(Time, _, MemberState)| {
+            change.1 == host(1) && change.2 == MemberState::Failed
+        };
+        assert!(!net.nodes[0].changes.iter().any(failed), "seed {seed}");
+        assert!(net.all_see(&all(8), &all(8), MemberState::Live), "seed {seed}");
+    }
+}
+
 #[test]
 fn loss_fails_no_live_member() {
     for n in SIZES {
--- a/crates/oleander-members/tests/network/mod.rs
+++ b/crates/oleander-members/tests/network/mod.rs
@@ -149,6 +149,12 @@
         }
     }
 
+    /// Ends a pause in which all connections of the host were lost.
+    pub fn resume_cut_off(&mut self, at: usize) {
+        self.nodes[at].held.clear();
+        self.resume(at);
+    }
+
     /// Gives one host an event and sends what it asks for.
     pub fn event(&mut self, at: usize, event: MemberEvent) {
         let start = Instant::now();
