Add the stand-ins for the platform, model engines and plain services

Tests and demos need the outside protocols of docs/PROTOCOLS.md with their faults. Library modules with thin binaries, so that tests start them in their own process.

--- /dev/null
+++ b/crates/standin/src/bin/standin-engine.rs
@@ -0,0 +1,22 @@
+//! Runs the engine stand-in as a process.
+
+use std::{io, net::SocketAddr};
+
+use clap::Parser;
+use standin::{engine, shell};
+
+#[derive(Debug, Parser)]
+#[command(version, about = "Stand-in for a model engine (tests and demos only)")]
+struct Cli {
+    /// Loopback address to listen on; port 0 picks a free one.
+    #[arg(long, default_value = "127.0.0.1:0")]
+    listen: SocketAddr,
+    #[command(flatten)]
+    options: engine::Options,
+}
+
+#[tokio::main]
+async fn main() -> io::Result<()> {
+    let cli = Cli::parse();
+    shell::run(cli.listen, |listener| engine::serve(listener, cli.options)).await
+}
--- /dev/null
+++ b/crates/standin/src/server.rs
@@ -0,0 +1,133 @@
+//! The accept loop that all stand-ins share.
+//!
+//! Stopping is abrupt on purpose: open connections are cut as if the process had been killed.
+
+use std::{convert::Infallible, io, net::SocketAddr};
+
+use axum::{Router, body::Body, response::Response};
+use hyper::{Request, body::Incoming, service::service_fn};
+use hyper_util::{
+    rt::{TokioExecutor, TokioIo},
+    server::conn::auto,
+};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    task::{JoinHandle, JoinSet},
+};
+use tower::ServiceExt;
+
+/// Response extension that closes the connection in place of an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Cut;
+
+/// A response that is never sent: the connection is closed instead.
+#[must_use]
+pub fn cut_connection() -> Response {
+    let mut response = Response::new(Body::empty());
+    response.extensions_mut().insert(Cut);
+    response
+}
+
+/// Serves `router` until `stopped` resolves, then cuts all connections.
+///
+/// # Errors
+///
+/// Returns the error of the listener.
+pub async fn serve(
+    listener: TcpListener,
+    router: Router,
+    stopped: impl Future<Output = ()>,
+) -> io::Result<()> {
+    let mut connections = JoinSet::new();
+    tokio::pin!(stopped);
+    loop {
+        tokio::select! {
+            () = &mut stopped => return Ok(()),
+            Some(_) = connections.join_next() => {}
+            accepted = listener.accept() => {
+                let (stream, _) = accepted?;
+                connections.spawn(serve_connection(stream, router.clone()));
+            }
+        }
+    }
+}
+
+async fn serve_connection(stream: TcpStream, router: Router) {
+    // A socket that refuses the option still carries the connection.
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(move |request| answer(router.clone(), request));
+    let builder = auto::Builder::new(TokioExecutor::new());
+    // A connection that fails ends; the peer sees it.
+    let _ = builder.serve_connection(TokioIo::new(stream), service).await;
+}
+
+async fn answer(router: Router, request: Request<Incoming>) -> io::Result<Response> {
+    let answered: Result<Response, Infallible> = router.oneshot(request.map(Body::new)).await;
+    let Ok(response) = answered;
+    if response.extensions().get::<Cut>().is_some() {
+        return Err(io::Error::other("connection cut on purpose"));
+    }
+    Ok(response)
+}
+
+/// A stand-in that runs inside this process until it is dropped.
+#[derive(Debug)]
+pub struct Server {
+    address: SocketAddr,
+    task: JoinHandle<io::Result<()>>,
+}
+
+impl Server {
+    /// Starts a stand-in on a free loopback port.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of binding.
+    pub async fn start<F, S>(serve: F) -> io::Result<Self>
+    where
+        F: FnOnce(TcpListener) -> S,
+        S: Future<Output = io::Result<()>> + Send + 'static,
+    {
+        Self::start_at(SocketAddr::from(([127, 0, 0, 1], 0)), serve).await
+    }
+
+    /// Starts a stand-in on `address`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of binding.
+    pub async fn start_at<F, S>(address: SocketAddr, serve: F) -> io::Result<Self>
+    where
+        F: FnOnce(TcpListener) -> S,
+        S: Future<Output = io::Result<()>> + Send + 'static,
+    {
+        let listener = TcpListener::bind(address).await?;
+        let address = listener.local_addr()?;
+        Ok(Self { address, task: tokio::spawn(serve(listener)) })
+    }
+
+    /// Where it listens.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Whether it has ended by itself.
+    #[must_use]
+    pub fn is_dead(&self) -> bool {
+        self.task.is_finished()
+    }
+
+    /// Stops it and waits until the port is free.
+    pub async fn stop(mut self) {
+        self.task.abort();
+        // The task ends as aborted or with its own result; either frees the port.
+        let _ = (&mut self.task).await;
+    }
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
