Add the TCP relay and tests of the stand-ins

The relay refuses, cuts, resets, delays, and lets open connections go silent for good while new ones work.

--- /dev/null
+++ b/crates/standin/src/bin/standin-relay.rs
@@ -0,0 +1,34 @@
+//! Runs the TCP relay as a process.
+
+use std::{io, net::SocketAddr};
+
+use clap::Parser;
+use standin::{
+    relay::{Relay, serve_control},
+    shell,
+};
+use tokio::net::TcpListener;
+
+#[derive(Debug, Parser)]
+#[command(version, about = "TCP relay with faults (tests and demos only)")]
+struct Cli {
+    /// Loopback address to listen on; port 0 picks a free one.
+    #[arg(long, default_value = "127.0.0.1:0")]
+    listen: SocketAddr,
+    /// Address that connections are passed to.
+    #[arg(long)]
+    to: SocketAddr,
+    /// Address of the HTTP control; port 0 picks a free one.
+    #[arg(long, default_value = "127.0.0.1:0")]
+    control: SocketAddr,
+}
+
+#[tokio::main]
+async fn main() -> io::Result<()> {
+    let cli = Cli::parse();
+    let relay = Relay::start_at(cli.listen, cli.to).await?;
+    let control = TcpListener::bind(cli.control).await?;
+    shell::print_address("control", control.local_addr()?)?;
+    let address = relay.address();
+    shell::run_until_signal(address, serve_control(control, relay.handle())).await
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -4,9 +4,11 @@
 //! own process and demos as separate ones. They keep everything in memory.
 
 pub mod answer;
+pub mod client;
 pub mod engine;
 pub mod platform;
 pub mod record;
+pub mod relay;
 pub mod server;
 pub mod service;
 pub mod shell;
--- a/crates/standin/src/shell.rs
+++ b/crates/standin/src/shell.rs
@@ -10,7 +10,7 @@
     signal::unix::{SignalKind, signal},
 };
 
-/// Binds `listen`, prints the ready line and serves until a signal or the stand-in's own end.
+/// Binds `listen`, prints `listening ADDRESS` and serves until a signal or the stand-in's own end.
 ///
 /// # Errors
 ///
@@ -20,18 +20,35 @@
     S: Future<Output = io::Result<()>>,
 {
     let listener = TcpListener::bind(listen).await?;
+    run_until_signal(listener.local_addr()?, serve(listener)).await
+}
+
+/// Prints `listening ADDRESS` and serves until a signal or the stand-in's own end.
+///
+/// # Errors
+///
+/// Returns errors of the signal handlers and of serving.
+pub async fn run_until_signal(
+    address: SocketAddr,
+    serve: impl Future<Output = io::Result<()>>,
+) -> io::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
-    print_ready(listener.local_addr()?)?;
+    print_address("listening", address)?;
     tokio::select! {
-        result = serve(listener) => result,
+        result = serve => result,
         _ = terminate.recv() => Ok(()),
         _ = interrupt.recv() => Ok(()),
     }
 }
 
-fn print_ready(address: SocketAddr) -> io::Result<()> {
+/// Prints an address in use, so that whoever started the process can read it.
+///
+/// # Errors
+///
+/// Returns the error of standard output.
+pub fn print_address(role: &str, address: SocketAddr) -> io::Result<()> {
     let mut stdout = io::stdout().lock();
-    writeln!(stdout, "listening {address}")?;
+    writeln!(stdout, "{role} {address}")?;
     stdout.flush()
 }
