--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod answer;
 pub mod client;
 pub mod engine;
+pub mod load;
 pub mod platform;
 pub mod record;
 pub mod relay;
