--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -14,6 +14,7 @@
 mod routes;
 mod sequence;
 mod steps;
+mod wire;
 
 use std::{io, sync::Arc};
 
--- a/crates/standin/src/engine/chat.rs
+++ b/crates/standin/src/engine/chat.rs
@@ -18,15 +18,14 @@
         Engine,
         cache::prefix_hashes,
         sequence::{Sequence, SequenceEvent},
+        wire::{AnswerShape, END_LINE},
     },
-    record::{RecordEvent, unix_micros},
+    record::RecordEvent,
     server::cut_connection,
 };
 
 const BYTES_PER_TOKEN: usize = 4;
 const REQUEST_ID_HEADER: &str = "x-request-id";
-const MICROS_PER_SECOND: u64 = 1_000_000;
-const DONE: &str = "data: [DONE]\n\n";
 
 /// The fields of a chat/completions body that the engine reads.
 #[derive(Debug, Clone, Serialize, Deserialize)]
@@ -48,17 +47,6 @@
     digest: DigestId,
 }
 
-/// What the answer says, apart from its tokens.
-#[derive(Debug, Clone)]
-struct AnswerShape {
-    id: String,
-    digest: DigestId,
-    model: String,
-    prompt_tokens: u64,
-    length: u32,
-    natural: bool,
-}
-
 /// Answers `POST /v1/chat/completions`.
 pub(super) async fn complete(engine: Engine, headers: HeaderMap, body: Bytes) -> Response {
     let id = headers.get(REQUEST_ID_HEADER).and_then(|value| value.to_str().ok());
@@ -152,9 +140,11 @@
 
     /// Passes an event on once the engine is not silent.
     async fn speak(self, event: SequenceEvent) -> SequenceEvent {
-        let mut faults = self.shared.faults.subscribe();
-        // The sender lives in `self`, so the wait ends only when the fault does.
-        let _ = faults.wait_for(|faults| !faults.silent).await;
+        if self.shared.faults.borrow().silent {
+            let mut faults = self.shared.faults.subscribe();
+            // The sender lives in `self`, so the wait ends only when the fault does.
+            let _ = faults.wait_for(|faults| !faults.silent).await;
+        }
         event
     }
 }
@@ -182,51 +172,12 @@
 
 fn event_lines(shape: &AnswerShape, event: SequenceEvent) -> Vec<Result<String, StreamCut>> {
     match event {
-        SequenceEvent::Token(index) => vec![Ok(token_line(shape, index))],
-        SequenceEvent::Finished => vec![Ok(finish_line(shape)), Ok(DONE.to_owned())],
+        SequenceEvent::Token(index) => vec![Ok(shape.token_line(index))],
+        SequenceEvent::Finished => vec![Ok(shape.finish_line()), Ok(END_LINE.to_owned())],
         SequenceEvent::Cancelled | SequenceEvent::Broken => vec![Err(StreamCut)],
     }
 }
 
-fn token_line(shape: &AnswerShape, index: u32) -> String {
-    let delta = json!({ "content": answer::token(&shape.digest, index) });
-    let choice = json!({ "index": 0, "delta": delta, "finish_reason": null });
-    let chunk = json!({
-        "id": shape.id,
-        "object": "chat.completion.chunk",
-        "created": unix_micros() / MICROS_PER_SECOND,
-        "model": shape.model,
-        "choices": [choice],
-        "index_token": index,
-    });
-    format!("data: {chunk}\n\n")
-}
-
-fn finish_line(shape: &AnswerShape) -> String {
-    let choice = json!({ "index": 0, "delta": {}, "finish_reason": finish_reason(shape) });
-    let chunk = json!({
-        "id": shape.id,
-        "object": "chat.completion.chunk",
-        "created": unix_micros() / MICROS_PER_SECOND,
-        "model": shape.model,
-        "choices": [choice],
-        "usage": usage(shape),
-    });
-    format!("data: {chunk}\n\n")
-}
-
-fn finish_reason(shape: &AnswerShape) -> &'static str {
-    if shape.natural { "stop" } else { "length" }
-}
-
-fn usage(shape: &AnswerShape) -> Value {
-    json!({
-        "prompt_tokens": shape.prompt_tokens,
-        "completion_tokens": shape.length,
-        "total_tokens": shape.prompt_tokens + u64::from(shape.length),
-    })
-}
-
 async fn plain_answer(
     shape: AnswerShape,
     resume_from: u32,
@@ -242,19 +193,7 @@
             Some(SequenceEvent::Broken) | None => return cut_connection(),
         }
     }
-    let content: String =
-        (resume_from..shape.length).map(|index| answer::token(&shape.digest, index)).collect();
-    let message = json!({ "role": "assistant", "content": content });
-    let choice = json!({ "index": 0, "message": message, "finish_reason": finish_reason(&shape) });
-    let body = json!({
-        "id": shape.id,
-        "object": "chat.completion",
-        "created": unix_micros() / MICROS_PER_SECOND,
-        "model": shape.model,
-        "choices": [choice],
-        "usage": usage(&shape),
-    });
-    axum::Json(body).into_response()
+    axum::Json(shape.completion(resume_from)).into_response()
 }
 
 fn prompt_text(messages: &Value) -> String {
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -95,7 +95,7 @@
             .route("/health", get(|| async {}))
             .route("/_records", get(read_records))
             .route("/_stats", get(read_stats))
-            .route("/_fault", put(set_faults))
+            .route("/_fault", put(set_faults).get(read_faults))
             .route("/{operation}", post(call))
             .with_state(self);
         server::serve(listener, router, future::pending()).await
@@ -183,3 +183,7 @@
     service.set_faults(faults);
     StatusCode::NO_CONTENT
 }
+
+async fn read_faults(State(service): State<Service>) -> Json<Faults> {
+    Json(*service.shared.faults.lock())
+}
