Send calls again or twice in the load tool, and count dropped records

Callers come back when a refusal says so and resend through another entry; the system has to meet both.

--- a/crates/standin/src/bin/standin-load.rs
+++ b/crates/standin/src/bin/standin-load.rs
@@ -56,6 +56,9 @@
     /// Longest time of a call, in milliseconds.
     #[arg(long, default_value_t = 30_000)]
     timeout_ms: u64,
+    /// Most sendings of a call after the first: when a refusal says so, or after a failure.
+    #[arg(long, default_value_t = 0)]
+    retries: u64,
     /// Most calls open at once; arrivals beyond are skipped and counted.
     #[arg(long, default_value_t = 4_000)]
     max_open: usize,
@@ -118,6 +121,7 @@
         seed: cli.seed,
         run_id: cli.run_id.unwrap_or_else(|| format!("load{:x}", unix_micros())),
         deadline_ms: cli.deadline_ms,
+        retries: cli.retries,
         give_up: Duration::from_millis(cli.timeout_ms),
     };
     let settings = RunSettings {
--- a/crates/standin/src/load.rs
+++ b/crates/standin/src/load.rs
@@ -20,7 +20,7 @@
 pub use batch_file::{BatchCheck, BatchError, BatchSettings, check_batch, write_batch};
 pub use call::{Caller, Route};
 pub use compare::{Comparison, compare};
-pub use outcome::{Failure, FailureKind, Outcome, Refusal, Timing};
+pub use outcome::{CallAnswer, Failure, FailureKind, Outcome, Refusal, Timing};
 pub use prompts::{PromptSettings, Shape};
 pub use report::{CountOf, RefusalCount, Report, SecondCounts, Summary};
 pub use run::{RunSettings, run};
--- a/crates/standin/src/load/call.rs
+++ b/crates/standin/src/load/call.rs
@@ -3,18 +3,18 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http::{HeaderName, Request, Response, header};
+use http::{HeaderMap, HeaderName, Request, Response, header};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use serde_json::{Value, json};
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use crate::{
     answer,
     client::{ClientError, HttpClient},
     load::{
         addresses::AddressBook,
-        outcome::{FailureKind, Outcome, Refusal},
+        outcome::{CallAnswer, FailureKind, Outcome, Refusal},
         prompts::PromptSettings,
         schedule::Arrival,
         stream::{Expected, StreamReader, micros},
@@ -23,6 +23,8 @@
 
 const IDEMPOTENCY_HEADER: HeaderName = HeaderName::from_static("idempotency-key");
 const REQUEST_ID_HEADER: HeaderName = HeaderName::from_static("x-request-id");
+const MILLIS_PER_SECOND: u64 = 1_000;
+const BROKEN_RESEND_DELAY: Duration = Duration::from_millis(100);
 const DEADLINE_HEADER: HeaderName = HeaderName::from_static("x-deadline-ms");
 
 /// What a call is sent to.
@@ -55,28 +57,53 @@
     pub deadline_ms: Option<u64>,
     /// Longest time of a call.
     pub give_up: Duration,
+    /// Most sendings after the first: when a refusal says so, or after a broken exchange.
+    pub retries: u64,
 }
 
 impl Caller {
-    /// Makes one call and reads its answer to the end.
-    pub async fn call(&self, arrival: Arrival) -> Outcome {
+    /// Makes one call and reads its answer to the end, sending again where that is allowed.
+    pub async fn call(&self, arrival: Arrival) -> CallAnswer {
         let sent = Instant::now();
         let id = format!("{}-{}", self.run_id, arrival.number);
         let mut body = self.prompts.body(self.seed, arrival.prefix, arrival.number, "");
-        let text = answer::expected_text(&body);
+        let expected = Expected { id, text: answer::expected_text(&body) };
         body["stream"] = json!(true);
-        let mut reader = StreamReader::new(Expected { id: id.clone(), text }, sent);
-        let answered = async {
-            match self.send(arrival.caller, &id, body, sent).await {
-                Ok(response) if response.status().is_success() => {
-                    reader.read(response.into_body()).await
-                }
-                Ok(response) => refusal(response, sent).await,
-                Err(error) => reader.failed(failure_kind(&error)),
+        let body = Bytes::from(body.to_string());
+        let mut reader = StreamReader::new(expected.clone(), sent);
+        let mut resends = 0;
+        let attempts = async {
+            loop {
+                let rotation = resends as usize + usize::from(arrival.copy);
+                let outcome = self.attempt(&mut reader, arrival, body.clone(), rotation).await;
+                let Some(wait) = resend_delay(&outcome).filter(|_| resends < self.retries) else {
+                    return outcome;
+                };
+                sleep(wait).await;
+                resends += 1;
+                reader = StreamReader::new(expected.clone(), sent);
             }
         };
-        let outcome = timeout(self.give_up, answered).await;
-        outcome.unwrap_or_else(|_| reader.failed(FailureKind::Timeout))
+        let outcome = timeout(self.give_up, attempts).await;
+        let outcome = outcome.unwrap_or_else(|_| reader.failed(FailureKind::Timeout));
+        CallAnswer { outcome, resends }
+    }
+
+    /// Sends the request once and reads what comes back.
+    async fn attempt(
+        &self,
+        reader: &mut StreamReader,
+        arrival: Arrival,
+        body: Bytes,
+        rotation: usize,
+    ) -> Outcome {
+        match self.send(arrival.caller, reader.id(), body, rotation).await {
+            Ok(response) if response.status().is_success() => {
+                reader.read(response.into_body()).await
+            }
+            Ok(response) => refusal(response, reader.sent()).await,
+            Err(error) => reader.failed(failure_kind(&error)),
+        }
     }
 
     /// Sends the request to the first address that accepts a connection.
@@ -84,12 +111,14 @@
         &self,
         caller: u32,
         id: &str,
-        body: Value,
-        now: Instant,
+        body: Bytes,
+        rotation: usize,
     ) -> Result<Response<Incoming>, ClientError> {
         let key = self.key(caller);
-        let addresses = self.book.addresses(&self.client, key, caller, now).await;
-        let body = Bytes::from(body.to_string());
+        let now = Instant::now();
+        let mut addresses = self.book.addresses(&self.client, key, caller, now).await;
+        let first = rotation % addresses.len().max(1);
+        addresses.rotate_left(first);
         let mut last = ClientError::Connect("no address".to_owned());
         for address in addresses {
             let request = self.request(&address, key, id, body.clone())?;
@@ -130,9 +159,18 @@
     }
 }
 
+/// When to send again; `None` if the outcome is final.
+fn resend_delay(outcome: &Outcome) -> Option<Duration> {
+    match outcome {
+        Outcome::Refused(refusal) => refusal.retry_ms.map(Duration::from_millis),
+        Outcome::Failed(_) => Some(BROKEN_RESEND_DELAY),
+        Outcome::Whole(_) | Outcome::Wrong(_) => None,
+    }
+}
+
 async fn refusal(response: Response<Incoming>, sent: Instant) -> Outcome {
     let status = response.status().as_u16();
-    let retry_told = response.headers().contains_key(header::RETRY_AFTER);
+    let header_ms = retry_after_ms(response.headers());
     let body = response.into_body().collect().await.map(|body| body.to_bytes());
     let body: Value = serde_json::from_slice(&body.unwrap_or_default()).unwrap_or_default();
     let text = |name: &str| body["error"][name].as_str().unwrap_or("-").to_owned();
@@ -140,11 +178,16 @@
         status,
         code: text("code"),
         ran: text("ran"),
-        retry_told,
+        retry_ms: body["error"]["retry_after_ms"].as_u64().or(header_ms),
         after_us: micros(sent, Instant::now()),
     })
 }
 
+fn retry_after_ms(headers: &HeaderMap) -> Option<u64> {
+    let seconds: u64 = headers.get(header::RETRY_AFTER)?.to_str().ok()?.parse().ok()?;
+    seconds.checked_mul(MILLIS_PER_SECOND)
+}
+
 fn failure_kind(error: &ClientError) -> FailureKind {
     match error {
         ClientError::Connect(_) => FailureKind::Connect,
--- a/crates/standin/src/load/outcome.rs
+++ b/crates/standin/src/load/outcome.rs
@@ -2,6 +2,15 @@
 
 use std::fmt;
 
+/// How one call ended, and how often it was sent again.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CallAnswer {
+    /// How the last sending ended.
+    pub outcome: Outcome,
+    /// Sendings after the first.
+    pub resends: u64,
+}
+
 /// How one call ended.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Outcome {
@@ -37,8 +46,8 @@
     pub code: String,
     /// Whether the request ran, as the answer says.
     pub ran: String,
-    /// Whether it says when to come back.
-    pub retry_told: bool,
+    /// When to come back, in milliseconds, if it says so.
+    pub retry_ms: Option<u64>,
     /// Time to the answer, in microseconds.
     pub after_us: u64,
 }
--- a/crates/standin/src/load/report.rs
+++ b/crates/standin/src/load/report.rs
@@ -82,6 +82,9 @@
     pub planned: u64,
     /// Calls sent.
     pub sent: u64,
+    /// Sendings after the first of a call.
+    #[serde(default)]
+    pub resent: u64,
     /// Arrivals not sent because too many calls were open.
     pub skipped: u64,
     /// Whole answers.
--- a/crates/standin/src/load/run.rs
+++ b/crates/standin/src/load/run.rs
@@ -99,10 +99,10 @@
         let (caller, progress, start) = (self.caller.clone(), self.progress.clone(), self.start);
         tokio::spawn(async move {
             let sent_us = micros_since(start);
-            let outcome = caller.call(arrival).await;
+            let answer = caller.call(arrival).await;
             drop(permit);
             let ended_us = micros_since(start);
-            let ended = Ended { planned_us: arrival.at_us, sent_us, ended_us, outcome };
+            let ended = Ended { planned_us: arrival.at_us, sent_us, ended_us, answer };
             // The receiver lives until the last sender is gone.
             let _ = progress.send(Progress::Ended(ended));
         });
--- a/crates/standin/src/load/schedule.rs
+++ b/crates/standin/src/load/schedule.rs
@@ -27,6 +27,9 @@
     /// Callers that the requests come from.
     #[arg(long, default_value_t = 16)]
     pub callers: u32,
+    /// One of so many requests is sent twice at once, by two addresses; 0 for none.
+    #[arg(long, default_value_t = 0)]
+    pub twice_every: u64,
 }
 
 /// One request to come.
@@ -38,8 +41,10 @@
     pub caller: u32,
     /// Number that picks its shared prefix.
     pub prefix: u32,
-    /// Its position in the run.
+    /// Its position in the run; a request that is sent twice has one.
     pub number: u64,
+    /// Whether it is the second copy of a request that is sent twice.
+    pub copy: bool,
 }
 
 /// Draws all arrivals of a run, in order of time.
@@ -57,8 +62,15 @@
         caller: rng.random_range(0..settings.callers.max(1)),
         prefix: rng.random(),
         number,
+        copy: false,
     });
-    arrivals.collect()
+    arrivals.flat_map(|arrival| copies(settings, arrival)).collect()
+}
+
+fn copies(settings: &ArrivalSettings, arrival: Arrival) -> impl Iterator<Item = Arrival> {
+    let every = settings.twice_every;
+    let twice = every > 0 && (arrival.number + 1).is_multiple_of(every);
+    [arrival].into_iter().chain(twice.then_some(Arrival { copy: true, ..arrival }))
 }
 
 fn poisson_times(settings: &ArrivalSettings, end: u64, rng: &mut Pcg64Mcg) -> Vec<u64> {
--- a/crates/standin/src/load/stream.rs
+++ b/crates/standin/src/load/stream.rs
@@ -54,6 +54,16 @@
         Self { expected, sent, last: None, timing: Timing::default(), matched: 0, finished: false }
     }
 
+    /// Id of the request.
+    pub(super) fn id(&self) -> &str {
+        &self.expected.id
+    }
+
+    /// When the request was first sent.
+    pub(super) const fn sent(&self) -> Instant {
+        self.sent
+    }
+
     /// Reads to the end marker or the first fault.
     pub(super) async fn read(&mut self, body: Incoming) -> Outcome {
         let mut events = BodyDataStream::new(body).eventsource();
--- a/crates/standin/src/load/table.rs
+++ b/crates/standin/src/load/table.rs
@@ -18,9 +18,10 @@
         )?;
         writeln!(
             f,
-            "planned {} sent {} skipped {} whole {} good {} refused {} failed {} wrong {}",
+            "planned {} sent {} resent {} skipped {} whole {} good {} refused {} failed {} wrong {}",
             self.planned,
             self.sent,
+            self.resent,
             self.skipped,
             self.whole,
             self.good,
--- a/crates/standin/src/load/tally.rs
+++ b/crates/standin/src/load/tally.rs
@@ -6,7 +6,7 @@
 use hdrhistogram::Histogram;
 
 use crate::load::{
-    outcome::{Failure, FailureKind, Outcome, Refusal, Timing},
+    outcome::{CallAnswer, Failure, FailureKind, Outcome, Refusal, Timing},
     report::{CountOf, RefusalCount, Report, SecondCounts, Summary},
 };
 
@@ -33,7 +33,7 @@
     pub(super) planned_us: u64,
     pub(super) sent_us: u64,
     pub(super) ended_us: u64,
-    pub(super) outcome: Outcome,
+    pub(super) answer: CallAnswer,
 }
 
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
@@ -108,7 +108,8 @@
         let in_window = ended.ended_us <= self.report.window_us;
         let second = ended.planned_us / MICROS_PER_SECOND;
         self.second(second).sent += 1;
-        match ended.outcome {
+        self.report.resent += ended.answer.resends;
+        match ended.answer.outcome {
             Outcome::Whole(timing) => self.add_whole(&timing, second, in_window),
             Outcome::Refused(refusal) => self.add_refusal(refusal, second),
             Outcome::Failed(failure) => self.add_failure(failure, second),
@@ -183,7 +184,7 @@
             .entry(kind)
             .or_insert_with(|| RefusalTally { latency: histogram(), retry_told: 0 });
         tally.latency.saturating_record(refusal.after_us);
-        tally.retry_told += u64::from(refusal.retry_told);
+        tally.retry_told += u64::from(refusal.retry_ms.is_some());
     }
 
     fn add_failure(&mut self, failure: Failure, second: u64) {
--- a/crates/standin/src/record.rs
+++ b/crates/standin/src/record.rs
@@ -10,7 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 /// Records kept before the oldest are dropped.
-pub const RECORDS_KEPT: usize = 1_000_000;
+pub const RECORDS_KEPT: usize = 300_000;
 
 /// What happened to a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
@@ -46,6 +46,8 @@
 pub struct RecordList {
     /// Events in order.
     pub records: Vec<Record>,
+    /// Records dropped since the start because there were too many.
+    pub dropped: u64,
     /// Runs begun by request id.
     pub runs: BTreeMap<String, u64>,
 }
@@ -67,6 +69,7 @@
 struct RecordLog {
     records: VecDeque<Record>,
     counts: BTreeMap<RecordEvent, u64>,
+    dropped: u64,
 }
 
 impl Records {
@@ -82,6 +85,7 @@
         *log.counts.entry(event).or_default() += 1;
         if log.records.len() == RECORDS_KEPT {
             log.records.pop_front();
+            log.dropped += 1;
         }
         log.records.push_back(record);
     }
@@ -97,7 +101,7 @@
         for record in records.iter().filter(|record| record.event == RecordEvent::Started) {
             *runs.entry(record.request_id.clone()).or_default() += 1;
         }
-        RecordList { records, runs }
+        RecordList { records, dropped: log.dropped, runs }
     }
 
     /// Number of events of each kind since the start.
--- a/crates/standin/tests/load.rs
+++ b/crates/standin/tests/load.rs
@@ -13,7 +13,11 @@
     time::Duration,
 };
 
-use axum::{Json, Router, routing::get};
+use axum::{
+    Json, Router,
+    http::StatusCode,
+    routing::{get, post},
+};
 use common::set_faults;
 use quickcheck::quickcheck;
 use serde_json::{Value, json};
@@ -22,8 +26,8 @@
     client::HttpClient,
     engine::{self, Options},
     load::{
-        AddressBook, ArrivalSettings, BatchSettings, Caller, PromptSettings, Report, Route,
-        RunSettings, Shape, Targets, check_batch, compare, plan, run, write_batch,
+        AddressBook, Arrival, ArrivalSettings, BatchSettings, Caller, PromptSettings, Report,
+        Route, RunSettings, Shape, Targets, check_batch, compare, plan, run, write_batch,
     },
     server::{self, Server},
 };
@@ -39,6 +43,7 @@
         seconds: 1.0,
         requests: CALLS,
         callers: 3,
+        twice_every: 0,
     }
 }
 
@@ -64,6 +69,7 @@
         run_id: "test".to_owned(),
         deadline_ms: None,
         give_up: Duration::from_secs(20),
+        retries: 0,
     }
 }
 
@@ -118,6 +124,37 @@
     assert_eq!((report.failed, report.failures[0].name.as_str()), (12, "timeout"));
 }
 
+#[tokio::test]
+async fn refused_and_broken_calls_are_sent_again() {
+    let engine = start_engine().await;
+    let address = engine.address().to_string();
+    let refusals = Arc::new(AtomicUsize::new(0));
+    let counted = refusals.clone();
+    let refusing = move || async move {
+        counted.fetch_add(1, Relaxed);
+        let error = json!({ "code": "overloaded", "ran": "no", "retry_after_ms": 1 });
+        (StatusCode::SERVICE_UNAVAILABLE, Json(json!({ "error": error })))
+    };
+    let router = Router::new().route("/v1/chat/completions", post(refusing));
+    let entry = Server::start(|listener| server::serve(listener, router, std::future::pending()));
+    let entry = entry.await.unwrap();
+    let mut patient = caller(vec![entry.address().to_string(), address.clone()], false);
+    patient.retries = 1;
+    let report = run_on(patient).await;
+    assert_eq!((report.whole, report.refused), (12, 0));
+    assert_eq!(report.resent, refusals.load(Relaxed) as u64);
+    set_faults(
+        &HttpClient::default(),
+        &format!("http://{address}"),
+        json!({ "break_after_tokens": 1 }),
+    )
+    .await;
+    let mut patient = caller(vec![address], false);
+    patient.retries = 2;
+    let report = run_on(patient).await;
+    assert_eq!((report.failed, report.resent), (12, 24));
+}
+
 #[tokio::test]
 async fn asked_addresses_are_kept_and_tried_in_order() {
     let engine = start_engine().await;
@@ -204,6 +241,16 @@
         plan(&arrivals(), seed) == plan(&arrivals(), seed)
     }
 
+    fn copies_follow_their_request(seed: u64, every: u8) -> bool {
+        let every = u64::from(every);
+        let settings = ArrivalSettings { twice_every: every, ..arrivals() };
+        let all = plan(&settings, seed);
+        let (copies, firsts): (Vec<Arrival>, Vec<Arrival>) = all.into_iter().partition(|arrival| arrival.copy);
+        let copied = |number: u64| every > 0 && (number + 1).is_multiple_of(every);
+        firsts.iter().filter(|arrival| copied(arrival.number)).count() == copies.len()
+            && copies.iter().all(|copy| copied(copy.number))
+    }
+
     fn plans_are_ordered_and_bounded(seed: u64, rate: u16, burst: u8) -> bool {
         let settings = ArrivalSettings {
             rate: f64::from(rate % 500),
