--- a/crates/oleander-core/src/api.rs
+++ b/crates/oleander-core/src/api.rs
@@ -88,7 +88,7 @@
         /// Whether the request reached a target.
         pub ran: Ran,
         /// Earliest sensible time to ask again, in milliseconds from now.
-        #[serde(default, skip_serializing_if = "Option::is_none")]
+        #[serde(default)]
         pub retry_after_ms: Option<u64>,
     }
 
--- /dev/null
+++ b/crates/oleander-ledger/src/shard.rs
@@ -0,0 +1,721 @@
+//! The owner of one shard of online calls.
+//!
+//! The shard grants each call to one runner, joins resends to it, and answers with the recorded
+//! outcome. A grant of a call that may not be repeated follows the commit of its intent. Two
+//! owners at once are harmless: the first final record in the log counts, and the other owner
+//! reads it when its own create fails.
+//!
+//! While the platform does not answer, calls that may be repeated go on: their outcomes are kept
+//! here and copied to a second host, and are committed later.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    mem,
+};
+
+use oleander_core::{AttemptId, CallId, DigestId, HostId, Span, Time, value};
+
+use crate::{
+    call::{CallRecord, Claim, Outcome},
+    log::{Log, LogAction, LogEvent, Ticket},
+    segment::Segment,
+    table::{CallState, CallTable},
+};
+
+/// Tunables of a shard.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ShardConfig {
+    /// Least time between two commits.
+    pub interval: Span,
+    /// Time after which an unanswered platform counts as down.
+    pub patience: Span,
+    /// Age at which the end of the log is read again before a new call is granted.
+    pub freshness: Span,
+    /// Time after which a copy is committed by the host that holds it.
+    pub copy_delay: Span,
+    /// Bytes of outcomes kept in memory.
+    pub memory: usize,
+}
+
+impl ShardConfig {
+    /// The usual tunables.
+    #[must_use]
+    pub const fn new() -> Self {
+        Self {
+            interval: Span::from_millis(40),
+            patience: Span::from_millis(250),
+            freshness: Span::from_secs(2),
+            copy_delay: Span::from_secs(3),
+            memory: 4 << 20,
+        }
+    }
+
+    /// Sets the least time between two commits.
+    #[must_use]
+    pub const fn interval(mut self, interval: Span) -> Self {
+        self.interval = interval;
+        self
+    }
+}
+
+impl Default for ShardConfig {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+/// What the shard is told.
+#[derive(Debug, Clone, PartialEq)]
+pub enum ShardEvent {
+    /// A host asks to run a call.
+    Claim(Ticket, Claim),
+    /// A runner reports the outcome of a call.
+    Record(Ticket, CallId, DigestId, Outcome),
+    /// A runner gives up a run before a byte was sent.
+    Withdraw(Ticket, CallId, AttemptId),
+    /// Somebody reads a call.
+    Lookup(Ticket, CallId),
+    /// Outcomes that another owner could not commit yet.
+    Copies(Vec<CallRecord>),
+    /// The second host holds copies of these calls.
+    Copied(Vec<CallId>),
+    /// The platform's answer, or the passing of time.
+    Log(LogEvent<CallRecord>),
+}
+
+value! {
+    /// The answer to one ticket.
+    pub enum ShardReply {
+        /// Run the call.
+        Run,
+        /// The call is running there.
+        Join {
+            /// Host that runs it.
+            runner: HostId,
+            /// The run.
+            attempt: AttemptId,
+        },
+        /// The call is at its end.
+        Done(Outcome),
+        /// The id stands for another body.
+        Mismatch,
+        /// Nothing is known of the call.
+        Absent,
+        /// The platform is needed and does not answer.
+        Unavailable,
+        /// The run is withdrawn.
+        Withdrawn,
+        /// The outcome that counts, and whether the platform holds it.
+        Recorded {
+            /// The outcome that counts.
+            outcome: Outcome,
+            /// Whether it is committed, not only copied.
+            durable: bool,
+        },
+    }
+}
+
+/// What the shard asks for.
+#[derive(Debug, Clone, PartialEq)]
+pub enum ShardAction {
+    /// Create the log object of this sequence number.
+    Create(u64, Segment<CallRecord>),
+    /// Read the log object of this sequence number.
+    Fetch(u64),
+    /// Answer a ticket.
+    Reply(Ticket, ShardReply),
+    /// Copy outcomes to the second host.
+    Copy(Vec<CallRecord>),
+}
+
+#[derive(Debug)]
+struct Run {
+    digest: DigestId,
+    runner: HostId,
+    attempt: AttemptId,
+    repeatable: bool,
+}
+
+#[derive(Debug)]
+struct Buffered {
+    digest: DigestId,
+    outcome: Outcome,
+    waiters: Vec<Ticket>,
+    copied: Copied,
+    since: Time,
+}
+
+#[derive(Debug, PartialEq, Eq)]
+enum Copied {
+    No,
+    Asked(Time),
+    Yes,
+    /// This host holds the copy for another owner and has not appended it.
+    Foreign,
+}
+
+/// Someone who waits for an outcome that must be read back.
+#[derive(Debug)]
+struct Reader {
+    ticket: Ticket,
+    call: CallId,
+    /// Whether it reported an outcome itself.
+    records: bool,
+}
+
+impl Reader {
+    fn reply(&self, outcome: Outcome) -> ShardAction {
+        let reply = match self.records {
+            true => ShardReply::Recorded { outcome, durable: true },
+            false => ShardReply::Done(outcome),
+        };
+        ShardAction::Reply(self.ticket, reply)
+    }
+}
+
+#[derive(Debug)]
+enum Purpose {
+    Grant(Ticket, Claim),
+    Abandoned(AttemptId),
+    Final(CallId),
+    Withdraw(Option<Ticket>),
+}
+
+/// The shard state machine.
+#[derive(Debug)]
+pub struct Shard {
+    config: ShardConfig,
+    log: Log<CallRecord>,
+    table: CallTable,
+    running: HashMap<CallId, Run>,
+    buffered: HashMap<CallId, Buffered>,
+    purposes: BTreeMap<Ticket, Purpose>,
+    appended: u64,
+    held: Vec<(Time, ShardEvent)>,
+    readers: BTreeMap<u64, Vec<Reader>>,
+}
+
+impl Shard {
+    /// A shard that first replays its log.
+    ///
+    /// `incarnation` must differ between restarts of `host`.
+    #[must_use]
+    pub fn new(host: HostId, incarnation: u64, config: ShardConfig) -> Self {
+        Self {
+            config,
+            log: Log::new(host, incarnation, config.interval),
+            table: CallTable::new(config.memory),
+            running: HashMap::new(),
+            buffered: HashMap::new(),
+            purposes: BTreeMap::new(),
+            appended: 0,
+            held: Vec::new(),
+            readers: BTreeMap::new(),
+        }
+    }
+
+    /// Number of calls whose outcome is not committed yet.
+    #[must_use]
+    pub fn backlog(&self) -> usize {
+        self.buffered.len()
+    }
+
+    /// Number of calls that are known to run.
+    #[must_use]
+    pub fn running(&self) -> usize {
+        self.running.len()
+    }
+
+    /// Number of calls that the log names.
+    #[must_use]
+    pub fn recorded(&self) -> usize {
+        self.table.len()
+    }
+
+    /// When to send the next tick at the latest.
+    #[must_use]
+    pub fn next_wake(&self, now: Time) -> Option<Time> {
+        let patience = now + self.config.patience;
+        let held = (!self.held.is_empty()).then_some(patience);
+        let buffered = (!self.buffered.is_empty()).then_some(patience);
+        [self.log.next_wake(), held, buffered].into_iter().flatten().min()
+    }
+
+    /// Takes one event and returns what to do, in order.
+    pub fn handle(&mut self, now: Time, event: ShardEvent) -> Vec<ShardAction> {
+        let mut actions = Vec::new();
+        self.take(now, event, &mut actions);
+        self.release_held(now, &mut actions);
+        self.copy_out(now, &mut actions);
+        self.append_copies(now, &mut actions);
+        self.refuse_grants(now, &mut actions);
+        actions
+    }
+
+    fn take(&mut self, now: Time, event: ShardEvent, actions: &mut Vec<ShardAction>) {
+        match event {
+            ShardEvent::Claim(ticket, claim) => self.claim(now, ticket, claim, actions),
+            ShardEvent::Record(ticket, call, digest, outcome) => {
+                self.record(now, ticket, call, digest, outcome, actions);
+            }
+            ShardEvent::Withdraw(ticket, call, attempt) => {
+                self.withdraw(now, ticket, call, attempt, actions);
+            }
+            ShardEvent::Lookup(ticket, call) => self.lookup(now, ticket, call, actions),
+            ShardEvent::Copies(records) => self.keep_copies(now, records),
+            ShardEvent::Copied(calls) => self.copied(&calls, actions),
+            ShardEvent::Log(LogEvent::Fetched(sequence, Some(segment)))
+                if sequence < self.log.next() =>
+            {
+                self.answer_readers(sequence, &segment, actions);
+            }
+            ShardEvent::Log(event) => self.drive(now, event, actions),
+        }
+    }
+
+    /// Whether decisions can't wait for the platform.
+    fn is_degraded(&self, now: Time) -> bool {
+        self.log.is_failing() || self.log.waited(now) > self.config.patience
+    }
+
+    /// Whether the end of the log must be read before a call counts as unknown.
+    fn is_stale(&self, now: Time) -> bool {
+        !self.log.is_current() || now.since(self.log.read_at()) > self.config.freshness
+    }
+
+    /// Keeps an event until the log is read to its end; false if it need not or can't wait.
+    fn hold(&mut self, now: Time, event: ShardEvent, actions: &mut Vec<ShardAction>) -> bool {
+        if !self.is_stale(now) || self.is_degraded(now) {
+            return false;
+        }
+        self.held.push((now, event));
+        self.drive(now, LogEvent::Refresh, actions);
+        true
+    }
+
+    fn release_held(&mut self, now: Time, actions: &mut Vec<ShardAction>) {
+        if self.held.is_empty() || (self.is_stale(now) && !self.is_degraded(now)) {
+            return;
+        }
+        for (_, event) in mem::take(&mut self.held) {
+            self.take(now, event, actions);
+        }
+    }
+
+    fn claim(&mut self, now: Time, ticket: Ticket, claim: Claim, actions: &mut Vec<ShardAction>) {
+        if let Some(digest) = self.known_digest(&claim.call)
+            && *digest != claim.digest
+        {
+            actions.push(ShardAction::Reply(ticket, ShardReply::Mismatch));
+            return;
+        }
+        if self.answer_known(ticket, &claim.call, actions) {
+            return;
+        }
+        if let Some(CallState::Intent { runner, attempt, .. }) = self.table.state(&claim.call) {
+            let (runner, attempt) = (runner.clone(), attempt.clone());
+            self.claim_intent(now, ticket, claim, runner, attempt, actions);
+            return;
+        }
+        if let Some(run) = self.running.get(&claim.call)
+            && claim.gone.as_ref() != Some(&run.attempt)
+        {
+            let granted = run.attempt == claim.attempt && run.repeatable;
+            let reply = match granted {
+                true => ShardReply::Run,
+                false => {
+                    ShardReply::Join { runner: run.runner.clone(), attempt: run.attempt.clone() }
+                }
+            };
+            actions.push(ShardAction::Reply(ticket, reply));
+            return;
+        }
+        if self.hold(now, ShardEvent::Claim(ticket, claim.clone()), actions) {
+            return;
+        }
+        self.grant(now, ticket, claim, actions);
+    }
+
+    /// Answers a claim of a call that has an intent and no outcome.
+    fn claim_intent(
+        &mut self,
+        now: Time,
+        ticket: Ticket,
+        claim: Claim,
+        runner: HostId,
+        attempt: AttemptId,
+        actions: &mut Vec<ShardAction>,
+    ) {
+        if attempt == claim.attempt {
+            actions.push(ShardAction::Reply(ticket, ShardReply::Run));
+        } else if claim.gone.as_ref() == Some(&attempt) {
+            let Claim { call, digest, .. } = claim;
+            self.record(now, ticket, call, digest, Outcome::Unknown, actions);
+        } else {
+            actions.push(ShardAction::Reply(ticket, ShardReply::Join { runner, attempt }));
+        }
+    }
+
+    fn grant(&mut self, now: Time, ticket: Ticket, claim: Claim, actions: &mut Vec<ShardAction>) {
+        if !claim.repeatable && self.is_degraded(now) {
+            actions.push(ShardAction::Reply(ticket, ShardReply::Unavailable));
+            return;
+        }
+        let run = Run {
+            digest: claim.digest.clone(),
+            runner: claim.runner.clone(),
+            attempt: claim.attempt.clone(),
+            repeatable: claim.repeatable,
+        };
+        self.running.insert(claim.call.clone(), run);
+        if claim.repeatable {
+            actions.push(ShardAction::Reply(ticket, ShardReply::Run));
+            return;
+        }
+        let record = CallRecord::Intent {
+            call: claim.call.clone(),
+            digest: claim.digest.clone(),
+            runner: claim.runner.clone(),
+            attempt: claim.attempt.clone(),
+        };
+        self.append(now, Purpose::Grant(ticket, claim), record, actions);
+    }
+
+    fn record(
+        &mut self,
+        now: Time,
+        ticket: Ticket,
+        call: CallId,
+        digest: DigestId,
+        outcome: Outcome,
+        actions: &mut Vec<ShardAction>,
+    ) {
+        if let Some(CallState::Final { sequence, .. }) = self.table.state(&call) {
+            let sequence = *sequence;
+            self.read_outcome(Reader { ticket, call, records: true }, sequence, actions);
+            return;
+        }
+        if let Some(buffered) = self.buffered.get_mut(&call) {
+            if buffered.copied == Copied::Yes {
+                let outcome = buffered.outcome.clone();
+                let reply = ShardReply::Recorded { outcome, durable: false };
+                actions.push(ShardAction::Reply(ticket, reply));
+            } else {
+                buffered.waiters.push(ticket);
+            }
+            return;
+        }
+        let buffered = Buffered {
+            digest: digest.clone(),
+            outcome: outcome.clone(),
+            waiters: vec![ticket],
+            copied: Copied::No,
+            since: now,
+        };
+        self.buffered.insert(call.clone(), buffered);
+        let record = CallRecord::Final { call: call.clone(), digest, outcome };
+        self.append(now, Purpose::Final(call), record, actions);
+    }
+
+    fn withdraw(
+        &mut self,
+        now: Time,
+        ticket: Ticket,
+        call: CallId,
+        attempt: AttemptId,
+        actions: &mut Vec<ShardAction>,
+    ) {
+        let repeatable = match self.running.get(&call) {
+            Some(run) if run.attempt == attempt => run.repeatable,
+            _ => false,
+        };
+        if repeatable {
+            self.running.remove(&call);
+            actions.push(ShardAction::Reply(ticket, ShardReply::Withdrawn));
+            return;
+        }
+        let record = CallRecord::Withdrawn { call, attempt };
+        self.append(now, Purpose::Withdraw(Some(ticket)), record, actions);
+    }
+
+    fn lookup(&mut self, now: Time, ticket: Ticket, call: CallId, actions: &mut Vec<ShardAction>) {
+        if self.answer_known(ticket, &call, actions) {
+            return;
+        }
+        if let Some(CallState::Intent { runner, attempt, .. }) = self.table.state(&call) {
+            let reply = ShardReply::Join { runner: runner.clone(), attempt: attempt.clone() };
+            actions.push(ShardAction::Reply(ticket, reply));
+            return;
+        }
+        if let Some(run) = self.running.get(&call) {
+            let (runner, attempt) = (run.runner.clone(), run.attempt.clone());
+            actions.push(ShardAction::Reply(ticket, ShardReply::Join { runner, attempt }));
+            return;
+        }
+        if self.hold(now, ShardEvent::Lookup(ticket, call), actions) {
+            return;
+        }
+        let reply = match self.is_stale(now) {
+            true => ShardReply::Unavailable,
+            false => ShardReply::Absent,
+        };
+        actions.push(ShardAction::Reply(ticket, reply));
+    }
+
+    /// Answers a ticket whose call is at its end.
+    fn answer_known(
+        &mut self,
+        ticket: Ticket,
+        call: &CallId,
+        actions: &mut Vec<ShardAction>,
+    ) -> bool {
+        if let Some(CallState::Final { sequence, .. }) = self.table.state(call) {
+            let sequence = *sequence;
+            let reader = Reader { ticket, call: call.clone(), records: false };
+            self.read_outcome(reader, sequence, actions);
+            return true;
+        }
+        if let Some(buffered) = self.buffered.get(call) {
+            let reply = ShardReply::Done(buffered.outcome.clone());
+            actions.push(ShardAction::Reply(ticket, reply));
+            return true;
+        }
+        false
+    }
+
+    fn known_digest(&self, call: &CallId) -> Option<&DigestId> {
+        match self.table.state(call) {
+            Some(CallState::Intent { digest, .. } | CallState::Final { digest, .. }) => {
+                return Some(digest);
+            }
+            None => {}
+        }
+        let buffered = self.buffered.get(call).map(|buffered| &buffered.digest);
+        buffered.or_else(|| self.running.get(call).map(|run| &run.digest))
+    }
+
+    /// Answers with a committed outcome, from memory or from its segment.
+    fn read_outcome(&mut self, reader: Reader, sequence: u64, actions: &mut Vec<ShardAction>) {
+        if let Some(outcome) = self.table.outcome(&reader.call) {
+            actions.push(reader.reply(outcome.clone()));
+            return;
+        }
+        self.readers.entry(sequence).or_default().push(reader);
+        actions.push(ShardAction::Fetch(sequence));
+    }
+
+    fn answer_readers(
+        &mut self,
+        sequence: u64,
+        segment: &Segment<CallRecord>,
+        actions: &mut Vec<ShardAction>,
+    ) {
+        for reader in self.readers.remove(&sequence).unwrap_or_default() {
+            let found = segment.records.iter().find_map(|record| match record {
+                CallRecord::Final { call, outcome, .. } if *call == reader.call => Some(outcome),
+                _ => None,
+            });
+            if let Some(outcome) = found {
+                self.table.remember(&reader.call, outcome);
+                actions.push(reader.reply(outcome.clone()));
+            }
+        }
+    }
+
+    fn append(
+        &mut self,
+        now: Time,
+        purpose: Purpose,
+        record: CallRecord,
+        actions: &mut Vec<ShardAction>,
+    ) {
+        self.appended += 1;
+        let ticket = Ticket(self.appended);
+        self.purposes.insert(ticket, purpose);
+        self.drive(now, LogEvent::Append(ticket, record), actions);
+    }
+
+    fn drive(&mut self, now: Time, event: LogEvent<CallRecord>, actions: &mut Vec<ShardAction>) {
+        for action in self.log.handle(now, event) {
+            match action {
+                LogAction::Create(sequence, segment) => {
+                    actions.push(ShardAction::Create(sequence, segment));
+                }
+                LogAction::Fetch(sequence) => actions.push(ShardAction::Fetch(sequence)),
+                LogAction::Apply(sequence, segment, tickets) => {
+                    self.apply(now, sequence, &segment, tickets, actions);
+                }
+                LogAction::Return(records) => self.decide_again(now, records, actions),
+            }
+        }
+    }
+
+    fn apply(
+        &mut self,
+        now: Time,
+        sequence: u64,
+        segment: &Segment<CallRecord>,
+        tickets: Vec<Ticket>,
+        actions: &mut Vec<ShardAction>,
+    ) {
+        for record in &segment.records {
+            self.table.apply(sequence, record);
+            self.settle_final(record.call(), actions);
+        }
+        for ticket in tickets {
+            if let Some(purpose) = self.purposes.remove(&ticket) {
+                self.committed(now, purpose, actions);
+            }
+        }
+    }
+
+    /// Answers everybody who waits for the outcome of a call that is now committed.
+    fn settle_final(&mut self, call: &CallId, actions: &mut Vec<ShardAction>) {
+        let Some(CallState::Final { .. }) = self.table.state(call) else { return };
+        self.running.remove(call);
+        let Some(buffered) = self.buffered.remove(call) else { return };
+        let outcome = self.table.outcome(call).cloned().unwrap_or(buffered.outcome);
+        for ticket in buffered.waiters {
+            let reply = ShardReply::Recorded { outcome: outcome.clone(), durable: true };
+            actions.push(ShardAction::Reply(ticket, reply));
+        }
+    }
+
+    fn committed(&mut self, now: Time, purpose: Purpose, actions: &mut Vec<ShardAction>) {
+        match purpose {
+            Purpose::Grant(ticket, claim) => self.claim(now, ticket, claim, actions),
+            Purpose::Abandoned(attempt) => self.withdraw_abandoned(now, &attempt, actions),
+            Purpose::Withdraw(Some(ticket)) => {
+                actions.push(ShardAction::Reply(ticket, ShardReply::Withdrawn));
+            }
+            Purpose::Withdraw(None) | Purpose::Final(_) => {}
+        }
+    }
+
+    fn withdraw_abandoned(
+        &mut self,
+        now: Time,
+        attempt: &AttemptId,
+        actions: &mut Vec<ShardAction>,
+    ) {
+        let call = self.running.iter().find(|(_, run)| run.attempt == *attempt);
+        let Some(call) = call.map(|(call, _)| call.clone()) else { return };
+        self.running.remove(&call);
+        let record = CallRecord::Withdrawn { call, attempt: attempt.clone() };
+        self.append(now, Purpose::Withdraw(None), record, actions);
+    }
+
+    /// Decides again on records that a foreign segment came before.
+    fn decide_again(
+        &mut self,
+        now: Time,
+        records: Vec<(Ticket, CallRecord)>,
+        actions: &mut Vec<ShardAction>,
+    ) {
+        for (ticket, record) in records {
+            let Some(purpose) = self.purposes.remove(&ticket) else { continue };
+            match purpose {
+                Purpose::Grant(ticket, claim) => {
+                    self.running.remove(&claim.call);
+                    self.claim(now, ticket, claim, actions);
+                }
+                Purpose::Abandoned(attempt) => {
+                    self.running.retain(|_, run| run.attempt != attempt);
+                }
+                Purpose::Final(call) if self.buffered.contains_key(&call) => {
+                    self.append(now, Purpose::Final(call), record, actions);
+                }
+                Purpose::Withdraw(ticket) => {
+                    self.append(now, Purpose::Withdraw(ticket), record, actions);
+                }
+                Purpose::Final(_) => {}
+            }
+        }
+    }
+
+    /// Asks for copies of outcomes that the platform does not take.
+    fn copy_out(&mut self, now: Time, actions: &mut Vec<ShardAction>) {
+        if !self.is_degraded(now) {
+            return;
+        }
+        let mut records = Vec::new();
+        for (call, buffered) in &mut self.buffered {
+            let due = match buffered.copied {
+                Copied::No => true,
+                Copied::Asked(at) => now.since(at) > self.config.patience,
+                Copied::Yes | Copied::Foreign => false,
+            };
+            if due {
+                buffered.copied = Copied::Asked(now);
+                records.push(CallRecord::Final {
+                    call: call.clone(),
+                    digest: buffered.digest.clone(),
+                    outcome: buffered.outcome.clone(),
+                });
+            }
+        }
+        if !records.is_empty() {
+            actions.push(ShardAction::Copy(records));
+        }
+    }
+
+    fn copied(&mut self, calls: &[CallId], actions: &mut Vec<ShardAction>) {
+        for call in calls {
+            let Some(buffered) = self.buffered.get_mut(call) else { continue };
+            buffered.copied = Copied::Yes;
+            for ticket in mem::take(&mut buffered.waiters) {
+                let outcome = buffered.outcome.clone();
+                let reply = ShardReply::Recorded { outcome, durable: false };
+                actions.push(ShardAction::Reply(ticket, reply));
+            }
+        }
+    }
+
+    fn keep_copies(&mut self, now: Time, records: Vec<CallRecord>) {
+        for record in records {
+            let CallRecord::Final { call, digest, outcome } = record else { continue };
+            if matches!(self.table.state(&call), Some(CallState::Final { .. })) {
+                continue;
+            }
+            self.buffered.entry(call).or_insert_with(|| Buffered {
+                digest,
+                outcome,
+                waiters: Vec::new(),
+                copied: Copied::Foreign,
+                since: now,
+            });
+        }
+    }
+
+    /// Commits copies that their owner has had time to commit.
+    fn append_copies(&mut self, now: Time, actions: &mut Vec<ShardAction>) {
+        let delay = self.config.copy_delay;
+        let mut due = Vec::new();
+        for (call, buffered) in &mut self.buffered {
+            if buffered.copied == Copied::Foreign && now.since(buffered.since) >= delay {
+                buffered.copied = Copied::Yes;
+                let (digest, outcome) = (buffered.digest.clone(), buffered.outcome.clone());
+                due.push((call.clone(), digest, outcome));
+            }
+        }
+        for (call, digest, outcome) in due {
+            let record = CallRecord::Final { call: call.clone(), digest, outcome };
+            self.append(now, Purpose::Final(call), record, actions);
+        }
+    }
+
+    /// Refuses grants that wait for a platform that does not answer.
+    ///
+    /// The intent may still be committed; it is withdrawn when it is.
+    fn refuse_grants(&mut self, now: Time, actions: &mut Vec<ShardAction>) {
+        if !self.is_degraded(now) {
+            return;
+        }
+        for purpose in self.purposes.values_mut() {
+            if let Purpose::Grant(ticket, claim) = purpose {
+                actions.push(ShardAction::Reply(*ticket, ShardReply::Unavailable));
+                *purpose = Purpose::Abandoned(claim.attempt.clone());
+            }
+        }
+    }
+}
