--- /dev/null
+++ b/crates/oleander-intake/src/lib.rs
@@ -0,0 +1,1 @@
+//! Callers' interface of files and batch jobs.
