Add the adapter to targets

Streams count as whole only with matching ids, gapless positions and the end marker; calls that may not be repeated use a connection of their own.

--- /dev/null
+++ b/crates/oleander-target/src/chat.rs
@@ -0,0 +1,181 @@
+//! Streams of chat completions.
+//!
+//! A stream is whole only when each chunk names the request, the token positions follow each
+//! other without a gap, and the end marker came.
+
+use std::{fmt, pin::Pin, time::Duration};
+
+use bytes::Bytes;
+use eventsource_stream::{EventStream, Eventsource};
+use futures_util::{Stream, StreamExt};
+use http_body_util::BodyDataStream;
+use hyper::body::Incoming;
+use serde::{Deserialize, Serialize};
+
+use crate::{client::Timeouts, error::TargetError};
+
+const END_MARKER: &str = "[DONE]";
+
+/// Token counts of a completion.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Usage {
+    /// Tokens of the prompt.
+    #[serde(default)]
+    pub prompt_tokens: u64,
+    /// Tokens generated.
+    #[serde(default)]
+    pub completion_tokens: u64,
+    /// Both together.
+    #[serde(default)]
+    pub total_tokens: u64,
+}
+
+/// One piece of a stream.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Piece {
+    /// The next token.
+    Token(String),
+    /// The stream is whole.
+    End {
+        /// Why the engine stopped.
+        finish: String,
+        /// Token counts.
+        usage: Usage,
+    },
+}
+
+#[derive(Debug, Deserialize)]
+struct Chunk {
+    id: String,
+    choices: Vec<Choice>,
+    usage: Option<Usage>,
+}
+
+#[derive(Debug, Deserialize)]
+struct Choice {
+    delta: Delta,
+    index_token: Option<u64>,
+    finish_reason: Option<String>,
+}
+
+#[derive(Debug, Default, Deserialize)]
+struct Delta {
+    content: Option<String>,
+}
+
+type Events = EventStream<BodyDataStream<Incoming>>;
+
+/// A completion on its way.
+pub struct ChatStream {
+    events: Pin<Box<Events>>,
+    request_id: String,
+    next_index: u64,
+    finish: Option<(String, Usage)>,
+    wait: Duration,
+    idle: Duration,
+}
+
+impl fmt::Debug for ChatStream {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("ChatStream")
+            .field("request_id", &self.request_id)
+            .field("next_index", &self.next_index)
+            .finish_non_exhaustive()
+    }
+}
+
+impl ChatStream {
+    pub(crate) fn new(body: Incoming, request_id: &str, skip: u64, timeouts: Timeouts) -> Self {
+        Self {
+            events: Box::pin(BodyDataStream::new(body).eventsource()),
+            request_id: request_id.to_owned(),
+            next_index: skip,
+            finish: None,
+            wait: timeouts.first,
+            idle: timeouts.idle,
+        }
+    }
+
+    /// Number of tokens known so far, those before a resume included.
+    #[must_use]
+    pub const fn tokens(&self) -> u64 {
+        self.next_index
+    }
+
+    /// Waits for the next piece.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the stream breaks, ends early, goes silent or carries another request's answer.
+    pub async fn next(&mut self) -> Result<Piece, TargetError> {
+        loop {
+            let data = next_data(&mut self.events, self.wait).await?;
+            self.wait = self.idle;
+            if data == END_MARKER {
+                return self.end();
+            }
+            if let Some(piece) = self.take_chunk(&data)? {
+                return Ok(piece);
+            }
+        }
+    }
+
+    fn end(&mut self) -> Result<Piece, TargetError> {
+        match self.finish.take() {
+            Some((finish, usage)) => Ok(Piece::End { finish, usage }),
+            None => Err(TargetError::Broken("end marker without a finish reason".to_owned())),
+        }
+    }
+
+    fn take_chunk(&mut self, data: &str) -> Result<Option<Piece>, TargetError> {
+        let chunk: Chunk =
+            serde_json::from_str(data).map_err(|e| TargetError::Broken(e.to_string()))?;
+        if chunk.id != self.request_id {
+            return Err(TargetError::Crossed(chunk.id));
+        }
+        let Some(choice) = chunk.choices.into_iter().next() else { return Ok(None) };
+        if let Some(finish) = choice.finish_reason {
+            self.finish = Some((finish, chunk.usage.unwrap_or_default()));
+        }
+        let Some(text) = choice.delta.content else { return Ok(None) };
+        if text.is_empty() {
+            return Ok(None);
+        }
+        let index = choice.index_token.unwrap_or(self.next_index);
+        if index < self.next_index {
+            return Ok(None);
+        }
+        if index > self.next_index {
+            return Err(TargetError::Broken(format!("token {} is missing", self.next_index)));
+        }
+        self.next_index += 1;
+        Ok(Some(Piece::Token(text)))
+    }
+}
+
+async fn next_data<S, E>(events: &mut S, wait: Duration) -> Result<String, TargetError>
+where
+    S: Stream<Item = Result<eventsource_stream::Event, E>> + Unpin,
+    E: fmt::Display,
+{
+    match tokio::time::timeout(wait, events.next()).await {
+        Ok(Some(Ok(event))) => Ok(event.data),
+        Ok(Some(Err(error))) => Err(TargetError::Broken(error.to_string())),
+        Ok(None) => Err(TargetError::Broken("stream ended without its end marker".to_owned())),
+        Err(_) => Err(TargetError::Silent),
+    }
+}
+
+/// Sets `stream` and `resume_from` in a chat/completions body.
+///
+/// # Errors
+///
+/// Fails on a body that is no JSON object.
+pub fn stream_body(body: &[u8], skip: u64) -> Result<Bytes, serde_json::Error> {
+    let mut body: serde_json::Map<String, serde_json::Value> = serde_json::from_slice(body)?;
+    body.insert("stream".to_owned(), true.into());
+    if skip > 0 {
+        body.insert("resume_from".to_owned(), skip.into());
+    }
+    serde_json::to_vec(&body).map(Bytes::from)
+}
--- /dev/null
+++ b/crates/oleander-target/src/client.rs
@@ -0,0 +1,248 @@
+//! HTTP calls to targets.
+
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use http::{Method, Request, Response, header};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper_util::{
+    client::legacy::{Client, connect::HttpConnector},
+    rt::TokioExecutor,
+};
+use parking_lot::Mutex;
+
+use crate::{chat::ChatStream, error::TargetError};
+
+/// Header that names a request towards its target.
+pub(crate) const REQUEST_ID_HEADER: &str = "x-request-id";
+const MAX_IDLE_CONNECTIONS: usize = 64;
+
+pub(crate) type HttpClient = Client<HttpConnector, Full<Bytes>>;
+
+/// Bounds on how long a target may stay silent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Timeouts {
+    /// Opening a connection.
+    pub connect: Duration,
+    /// From the request to the head of the answer and its first piece.
+    pub first: Duration,
+    /// Between two pieces of an answer.
+    pub idle: Duration,
+    /// How long an unused connection is kept.
+    pub keep: Duration,
+}
+
+impl Timeouts {
+    /// The usual bounds.
+    #[must_use]
+    pub const fn new() -> Self {
+        Self {
+            connect: Duration::from_millis(300),
+            first: Duration::from_secs(10),
+            idle: Duration::from_secs(2),
+            keep: Duration::from_secs(5),
+        }
+    }
+
+    /// Sets the bound on the first piece.
+    #[must_use]
+    pub const fn first(mut self, first: Duration) -> Self {
+        self.first = first;
+        self
+    }
+}
+
+impl Default for Timeouts {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+/// Which connection a call may use.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Connection {
+    /// Any open one.
+    Pooled,
+    /// One of its own.
+    Fresh,
+}
+
+/// A whole answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Answer {
+    /// HTTP status.
+    pub status: u16,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// Client of all targets.
+#[derive(Debug, Clone)]
+pub struct HttpTargets {
+    timeouts: Timeouts,
+    pools: Arc<Mutex<HashMap<String, HttpClient>>>,
+}
+
+impl HttpTargets {
+    /// A client with these bounds.
+    #[must_use]
+    pub fn new(timeouts: Timeouts) -> Self {
+        Self { timeouts, pools: Arc::new(Mutex::new(HashMap::new())) }
+    }
+
+    /// Starts a streamed chat completion; `skip` tokens are known already.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no stream starts within the bounds.
+    pub async fn chat(
+        &self,
+        address: &str,
+        request_id: &str,
+        body: Bytes,
+        skip: u64,
+    ) -> Result<ChatStream, TargetError> {
+        let request = post(address, "v1/chat/completions", request_id, body)?;
+        let response = self.send(address, request, Connection::Pooled).await?;
+        if !response.status().is_success() {
+            let answer = self.read(address, response).await?;
+            return Err(status_error(&answer));
+        }
+        Ok(ChatStream::new(response.into_body(), request_id, skip, self.timeouts))
+    }
+
+    /// Calls an operation of a plain service and reads the whole answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails without a whole answer and on error statuses.
+    pub async fn call(
+        &self,
+        address: &str,
+        path: &str,
+        request_id: &str,
+        body: Bytes,
+        connection: Connection,
+    ) -> Result<Answer, TargetError> {
+        let request = post(address, path, request_id, body)?;
+        let response = self.send(address, request, connection).await?;
+        let answer = self.read(address, response).await?;
+        if answer.status >= 400 {
+            return Err(status_error(&answer));
+        }
+        Ok(answer)
+    }
+
+    /// Closes the idle connections to a target, and lets new calls open new ones.
+    pub fn retire(&self, address: &str) {
+        self.pools.lock().remove(address);
+    }
+
+    pub(crate) async fn get(&self, address: &str, path: &str) -> Result<Answer, TargetError> {
+        let request = build(Method::GET, address, path, None, Bytes::new())?;
+        let response = self.send(address, request, Connection::Pooled).await?;
+        self.read(address, response).await
+    }
+
+    pub(crate) async fn post_plain(
+        &self,
+        address: &str,
+        path: &str,
+        body: Bytes,
+    ) -> Result<Answer, TargetError> {
+        let request = build(Method::POST, address, path, None, body)?;
+        let response = self.send(address, request, Connection::Pooled).await?;
+        self.read(address, response).await
+    }
+
+    async fn send(
+        &self,
+        address: &str,
+        request: Request<Full<Bytes>>,
+        connection: Connection,
+    ) -> Result<Response<Incoming>, TargetError> {
+        let client = match connection {
+            Connection::Pooled => self.pool(address),
+            Connection::Fresh => new_client(&self.timeouts, 0),
+        };
+        match tokio::time::timeout(self.timeouts.first, client.request(request)).await {
+            Ok(Ok(response)) => Ok(response),
+            Ok(Err(error)) if error.is_connect() => Err(TargetError::Connect(error.to_string())),
+            Ok(Err(error)) => Err(TargetError::Broken(error.to_string())),
+            Err(_) => {
+                self.retire(address);
+                Err(TargetError::Silent)
+            }
+        }
+    }
+
+    async fn read(
+        &self,
+        address: &str,
+        response: Response<Incoming>,
+    ) -> Result<Answer, TargetError> {
+        let status = response.status().as_u16();
+        let body = response.into_body().collect();
+        match tokio::time::timeout(self.timeouts.first, body).await {
+            Ok(Ok(body)) => Ok(Answer { status, body: body.to_bytes() }),
+            Ok(Err(error)) => Err(TargetError::Broken(error.to_string())),
+            Err(_) => {
+                self.retire(address);
+                Err(TargetError::Silent)
+            }
+        }
+    }
+
+    fn pool(&self, address: &str) -> HttpClient {
+        let mut pools = self.pools.lock();
+        if let Some(client) = pools.get(address) {
+            return client.clone();
+        }
+        let client = new_client(&self.timeouts, MAX_IDLE_CONNECTIONS);
+        pools.insert(address.to_owned(), client.clone());
+        client
+    }
+}
+
+fn new_client(timeouts: &Timeouts, max_idle: usize) -> HttpClient {
+    let mut connector = HttpConnector::new();
+    connector.set_connect_timeout(Some(timeouts.connect));
+    connector.set_nodelay(true);
+    Client::builder(TokioExecutor::new())
+        .pool_idle_timeout(timeouts.keep)
+        .pool_max_idle_per_host(max_idle)
+        .retry_canceled_requests(false)
+        .build(connector)
+}
+
+fn post(
+    address: &str,
+    path: &str,
+    request_id: &str,
+    body: Bytes,
+) -> Result<Request<Full<Bytes>>, TargetError> {
+    build(Method::POST, address, path, Some(request_id), body)
+}
+
+fn build(
+    method: Method,
+    address: &str,
+    path: &str,
+    request_id: Option<&str>,
+    body: Bytes,
+) -> Result<Request<Full<Bytes>>, TargetError> {
+    let mut request = Request::builder()
+        .method(method)
+        .uri(format!("http://{address}/{path}"))
+        .header(header::CONTENT_TYPE, "application/json");
+    if let Some(id) = request_id {
+        request = request.header(REQUEST_ID_HEADER, id);
+    }
+    request.body(Full::new(body)).map_err(|e| TargetError::Connect(e.to_string()))
+}
+
+fn status_error(answer: &Answer) -> TargetError {
+    let text = String::from_utf8_lossy(&answer.body).into_owned();
+    TargetError::Status(answer.status, text)
+}
--- a/crates/oleander-target/src/lib.rs
+++ b/crates/oleander-target/src/lib.rs
@@ -1,1 +1,15 @@
-//! oleander-target.
+//! The adapter to targets: model engines and plain services.
+//!
+//! Connections are pooled by address and retired together when one goes silent. A call that may
+//! not be repeated always opens a connection of its own, so that a connection that died in the
+//! pool never leaves its outcome open.
+
+mod chat;
+mod client;
+mod control;
+mod error;
+
+pub use chat::{ChatStream, Piece, Usage, stream_body};
+pub use client::{Answer, Connection, HttpTargets, Timeouts};
+pub use control::{EngineState, LoadReport, Order, OrderOutcome};
+pub use error::TargetError;
