Read and check the document, with every fault at its JSON path

Operators need one pass that names all faults, so the reader walks the raw JSON itself and goes on after each fault. Bounds, defaults and field names stand in one table that the console and the docs can use. Two example documents for the demos.

--- /dev/null
+++ b/crates/oleander-document/src/read/service.rs
@@ -0,0 +1,148 @@
+//! Reads services with their targets and operations.
+
+use oleander_core::ModelId;
+
+use super::{
+    Scope, read_address, read_all, read_limits, read_name, read_operation_name, require_declared,
+};
+use crate::{
+    BatchLimits, OnlineLimits, Operation, Service, ServiceKind, TargetEntry,
+    names::Names,
+    path,
+    reader::{Node, Object, Reader},
+    schema::{self, Limit},
+};
+
+pub(super) fn read_services(
+    reader: &mut Reader,
+    object: &Object<'_>,
+    scope: &mut Scope,
+) -> Option<Vec<Service>> {
+    let node = reader.required(object, "services")?;
+    let nodes = reader.list(&node, 0, schema::MAX_SERVICES)?;
+    let mut names = Names::default();
+    let services = read_all(&nodes, |node| read_service(reader, node, &mut names, scope));
+    scope.services = Some(names);
+    services
+}
+
+fn read_service(
+    reader: &mut Reader,
+    node: &Node<'_>,
+    names: &mut Names,
+    scope: &mut Scope,
+) -> Option<Service> {
+    let object = reader.object(node, &schema::SERVICE)?;
+    let name = reader.required(&object, "name");
+    let name = name.and_then(|node| read_name(reader, &node, names));
+    let kind = read_kind(reader, &object);
+    let targets = reader.required(&object, "targets");
+    let targets = targets.and_then(|node| read_targets(reader, &node, scope));
+    let online = read_online(reader, &object);
+    let batch = read_limits(reader, &object, "batch", &schema::BATCH);
+    Some(Service {
+        name: name?,
+        kind: kind?,
+        targets: targets?,
+        online: online?,
+        batch: batch.map(BatchLimits::from)?,
+    })
+}
+
+fn read_kind(reader: &mut Reader, object: &Object<'_>) -> Option<ServiceKind> {
+    let node = reader.required(object, "kind")?;
+    match reader.text(&node)? {
+        schema::ENGINE => read_engine(reader, object),
+        schema::PLAIN => read_plain(reader, object),
+        other => {
+            let message =
+                format!("must be {:?} or {:?}, is {other:?}", schema::ENGINE, schema::PLAIN);
+            reader.fault(&node.path, message);
+            None
+        }
+    }
+}
+
+fn read_engine(reader: &mut Reader, object: &Object<'_>) -> Option<ServiceKind> {
+    refuse_field(reader, object, "operations", "an engine service has no operations");
+    let node = reader.required(object, "model")?;
+    let model: ModelId = reader.id(&node)?;
+    Some(ServiceKind::Engine { model })
+}
+
+fn read_plain(reader: &mut Reader, object: &Object<'_>) -> Option<ServiceKind> {
+    refuse_field(reader, object, "model", "a plain service has no model");
+    let node = reader.required(object, "operations")?;
+    let nodes = reader.list(&node, 1, schema::MAX_OPERATIONS)?;
+    let mut names = Names::default();
+    let operations = read_all(&nodes, |node| read_operation(reader, node, &mut names))?;
+    Some(ServiceKind::Plain { operations })
+}
+
+fn refuse_field(reader: &mut Reader, object: &Object<'_>, name: &str, message: &str) {
+    if let Some(node) = object.optional(name) {
+        reader.fault(&node.path, message);
+    }
+}
+
+fn read_operation(reader: &mut Reader, node: &Node<'_>, names: &mut Names) -> Option<Operation> {
+    let object = reader.object(node, &schema::OPERATION)?;
+    let name = reader.required(&object, "name");
+    let name = name.and_then(|node| read_operation_name(reader, &node, names));
+    let repeatable = reader.required(&object, "repeatable");
+    let repeatable = repeatable.and_then(|node| reader.flag(&node));
+    Some(Operation { name: name?, repeatable: repeatable? })
+}
+
+fn read_targets(
+    reader: &mut Reader,
+    node: &Node<'_>,
+    scope: &mut Scope,
+) -> Option<Vec<TargetEntry>> {
+    let nodes = reader.list(node, 0, schema::MAX_TARGETS)?;
+    let mut addresses = Names::default();
+    read_all(&nodes, |node| read_target(reader, node, scope, &mut addresses))
+}
+
+fn read_target(
+    reader: &mut Reader,
+    node: &Node<'_>,
+    scope: &mut Scope,
+    addresses: &mut Names,
+) -> Option<TargetEntry> {
+    let object = reader.object(node, &schema::TARGET)?;
+    let name = reader.required(&object, "name");
+    let name = name.and_then(|node| read_name(reader, &node, &mut scope.targets));
+    let zone = reader.required(&object, "zone");
+    let zone = zone.and_then(|node| {
+        let zone = reader.id(&node)?;
+        require_declared(reader, &node, scope.zones.as_ref(), "zone");
+        Some(zone)
+    });
+    let address = reader.required(&object, "address");
+    let address = address.and_then(|node| read_address(reader, &node, addresses));
+    Some(TargetEntry { name: name?, zone: zone?, address: address? })
+}
+
+fn read_online(reader: &mut Reader, object: &Object<'_>) -> Option<OnlineLimits> {
+    check_reserve(reader, object);
+    read_limits(reader, object, "online", &schema::ONLINE).map(OnlineLimits::from)
+}
+
+/// Checks the reserve against the target limit, whatever else is wrong beside them.
+fn check_reserve(reader: &mut Reader, object: &Object<'_>) {
+    let node = object.optional("online");
+    let number = |limit: &Limit| match node.as_ref().and_then(|n| n.value.get(limit.name)) {
+        Some(value) => value.as_u64(),
+        None => Some(limit.default),
+    };
+    let (Some(reserve), Some(most)) = (number(&schema::RESERVE), number(&schema::TARGET_LIMIT))
+    else {
+        return;
+    };
+    if reserve >= most {
+        let online = path::field(&object.path, "online");
+        let path = path::field(&online, schema::RESERVE.name);
+        reader.fault(&path, format!("must be below target_limit ({most}), is {reserve}"));
+    }
+}
--- /dev/null
+++ b/crates/oleander-document/src/schema.rs
@@ -0,0 +1,99 @@
+//! Field names, defaults and bounds of the document.
+
+/// Most data centres.
+pub const MAX_ZONES: usize = 64;
+/// Most services.
+pub const MAX_SERVICES: usize = 256;
+/// Most operations of one plain service.
+pub const MAX_OPERATIONS: usize = 256;
+/// Most targets of one service.
+pub const MAX_TARGETS: usize = 16_384;
+/// Most workspaces.
+pub const MAX_WORKSPACES: usize = 16_384;
+/// Longest name of an operation, in bytes.
+pub const MAX_OPERATION_BYTES: usize = 64;
+/// Longest JSON input, in bytes.
+pub const MAX_INPUT_BYTES: usize = 4 << 20;
+/// Largest document without white space, in bytes: one value of the platform.
+pub const MAX_DOCUMENT_BYTES: usize = 1 << 20;
+
+/// Fields of the document.
+pub const DOCUMENT: [&str; 3] = ["zones", "services", "workspaces"];
+/// Fields of a service.
+pub const SERVICE: [&str; 7] =
+    ["name", "kind", "model", "operations", "targets", "online", "batch"];
+/// Fields of an operation.
+pub const OPERATION: [&str; 2] = ["name", "repeatable"];
+/// Fields of a target.
+pub const TARGET: [&str; 3] = ["name", "zone", "address"];
+/// Fields of a workspace.
+pub const WORKSPACE: [&str; 4] = ["name", "key_digest", "services", "limits"];
+
+/// Kind of a service of model engines.
+pub const ENGINE: &str = "engine";
+/// Kind of a plain HTTP service.
+pub const PLAIN: &str = "plain";
+
+/// An optional whole number with its default and bounds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct Limit {
+    /// Field name.
+    pub name: &'static str,
+    /// Unit that people read.
+    pub unit: &'static str,
+    /// Value when the field is absent.
+    pub default: u64,
+    /// Least accepted value.
+    pub min: u64,
+    /// Largest accepted value.
+    pub max: u64,
+}
+
+impl Limit {
+    const fn new(name: &'static str, unit: &'static str, default: u64) -> Self {
+        Self { name, unit, default, min: 1, max: u32::MAX as u64 }
+    }
+
+    const fn between(mut self, min: u64, max: u64) -> Self {
+        self.min = min;
+        self.max = max;
+        self
+    }
+}
+
+/// Time an online call may take.
+pub const DEADLINE: Limit = Limit::new("deadline_ms", "ms", 30_000).between(1, 3_600_000);
+/// Goal for the first token.
+pub const FIRST_TOKEN: Limit = Limit::new("first_token_ms", "ms", 720).between(1, 600_000);
+/// Goal for the time between tokens.
+pub const BETWEEN_TOKENS: Limit = Limit::new("between_tokens_ms", "ms", 49).between(1, 60_000);
+/// Requests in flight at one target.
+pub const TARGET_LIMIT: Limit = Limit::new("target_limit", "requests", 16).between(1, 4_096);
+/// Slots that batch work leaves free.
+pub const RESERVE: Limit = Limit::new("reserve", "requests", 4).between(0, 4_095);
+/// Waiting online calls on one entry host.
+pub const QUEUE_LIMIT: Limit = Limit::new("queue_limit", "requests", 256).between(0, 65_536);
+/// Limits of online calls.
+pub const ONLINE: [Limit; 6] =
+    [DEADLINE, FIRST_TOKEN, BETWEEN_TOKENS, TARGET_LIMIT, RESERVE, QUEUE_LIMIT];
+
+/// Items in one lot.
+pub const LOT_ITEMS: Limit = Limit::new("lot_items", "items", 64).between(1, 10_000);
+/// Tries of one item.
+pub const ITEM_TRIES: Limit = Limit::new("item_tries", "tries", 3).between(1, 100);
+/// Time between progress records.
+pub const CHECKPOINT: Limit = Limit::new("checkpoint_ms", "ms", 2_000).between(100, 600_000);
+/// Limits of batch work.
+pub const BATCH: [Limit; 3] = [LOT_ITEMS, ITEM_TRIES, CHECKPOINT];
+
+/// Online calls a second.
+pub const RATE: Limit = Limit::new("rate_per_s", "calls/s", 1_000).between(1, 1_000_000);
+/// Calls at once after a pause.
+pub const BURST: Limit = Limit::new("burst", "calls", 2_000).between(1, 1_000_000);
+/// Largest input file.
+pub const FILE_BYTES: Limit =
+    Limit::new("file_bytes", "bytes", 200_000_000).between(1, 10_000_000_000);
+/// Items in one job.
+pub const JOB_ITEMS: Limit = Limit::new("job_items", "items", 310_000).between(1, 1_000_000);
+/// Limits of a workspace.
+pub const WORKSPACE_LIMITS: [Limit; 4] = [RATE, BURST, FILE_BYTES, JOB_ITEMS];
--- /dev/null
+++ b/crates/oleander-document/tests/read.rs
@@ -0,0 +1,90 @@
+//! Reading of whole documents and the faults of broken ones.
+
+use oleander_core::hash;
+use oleander_document::{Document, ServiceKind, schema};
+
+const VENTILADORES: &str = include_str!("../../../examples/ventiladores.json");
+const HARROW: &str = include_str!("../../../examples/harrow.json");
+
+/// Paths of the faults of a document.
+fn fault_paths(text: &str) -> Vec<String> {
+    let faults = Document::from_json(text.as_bytes()).unwrap_err();
+    faults.into_iter().map(|fault| fault.path).collect()
+}
+
+#[test]
+fn examples_are_accepted_and_name_the_demo_key() {
+    for text in [VENTILADORES, HARROW] {
+        let document = Document::from_json(text.as_bytes()).unwrap();
+        let digest = hash::digest(b"demo-caller-key");
+        assert!(document.workspace_by_key(&digest).is_some());
+    }
+}
+
+#[test]
+fn truck_dispatch_and_certificates_are_not_repeatable() {
+    for (text, service, operation) in
+        [(VENTILADORES, "despacho", "dispatch-truck"), (HARROW, "certificates", "issue")]
+    {
+        let document = Document::from_json(text.as_bytes()).unwrap();
+        let service = document.service(service).unwrap();
+        assert!(!service.operation(operation).unwrap().repeatable);
+        assert!(matches!(service.kind, ServiceKind::Plain { .. }));
+    }
+}
+
+#[test]
+fn absent_limits_have_their_defaults() {
+    let text = r#"{"zones": ["a"], "workspaces": [],
+        "services": [{"name": "s", "kind": "engine", "model": "m", "targets": []}]}"#;
+    let document = Document::from_json(text.as_bytes()).unwrap();
+    let online = &document.services[0].online;
+    assert_eq!(online.deadline.as_millis(), schema::DEADLINE.default);
+    assert_eq!(online.reserve, 4);
+    assert_eq!(document.services[0].batch.lot_items, 64);
+}
+
+#[test]
+fn every_fault_of_a_broken_document_is_listed() {
+    let text = r#"{
+        "zones": ["a", "a", "b c"],
+        "services": [
+            {"name": "s", "kind": "engine", "targets": [
+                {"name": "t1", "zone": "nowhere", "address": "127.0.0.1:7101"},
+                {"name": "t1", "zone": "a", "address": "localhost:7102"},
+                {"name": "t3", "zone": "a", "address": "127.0.0.1:7101", "weight": 2}
+            ], "online": {"target_limit": 4, "reserve": 4, "deadline_ms": 0}},
+            {"name": "s", "kind": "plain", "model": "m", "targets": [],
+                "operations": [{"name": "a/b", "repeatable": "no"}]}
+        ],
+        "workspaces": [{"name": 7, "key_digest": "xyz", "services": ["s", "other"]}]
+    }"#;
+    assert_eq!(
+        fault_paths(text),
+        [
+            "$.zones[1]",
+            "$.zones[2]",
+            "$.services[0].model",
+            "$.services[0].targets[0].zone",
+            "$.services[0].targets[1].name",
+            "$.services[0].targets[1].address",
+            "$.services[0].targets[2].weight",
+            "$.services[0].targets[2].address",
+            "$.services[0].online.reserve",
+            "$.services[0].online.deadline_ms",
+            "$.services[1].name",
+            "$.services[1].model",
+            "$.services[1].operations[0].name",
+            "$.services[1].operations[0].repeatable",
+            "$.workspaces[0].name",
+            "$.workspaces[0].key_digest",
+            "$.workspaces[0].services[1]",
+        ]
+    );
+}
+
+#[test]
+fn text_that_is_not_json_is_one_fault() {
+    assert_eq!(fault_paths("{\"zones\": ["), ["$"]);
+    assert_eq!(fault_paths("[]"), ["$"]);
+}
