--- a/crates/oleander-document/tests/read.rs
+++ b/crates/oleander-document/tests/read.rs
@@ -8,7 +8,7 @@
 
 /// Paths of the faults of a document.
 fn fault_paths(text: &str) -> Vec<String> {
-    let faults = Document::from_json(text.as_bytes()).unwrap_err();
+    let faults = Document::from_json(text.as_bytes()).expect_err("a broken document");
     faults.into_iter().map(|fault| fault.path).collect()
 }
 
