Add the router: target choice, limits, budgets and room for batch

Pure decisions for both the entry and the batch process: the present time and a seed are arguments, actions are returned. Online requests take any slot below a target's limit and batch makes room; batch takes what is left beyond the reserve, divided among the hosts that run batch so that hosts with the same counts don't take the same slots. Items to cancel are worked out by a fill level, so that a peer's count that is not yet updated doesn't make this host cancel more than its part.

Not yet covered by tests beyond the example in the docs.

--- /dev/null
+++ b/crates/oleander-routing/src/config.rs
@@ -0,0 +1,145 @@
+//! Settings of the router.
+
+use oleander_core::{HostId, Span, ZoneId};
+
+use crate::{eject::EjectConfig, limit::LimitConfig};
+
+/// How online and batch work share the targets.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Default)]
+pub enum Policy {
+    /// Batch uses what online leaves, and makes room at once.
+    #[default]
+    Managed,
+    /// Both classes alike, in order of arrival.
+    FirstCome,
+    /// A fixed number of targets for batch alone, the others for online alone.
+    Split {
+        /// Targets for batch.
+        batch_targets: u32,
+    },
+    /// No batch at all.
+    OnlineOnly,
+}
+
+/// Settings of a [`Router`](crate::Router).
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RouterConfig {
+    pub(crate) host: HostId,
+    pub(crate) zone: ZoneId,
+    pub(crate) policy: Policy,
+    pub(crate) limits: LimitConfig,
+    pub(crate) ejects: EjectConfig,
+    pub(crate) queue_limit: u32,
+    pub(crate) max_wait: Span,
+    pub(crate) peer_keep: Span,
+    pub(crate) report_keep: Span,
+    pub(crate) yield_grace: Span,
+    pub(crate) zone_cost: u32,
+    pub(crate) affinity_slack: u32,
+}
+
+impl RouterConfig {
+    /// Online requests that may wait.
+    pub const QUEUE_LIMIT: u32 = 256;
+    /// Longest wait of a request without a deadline.
+    pub const MAX_WAIT: Span = Span::from_secs(2);
+    /// Age at which a peer's counts are dropped.
+    pub const PEER_KEEP: Span = Span::from_secs(3);
+    /// Age at which a target's report is dropped.
+    pub const REPORT_KEEP: Span = Span::from_secs(15);
+    /// Time within which a peer's counts show what it was asked to cancel.
+    pub const YIELD_GRACE: Span = Span::from_millis(500);
+    /// Cost of another data centre, in per mille of a target's limit.
+    pub const ZONE_COST: u32 = 30;
+    /// Extra load for which a cached prefix makes up, in per mille of a target's limit.
+    pub const AFFINITY_SLACK: u32 = 150;
+
+    /// Settings with defaults for `host` in `zone`.
+    #[must_use]
+    pub const fn new(host: HostId, zone: ZoneId) -> Self {
+        Self {
+            host,
+            zone,
+            policy: Policy::Managed,
+            limits: LimitConfig::new(),
+            ejects: EjectConfig::new(),
+            queue_limit: Self::QUEUE_LIMIT,
+            max_wait: Self::MAX_WAIT,
+            peer_keep: Self::PEER_KEEP,
+            report_keep: Self::REPORT_KEEP,
+            yield_grace: Self::YIELD_GRACE,
+            zone_cost: Self::ZONE_COST,
+            affinity_slack: Self::AFFINITY_SLACK,
+        }
+    }
+
+    /// Sets how the classes share the targets.
+    #[must_use]
+    pub const fn policy(mut self, policy: Policy) -> Self {
+        self.policy = policy;
+        self
+    }
+
+    /// Sets the wanted time to the first token.
+    #[must_use]
+    pub const fn first_token(mut self, goal: Span) -> Self {
+        self.limits = self.limits.first_token(goal);
+        self
+    }
+
+    /// Sets the wanted time between tokens.
+    #[must_use]
+    pub const fn between_tokens(mut self, goal: Span) -> Self {
+        self.limits = self.limits.between_tokens(goal);
+        self
+    }
+
+    /// Sets how targets are ejected.
+    #[must_use]
+    pub const fn ejects(mut self, ejects: EjectConfig) -> Self {
+        self.ejects = ejects;
+        self
+    }
+
+    /// Sets how many online requests may wait.
+    #[must_use]
+    pub const fn queue_limit(mut self, limit: u32) -> Self {
+        self.queue_limit = limit;
+        self
+    }
+
+    /// Sets the longest wait of a request without a deadline.
+    #[must_use]
+    pub const fn max_wait(mut self, wait: Span) -> Self {
+        self.max_wait = wait;
+        self
+    }
+
+    /// Sets the age at which a peer's counts are dropped.
+    #[must_use]
+    pub const fn peer_keep(mut self, keep: Span) -> Self {
+        self.peer_keep = keep;
+        self
+    }
+
+    /// Sets the age at which a target's report is dropped.
+    #[must_use]
+    pub const fn report_keep(mut self, keep: Span) -> Self {
+        self.report_keep = keep;
+        self
+    }
+
+    /// Sets the cost of another data centre, in per mille of a target's limit.
+    #[must_use]
+    pub const fn zone_cost(mut self, cost: u32) -> Self {
+        self.zone_cost = cost;
+        self
+    }
+
+    /// Sets the extra load for which a cached prefix makes up, in per mille of a target's limit.
+    #[must_use]
+    pub const fn affinity_slack(mut self, slack: u32) -> Self {
+        self.affinity_slack = slack;
+        self
+    }
+}
--- /dev/null
+++ b/crates/oleander-routing/src/latency.rs
@@ -0,0 +1,61 @@
+//! The most recent latencies, and their quantiles.
+
+use std::collections::VecDeque;
+
+use oleander_core::Span;
+
+/// A bounded window of the latest samples.
+#[derive(Debug, Clone)]
+pub struct LatencyWindow {
+    samples: VecDeque<Span>,
+    capacity: usize,
+}
+
+impl LatencyWindow {
+    /// A window of at most `capacity` samples.
+    #[must_use]
+    pub fn new(capacity: usize) -> Self {
+        Self { samples: VecDeque::new(), capacity: capacity.max(1) }
+    }
+
+    /// Adds a sample; the oldest one goes when the window is full.
+    pub fn add(&mut self, sample: Span) {
+        if self.samples.len() == self.capacity {
+            self.samples.pop_front();
+        }
+        self.samples.push_back(sample);
+    }
+
+    /// Number of samples held.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.samples.len()
+    }
+
+    /// Whether there is no sample.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.samples.is_empty()
+    }
+
+    /// Drops all samples.
+    pub fn clear(&mut self) {
+        self.samples.clear();
+    }
+
+    /// The sample below which `per_mille` of the samples lie.
+    #[must_use]
+    pub fn quantile(&self, per_mille: u32) -> Option<Span> {
+        let mut sorted: Vec<Span> = self.samples.iter().copied().collect();
+        sorted.sort_unstable();
+        let last = sorted.len().checked_sub(1)?;
+        let rank = (sorted.len() * per_mille as usize).div_ceil(1_000);
+        sorted.get(rank.saturating_sub(1).min(last)).copied()
+    }
+
+    /// The middle sample.
+    #[must_use]
+    pub fn median(&self) -> Option<Span> {
+        self.quantile(500)
+    }
+}
--- /dev/null
+++ b/crates/oleander-routing/src/router/admit.rs
@@ -0,0 +1,206 @@
+//! Admission: a target now, a place in the queue, or a refusal.
+
+use oleander_core::{Span, Time};
+use rand::Rng;
+
+use super::{Router, backend::Backend, observe::Lease};
+use crate::{
+    choice::Candidate,
+    config::Policy,
+    eject::EjectState,
+    pick::{Class, Decision, LeaseId, Pick, TicketId},
+};
+
+/// Shortest time after which a refused caller is told to come back.
+const LEAST_RETRY: Span = Span::from_millis(200);
+/// Time after which a caller is told to come back when no target takes work.
+const NO_TARGET_RETRY: Span = Span::from_millis(1_000);
+/// Largest random part of a retry time, in per mille.
+const RETRY_JITTER: u64 = 250;
+/// Per mille in a whole.
+const WHOLE: u32 = 1_000;
+
+impl Router {
+    /// Decides where a request goes now, or whether it waits or is refused.
+    pub fn pick(&mut self, now: Time, request: &Pick) -> Decision {
+        self.tidy(now);
+        match request.class {
+            Class::Online => self.pick_online(now, request),
+            Class::Batch => self.pick_batch(now, request),
+        }
+    }
+
+    fn pick_online(&mut self, now: Time, request: &Pick) -> Decision {
+        let ticket = request.ticket.unwrap_or(TicketId(u64::MAX));
+        if self.queue.is_late(now, ticket) || request.deadline.is_some_and(|d| d <= now) {
+            return self.refuse(ticket, self.predict(request, self.queue.len()));
+        }
+        let usable = self.usable(now, request);
+        let free: u32 = usable.iter().map(|index| self.online_free(*index)).sum();
+        let ahead = self.queue.ahead(ticket);
+        if free <= ahead {
+            return self.wait_or_refuse(now, request, ticket, ahead);
+        }
+        let open = usable.into_iter().filter(|index| self.online_free(*index) > 0);
+        let candidates = self.candidates(now, request, open.collect());
+        let Some(chosen) = self.chooser.choose(&mut self.rng, &candidates) else {
+            return self.wait_or_refuse(now, request, ticket, ahead);
+        };
+        self.queue.remove(ticket);
+        self.send(now, request, chosen.index)
+    }
+
+    fn pick_batch(&mut self, now: Time, request: &Pick) -> Decision {
+        if self.config.policy == Policy::Managed && !self.queue.is_empty() {
+            return Decision::Wait;
+        }
+        let mut open = self.usable(now, request);
+        open.retain(|index| {
+            let backend = &self.backends[*index];
+            let fits = self.batch_free(now, backend) > 0;
+            fits && (!request.alone || backend.batch == 0)
+        });
+        let candidates = self.candidates(now, request, open);
+        match self.chooser.choose(&mut self.rng, &candidates) {
+            Some(chosen) => self.send(now, request, chosen.index),
+            None => Decision::Wait,
+        }
+    }
+
+    fn send(&mut self, now: Time, request: &Pick, index: usize) -> Decision {
+        let lease = LeaseId(self.next_lease);
+        self.next_lease += 1;
+        let yields = self.yields(now, request.class, index);
+        let probing = self.eject_state(now, index) == EjectState::Probing;
+        let backend = &mut self.backends[index];
+        backend.ask_yields(now, yields, &self.config);
+        backend.open(now, request.class);
+        backend.probe = if probing { Some(lease) } else { backend.probe };
+        if let Some(prefix) = request.prefix {
+            self.prefixes.insert(prefix, backend.key);
+        }
+        let target = backend.target.name.clone();
+        let started =
+            Lease { target: target.clone(), class: request.class, started: now, last_output: None };
+        self.leases.insert(lease, started);
+        Decision::Send { target, lease, yields }
+    }
+
+    /// Batch items that must go so that one more online request fits.
+    fn yields(&self, now: Time, class: Class, index: usize) -> u32 {
+        if class == Class::Batch || self.config.policy != Policy::Managed {
+            return 0;
+        }
+        let backend = &self.backends[index];
+        let room = self.batch_room(now, backend).saturating_sub(1);
+        backend.unasked_batch(now, &self.config).saturating_sub(room)
+    }
+
+    fn wait_or_refuse(
+        &mut self,
+        now: Time,
+        request: &Pick,
+        ticket: TicketId,
+        ahead: u32,
+    ) -> Decision {
+        let latest = now + self.config.max_wait;
+        let deadline = request.deadline.map_or(latest, |deadline| deadline.min(latest));
+        if !self.has_target(request) {
+            return self.refuse(ticket, NO_TARGET_RETRY);
+        }
+        if self.queue.contains(ticket) {
+            return Decision::Wait;
+        }
+        let wait = self.predict(request, ahead);
+        if self.queue.is_full() || now + wait > deadline {
+            return self.refuse(ticket, wait);
+        }
+        if request.ticket.is_some() {
+            self.queue.insert(ticket, deadline);
+        }
+        Decision::Wait
+    }
+
+    /// Wait to be expected with `ahead` requests before.
+    fn predict(&self, request: &Pick, ahead: u32) -> Span {
+        self.queue.predict(ahead, self.own_slots(request))
+    }
+
+    fn refuse(&mut self, ticket: TicketId, wait: Span) -> Decision {
+        self.queue.remove(ticket);
+        let wait = wait.max(LEAST_RETRY);
+        let jitter = wait.0 * self.rng.random_range(0..=RETRY_JITTER) / u64::from(WHOLE);
+        Decision::Refuse { retry_after: wait + Span(jitter) }
+    }
+
+    /// Whether any target could ever take the request.
+    fn has_target(&self, request: &Pick) -> bool {
+        (0..self.backends.len()).any(|index| self.accepts(index, request))
+    }
+
+    fn accepts(&self, index: usize, request: &Pick) -> bool {
+        let backend = &self.backends[index];
+        let serves = match request.class {
+            Class::Online => self.serves_online(index),
+            Class::Batch => self.serves_batch(index),
+        };
+        serves
+            && backend.listed
+            && !backend.leaving
+            && !request.exclude.contains(&backend.target.name)
+    }
+
+    /// Targets that may be used now, whether or not they have room.
+    fn usable(&self, now: Time, request: &Pick) -> Vec<usize> {
+        let usable = (0..self.backends.len()).filter(|&index| {
+            self.accepts(index, request)
+                && match self.eject_state(now, index) {
+                    EjectState::In => true,
+                    EjectState::Out(_) => false,
+                    EjectState::Probing => self.backends[index].probe.is_none(),
+                }
+        });
+        usable.collect()
+    }
+
+    fn eject_state(&self, now: Time, index: usize) -> EjectState {
+        self.ejector.state(now, &self.backends[index].target.name)
+    }
+
+    /// Online requests that the target has room for; batch makes room and doesn't count.
+    fn online_free(&self, index: usize) -> u32 {
+        let backend = &self.backends[index];
+        let used = match self.config.policy {
+            Policy::FirstCome => backend.total(),
+            Policy::Managed | Policy::Split { .. } | Policy::OnlineOnly => backend.online_total(),
+        };
+        backend.limit.current().saturating_sub(used)
+    }
+
+    /// Slots that are likely to serve this host's queue.
+    fn own_slots(&self, request: &Pick) -> u32 {
+        let open = (0..self.backends.len()).filter(|index| self.accepts(*index, request));
+        let all: u32 = open.map(|index| self.backends[index].limit.current()).sum();
+        let own: u32 = self.backends.iter().map(|backend| backend.online).sum();
+        let even = all / (self.peers.len() as u32 + 1);
+        own.max(even).max(1)
+    }
+
+    fn candidates(&self, now: Time, request: &Pick, open: Vec<usize>) -> Vec<Candidate> {
+        let keys = request.prefix.map_or(&[][..], |prefix| self.prefixes.targets(prefix));
+        let candidates = open.into_iter().map(|index| {
+            let backend = &self.backends[index];
+            let cached = keys.contains(&backend.key);
+            Candidate { index, load: self.load(now, backend), cached }
+        });
+        candidates.collect()
+    }
+
+    /// Load in per mille of the limit, with the cost of distance.
+    fn load(&self, now: Time, backend: &Backend) -> u32 {
+        let total = backend.total() + backend.unknown(now, &self.config);
+        let load = total.saturating_mul(WHOLE) / backend.limit.current().max(1);
+        let near = backend.target.zone == self.config.zone;
+        load.saturating_add(if near { 0 } else { self.config.zone_cost })
+    }
+}
--- /dev/null
+++ b/crates/oleander-routing/src/router/observe.rs
@@ -0,0 +1,90 @@
+//! What the router learns from requests under way.
+
+use oleander_core::{Span, TargetId, Time, Tokens};
+
+use super::Router;
+use crate::{
+    outcome::{Failure, Observation},
+    pick::{Class, LeaseId},
+};
+
+/// One request under way.
+#[derive(Debug, Clone)]
+pub(super) struct Lease {
+    pub(super) target: TargetId,
+    pub(super) class: Class,
+    pub(super) started: Time,
+    pub(super) last_output: Option<Time>,
+}
+
+impl Router {
+    /// Takes an observation of a lease into account; a final one ends the lease.
+    ///
+    /// Observations of a lease that has ended are ignored.
+    pub fn observe(&mut self, now: Time, lease: LeaseId, outcome: Observation) {
+        self.tidy(now);
+        match outcome {
+            Observation::FirstOutput => self.first_output(now, lease),
+            Observation::Output { tokens } => self.output(now, lease, tokens),
+            Observation::Done => self.end(now, lease, Ending::Answered),
+            Observation::Failed(failure) => self.end(now, lease, failure.into()),
+            Observation::Cancelled => self.end(now, lease, Ending::Cancelled),
+        }
+    }
+
+    fn first_output(&mut self, now: Time, id: LeaseId) {
+        let Some(lease) = self.leases.get_mut(&id) else { return };
+        if lease.last_output.replace(now).is_some() || lease.class == Class::Batch {
+            return;
+        }
+        let took = now.since(lease.started);
+        let name = lease.target.clone();
+        self.ejector.first_token(now, &name, took);
+        if let Some(backend) = self.backend_mut(&name) {
+            backend.limit.first_token(now, took);
+        }
+    }
+
+    fn output(&mut self, now: Time, id: LeaseId, tokens: Tokens) {
+        let Some(lease) = self.leases.get_mut(&id) else { return };
+        let Some(last) = lease.last_output.replace(now) else { return };
+        if tokens.0 == 0 {
+            return;
+        }
+        let took = Span(now.since(last).0 / tokens.0);
+        let name = lease.target.clone();
+        if let Some(backend) = self.backend_mut(&name) {
+            backend.limit.between_tokens(now, took);
+        }
+    }
+
+    fn end(&mut self, now: Time, id: LeaseId, ending: Ending) {
+        let Some(lease) = self.leases.remove(&id) else { return };
+        if lease.class == Class::Online && ending == Ending::Answered {
+            self.queue.held(now.since(lease.started));
+        }
+        match ending {
+            Ending::Answered => self.ejector.success(now, &lease.target),
+            Ending::Fault => self.ejector.fault(now, &lease.target),
+            Ending::Cancelled => {}
+        }
+        if let Some(backend) = self.backend_mut(&lease.target) {
+            backend.close(now, lease.class);
+            backend.probe = backend.probe.filter(|probe| *probe != id);
+        }
+    }
+}
+
+/// How a lease ended, as far as the target is concerned.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Ending {
+    Answered,
+    Fault,
+    Cancelled,
+}
+
+impl From<Failure> for Ending {
+    fn from(failure: Failure) -> Self {
+        if failure.is_target_fault() { Self::Fault } else { Self::Answered }
+    }
+}
--- /dev/null
+++ b/crates/oleander-routing/src/share.rs
@@ -0,0 +1,32 @@
+//! Division of slots among hosts that see the same counts.
+
+/// Largest `level` for which the sum of `min(count, level)` fits into `room`.
+///
+/// Hosts that cut their counts down to the level need not know whether the others already have.
+#[must_use]
+pub fn fill_level(room: u32, counts: &[u32]) -> u32 {
+    let mut sorted = counts.to_vec();
+    sorted.sort_unstable();
+    let mut left = room;
+    for (index, &count) in sorted.iter().enumerate() {
+        let holders = (sorted.len() - index) as u32;
+        let even = left / holders;
+        if count > even {
+            return even;
+        }
+        left -= count;
+    }
+    sorted.last().copied().unwrap_or(0)
+}
+
+/// The part of `free` slots for the host of the given rank among `hosts` hosts.
+///
+/// The parts of all ranks sum up to `free`.
+#[must_use]
+pub const fn fair_part(free: u32, rank: u32, hosts: u32) -> u32 {
+    if hosts == 0 {
+        return free;
+    }
+    let even = free / hosts;
+    if rank < free % hosts { even + 1 } else { even }
+}
