--- /dev/null
+++ b/crates/oleander-entry/src/shards.rs
@@ -0,0 +1,229 @@
+//! The shell of the shards that this host owns.
+//!
+//! Each shard is one task that feeds its state machine and carries out its actions.
+
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use oleander_core::{CallId, HostId, ShardId, Span};
+use oleander_host::clock;
+use oleander_ledger::{
+    CallRecord, LogEvent, Segment, Shard, ShardAction, ShardConfig, ShardEvent, ShardReply, Ticket,
+};
+use oleander_peer::ShardCall;
+use oleander_platform::{Created, Platform};
+use parking_lot::Mutex;
+use tokio::sync::{mpsc, oneshot};
+
+const QUEUE: usize = 4096;
+const IDLE_TICK: Duration = Duration::from_millis(500);
+
+/// Sends outcomes to the host that keeps copies of a shard.
+pub(crate) trait CopySink: Clone + Send + Sync + 'static {
+    /// Returns once the second host holds the copies; false if none does.
+    fn copy(
+        &self,
+        shard: ShardId,
+        records: Vec<CallRecord>,
+    ) -> impl Future<Output = bool> + Send;
+}
+
+enum Input {
+    Ask(ShardCall, oneshot::Sender<ShardReply>),
+    Event(ShardEvent),
+}
+
+/// All shards that this host was asked about.
+pub(crate) struct Shards<P, S> {
+    platform: P,
+    sink: S,
+    host: HostId,
+    incarnation: u64,
+    config: ShardConfig,
+    inputs: Mutex<HashMap<ShardId, mpsc::Sender<Input>>>,
+    backlog: Arc<Mutex<HashMap<ShardId, usize>>>,
+}
+
+impl<P: Platform, S: CopySink> Shards<P, S> {
+    /// Shards with their log at `platform`.
+    pub(crate) fn new(
+        platform: P,
+        sink: S,
+        host: HostId,
+        incarnation: u64,
+        config: ShardConfig,
+    ) -> Self {
+        Self {
+            platform,
+            sink,
+            host,
+            incarnation,
+            config,
+            inputs: Mutex::default(),
+            backlog: Arc::default(),
+        }
+    }
+
+    /// Asks a shard; `None` if it can't answer.
+    pub(crate) async fn ask(&self, shard: ShardId, call: ShardCall) -> Option<ShardReply> {
+        let (reply, answer) = oneshot::channel();
+        self.input(shard).send(Input::Ask(call, reply)).await.ok()?;
+        answer.await.ok()
+    }
+
+    /// Number of outcomes that the platform does not hold yet.
+    pub(crate) fn backlog(&self) -> usize {
+        self.backlog.lock().values().sum()
+    }
+
+    fn input(&self, shard: ShardId) -> mpsc::Sender<Input> {
+        let mut inputs = self.inputs.lock();
+        if let Some(input) = inputs.get(&shard) {
+            return input.clone();
+        }
+        let (sender, receiver) = mpsc::channel(QUEUE);
+        let task = ShardTask {
+            id: shard,
+            shard: Shard::new(self.host.clone(), self.incarnation, self.config),
+            platform: self.platform.clone(),
+            sink: self.sink.clone(),
+            events: sender.clone(),
+            replies: HashMap::new(),
+            tickets: 0,
+            backlog: Arc::clone(&self.backlog),
+        };
+        tokio::spawn(task.run(receiver));
+        inputs.insert(shard, sender.clone());
+        sender
+    }
+}
+
+struct ShardTask<P, S> {
+    id: ShardId,
+    shard: Shard,
+    platform: P,
+    sink: S,
+    events: mpsc::Sender<Input>,
+    replies: HashMap<Ticket, oneshot::Sender<ShardReply>>,
+    tickets: u64,
+    backlog: Arc<Mutex<HashMap<ShardId, usize>>>,
+}
+
+impl<P: Platform, S: CopySink> ShardTask<P, S> {
+    async fn run(mut self, mut inputs: mpsc::Receiver<Input>) {
+        self.step(ShardEvent::Log(LogEvent::Tick));
+        loop {
+            let now = clock::now();
+            let wait = self.shard.next_wake(now).map_or(IDLE_TICK, |at| at.since(now).to_duration());
+            let event = match tokio::time::timeout(wait.min(IDLE_TICK), inputs.recv()).await {
+                Ok(Some(Input::Ask(call, reply))) => self.open_ticket(call, reply),
+                Ok(Some(Input::Event(event))) => event,
+                Ok(None) => return,
+                Err(_) => ShardEvent::Log(LogEvent::Tick),
+            };
+            self.step(event);
+        }
+    }
+
+    fn open_ticket(&mut self, call: ShardCall, reply: oneshot::Sender<ShardReply>) -> ShardEvent {
+        self.tickets += 1;
+        let ticket = Ticket(self.tickets);
+        let event = match call {
+            ShardCall::Claim(claim) => ShardEvent::Claim(ticket, claim),
+            ShardCall::Record(call, digest, outcome) => {
+                ShardEvent::Record(ticket, call, digest, outcome)
+            }
+            ShardCall::Withdraw(call, attempt) => ShardEvent::Withdraw(ticket, call, attempt),
+            ShardCall::Lookup(call) => ShardEvent::Lookup(ticket, call),
+            ShardCall::Copies(records) => {
+                let _ = reply.send(ShardReply::Withdrawn);
+                return ShardEvent::Copies(records);
+            }
+        };
+        self.replies.insert(ticket, reply);
+        event
+    }
+
+    fn step(&mut self, event: ShardEvent) {
+        for action in self.shard.handle(clock::now(), event) {
+            self.perform(action);
+        }
+        self.backlog.lock().insert(self.id, self.shard.backlog());
+    }
+
+    fn perform(&mut self, action: ShardAction) {
+        match action {
+            ShardAction::Create(sequence, segment) => self.create(sequence, segment),
+            ShardAction::Fetch(sequence) => self.fetch(sequence),
+            ShardAction::Reply(ticket, reply) => {
+                if let Some(sender) = self.replies.remove(&ticket) {
+                    let _ = sender.send(reply);
+                }
+            }
+            ShardAction::Copy(records) => self.copy(records),
+        }
+    }
+
+    fn key(&self, sequence: u64) -> String {
+        format!("log/{:04}/{sequence:010}", self.id.0)
+    }
+
+    fn create(&self, sequence: u64, segment: Segment<CallRecord>) {
+        let (platform, events, key) =
+            (self.platform.clone(), self.events.clone(), self.key(sequence));
+        tokio::spawn(async move {
+            let event = match segment.encode() {
+                Ok(body) => match platform.create(&key, Bytes::from(body)).await {
+                    Ok(Created::New(_)) => LogEvent::Created(sequence),
+                    Ok(Created::Exists) => LogEvent::Exists(sequence),
+                    Err(error) => {
+                        log::warn!("create of {key} failed: {error}");
+                        LogEvent::Failed(sequence)
+                    }
+                },
+                Err(error) => {
+                    log::error!("segment {key} can't be encoded: {error}");
+                    LogEvent::Failed(sequence)
+                }
+            };
+            let _ = events.send(Input::Event(ShardEvent::Log(event))).await;
+        });
+    }
+
+    fn fetch(&self, sequence: u64) {
+        let (platform, events, key) =
+            (self.platform.clone(), self.events.clone(), self.key(sequence));
+        tokio::spawn(async move {
+            let event = match platform.get(&key).await {
+                Ok(None) => LogEvent::Fetched(sequence, None),
+                Ok(Some(object)) => match Segment::decode(&object.body) {
+                    Ok(segment) => LogEvent::Fetched(sequence, Some(segment)),
+                    Err(error) => {
+                        log::error!("segment {key} can't be decoded: {error}");
+                        LogEvent::Failed(sequence)
+                    }
+                },
+                Err(error) => {
+                    log::warn!("read of {key} failed: {error}");
+                    LogEvent::Failed(sequence)
+                }
+            };
+            let _ = events.send(Input::Event(ShardEvent::Log(event))).await;
+        });
+    }
+
+    fn copy(&self, records: Vec<CallRecord>) {
+        let (sink, events, shard) = (self.sink.clone(), self.events.clone(), self.id);
+        tokio::spawn(async move {
+            let calls: Vec<CallId> = records.iter().map(|record| record.call().clone()).collect();
+            if sink.copy(shard, records).await {
+                let _ = events.send(Input::Event(ShardEvent::Copied(calls))).await;
+            }
+        });
+    }
+}
+
+/// Tunables of the shards for a commit interval.
+pub(crate) const fn shard_config(interval: Span) -> ShardConfig {
+    ShardConfig::new().interval(interval)
+}
--- a/crates/oleander-peer/src/lib.rs
+++ b/crates/oleander-peer/src/lib.rs
@@ -6,5 +6,5 @@
 mod message;
 
 pub use message::{
-    Followed, PeerAnswer, PeerEvent, PeerRequest, Progress, ShardCall, Status, TargetCount,
+    Contact, Followed, PeerAnswer, PeerEvent, PeerRequest, Progress, ShardCall, Status, TargetCount,
 };
--- a/crates/oleander-peer/src/message.rs
+++ b/crates/oleander-peer/src/message.rs
@@ -1,7 +1,7 @@
 //! Requests and answers of the links.
 
 use oleander_core::{
-    AttemptId, CallId, DigestId, JobId, Revision, ShardId, Span, TargetId, Time, value,
+    AttemptId, CallId, DigestId, HostId, JobId, Revision, ShardId, Span, TargetId, Time, ZoneId, value,
 };
 use oleander_ledger::{CallRecord, Claim, Outcome, ShardReply};
 
@@ -81,6 +81,8 @@
 
     /// One process's in-flight work and configuration.
     pub struct Status {
+        /// Who sends it.
+        pub contact: Contact,
         /// When it was made, by the sender's clock.
         pub at: Time,
         /// Logical time of the sender's time line.
@@ -95,6 +97,22 @@
         pub events: Vec<PeerEvent>,
     }
 
+    /// Where a process is reached.
+    pub struct Contact {
+        /// Name of the host.
+        pub host: HostId,
+        /// Its data centre.
+        pub zone: ZoneId,
+        /// Whether it serves callers; else it runs batch jobs.
+        pub entry: bool,
+        /// Address for callers.
+        pub listen: String,
+        /// Address for peers.
+        pub link: String,
+        /// Address for operators.
+        pub admin: String,
+    }
+
     /// In-flight work at one target.
     pub struct TargetCount {
         /// The target.
