Serve online calls end to end in separate processes

Callers -> entry -> owner of the request's shard (link) -> target; the result is recorded in the shard's log at the platform before the end marker. Run by hand on loopback: a streamed call, its resend through another entry with the same answer, a read by id, and a call that may not be repeated that ran once by the service's own records.

--- /dev/null
+++ b/crates/oleander-entry/src/app.rs
@@ -0,0 +1,193 @@
+//! What all parts of the entry process share.
+//!
+//! Each table has a lock of its own, and no two locks are held at once.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use oleander_core::{AttemptId, CallId, ShardId, hash};
+use oleander_host::{Drain, Policy, Settings, Timeline, clock};
+use oleander_ledger::{CallRecord, ShardReply};
+use oleander_link::{Link, LinkError};
+use oleander_peer::{Contact, PeerAnswer, PeerRequest, ShardCall, Status};
+use oleander_platform::HttpPlatform;
+use oleander_routing::{Policy as RoutingPolicy, WorkspaceLimiter};
+use oleander_target::{HttpTargets, Timeouts};
+use parking_lot::Mutex;
+
+use crate::{
+    documents::Documents,
+    flight::Flights,
+    hosts::Hosts,
+    pool::Pools,
+    shards::{CopySink, Shards, shard_config},
+};
+
+/// Longest wait for a shard's owner.
+const OWNER_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Targets that the fixed split leaves to batch.
+const SPLIT_TARGETS: u32 = 1;
+
+/// Sends copies to the next owner of a shard.
+#[derive(Clone)]
+pub(crate) struct PeerCopies {
+    link: Link,
+    hosts: Arc<Mutex<Hosts>>,
+}
+
+impl CopySink for PeerCopies {
+    async fn copy(&self, shard: ShardId, records: Vec<CallRecord>) -> bool {
+        let owners = self.hosts.lock().owners(clock::now(), shard);
+        let Some(second) = owners.into_iter().flatten().next() else { return false };
+        let request = PeerRequest::Shard(shard, ShardCall::Copies(records));
+        let answer = self.link.call::<_, PeerAnswer>(&second, &request, OWNER_TIMEOUT).await;
+        matches!(answer, Ok(PeerAnswer::Shard(_)))
+    }
+}
+
+/// The entry process.
+pub(crate) struct App {
+    pub(crate) settings: Settings,
+    pub(crate) link: Link,
+    pub(crate) platform: HttpPlatform,
+    pub(crate) targets: HttpTargets,
+    pub(crate) timeline: Arc<Timeline>,
+    pub(crate) documents: Documents,
+    pub(crate) hosts: Arc<Mutex<Hosts>>,
+    pub(crate) pools: Pools,
+    pub(crate) flights: Flights,
+    pub(crate) shards: Shards<HttpPlatform, PeerCopies>,
+    pub(crate) drain: Drain,
+    pub(crate) limiter: Mutex<WorkspaceLimiter>,
+    incarnation: u64,
+    attempts: AtomicU64,
+}
+
+impl App {
+    /// A process that knows nothing yet.
+    pub(crate) fn new(settings: Settings, link: Link, drain: Drain) -> Self {
+        let incarnation = clock::now().0;
+        let platform = HttpPlatform::new(&settings.platform.to_string());
+        let contact = Contact {
+            host: settings.host.clone(),
+            zone: settings.zone.clone(),
+            entry: true,
+            listen: settings.listen.to_string(),
+            link: settings.link.to_string(),
+            admin: settings.admin.to_string(),
+        };
+        let hosts = Arc::new(Mutex::new(Hosts::new(contact)));
+        let sink = PeerCopies { link: link.clone(), hosts: Arc::clone(&hosts) };
+        let seed = hash::hash_parts(&[settings.host.as_str()]) ^ incarnation;
+        let policy = routing_policy(settings.entry.policy);
+        let config = shard_config(settings.entry.commit_interval);
+        Self {
+            targets: HttpTargets::new(Timeouts::new()),
+            timeline: Arc::new(Timeline::new(settings.host.clone(), Timeline::DEFAULT_CAPACITY)),
+            documents: Documents::default(),
+            pools: Pools::new(settings.host.clone(), settings.zone.clone(), policy, seed),
+            flights: Flights::default(),
+            shards: Shards::new(platform.clone(), sink, settings.host.clone(), incarnation, config),
+            attempts: AtomicU64::new(0),
+            limiter: Mutex::new(WorkspaceLimiter::new(1)),
+            settings,
+            link,
+            platform,
+            hosts,
+            drain,
+            incarnation,
+        }
+    }
+
+    /// A name for one more run.
+    pub(crate) fn next_attempt(&self) -> AttemptId {
+        let number = self.attempts.fetch_add(1, Ordering::Relaxed);
+        let text = format!("{}:{}:{number}", self.settings.host, self.incarnation);
+        AttemptId::try_from(text).unwrap_or_else(|_| unreachable!("host ids leave room"))
+    }
+
+    /// The shard of a call.
+    pub(crate) fn shard_of(&self, call: &CallId) -> ShardId {
+        call.shard(self.settings.entry.shards)
+    }
+
+    /// Asks the owner of a call's shard, or the next one if it does not answer.
+    pub(crate) async fn ask_owner(&self, shard: ShardId, call: ShardCall) -> Option<ShardReply> {
+        let owners = self.hosts.lock().owners(clock::now(), shard);
+        for owner in owners {
+            let reply = match owner {
+                None => self.shards.ask(shard, call.clone()).await,
+                Some(link) => self.ask_peer_shard(&link, shard, call.clone()).await,
+            };
+            if reply.is_some() {
+                return reply;
+            }
+        }
+        None
+    }
+
+    async fn ask_peer_shard(
+        &self,
+        link: &str,
+        shard: ShardId,
+        call: ShardCall,
+    ) -> Option<ShardReply> {
+        let request = PeerRequest::Shard(shard, call);
+        match self.call_peer(link, &request, OWNER_TIMEOUT).await {
+            Ok(PeerAnswer::Shard(reply)) => Some(reply),
+            _ => None,
+        }
+    }
+
+    /// Calls a peer and remembers when it does not answer.
+    pub(crate) async fn call_peer(
+        &self,
+        link: &str,
+        request: &PeerRequest,
+        timeout: Duration,
+    ) -> Result<PeerAnswer, LinkError> {
+        let answer = self.link.call(link, request, timeout).await;
+        if let Err(error) = &answer {
+            log::debug!("peer {link} did not answer: {error}");
+            self.hosts.lock().fail(clock::now(), link);
+        }
+        answer
+    }
+
+    /// This process's own status.
+    pub(crate) fn status(&self) -> Status {
+        let counts = self.pools.all().iter().flat_map(|pool| pool.counts()).collect();
+        Status {
+            contact: self.hosts.lock().me(),
+            at: clock::now(),
+            logical: self.timeline.logical(),
+            revision: self.documents.revision(),
+            draining: self.drain.phase() > oleander_host::Phase::Running,
+            counts,
+            events: Vec::new(),
+        }
+    }
+
+    /// Takes a peer's status.
+    pub(crate) fn hear(&self, status: Status) {
+        self.timeline.observe(status.logical);
+        for pool in self.pools.all() {
+            pool.peer(&status.contact.host, &status.counts, status.at);
+        }
+        self.hosts.lock().hear(clock::now(), status);
+    }
+}
+
+fn routing_policy(policy: Policy) -> RoutingPolicy {
+    match policy {
+        Policy::Managed => RoutingPolicy::Managed,
+        Policy::FirstCome => RoutingPolicy::FirstCome,
+        Policy::Split => RoutingPolicy::Split { batch_targets: SPLIT_TARGETS },
+        Policy::OnlineOnly => RoutingPolicy::OnlineOnly,
+    }
+}
--- a/crates/oleander-entry/src/chat.rs
+++ b/crates/oleander-entry/src/chat.rs
@@ -15,8 +15,8 @@
     /// Whether the answer is streamed.
     #[serde(default, skip_serializing)]
     pub(crate) stream: bool,
-    #[serde(default, skip_serializing)]
-    stream_options: Option<StreamOptions>,
+    #[serde(default, skip_serializing, rename = "stream_options")]
+    _stream_options: Option<StreamOptions>,
     #[serde(default, skip_serializing_if = "Option::is_none")]
     max_tokens: Option<u32>,
     #[serde(default, skip_serializing_if = "Option::is_none")]
@@ -56,9 +56,8 @@
 #[derive(Debug, Clone, Deserialize)]
 #[serde(deny_unknown_fields)]
 struct StreamOptions {
-    #[serde(default)]
-    #[expect(dead_code, reason = "usage is always sent")]
-    include_usage: bool,
+    #[serde(default, rename = "include_usage")]
+    _include_usage: bool,
 }
 
 /// Bytes of the prompt that decide which target has its prefix cached.
@@ -72,8 +71,7 @@
     /// Returns the first fault as text with its JSON path.
     pub(crate) fn parse(bytes: &[u8]) -> Result<Self, String> {
         let mut json = serde_json::Deserializer::from_slice(bytes);
-        let body: Self =
-            serde_path_to_error::deserialize(&mut json).map_err(|e| e.to_string())?;
+        let body: Self = serde_path_to_error::deserialize(&mut json).map_err(|e| e.to_string())?;
         json.end().map_err(|e| e.to_string())?;
         if body.messages.is_empty() {
             return Err("messages: must not be empty".to_owned());
@@ -109,7 +107,13 @@
 }
 
 /// The whole answer as JSON text.
-pub(crate) fn completion(id: &RequestId, model: &str, text: &str, finish: &str, usage: Value) -> String {
+pub(crate) fn completion(
+    id: &RequestId,
+    model: &str,
+    text: &str,
+    finish: &str,
+    usage: Value,
+) -> String {
     json!({
         "id": id,
         "object": "chat.completion",
--- /dev/null
+++ b/crates/oleander-entry/src/exchange.rs
@@ -0,0 +1,136 @@
+//! Background exchange: statuses with peers, the platform's lists, load reports, the document.
+
+use std::{sync::Arc, time::Duration};
+
+use oleander_core::{EventKind, Revision};
+use oleander_host::clock;
+use oleander_peer::{PeerAnswer, PeerRequest, Status};
+use oleander_platform::{HostState, Platform, Role};
+use oleander_routing::LoadReport;
+
+use crate::{app::App, documents::DOCUMENT_KEY};
+
+const STATUS_INTERVAL: Duration = Duration::from_millis(100);
+const STATUS_TIMEOUT: Duration = Duration::from_millis(800);
+const HOSTS_INTERVAL: Duration = Duration::from_secs(1);
+const LOAD_INTERVAL: Duration = Duration::from_millis(500);
+const DOCUMENT_RETRY: Duration = Duration::from_millis(500);
+const DOCUMENT_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Starts all background tasks.
+pub(crate) fn start(app: &Arc<App>) {
+    tokio::spawn(exchange_statuses(Arc::clone(app)));
+    tokio::spawn(follow_hosts(Arc::clone(app)));
+    tokio::spawn(follow_loads(Arc::clone(app)));
+    tokio::spawn(follow_document(Arc::clone(app)));
+}
+
+async fn exchange_statuses(app: Arc<App>) {
+    loop {
+        let links = app.hosts.lock().links();
+        for link in links {
+            tokio::spawn(exchange_status(Arc::clone(&app), link));
+        }
+        tokio::time::sleep(STATUS_INTERVAL).await;
+    }
+}
+
+async fn exchange_status(app: Arc<App>, link: String) {
+    let request = PeerRequest::Status(app.status());
+    if let Ok(PeerAnswer::Status(status)) = app.call_peer(&link, &request, STATUS_TIMEOUT).await {
+        hear(&app, status).await;
+    }
+}
+
+/// Takes a peer's status, and its document if that is newer.
+pub(crate) async fn hear(app: &App, status: Status) {
+    let (link, theirs) = (status.contact.link.clone(), status.revision);
+    app.hear(status);
+    let Some(theirs) = theirs else { return };
+    let ours = app.documents.revision();
+    if ours >= Some(theirs) {
+        return;
+    }
+    let request = PeerRequest::Document(ours.unwrap_or(Revision(0)));
+    let answer = app.call_peer(&link, &request, DOCUMENT_TIMEOUT).await;
+    if let Ok(PeerAnswer::Document(Some((revision, text)))) = answer {
+        offer(app, revision, text.as_bytes());
+    }
+}
+
+/// Puts a document in force if it is newer.
+pub(crate) fn offer(app: &App, revision: Revision, bytes: &[u8]) {
+    if !app.documents.offer(revision, bytes) {
+        return;
+    }
+    if let Some(current) = app.documents.current() {
+        app.pools.set_document(&current.document);
+        for workspace in &current.document.workspaces {
+            let rate = workspace.limits.rate;
+            app.limiter.lock().set_rate(clock::now(), &workspace.name, rate);
+        }
+        let (subject, detail) = ("config".to_owned(), format!("revision {revision}"));
+        app.timeline.record(clock::now(), EventKind::ConfigApplied, subject, detail);
+    }
+}
+
+async fn follow_document(app: Arc<App>) {
+    loop {
+        match app.platform.get(DOCUMENT_KEY).await {
+            Ok(Some(object)) => offer(&app, object.revision, &object.body),
+            Ok(None) => {}
+            Err(error) => {
+                log::warn!("reading the document failed: {error}");
+                tokio::time::sleep(DOCUMENT_RETRY).await;
+                continue;
+            }
+        }
+        let from = app.documents.revision().unwrap_or(Revision(0));
+        if let Err(error) = app.platform.changed(DOCUMENT_KEY, from).await {
+            log::debug!("watching the document failed: {error}");
+            tokio::time::sleep(DOCUMENT_RETRY).await;
+        }
+    }
+}
+
+async fn follow_hosts(app: Arc<App>) {
+    loop {
+        match app.platform.hosts().await {
+            Ok(view) => {
+                let own = view.hosts.iter().filter(|host| host.role != Role::Target);
+                let links = own.map(|host| host.address.clone()).collect();
+                app.hosts.lock().list(links);
+                for pool in app.pools.all() {
+                    for host in view.hosts.iter().filter(|host| host.role == Role::Target) {
+                        if let Ok(target) = host.name.parse() {
+                            pool.set_leaving(&target, host.state == HostState::Leaving);
+                        }
+                    }
+                }
+            }
+            Err(error) => log::debug!("reading the list of hosts failed: {error}"),
+        }
+        tokio::time::sleep(HOSTS_INTERVAL).await;
+    }
+}
+
+async fn follow_loads(app: Arc<App>) {
+    loop {
+        for pool in app.pools.all() {
+            for (target, address) in pool.addresses() {
+                let (app, pool) = (Arc::clone(&app), Arc::clone(&pool));
+                tokio::spawn(async move {
+                    if let Ok(load) = app.targets.load(&address).await {
+                        let report = LoadReport {
+                            running: load.running,
+                            waiting: load.waiting,
+                            measured_at: load.measured_at_us,
+                        };
+                        pool.report(&target, report);
+                    }
+                });
+            }
+        }
+        tokio::time::sleep(LOAD_INTERVAL).await;
+    }
+}
--- a/crates/oleander-entry/src/flight.rs
+++ b/crates/oleander-entry/src/flight.rs
@@ -5,7 +5,7 @@
 
 use std::{collections::HashMap, sync::Arc};
 
-use oleander_core::{AttemptId, CallId};
+use oleander_core::{AttemptId, CallId, DigestId};
 use oleander_ledger::Outcome;
 use parking_lot::Mutex;
 use tokio::sync::watch;
@@ -14,6 +14,7 @@
 #[derive(Debug)]
 pub(crate) struct Flight {
     attempt: AttemptId,
+    digest: DigestId,
     state: Mutex<State>,
     version: watch::Sender<u64>,
 }
@@ -34,8 +35,8 @@
 }
 
 impl Flight {
-    fn new(attempt: AttemptId) -> Self {
-        Self { attempt, state: Mutex::default(), version: watch::Sender::new(0) }
+    fn new(digest: DigestId, attempt: AttemptId) -> Self {
+        Self { attempt, digest, state: Mutex::default(), version: watch::Sender::new(0) }
     }
 
     /// The run's attempt.
@@ -43,6 +44,11 @@
         &self.attempt
     }
 
+    /// Digest of the call's body.
+    pub(crate) const fn digest(&self) -> &DigestId {
+        &self.digest
+    }
+
     /// Appends a token.
     pub(crate) fn push(&self, token: String) {
         self.state.lock().tokens.push(token);
@@ -100,11 +106,20 @@
         self.flights.lock().get(call).cloned()
     }
 
-    /// Starts a run in place of an earlier one.
-    pub(crate) fn start(&self, call: &CallId, attempt: AttemptId) -> Arc<Flight> {
-        let flight = Arc::new(Flight::new(attempt));
-        self.flights.lock().insert(call.clone(), Arc::clone(&flight));
-        flight
+    /// The run of a call, and whether it was started now.
+    pub(crate) fn open(
+        &self,
+        call: &CallId,
+        digest: &DigestId,
+        attempt: AttemptId,
+    ) -> (Arc<Flight>, bool) {
+        let mut flights = self.flights.lock();
+        if let Some(flight) = flights.get(call) {
+            return (Arc::clone(flight), false);
+        }
+        let flight = Arc::new(Flight::new(digest.clone(), attempt));
+        flights.insert(call.clone(), Arc::clone(&flight));
+        (flight, true)
     }
 
     /// Forgets a run.
--- a/crates/oleander-entry/src/hosts.rs
+++ b/crates/oleander-entry/src/hosts.rs
@@ -1,8 +1,11 @@
 //! Which hosts of the system are known, and which of them answer.
 
-use std::collections::{BTreeMap, HashMap};
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, HashMap},
+};
 
-use oleander_core::{HostId, ShardId, Span, Time, TargetId, hash};
+use oleander_core::{HostId, ShardId, Span, TargetId, Time, hash};
 use oleander_peer::{Contact, Status, TargetCount};
 
 /// Time without an answer after which a host counts as down.
@@ -34,6 +37,11 @@
         Self { me, leaving: false, known: HashMap::new(), listed: Vec::new() }
     }
 
+    /// Where this host is reached.
+    pub(crate) fn me(&self) -> Contact {
+        self.me.clone()
+    }
+
     /// Marks this host as leaving.
     pub(crate) fn leave(&mut self) {
         self.leaving = true;
@@ -98,7 +106,7 @@
             })
             .collect();
         owners.push((!self.leaving, score(&self.me.host), None));
-        owners.sort_by(|a, b| (b.0, b.1).cmp(&(a.0, a.1)));
+        owners.sort_by_key(|&(stays, score, _)| Reverse((stays, score)));
         owners.into_iter().map(|(_, _, link)| link).collect()
     }
 
--- /dev/null
+++ b/crates/oleander-entry/src/server.rs
@@ -0,0 +1,102 @@
+//! The listener for callers, and the steps of leaving.
+
+use std::{io, pin::pin, sync::Arc, time::Duration};
+
+use axum::Router;
+use hyper_util::{
+    rt::{TokioExecutor, TokioIo, TokioTimer},
+    server::{conn::auto::Builder, graceful::GracefulShutdown},
+    service::TowerToHyperService,
+};
+use oleander_host::Phase;
+use tokio::net::{TcpListener, TcpStream};
+
+use crate::app::App;
+
+const HEADER_TIMEOUT: Duration = Duration::from_secs(5);
+const ACCEPT_RETRY: Duration = Duration::from_millis(50);
+/// Time past the last deadline within which connections must end.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(60);
+const POLL_INTERVAL: Duration = Duration::from_millis(50);
+/// Longest wait for the platform to take buffered outcomes.
+const FLUSH_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Serves callers until the process has left.
+///
+/// # Errors
+///
+/// Fails if the address can't be listened on.
+pub(crate) async fn serve(app: Arc<App>, router: Router) -> io::Result<()> {
+    let listener = TcpListener::bind(app.settings.listen).await?;
+    let connections = GracefulShutdown::new();
+    let mut leaving = pin!(leave_addresses(Arc::clone(&app)));
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) => serve_connection(stream, router.clone(), &connections),
+                Err(error) => {
+                    log::warn!("accepting a connection failed: {error}");
+                    tokio::time::sleep(ACCEPT_RETRY).await;
+                }
+            },
+            () = &mut leaving => break,
+        }
+    }
+    drop(listener);
+    let closed = tokio::time::timeout(CLOSE_TIMEOUT, connections.shutdown()).await;
+    if closed.is_err() {
+        log::warn!("connections were still open after {CLOSE_TIMEOUT:?}");
+    }
+    finish_runs(&app).await;
+    Ok(())
+}
+
+/// Returns once no caller may hold an address of this host any more.
+async fn leave_addresses(app: Arc<App>) {
+    app.drain.started().await;
+    app.hosts.lock().leave();
+    log::info!("draining: address no longer handed out");
+    let keep = app.settings.entry.keep_addresses.to_duration();
+    tokio::select! {
+        () = tokio::time::sleep(keep) => {}
+        () = app.drain.stopped() => {}
+    }
+}
+
+/// Waits for runs without a connection and for outcomes that the platform must still take.
+async fn finish_runs(app: &App) {
+    let flushed = async {
+        while app.flights.len() > 0 || app.shards.backlog() > 0 {
+            tokio::time::sleep(POLL_INTERVAL).await;
+        }
+    };
+    tokio::select! {
+        result = tokio::time::timeout(FLUSH_TIMEOUT, flushed) => {
+            if result.is_err() {
+                log::error!("{} outcomes are not committed", app.shards.backlog());
+            }
+        }
+        () = stopped(app) => {}
+    }
+}
+
+async fn stopped(app: &App) {
+    if app.drain.phase() < Phase::Stopped {
+        app.drain.stopped().await;
+    }
+}
+
+fn serve_connection(stream: TcpStream, router: Router, connections: &GracefulShutdown) {
+    let _ = stream.set_nodelay(true);
+    let service = TowerToHyperService::new(router);
+    let mut builder = Builder::new(TokioExecutor::new());
+    builder.http1().timer(TokioTimer::new()).header_read_timeout(HEADER_TIMEOUT);
+    builder.http2().timer(TokioTimer::new());
+    let connection = builder.serve_connection(TokioIo::new(stream), service).into_owned();
+    let connection = connections.watch(connection);
+    tokio::spawn(async move {
+        if let Err(error) = connection.await {
+            log::debug!("connection ended: {error}");
+        }
+    });
+}
--- a/crates/oleander-entry/src/shards.rs
+++ b/crates/oleander-entry/src/shards.rs
@@ -21,11 +21,7 @@
 /// Sends outcomes to the host that keeps copies of a shard.
 pub(crate) trait CopySink: Clone + Send + Sync + 'static {
     /// Returns once the second host holds the copies; false if none does.
-    fn copy(
-        &self,
-        shard: ShardId,
-        records: Vec<CallRecord>,
-    ) -> impl Future<Output = bool> + Send;
+    fn copy(&self, shard: ShardId, records: Vec<CallRecord>) -> impl Future<Output = bool> + Send;
 }
 
 enum Input {
@@ -114,7 +110,8 @@
         self.step(ShardEvent::Log(LogEvent::Tick));
         loop {
             let now = clock::now();
-            let wait = self.shard.next_wake(now).map_or(IDLE_TICK, |at| at.since(now).to_duration());
+            let wait =
+                self.shard.next_wake(now).map_or(IDLE_TICK, |at| at.since(now).to_duration());
             let event = match tokio::time::timeout(wait.min(IDLE_TICK), inputs.recv()).await {
                 Ok(Some(Input::Ask(call, reply))) => self.open_ticket(call, reply),
                 Ok(Some(Input::Event(event))) => event,
--- a/crates/oleander-peer/src/message.rs
+++ b/crates/oleander-peer/src/message.rs
@@ -1,7 +1,8 @@
 //! Requests and answers of the links.
 
 use oleander_core::{
-    AttemptId, CallId, DigestId, HostId, JobId, Revision, ShardId, Span, TargetId, Time, ZoneId, value,
+    AttemptId, CallId, DigestId, HostId, JobId, Revision, ShardId, Span, TargetId, Time, ZoneId,
+    value,
 };
 use oleander_ledger::{CallRecord, Claim, Outcome, ShardReply};
 
