Answer with an outcome only once it is committed or copied

Cause: a resend that met an outcome which its owner had not committed yet was answered at once; another owner's record of the same call could come first in the log, so that two readers saw two results. Ruled out: the log itself (grants of calls that may not be repeated held in the same runs). Change: such readers wait with the recorder until the commit or the copy. Before: shard properties with QUICKCHECK_TESTS=300 fail (repeatable_calls_have_one_outcome at argument 0, other_calls_have_one_outcome at 46). After: 1000 each pass.

--- a/crates/oleander-ledger/src/shard.rs
+++ b/crates/oleander-ledger/src/shard.rs
@@ -140,7 +140,7 @@
 struct Buffered {
     digest: DigestId,
     outcome: Outcome,
-    waiters: Vec<Ticket>,
+    waiters: Vec<Reader>,
     copied: Copied,
     since: Time,
 }
@@ -164,9 +164,9 @@
 }
 
 impl Reader {
-    fn reply(&self, outcome: Outcome) -> ShardAction {
+    fn reply(&self, outcome: Outcome, durable: bool) -> ShardAction {
         let reply = match self.records {
-            true => ShardReply::Recorded { outcome, durable: true },
+            true => ShardReply::Recorded { outcome, durable },
             false => ShardReply::Done(outcome),
         };
         ShardAction::Reply(self.ticket, reply)
@@ -395,20 +395,12 @@
             self.read_outcome(Reader { ticket, call, records: true }, sequence, actions);
             return;
         }
-        if let Some(buffered) = self.buffered.get_mut(&call) {
-            if buffered.copied == Copied::Yes {
-                let outcome = buffered.outcome.clone();
-                let reply = ShardReply::Recorded { outcome, durable: false };
-                actions.push(ShardAction::Reply(ticket, reply));
-            } else {
-                buffered.waiters.push(ticket);
-            }
-            return;
-        }
+        let reader = Reader { ticket, call: call.clone(), records: true };
+        let Some(reader) = self.wait_buffered(reader, actions) else { return };
         let buffered = Buffered {
             digest: digest.clone(),
             outcome: outcome.clone(),
-            waiters: vec![ticket],
+            waiters: vec![reader],
             copied: Copied::No,
             since: now,
         };
@@ -475,12 +467,20 @@
             self.read_outcome(reader, sequence, actions);
             return true;
         }
-        if let Some(buffered) = self.buffered.get(call) {
-            let reply = ShardReply::Done(buffered.outcome.clone());
-            actions.push(ShardAction::Reply(ticket, reply));
-            return true;
+        let reader = Reader { ticket, call: call.clone(), records: false };
+        self.wait_buffered(reader, actions).is_none()
+    }
+
+    /// Answers once a buffered outcome is committed or copied; returns the reader if there is none.
+    fn wait_buffered(&mut self, reader: Reader, actions: &mut Vec<ShardAction>) -> Option<Reader> {
+        let Some(buffered) = self.buffered.get_mut(&reader.call) else { return Some(reader) };
+        match buffered.copied {
+            Copied::Yes | Copied::Foreign => {
+                actions.push(reader.reply(buffered.outcome.clone(), false));
+            }
+            Copied::No | Copied::Asked(_) => buffered.waiters.push(reader),
         }
-        false
+        None
     }
 
     fn known_digest(&self, call: &CallId) -> Option<&DigestId> {
@@ -497,7 +497,7 @@
     /// Answers with a committed outcome, from memory or from its segment.
     fn read_outcome(&mut self, reader: Reader, sequence: u64, actions: &mut Vec<ShardAction>) {
         if let Some(outcome) = self.table.outcome(&reader.call) {
-            actions.push(reader.reply(outcome.clone()));
+            actions.push(reader.reply(outcome.clone(), true));
             return;
         }
         self.readers.entry(sequence).or_default().push(reader);
@@ -517,7 +517,7 @@
             });
             if let Some(outcome) = found {
                 self.table.remember(&reader.call, outcome);
-                actions.push(reader.reply(outcome.clone()));
+                actions.push(reader.reply(outcome.clone(), true));
             }
         }
     }
@@ -575,9 +575,8 @@
         self.running.remove(call);
         let Some(buffered) = self.buffered.remove(call) else { return };
         let outcome = self.table.outcome(call).cloned().unwrap_or(buffered.outcome);
-        for ticket in buffered.waiters {
-            let reply = ShardReply::Recorded { outcome: outcome.clone(), durable: true };
-            actions.push(ShardAction::Reply(ticket, reply));
+        for reader in buffered.waiters {
+            actions.push(reader.reply(outcome.clone(), true));
         }
     }
 
@@ -663,10 +662,8 @@
         for call in calls {
             let Some(buffered) = self.buffered.get_mut(call) else { continue };
             buffered.copied = Copied::Yes;
-            for ticket in mem::take(&mut buffered.waiters) {
-                let outcome = buffered.outcome.clone();
-                let reply = ShardReply::Recorded { outcome, durable: false };
-                actions.push(ShardAction::Reply(ticket, reply));
+            for reader in mem::take(&mut buffered.waiters) {
+                actions.push(reader.reply(buffered.outcome.clone(), false));
             }
         }
     }
