--- a/crates/oleander-document/src/json.rs
+++ b/crates/oleander-document/src/json.rs
@@ -2,7 +2,7 @@
 
 use serde_json::Value;
 
-use crate::{Document, Fault, canonical::CanonicalDocument, path, schema};
+use crate::{Document, Fault, canonical::CanonicalDocument, path, schema, strict};
 
 impl Document {
     /// Reads and checks a document.
@@ -15,9 +15,13 @@
             let bound = schema::MAX_INPUT_BYTES;
             return Err(root_fault(format!("must have at most {bound} bytes")));
         }
-        let value: Value = serde_json::from_slice(bytes)
-            .map_err(|error| root_fault(format!("is not JSON: {error}")))?;
-        let document = Self::try_from(&value)?;
+        let parsed =
+            strict::parse(bytes).map_err(|error| root_fault(format!("is not JSON: {error}")))?;
+        let document = match Self::try_from(&parsed.value) {
+            Ok(document) if parsed.repeated.is_empty() => document,
+            Ok(_) => return Err(parsed.repeated),
+            Err(faults) => return Err([parsed.repeated, faults].concat()),
+        };
         let size = document.to_value().to_string().len();
         if size > schema::MAX_DOCUMENT_BYTES {
             let bound = schema::MAX_DOCUMENT_BYTES;
--- a/crates/oleander-document/src/read/service.rs
+++ b/crates/oleander-document/src/read/service.rs
@@ -51,34 +51,48 @@
 
 fn read_kind(reader: &mut Reader, object: &Object<'_>) -> Option<ServiceKind> {
     let node = reader.required(object, "kind")?;
-    match reader.text(&node)? {
-        schema::ENGINE => read_engine(reader, object),
-        schema::PLAIN => read_plain(reader, object),
-        other => {
-            let message =
-                format!("must be {:?} or {:?}, is {other:?}", schema::ENGINE, schema::PLAIN);
+    match node.value.as_str() {
+        Some(schema::ENGINE) => read_engine(reader, object),
+        Some(schema::PLAIN) => read_plain(reader, object),
+        _ => {
+            let message = format!("must be {:?} or {:?}", schema::ENGINE, schema::PLAIN);
             reader.fault(&node.path, message);
+            check_either(reader, object);
             None
         }
     }
 }
 
+/// Checks what is there of both kinds when the kind itself can't be told.
+fn check_either(reader: &mut Reader, object: &Object<'_>) {
+    if let Some(node) = object.optional("model") {
+        reader.id::<ModelId>(&node);
+    }
+    if let Some(node) = object.optional("operations") {
+        read_operations(reader, &node);
+    }
+}
+
 fn read_engine(reader: &mut Reader, object: &Object<'_>) -> Option<ServiceKind> {
     refuse_field(reader, object, "operations", "an engine service has no operations");
     let node = reader.required(object, "model")?;
-    let model: ModelId = reader.id(&node)?;
+    let model = reader.id(&node)?;
     Some(ServiceKind::Engine { model })
 }
 
 fn read_plain(reader: &mut Reader, object: &Object<'_>) -> Option<ServiceKind> {
     refuse_field(reader, object, "model", "a plain service has no model");
     let node = reader.required(object, "operations")?;
-    let nodes = reader.list(&node, 1, schema::MAX_OPERATIONS)?;
-    let mut names = Names::default();
-    let operations = read_all(&nodes, |node| read_operation(reader, node, &mut names))?;
+    let operations = read_operations(reader, &node)?;
     Some(ServiceKind::Plain { operations })
 }
 
+fn read_operations(reader: &mut Reader, node: &Node<'_>) -> Option<Vec<Operation>> {
+    let nodes = reader.list(node, 1, schema::MAX_OPERATIONS)?;
+    let mut names = Names::default();
+    read_all(&nodes, |node| read_operation(reader, node, &mut names))
+}
+
 fn refuse_field(reader: &mut Reader, object: &Object<'_>, name: &str, message: &str) {
     if let Some(node) = object.optional(name) {
         reader.fault(&node.path, message);
--- /dev/null
+++ b/crates/oleander-document/src/strict.rs
@@ -0,0 +1,104 @@
+//! Parses JSON and reports fields that stand twice in one object.
+//!
+//! A plain parse keeps the last of two equal fields, so that one of them would be lost without
+//! a word.
+
+use std::{cell::RefCell, fmt};
+
+use serde::de::{DeserializeSeed, Deserializer, MapAccess, SeqAccess, Visitor};
+use serde_json::{Map, Number, Value};
+
+use crate::{Fault, path};
+
+/// A parsed text and the fields that stand twice.
+#[derive(Debug)]
+pub(crate) struct Parsed {
+    pub(crate) value: Value,
+    pub(crate) repeated: Vec<Fault>,
+}
+
+/// Parses JSON text.
+pub(crate) fn parse(bytes: &[u8]) -> serde_json::Result<Parsed> {
+    let repeated = RefCell::default();
+    let mut deserializer = serde_json::Deserializer::from_slice(bytes);
+    let seed = ValueSeed { path: path::ROOT.to_owned(), repeated: &repeated };
+    let value = seed.deserialize(&mut deserializer)?;
+    deserializer.end()?;
+    Ok(Parsed { value, repeated: repeated.into_inner() })
+}
+
+/// Reads the value at a path.
+struct ValueSeed<'a> {
+    path: String,
+    repeated: &'a RefCell<Vec<Fault>>,
+}
+
+impl ValueSeed<'_> {
+    fn at(&self, path: String) -> Self {
+        Self { path, repeated: self.repeated }
+    }
+}
+
+impl<'de> DeserializeSeed<'de> for ValueSeed<'_> {
+    type Value = Value;
+
+    fn deserialize<D: Deserializer<'de>>(self, deserializer: D) -> Result<Value, D::Error> {
+        deserializer.deserialize_any(self)
+    }
+}
+
+impl<'de> Visitor<'de> for ValueSeed<'_> {
+    type Value = Value;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("a JSON value")
+    }
+
+    fn visit_unit<E>(self) -> Result<Value, E> {
+        Ok(Value::Null)
+    }
+
+    fn visit_bool<E>(self, flag: bool) -> Result<Value, E> {
+        Ok(Value::Bool(flag))
+    }
+
+    fn visit_u64<E>(self, number: u64) -> Result<Value, E> {
+        Ok(Value::from(number))
+    }
+
+    fn visit_i64<E>(self, number: i64) -> Result<Value, E> {
+        Ok(Value::from(number))
+    }
+
+    fn visit_f64<E>(self, number: f64) -> Result<Value, E> {
+        Ok(Number::from_f64(number).map_or(Value::Null, Value::Number))
+    }
+
+    fn visit_str<E>(self, text: &str) -> Result<Value, E> {
+        Ok(Value::from(text))
+    }
+
+    fn visit_seq<A: SeqAccess<'de>>(self, mut elements: A) -> Result<Value, A::Error> {
+        let mut list = Vec::new();
+        loop {
+            let seed = self.at(path::element(&self.path, list.len()));
+            match elements.next_element_seed(seed)? {
+                Some(value) => list.push(value),
+                None => return Ok(Value::Array(list)),
+            }
+        }
+    }
+
+    fn visit_map<A: MapAccess<'de>>(self, mut fields: A) -> Result<Value, A::Error> {
+        let mut map = Map::new();
+        while let Some(name) = fields.next_key::<String>()? {
+            let path = path::field(&self.path, &name);
+            let value = fields.next_value_seed(self.at(path.clone()))?;
+            if map.insert(name, value).is_some() {
+                let message = "field stands more than once".to_owned();
+                self.repeated.borrow_mut().push(Fault { path, message });
+            }
+        }
+        Ok(Value::Object(map))
+    }
+}
--- /dev/null
+++ b/crates/oleander-document/tests/config_page.rs
@@ -0,0 +1,28 @@
+//! The page docs/CONFIG.md names every field with its default and bounds.
+
+use oleander_document::schema;
+
+const PAGE: &str = include_str!("../../../docs/CONFIG.md");
+
+#[test]
+fn every_field_has_a_row() {
+    let objects = [
+        &schema::DOCUMENT[..],
+        &schema::SERVICE,
+        &schema::OPERATION,
+        &schema::TARGET,
+        &schema::WORKSPACE,
+    ];
+    for name in objects.concat() {
+        assert!(PAGE.contains(&format!("\n| `{name}` | ")), "no row of {name}");
+    }
+}
+
+#[test]
+fn every_limit_has_its_unit_default_and_bounds() {
+    for limit in [&schema::ONLINE[..], &schema::BATCH, &schema::WORKSPACE_LIMITS].concat() {
+        let schema::Limit { name, unit, default, min, max } = limit;
+        let row = format!("\n| `{name}` | {unit} | {default} | {min} to {max} | ");
+        assert!(PAGE.contains(&row), "no row {row}");
+    }
+}
