--- a/crates/oleander-document/src/document.rs
+++ b/crates/oleander-document/src/document.rs
@@ -5,7 +5,8 @@
 };
 
 value! {
-    /// Everything that operators declare, accepted whole.
+    /// Everything that operators declare, accepted whole; by default nothing.
+    #[derive(Default)]
     pub struct Document {
         /// Data centres, each with entry hosts or targets.
         pub zones: Vec<ZoneId>,
--- /dev/null
+++ b/crates/oleanderctl/src/admin/error.rs
@@ -0,0 +1,98 @@
+//! Failed admin calls.
+
+use std::{error::Error, fmt, net::SocketAddr};
+
+use http::StatusCode;
+use oleander_core::ApiError;
+
+/// A failed call to one process.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct AdminError {
+    /// Address of the admin listener.
+    pub address: SocketAddr,
+    /// What failed.
+    pub cause: Cause,
+}
+
+/// Why a call failed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Cause {
+    /// The request can't be built.
+    BadRequest(String),
+    /// No connection: the request was not sent.
+    Unreachable(String),
+    /// The request may have arrived; its answer did not.
+    Lost(String),
+    /// The process answered with an error.
+    Refused {
+        /// HTTP status.
+        status: u16,
+        /// The error in the answer, if it carries one.
+        error: Option<ApiError>,
+    },
+    /// The answer can't be read.
+    BadAnswer(String),
+}
+
+impl AdminError {
+    /// Whether the call may have taken effect without a readable answer.
+    #[must_use]
+    pub fn is_lost(&self) -> bool {
+        match &self.cause {
+            Cause::Lost(_) | Cause::BadAnswer(_) => true,
+            Cause::Refused { status, .. } => *status >= 500,
+            Cause::BadRequest(_) | Cause::Unreachable(_) => false,
+        }
+    }
+
+    /// Whether another process may answer the same call.
+    #[must_use]
+    pub fn is_worth_elsewhere(&self) -> bool {
+        match &self.cause {
+            Cause::Unreachable(_) | Cause::Lost(_) | Cause::BadAnswer(_) => true,
+            Cause::Refused { status, .. } => {
+                *status >= 500 || *status == StatusCode::NOT_FOUND.as_u16()
+            }
+            Cause::BadRequest(_) => false,
+        }
+    }
+
+    /// Whether the process itself answered.
+    #[must_use]
+    pub const fn is_refusal(&self) -> bool {
+        matches!(self.cause, Cause::Refused { .. })
+    }
+}
+
+impl fmt::Display for AdminError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.address, self.cause)
+    }
+}
+
+impl Error for AdminError {}
+
+impl fmt::Display for Cause {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::BadRequest(reason) => write!(f, "the request can't be built: {reason}"),
+            Self::Unreachable(reason) => write!(f, "can't connect: {reason}"),
+            Self::Lost(reason) => write!(f, "the answer was lost: {reason}"),
+            Self::Refused { error: Some(error), .. } => write!(f, "refused: {error}"),
+            Self::Refused { status, error: None } => write!(f, "refused with status {status}"),
+            Self::BadAnswer(reason) => write!(f, "the answer can't be read: {reason}"),
+        }
+    }
+}
+
+/// The text of an error and of all that caused it.
+pub(super) fn chain(error: &dyn Error) -> String {
+    let mut text = error.to_string();
+    let mut source = error.source();
+    while let Some(cause) = source {
+        text.push_str(": ");
+        text.push_str(&cause.to_string());
+        source = cause.source();
+    }
+    text
+}
--- /dev/null
+++ b/crates/oleanderctl/src/cli.rs
@@ -0,0 +1,114 @@
+//! The command line.
+
+use std::{net::SocketAddr, path::PathBuf};
+
+use clap::{Args, Parser, Subcommand};
+use clap_complete::Shell;
+use oleander_core::JobId;
+
+use crate::exit;
+
+/// Validates and applies the document, and shows what the processes do.
+#[derive(Debug, Parser)]
+#[command(name = "oleanderctl", version, after_help = exit::HELP)]
+pub(crate) struct Cli {
+    #[command(flatten)]
+    pub(crate) options: Options,
+    #[command(subcommand)]
+    pub(crate) command: Command,
+}
+
+/// Options of all commands.
+#[derive(Debug, Args)]
+pub(crate) struct Options {
+    /// Print JSON for programs.
+    #[arg(long, global = true)]
+    pub(crate) json: bool,
+    /// Admin listener of a process; may be given several times.
+    #[arg(long, global = true, value_name = "IP:PORT")]
+    pub(crate) admin: Vec<SocketAddr>,
+    /// JSON file with admin listeners: {"admin": ["IP:PORT", ...]}.
+    #[arg(long, global = true, value_name = "FILE")]
+    pub(crate) hosts: Option<PathBuf>,
+    /// File with the operator key.
+    #[arg(long, global = true, value_name = "FILE")]
+    pub(crate) key_file: Option<PathBuf>,
+}
+
+/// What to do.
+#[derive(Debug, Subcommand)]
+pub(crate) enum Command {
+    /// Lists every fault of a document with its JSON path.
+    #[command(after_help = "Examples:
+  oleanderctl validate ventiladores.json
+  oleanderctl validate ventiladores.json --json")]
+    Validate {
+        /// Document (JSON).
+        file: PathBuf,
+    },
+    /// Shows what applying a document would change.
+    #[command(after_help = "Examples:
+  oleanderctl diff ventiladores.json --hosts hosts.json --key-file operator.key
+  oleanderctl diff new.json --against old.json --exit-code")]
+    Diff {
+        /// Document (JSON).
+        file: PathBuf,
+        /// Compare with this file rather than with the document in force.
+        #[arg(long, value_name = "FILE")]
+        against: Option<PathBuf>,
+        /// Exit with 9 if the documents differ.
+        #[arg(long)]
+        exit_code: bool,
+    },
+    /// Puts a document in force, whole or not at all.
+    ///
+    /// The change is bound to the revision that was read. If another change comes first, it is
+    /// printed and nothing is applied. Applying a document that is in force is a success.
+    #[command(after_help = "Examples:
+  oleanderctl apply ventiladores.json --hosts hosts.json --key-file operator.key
+  oleanderctl apply ventiladores.json --admin 127.0.0.1:7301 --key-file operator.key --json")]
+    Apply {
+        /// Document (JSON).
+        file: PathBuf,
+    },
+    /// Shows revision, state, work under way and targets of each process.
+    #[command(after_help = "Examples:
+  oleanderctl status --hosts hosts.json --key-file operator.key")]
+    Status,
+    /// Makes a host finish its work and end.
+    #[command(after_help = "Examples:
+  oleanderctl drain entry-2 --hosts hosts.json --key-file operator.key")]
+    Drain {
+        /// Name of the host.
+        host: String,
+    },
+    /// Lists batch jobs.
+    #[command(after_help = "Examples:
+  oleanderctl jobs --hosts hosts.json --key-file operator.key")]
+    Jobs,
+    /// Cancels a batch job.
+    #[command(after_help = "Examples:
+  oleanderctl cancel batch-7f3a --hosts hosts.json --key-file operator.key")]
+    Cancel {
+        /// Name of the job.
+        job: JobId,
+    },
+    /// Merges the events of all processes, in causal order.
+    #[command(after_help = "Examples:
+  oleanderctl timeline demo/alert-17 --hosts hosts.json --key-file operator.key
+  oleanderctl timeline --last 60 --hosts hosts.json --key-file operator.key")]
+    Timeline {
+        /// Request (WORKSPACE/REQUEST) or job; all if absent.
+        subject: Option<String>,
+        /// Only events of the last seconds, by the clock of each host.
+        #[arg(long, value_name = "SECONDS")]
+        last: Option<u64>,
+    },
+    /// Prints the completions for a shell.
+    #[command(after_help = "Examples:
+  oleanderctl completions bash > /etc/bash_completion.d/oleanderctl")]
+    Completions {
+        /// Shell.
+        shell: Shell,
+    },
+}
--- /dev/null
+++ b/crates/oleanderctl/src/report.rs
@@ -0,0 +1,64 @@
+//! What commands print.
+
+use oleanderctl::AdminError;
+use serde::Serialize;
+use serde_json::{Value, json};
+
+use crate::exit::Exit;
+
+/// The result of a command, for people and for programs.
+#[derive(Debug)]
+pub(crate) struct Report {
+    pub(crate) text: String,
+    pub(crate) json: Value,
+    pub(crate) warnings: Vec<String>,
+    pub(crate) exit: Exit,
+}
+
+impl Report {
+    /// A report that a command is done.
+    pub(crate) fn new(text: impl Into<String>, json: impl Serialize) -> Self {
+        let json = serde_json::to_value(json).unwrap_or_default();
+        Self { text: text.into(), json, warnings: Vec::new(), exit: Exit::Done }
+    }
+
+    /// The same report with another exit code.
+    pub(crate) const fn exit(mut self, exit: Exit) -> Self {
+        self.exit = exit;
+        self
+    }
+
+    /// Adds the errors of processes that did not answer.
+    pub(crate) fn missing(mut self, errors: &[AdminError]) -> Self {
+        if !errors.is_empty() {
+            self.exit = Exit::Partial;
+        }
+        self.warnings.extend(errors.iter().map(ToString::to_string));
+        self
+    }
+}
+
+/// Why a command has no result.
+#[derive(Debug)]
+pub(crate) struct Failure {
+    pub(crate) message: String,
+    pub(crate) exit: Exit,
+}
+
+impl Failure {
+    pub(crate) fn new(exit: Exit, message: impl Into<String>) -> Self {
+        Self { message: message.into(), exit }
+    }
+
+    /// The failure for programs.
+    pub(crate) fn to_json(&self) -> Value {
+        json!({ "error": self.message })
+    }
+}
+
+impl From<AdminError> for Failure {
+    fn from(error: AdminError) -> Self {
+        let exit = if error.is_refusal() { Exit::Refused } else { Exit::Unreachable };
+        Self::new(exit, error.to_string())
+    }
+}
