--- /dev/null
+++ b/crates/oleander-jobs/src/item.rs
@@ -0,0 +1,108 @@
+//! One line of an input file.
+
+use std::fmt;
+
+use serde::Deserialize;
+use serde_json::{Map, Value};
+
+/// Endpoint that items may name.
+pub(crate) const ITEM_URL: &str = "/v1/chat/completions";
+const ITEM_METHOD: &str = "POST";
+const MAX_CUSTOM_ID_BYTES: usize = 256;
+
+/// A checked line.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ItemLine {
+    /// The caller's name of the item.
+    pub custom_id: String,
+    /// Body of the request.
+    pub body: Map<String, Value>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RawLine {
+    custom_id: String,
+    method: String,
+    url: String,
+    body: Map<String, Value>,
+}
+
+/// Why a line is not an item.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum LineError {
+    /// It is no JSON object of the expected fields; the parser's own words.
+    Json(String),
+    /// A field has a value that is not accepted.
+    Field {
+        /// Name of the field.
+        name: &'static str,
+        /// What is expected.
+        expected: &'static str,
+    },
+    /// The line is longer than one chunk.
+    TooLong,
+    /// Another line has this `custom_id`.
+    Duplicate(String),
+    /// Another line names another model.
+    OtherModel(String),
+}
+
+impl ItemLine {
+    /// The model that the item names.
+    #[must_use]
+    pub fn model(&self) -> &str {
+        self.body.get("model").and_then(Value::as_str).unwrap_or_default()
+    }
+
+    /// Checks one line.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first fault found.
+    pub fn parse(line: &[u8]) -> Result<Self, LineError> {
+        let raw: RawLine =
+            serde_json::from_slice(line).map_err(|e| LineError::Json(e.to_string()))?;
+        let id_bytes = raw.custom_id.len();
+        check((1..=MAX_CUSTOM_ID_BYTES).contains(&id_bytes), "custom_id", "1 to 256 bytes")?;
+        check(raw.method == ITEM_METHOD, "method", "POST")?;
+        check(raw.url == ITEM_URL, "url", ITEM_URL)?;
+        check(raw.body.get("model").is_some_and(Value::is_string), "body.model", "a text")?;
+        let messages = raw.body.get("messages").and_then(Value::as_array);
+        check(messages.is_some_and(|m| !m.is_empty()), "body.messages", "a list of messages")?;
+        Ok(Self { custom_id: raw.custom_id, body: raw.body })
+    }
+}
+
+fn check(holds: bool, name: &'static str, expected: &'static str) -> Result<(), LineError> {
+    if holds { Ok(()) } else { Err(LineError::Field { name, expected }) }
+}
+
+/// Reads `count` items of a chunk from `offset` on.
+///
+/// # Errors
+///
+/// Fails on a line that is not an item.
+pub fn read_items(chunk: &[u8], offset: u32, count: u32) -> Result<Vec<ItemLine>, LineError> {
+    chunk
+        .split(|&byte| byte == b'\n')
+        .filter(|line| !line.is_empty())
+        .skip(offset as usize)
+        .take(count as usize)
+        .map(ItemLine::parse)
+        .collect()
+}
+
+impl fmt::Display for LineError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Json(text) => f.write_str(text),
+            Self::Field { name, expected } => write!(f, "{name} must be {expected}"),
+            Self::TooLong => f.write_str("line is too long"),
+            Self::Duplicate(id) => write!(f, "custom_id {id:?} is not unique"),
+            Self::OtherModel(model) => write!(f, "model {model:?} differs from the first line's"),
+        }
+    }
+}
+
+impl std::error::Error for LineError {}
--- /dev/null
+++ b/crates/oleander-jobs/tests/board.rs
@@ -0,0 +1,88 @@
+//! The choice of the next lot: one first runner, takeover, deadlines and fairness.
+
+#![allow(clippy::unwrap_used)]
+
+use std::collections::BTreeMap;
+
+use oleander_core::{HostId, JobId, LotIndex, Span, Time};
+use oleander_jobs::{BoardJob, Counts, JobBoard, LotEnd};
+use quickcheck::{Gen, QuickCheck};
+
+const SEED: u64 = 3;
+const STALE: Span = Span::from_secs(10);
+const START: Time = Time(1_000_000_000);
+
+fn host(number: usize) -> HostId {
+    format!("batch-{number}").parse().unwrap()
+}
+
+fn job(name: &str, lots: u32, deadline: Time) -> BoardJob {
+    BoardJob { job: name.parse().unwrap(), service: "alarma-llm".parse().unwrap(), lots, deadline }
+}
+
+fn take_all(board: &mut JobBoard, now: Time) -> Vec<(JobId, LotIndex)> {
+    std::iter::from_fn(|| board.pick(now, |_| true)).collect()
+}
+
+#[test]
+fn each_lot_has_one_first_runner_and_is_taken_over_by_another() {
+    fn property(hosts: u8, lots: u8) -> bool {
+        let hosts: Vec<HostId> = (0..usize::from(hosts % 12) + 2).map(host).collect();
+        let lots = u32::from(lots) + 1;
+        let mut first: BTreeMap<LotIndex, u32> = BTreeMap::new();
+        let mut later: BTreeMap<LotIndex, u32> = BTreeMap::new();
+        for host in &hosts {
+            let mut board = JobBoard::new(host.clone(), STALE);
+            board.set_hosts(START, hosts.clone());
+            board.learn(START, job("j", lots, START + STALE));
+            take_all(&mut board, START)
+                .iter()
+                .for_each(|(_, l)| *first.entry(*l).or_default() += 1);
+            let now = START + STALE;
+            take_all(&mut board, now).iter().for_each(|(_, l)| *later.entry(*l).or_default() += 1);
+        }
+        let once = |taken: &BTreeMap<LotIndex, u32>| {
+            taken.len() as u32 == lots && taken.values().all(|&count| count == 1)
+        };
+        once(&first) && once(&later)
+    }
+    let gen_ = Gen::from_size_and_seed(50, SEED);
+    QuickCheck::new().rng(gen_).tests(100).quickcheck(property as fn(u8, u8) -> bool);
+}
+
+#[test]
+fn lots_of_a_lost_host_are_taken_at_once_when_the_list_shows_it() {
+    let mut board = JobBoard::new(host(0), STALE);
+    board.set_hosts(START, vec![host(0), host(1)]);
+    board.learn(START, job("j", 40, START + STALE));
+    let own = take_all(&mut board, START).len();
+    assert!(own < 40);
+    board.set_hosts(START, vec![host(0)]);
+    assert_eq!(own + take_all(&mut board, START).len(), 40);
+}
+
+#[test]
+fn urgent_jobs_go_first_and_no_job_starves() {
+    let mut board = JobBoard::new(host(0), STALE);
+    board.learn(START, job("late", 200, START + Span::from_secs(90_000)));
+    board.learn(START, job("soon", 200, START + Span::from_secs(15_000)));
+    let taken: Vec<String> =
+        take_all(&mut board, START).iter().take(40).map(|(job, _)| job.to_string()).collect();
+    let late = taken.iter().filter(|job| *job == "late").count();
+    assert_eq!(late, 10);
+    assert_eq!(taken[0], "soon");
+}
+
+#[test]
+fn a_given_back_lot_waits_and_a_closed_one_is_gone() {
+    let mut board = JobBoard::new(host(0), STALE);
+    board.learn(START, job("j", 2, START + Span::from_secs(900)));
+    let taken = take_all(&mut board, START);
+    assert_eq!(taken.len(), 2);
+    board.end(START, &taken[0].0, taken[0].1, LotEnd::Closed(Counts::default()));
+    board.end(START, &taken[1].0, taken[1].1, LotEnd::Superseded);
+    assert_eq!(board.pick(START, |_| true), None);
+    assert_eq!(board.pick(START + STALE, |_| false), None);
+    assert_eq!(board.pick(START + STALE, |_| true), Some(taken[1].clone()));
+    assert_eq!(board.pick(START + STALE, |_| true), None);
+}
