Build and test the command line tool

An apply is bound to the revision that was read; a lost answer is settled by reading back, and a conflict after a lost answer says that the document may have been in force before.

--- a/crates/oleanderctl/src/apply.rs
+++ b/crates/oleanderctl/src/apply.rs
@@ -55,6 +55,8 @@
         pub revision: Option<Revision>,
         /// What the other change did.
         pub changes: Vec<Change>,
+        /// Whether an answer was lost, so that the wanted document may have been in force before.
+        pub unsure: bool,
     }
 }
 
@@ -145,7 +147,7 @@
         }
         match self.lost.take() {
             Some(error) => Step::Done(Outcome::Unknown(error)),
-            None => self.conflict(&self.base.clone()),
+            None => self.conflict(&self.base),
         }
     }
 
@@ -180,6 +182,7 @@
             base: self.base.revision,
             revision: current.revision,
             changes: changes(self.base.document.as_ref(), current.document.as_ref()),
+            unsure: self.lost.is_some(),
         }))
     }
 
--- a/crates/oleanderctl/src/commands.rs
+++ b/crates/oleanderctl/src/commands.rs
@@ -61,12 +61,11 @@
     addresses.sort_unstable();
     addresses.dedup();
     let Some(key_file) = &options.key_file else {
-        return Err(Failure::new(Exit::Unreadable, "no operator key: give --key-file"));
+        return Err(Failure::new(Exit::Usage, "no operator key: give --key-file"));
     };
     let key = AdminKey::read(key_file).map_err(|error| unreadable(key_file, &error))?;
-    Fleet::new(&addresses, &key).ok_or_else(|| {
-        Failure::new(Exit::Unreachable, "no admin listener: give --hosts or --admin")
-    })
+    Fleet::new(&addresses, &key)
+        .ok_or_else(|| Failure::new(Exit::Usage, "no admin listener: give --hosts or --admin"))
 }
 
 fn read_hosts(file: &Path) -> Result<Vec<SocketAddr>, Failure> {
--- a/crates/oleanderctl/src/commands/documents.rs
+++ b/crates/oleanderctl/src/commands/documents.rs
@@ -17,6 +17,9 @@
     report::{Failure, Report},
 };
 
+/// Added to a conflict after a lost answer.
+const UNSURE_NOTE: &str = "an answer was lost: this document may have been in force before that\n";
+
 /// Outcome of `validate`, for programs.
 #[derive(Debug, Serialize)]
 struct Validation<'a> {
@@ -38,6 +41,7 @@
     revision: Option<Revision>,
     changes: &'a [Change],
     settled: bool,
+    unsure: bool,
     error: Option<String>,
 }
 
@@ -121,19 +125,21 @@
     let text = format!("{}{head}: revision {}\n", lines(changes), show_revision(*revision));
     let outcome = if changes.is_empty() { "unchanged" } else { "applied" };
     let (revision, settled) = (*revision, *settled);
-    Report::new(text, Application { outcome, revision, changes, settled, error: None })
+    Report::new(text, Application { outcome, revision, changes, settled, ..Application::default() })
 }
 
 fn report_conflict(conflict: &Conflict) -> Report {
-    let Conflict { base, revision, changes } = conflict;
+    let Conflict { base, revision, changes, unsure } = conflict;
+    let note = if *unsure { UNSURE_NOTE } else { "" };
     let text = format!(
-        "conflict: revision {} was read, revision {} is in force; the change that won:\n{}",
+        "conflict: revision {} was read, revision {} is in force; the change that won:\n{}{note}",
         show_revision(*base),
         show_revision(*revision),
         lines(changes),
     );
-    let revision = *revision;
-    let json = Application { outcome: "conflict", revision, changes, ..Application::default() };
+    let (revision, unsure) = (*revision, *unsure);
+    let outcome = "conflict";
+    let json = Application { outcome, revision, changes, unsure, ..Application::default() };
     Report::new(text, json).exit(Exit::Conflict)
 }
 
--- a/crates/oleanderctl/src/commands/hosts.rs
+++ b/crates/oleanderctl/src/commands/hosts.rs
@@ -35,9 +35,7 @@
 }
 
 /// Separates answers from errors; fails if no process answered.
-pub(super) fn split<T>(
-    answers: Vec<HostAnswer<T>>,
-) -> Result<(Vec<T>, Vec<AdminError>), Failure> {
+pub(super) fn split<T>(answers: Vec<HostAnswer<T>>) -> Result<(Vec<T>, Vec<AdminError>), Failure> {
     let mut found = Vec::new();
     let mut errors = Vec::new();
     for answer in answers {
--- a/crates/oleanderctl/src/exit.rs
+++ b/crates/oleanderctl/src/exit.rs
@@ -7,6 +7,8 @@
     Done,
     /// The document has faults.
     Faults,
+    /// Wrong usage; also the code of the command line parser.
+    Usage,
     /// Another operator's change came first.
     Conflict,
     /// No process answered.
@@ -23,7 +25,7 @@
     Differs,
 }
 
-/// The codes as the help shows them. Wrong usage exits with 2.
+/// The codes as the help shows them.
 pub(crate) const HELP: &str = "\
 Exit codes:
   0  done
@@ -43,6 +45,7 @@
         match self {
             Self::Done => 0,
             Self::Faults => 1,
+            Self::Usage => 2,
             Self::Conflict => 3,
             Self::Unreachable => 4,
             Self::Partial => 5,
--- /dev/null
+++ b/crates/oleanderctl/tests/fake/mod.rs
@@ -0,0 +1,150 @@
+//! A process with an admin listener that keeps its document in memory.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use axum::{
+    Json, Router,
+    extract::{Path, Request, State},
+    http::{StatusCode, header},
+    middleware::{self, Next},
+    response::{IntoResponse, Response},
+    routing::{get, post},
+};
+use oleander_document::Document;
+use parking_lot::Mutex;
+use serde_json::{Value, json};
+
+/// The operator key of the fake.
+pub(crate) const KEY: &str = "operator-key-of-the-tests";
+
+/// A running fake; clones share it.
+#[derive(Clone)]
+pub(crate) struct Fake {
+    pub(crate) address: SocketAddr,
+    state: Arc<Mutex<Memory>>,
+}
+
+/// What the fake holds.
+#[derive(Default)]
+pub(crate) struct Memory {
+    pub(crate) host: String,
+    pub(crate) revision: u64,
+    pub(crate) document: Value,
+    /// Applies that take effect and answer 503.
+    pub(crate) lose_answers: u32,
+    /// A change that another operator makes before the next apply.
+    pub(crate) rival: Option<Value>,
+    pub(crate) events: Vec<Value>,
+    pub(crate) drained: bool,
+    pub(crate) cancelled: Vec<String>,
+}
+
+type Shared = State<Arc<Mutex<Memory>>>;
+
+impl Fake {
+    /// Starts a fake with this host name.
+    pub(crate) async fn start(host: &str) -> Self {
+        let memory = Memory { host: host.to_owned(), ..Memory::default() };
+        let state = Arc::new(Mutex::new(memory));
+        let router = Router::new()
+            .route("/admin/status", get(status))
+            .route("/admin/events", get(events))
+            .route("/admin/drain", post(drain))
+            .route("/admin/document", get(document))
+            .route("/admin/apply", post(apply))
+            .route("/admin/jobs", get(jobs))
+            .route("/admin/jobs/{id}/cancel", post(cancel))
+            .layer(middleware::from_fn(check_key))
+            .with_state(Arc::clone(&state));
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        tokio::spawn(async move { axum::serve(listener, router).await });
+        Self { address, state }
+    }
+
+    /// Looks at the memory, or changes it.
+    pub(crate) fn with<T>(&self, look: impl FnOnce(&mut Memory) -> T) -> T {
+        look(&mut self.state.lock())
+    }
+}
+
+async fn check_key(request: Request, next: Next) -> Response {
+    let expected = format!("Bearer {KEY}");
+    let found = request.headers().get(header::AUTHORIZATION);
+    if found.is_some_and(|value| value.as_bytes() == expected.as_bytes()) {
+        return next.run(request).await;
+    }
+    failure(StatusCode::UNAUTHORIZED, "unauthorized", "operator key missing or wrong")
+}
+
+fn failure(status: StatusCode, code: &str, message: &str) -> Response {
+    let error = json!({ "code": code, "message": message, "ran": "no" });
+    (status, Json(json!({ "error": error }))).into_response()
+}
+
+async fn status(State(state): Shared) -> Json<Value> {
+    let memory = state.lock();
+    let drained = if memory.drained { "draining" } else { "ready" };
+    let target = json!({ "name": "t-1", "state": "up", "online": 1, "batch": 2, "limit": 16 });
+    Json(json!({
+        "host": memory.host, "role": "entry", "zone": "a", "revision": memory.revision,
+        "state": drained, "in_flight": 3, "targets": [target],
+    }))
+}
+
+async fn events(State(state): Shared) -> Json<Value> {
+    Json(json!({ "events": state.lock().events }))
+}
+
+async fn drain(State(state): Shared) -> StatusCode {
+    state.lock().drained = true;
+    StatusCode::ACCEPTED
+}
+
+fn current(memory: &Memory) -> Value {
+    let revision = (memory.revision > 0).then_some(memory.revision);
+    json!({ "revision": revision, "document": memory.document })
+}
+
+async fn document(State(state): Shared) -> Json<Value> {
+    Json(current(&state.lock()))
+}
+
+async fn apply(State(state): Shared, Json(request): Json<Value>) -> Response {
+    let mut memory = state.lock();
+    if let Some(rival) = memory.rival.take() {
+        memory.document = rival;
+        memory.revision += 10;
+    }
+    if let Err(faults) = Document::try_from(&request["document"]) {
+        let error = json!({ "code": "invalid_request", "message": "faults", "ran": "no" });
+        let body = json!({ "error": error, "faults": faults });
+        return (StatusCode::BAD_REQUEST, Json(body)).into_response();
+    }
+    if request["base"] != current(&memory)["revision"] {
+        let mut body = current(&memory);
+        body["error"] = json!({ "code": "conflict", "message": "newer", "ran": "no" });
+        return (StatusCode::CONFLICT, Json(body)).into_response();
+    }
+    memory.document = request["document"].clone();
+    memory.revision += 1;
+    if memory.lose_answers > 0 {
+        memory.lose_answers -= 1;
+        return failure(StatusCode::SERVICE_UNAVAILABLE, "unavailable", "answer lost");
+    }
+    Json(json!({ "revision": memory.revision })).into_response()
+}
+
+async fn jobs() -> Json<Value> {
+    let job = json!({ "id": "job-1", "workspace": "w", "state": "in_progress",
+        "total": 10, "completed": 4, "failed": 1 });
+    Json(json!({ "jobs": [job] }))
+}
+
+async fn cancel(State(state): Shared, Path(id): Path<String>) -> Response {
+    if id != "job-1" {
+        return failure(StatusCode::NOT_FOUND, "not_found", "no such job");
+    }
+    state.lock().cancelled.push(id);
+    Json(json!({})).into_response()
+}
