Prove the routing decisions by properties, and bound what hosts take at once

Slots are now divided by a level to which all hosts that run a class are raised, with half of what stayed unclaimed lent.

The naive choice by late reports stands in tests/peers.rs as the baseline that herds.

--- a/crates/oleander-routing/src/lib.rs
+++ b/crates/oleander-routing/src/lib.rs
@@ -36,6 +36,6 @@
 pub use prefix::PrefixIndex;
 pub use queue::WaitQueue;
 pub use router::Router;
-pub use share::{fair_part, fill_level};
+pub use share::{fair_part, fill_level, raise_level};
 pub use target::{Target, TargetState, TargetStatus};
 pub use workspace::WorkspaceLimiter;
--- a/crates/oleander-routing/src/router.rs
+++ b/crates/oleander-routing/src/router.rs
@@ -15,7 +15,11 @@
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 
-use self::{backend::Backend, observe::Lease, peers::Peers};
+use self::{
+    backend::Backend,
+    observe::Lease,
+    peers::{Peers, Update},
+};
 use crate::{
     choice::Chooser,
     config::RouterConfig,
@@ -64,6 +68,9 @@
     ejector: Ejector,
     prefixes: PrefixIndex,
     peers: Peers,
+    shared_at: Time,
+    batch_began: Option<Time>,
+    batch_last: Option<Time>,
     latest: Time,
 }
 
@@ -84,6 +91,9 @@
             ejector: Ejector::new(config.ejects),
             prefixes: PrefixIndex::default(),
             peers: Peers::default(),
+            shared_at: Time(0),
+            batch_began: None,
+            batch_last: None,
             latest: Time(0),
             config,
         }
@@ -106,6 +116,7 @@
         self.backends.sort_by(|a, b| a.target.name.cmp(&b.target.name));
         let names = self.backends.iter().map(|backend| backend.target.name.clone());
         self.by_name = names.enumerate().map(|(index, name)| (name, index)).collect();
+        self.share_anew(self.latest);
     }
 
     fn put_target(&mut self, target: Target) {
@@ -161,9 +172,14 @@
             Some((self.backends[index].key, peers::Count::new(count.online, count.batch)))
         });
         let counts = known.collect();
-        if self.peers.update(now, peer, counts, sent_at) {
-            self.sum_peers(now);
-            self.share_out(now);
+        let update = self.peers.update(now, peer, counts, sent_at);
+        if update == Update::Ignored {
+            return;
+        }
+        self.sum_peers(now);
+        match update {
+            Update::New => self.share_anew(now),
+            Update::Known | Update::Ignored => self.share_when_heard(now),
         }
     }
 
@@ -223,6 +239,7 @@
             self.ejector.next_wake(now),
             self.queue.next_deadline(now),
             self.peers.next_expiry(self.config.peer_keep),
+            self.next_share(),
         ];
         wakes.into_iter().flatten().min()
     }
@@ -234,6 +251,7 @@
         if self.peers.expire(now, self.config.peer_keep) {
             self.sum_peers(now);
         }
+        self.share_when_due(now);
     }
 
     /// Works out the peers' sums at each target again.
--- a/crates/oleander-routing/src/router/admit.rs
+++ b/crates/oleander-routing/src/router/admit.rs
@@ -36,12 +36,14 @@
             return self.refuse(ticket, self.predict(request, self.queue.len()));
         }
         let usable = self.usable(now, request);
-        let free: u32 = usable.iter().map(|index| self.online_free(*index)).sum();
+        let free: u32 =
+            usable.iter().map(|index| self.online_free(now, &self.backends[*index])).sum();
         let ahead = self.queue.ahead(ticket);
         if free <= ahead {
             return self.wait_or_refuse(now, request, ticket, ahead);
         }
-        let open = usable.into_iter().filter(|index| self.online_free(*index) > 0);
+        let open =
+            usable.into_iter().filter(|index| self.online_free(now, &self.backends[*index]) > 0);
         let candidates = self.candidates(now, request, open.collect());
         let Some(chosen) = self.chooser.choose(&mut self.rng, &candidates) else {
             return self.wait_or_refuse(now, request, ticket, ahead);
@@ -70,6 +72,9 @@
     fn send(&mut self, now: Time, request: &Pick, index: usize) -> Decision {
         let lease = LeaseId(self.next_lease);
         self.next_lease += 1;
+        if request.class == Class::Batch {
+            self.note_batch(now);
+        }
         let yields = self.yields(now, request.class, index);
         let probing = self.eject_state(now, index) == EjectState::Probing;
         let backend = &mut self.backends[index];
@@ -108,6 +113,9 @@
         if !self.has_target(request) {
             return self.refuse(ticket, NO_TARGET_RETRY);
         }
+        if let Some(back) = self.all_away_until(now, request).filter(|back| *back > deadline) {
+            return self.refuse(ticket, back.since(now));
+        }
         if self.queue.contains(ticket) {
             return Decision::Wait;
         }
@@ -138,6 +146,16 @@
         (0..self.backends.len()).any(|index| self.accepts(index, request))
     }
 
+    /// When the first target comes back, if all that could take the request are ejected.
+    fn all_away_until(&self, now: Time, request: &Pick) -> Option<Time> {
+        let accepting = (0..self.backends.len()).filter(|index| self.accepts(*index, request));
+        let away = accepting.map(|index| match self.eject_state(now, index) {
+            EjectState::Out(until) => until,
+            EjectState::In | EjectState::Probing => now,
+        });
+        away.min().filter(|back| *back > now)
+    }
+
     fn accepts(&self, index: usize, request: &Pick) -> bool {
         let backend = &self.backends[index];
         let serves = match request.class {
@@ -167,16 +185,6 @@
         self.ejector.state(now, &self.backends[index].target.name)
     }
 
-    /// Online requests that the target has room for; batch makes room and doesn't count.
-    fn online_free(&self, index: usize) -> u32 {
-        let backend = &self.backends[index];
-        let used = match self.config.policy {
-            Policy::FirstCome => backend.total(),
-            Policy::Managed | Policy::Split { .. } | Policy::OnlineOnly => backend.online_total(),
-        };
-        backend.limit.current().saturating_sub(used)
-    }
-
     /// Slots that are likely to serve this host's queue.
     fn own_slots(&self, request: &Pick) -> u32 {
         let open = (0..self.backends.len()).filter(|index| self.accepts(*index, request));
--- a/crates/oleander-routing/src/router/backend.rs
+++ b/crates/oleander-routing/src/router/backend.rs
@@ -43,8 +43,12 @@
     pub(super) batch: u32,
     pub(super) limit: LimitController,
     pub(super) probe: Option<LeaseId>,
-    /// Own batch items up to which this host may go before the next exchange with its peers.
+    /// Own online requests up to which this host may go before the next division of slots.
+    pub(super) online_cap: u32,
+    /// Own batch items up to which this host may go before the next division of slots.
     pub(super) batch_cap: u32,
+    /// Free slots of each class at the last division.
+    pub(super) free: [u32; 2],
     peers: Count,
     correction: Option<Correction>,
     history: History,
@@ -62,7 +66,9 @@
             online: 0,
             batch: 0,
             probe: None,
+            online_cap: 0,
             batch_cap: 0,
+            free: [0; 2],
             peers: Count::default(),
             correction: None,
             history: History::default(),
@@ -75,6 +81,14 @@
         self.online + self.batch
     }
 
+    /// Own work of one class in flight.
+    pub(super) const fn own_of(&self, class: Class) -> u32 {
+        match class {
+            Class::Online => self.online,
+            Class::Batch => self.batch,
+        }
+    }
+
     /// Online requests of all known hosts.
     pub(super) const fn online_total(&self) -> u32 {
         self.online + self.peers.online
--- a/crates/oleander-routing/src/router/observe.rs
+++ b/crates/oleander-routing/src/router/observe.rs
@@ -63,6 +63,9 @@
         if lease.class == Class::Online && ending == Ending::Answered {
             self.queue.held(now.since(lease.started));
         }
+        if lease.class == Class::Batch {
+            self.note_batch(now);
+        }
         match ending {
             Ending::Answered => self.ejector.success(now, &lease.target),
             Ending::Fault => self.ejector.fault(now, &lease.target),
--- a/crates/oleander-routing/src/router/peers.rs
+++ b/crates/oleander-routing/src/router/peers.rs
@@ -4,7 +4,10 @@
 
 use oleander_core::{HostId, Span, Time};
 
-use crate::prefix::TargetKey;
+use crate::{pick::Class, prefix::TargetKey};
+
+/// Time for which a host counts as running a class after its last work of it.
+pub(super) const MEMORY: Span = Span::from_secs(60);
 
 /// Work in flight at one target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
@@ -17,17 +20,51 @@
     pub(super) const fn new(online: u32, batch: u32) -> Self {
         Self { online, batch }
     }
+
+    pub(super) const fn of(self, class: Class) -> u32 {
+        match class {
+            Class::Online => self.online,
+            Class::Batch => self.batch,
+        }
+    }
 }
 
 /// The last message of one peer.
 #[derive(Debug, Clone)]
 struct Peer {
     counts: HashMap<TargetKey, Count>,
-    runs_batch: bool,
+    last_online: Option<Time>,
+    last_batch: Option<Time>,
     sent_at: Time,
     received_at: Time,
 }
 
+impl Peer {
+    fn count(&self, key: TargetKey) -> Count {
+        self.counts.get(&key).copied().unwrap_or_default()
+    }
+
+    /// Whether the peer had work of the class lately.
+    fn runs(&self, now: Time, class: Class) -> bool {
+        let last = match class {
+            Class::Online => self.last_online,
+            Class::Batch => self.last_batch,
+        };
+        last.is_some_and(|last| now.since(last) < MEMORY)
+    }
+}
+
+/// What came of a message.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Update {
+    /// It was older than the last one.
+    Ignored,
+    /// It came from a known peer.
+    Known,
+    /// It came from a peer without earlier messages.
+    New,
+}
+
 /// The last messages of all peers.
 #[derive(Debug, Clone, Default)]
 pub(super) struct Peers {
@@ -35,20 +72,31 @@
 }
 
 impl Peers {
-    /// Takes a message unless it is older than the last one; returns whether it was taken.
+    /// Takes a message unless it is older than the last one.
     pub(super) fn update(
         &mut self,
         now: Time,
         peer: &HostId,
         counts: HashMap<TargetKey, Count>,
         sent_at: Time,
-    ) -> bool {
+    ) -> Update {
         if self.peers.get(peer).is_some_and(|known| known.sent_at > sent_at) {
-            return false;
+            return Update::Ignored;
+        }
+        let known = self.peers.get(peer);
+        let online = counts.values().any(|count| count.online > 0).then_some(now);
+        let batch = counts.values().any(|count| count.batch > 0).then_some(now);
+        let message = Peer {
+            counts,
+            last_online: online.or_else(|| known.and_then(|known| known.last_online)),
+            last_batch: batch.or_else(|| known.and_then(|known| known.last_batch)),
+            sent_at,
+            received_at: now,
+        };
+        match self.peers.insert(peer.clone(), message) {
+            Some(_) => Update::Known,
+            None => Update::New,
         }
-        let runs_batch = counts.values().any(|count| count.batch > 0);
-        self.peers.insert(peer.clone(), Peer { counts, runs_batch, sent_at, received_at: now });
-        true
     }
 
     /// Drops messages older than `keep`; returns whether there were any.
@@ -65,7 +113,7 @@
 
     /// Sum of the counts at one target.
     pub(super) fn sum(&self, key: TargetKey) -> Count {
-        let counts = self.peers.values().filter_map(|peer| peer.counts.get(&key));
+        let counts = self.peers.values().map(|peer| peer.count(key));
         counts.fold(Count::default(), |sum, count| {
             Count::new(sum.online + count.online, sum.batch + count.batch)
         })
@@ -76,16 +124,29 @@
         self.peers.len()
     }
 
-    /// Peers with batch items at `key`, and how many.
-    pub(super) fn batch_at(&self, key: TargetKey) -> impl Iterator<Item = (&HostId, u32)> {
-        self.peers.iter().filter_map(move |(host, peer)| {
-            let count = peer.counts.get(&key)?;
-            (count.batch > 0).then_some((host, count.batch))
-        })
+    /// Peers with work of the class lately, and how much of it is at `key`.
+    pub(super) fn runners(
+        &self,
+        now: Time,
+        class: Class,
+        key: TargetKey,
+    ) -> impl Iterator<Item = (&HostId, u32)> {
+        let runners = self.peers.iter().filter(move |(_, peer)| peer.runs(now, class));
+        runners.map(move |(host, peer)| (host, peer.count(key).of(class)))
+    }
+
+    /// All peers, and how much work of the class they have at `key`.
+    pub(super) fn all(&self, class: Class, key: TargetKey) -> impl Iterator<Item = (&HostId, u32)> {
+        self.peers.iter().map(move |(host, peer)| (host, peer.count(key).of(class)))
+    }
+
+    /// Whether any peer had work of the class lately.
+    pub(super) fn run(&self, now: Time, class: Class) -> bool {
+        self.peers.values().any(|peer| peer.runs(now, class))
     }
 
-    /// Peers with batch items anywhere.
-    pub(super) fn batch_hosts(&self) -> impl Iterator<Item = &HostId> {
-        self.peers.iter().filter(|(_, peer)| peer.runs_batch).map(|(host, _)| host)
+    /// Whether every peer has been heard after `since`.
+    pub(super) fn all_since(&self, since: Time) -> bool {
+        self.peers.values().all(|peer| peer.received_at > since)
     }
 }
--- a/crates/oleander-routing/src/router/room.rs
+++ b/crates/oleander-routing/src/router/room.rs
@@ -1,15 +1,24 @@
-//! Room for batch: how much there is, who may take it and what has to go.
+//! Room at the targets: how much there is, which host may take it and what has to go.
 
-use oleander_core::{HostId, TargetId, Time, hash};
+use oleander_core::{HostId, Span, Time, hash};
 
-use super::{Router, backend::Backend};
+use super::{Router, backend::Backend, peers::MEMORY};
 use crate::{
     config::Policy,
     load::BatchExcess,
-    share::{fair_part, fill_level},
+    pick::Class,
+    share::{fair_part, fill_level, raise_level},
 };
 
-/// Share of the targets that a policy leaves to each class.
+/// Time after which slots are divided without having heard all peers.
+const LONGEST_SHARE: Span = Span::from_millis(500);
+/// Time from its first item for which a host expects all others to run batch too.
+const COLD: Span = Span::from_millis(300);
+/// Part of the free slots that one host may take for a burst, as a divisor.
+const BURST_PART: u32 = 4;
+/// Part of the unwanted slots that is divided among all hosts, as a divisor.
+const LENT_PART: u32 = 2;
+
 impl Router {
     /// Whether batch may use the target at `index`.
     pub(super) fn serves_batch(&self, index: usize) -> bool {
@@ -42,30 +51,124 @@
     /// Batch items that this host may start at the target now.
     pub(super) fn batch_free(&self, now: Time, backend: &Backend) -> u32 {
         let free = self.batch_room(now, backend).saturating_sub(backend.batch_total());
-        if self.config.policy != Policy::Managed || self.peers.batch_hosts().next().is_none() {
+        if self.config.policy != Policy::Managed || self.peers.len() == 0 {
             return free;
         }
         free.min(backend.batch_cap.saturating_sub(backend.batch))
     }
 
-    /// Divides the free batch slots of each target among the hosts that run batch.
-    ///
-    /// Hosts that saw the same counts take distinct slots until their next exchange.
-    pub(super) fn share_out(&mut self, now: Time) {
-        let own = &self.config.host;
-        let hosts: Vec<&HostId> = self.peers.batch_hosts().filter(|host| *host != own).collect();
-        let count = hosts.len() as u32 + 1;
-        let caps = self.backends.iter().map(|backend| {
-            let free = self.batch_room(now, backend).saturating_sub(backend.batch_total());
-            let rank = rank(&backend.target.name, own, hosts.iter().copied());
-            backend.batch + fair_part(free, rank, count)
+    /// Online requests that this host may start at the target now; batch makes room for them.
+    pub(super) fn online_free(&self, now: Time, backend: &Backend) -> u32 {
+        let used = match self.config.policy {
+            Policy::FirstCome => backend.total(),
+            Policy::Managed | Policy::Split { .. } | Policy::OnlineOnly => backend.online_total(),
+        };
+        let free = backend.limit.current().saturating_sub(used);
+        if !self.peers.run(now, Class::Online) {
+            return free;
+        }
+        free.min(backend.online_cap.saturating_sub(backend.online))
+    }
+
+    /// Divides the slots anew once all peers have been heard since the last time.
+    pub(super) fn share_when_heard(&mut self, now: Time) {
+        if self.peers.all_since(self.shared_at) {
+            self.share_out(now);
+        }
+    }
+
+    /// Divides the slots anew after a while without having heard all peers.
+    pub(super) fn share_when_due(&mut self, now: Time) {
+        if self.next_share().is_some_and(|due| due <= now) {
+            self.share_out(now);
+        }
+    }
+
+    /// When the slots are divided anew at the latest; `None` without peers.
+    pub(super) fn next_share(&self) -> Option<Time> {
+        (self.peers.len() > 0).then(|| self.shared_at + LONGEST_SHARE)
+    }
+
+    /// Divides the slots among another set of hosts or targets.
+    pub(super) fn share_anew(&mut self, now: Time) {
+        self.share_out(now);
+        self.backends.iter_mut().for_each(|backend| backend.free = [0; 2]);
+    }
+
+    fn share_out(&mut self, now: Time) {
+        self.shared_at = now;
+        self.set_caps(now);
+    }
+
+    /// Sets how far this host may go at each target until the next division.
+    fn set_caps(&mut self, now: Time) {
+        let shares = (0..self.backends.len()).map(|index| {
+            let backend = &self.backends[index];
+            let limit = backend.limit.current();
+            let online = self.share(now, Class::Online, backend, limit);
+            let batch = self.share(now, Class::Batch, backend, self.batch_room(now, backend));
+            (online, batch)
         });
-        let caps: Vec<u32> = caps.collect();
-        for (backend, cap) in self.backends.iter_mut().zip(caps) {
-            backend.batch_cap = cap;
+        let shares: Vec<(Share, Share)> = shares.collect();
+        for (backend, (online, batch)) in self.backends.iter_mut().zip(shares) {
+            let burst = backend.online + online.free / BURST_PART;
+            backend.online_cap = online.cap.max(burst);
+            backend.batch_cap = batch.cap;
+            backend.free = [online.free, batch.free];
+        }
+    }
+
+    /// This host's share of a target's slots for a class.
+    ///
+    /// All hosts that run the class are raised to one level, so that hosts that fill up at the
+    /// same moment fit beside each other. Slots that were free already at the last division are
+    /// not wanted by the hosts below the level; half of them is divided among all.
+    fn share(&self, now: Time, class: Class, backend: &Backend, room: u32) -> Share {
+        let own = backend.own_of(class);
+        let others = self.sharers(now, class, backend);
+        let mut counts: Vec<u32> = others.iter().map(|(_, count)| *count).collect();
+        counts.push(own);
+        let level = raise_level(room, &counts);
+        let used: u32 = counts.iter().map(|count| *count.max(&level)).sum();
+        let below = others.iter().filter(|(_, count)| *count <= level).map(|(host, _)| *host);
+        let extra =
+            u32::from(own <= level && self.rank(backend, below) < room.saturating_sub(used));
+        let free = room.saturating_sub(counts.iter().sum());
+        let unwanted = free.min(backend.free[class as usize]);
+        let rank = self.rank(backend, others.iter().map(|(host, _)| *host));
+        let lent = unwanted.div_ceil(LENT_PART);
+        let cap = own.max(level + extra) + fair_part(lent, rank, counts.len() as u32);
+        Share { cap, free }
+    }
+
+    /// Peers that share a target's slots for a class.
+    ///
+    /// A host that has only just begun to run batch expects the same of all others.
+    fn sharers(&self, now: Time, class: Class, backend: &Backend) -> Vec<(&HostId, u32)> {
+        if class == Class::Batch && self.batch_began.is_none_or(|at| now.since(at) < COLD) {
+            return self.peers.all(class, backend.key).collect();
+        }
+        self.peers.runners(now, class, backend.key).collect()
+    }
+
+    /// Remembers that this host runs batch.
+    pub(super) fn note_batch(&mut self, now: Time) {
+        let idle = self.batch_last.is_none_or(|last| now.since(last) >= MEMORY);
+        self.batch_last = Some(now);
+        if idle {
+            self.batch_began = Some(now);
         }
     }
 
+    /// Position of this host among `hosts` in an order that differs by target.
+    fn rank<'a>(&self, backend: &Backend, hosts: impl Iterator<Item = &'a HostId>) -> u32 {
+        let target = backend.target.name.as_str();
+        let score = |host: &HostId| hash::hash_parts(&[target, host.as_str()]);
+        let own = &self.config.host;
+        let mine = (score(own), own);
+        hosts.filter(|host| (score(host), *host) < mine).count() as u32
+    }
+
     /// Own batch items that targets have no room for, to be cancelled now.
     #[must_use]
     pub fn batch_excess(&self, now: Time) -> Vec<BatchExcess> {
@@ -84,21 +187,23 @@
         if backend.batch == 0 || backend.batch_total() <= room {
             return 0;
         }
-        let holders: Vec<(&HostId, u32)> = self.peers.batch_at(backend.key).collect();
+        let holders: Vec<(&HostId, u32)> = self.peers.all(Class::Batch, backend.key).collect();
         let mut counts: Vec<u32> = holders.iter().map(|(_, count)| *count).collect();
         counts.push(backend.batch);
         let level = fill_level(room, &counts);
         let used: u32 = counts.iter().map(|count| *count.min(&level)).sum();
         let above = holders.iter().filter(|(_, count)| *count > level).map(|(host, _)| *host);
-        let rank = rank(&backend.target.name, &self.config.host, above);
+        let rank = self.rank(backend, above);
         let kept = level + u32::from(rank < room.saturating_sub(used));
         backend.batch.saturating_sub(kept)
     }
 }
 
-/// Position of `own` among `hosts` in an order that differs by target.
-fn rank<'a>(target: &TargetId, own: &HostId, hosts: impl Iterator<Item = &'a HostId>) -> u32 {
-    let score = |host: &HostId| hash::hash_parts(&[target.as_str(), host.as_str()]);
-    let mine = (score(own), own);
-    hosts.filter(|host| (score(host), *host) < mine).count() as u32
+/// Slots that one host may use.
+#[derive(Debug, Clone, Copy)]
+struct Share {
+    /// Own work up to which the host may go.
+    cap: u32,
+    /// Slots that no host uses now.
+    free: u32,
 }
--- a/crates/oleander-routing/src/share.rs
+++ b/crates/oleander-routing/src/share.rs
@@ -19,6 +19,25 @@
     sorted.last().copied().unwrap_or(0)
 }
 
+/// Largest `level` for which the sum of `max(count, level)` fits into `room`; zero if none does.
+///
+/// Hosts that fill up to the level at the same moment fit beside each other.
+#[must_use]
+pub fn raise_level(room: u32, counts: &[u32]) -> u32 {
+    let mut sorted = counts.to_vec();
+    sorted.sort_unstable();
+    let mut left = room;
+    while let Some(&most) = sorted.last() {
+        let level = left / sorted.len() as u32;
+        if level >= most {
+            return level;
+        }
+        left = left.saturating_sub(most);
+        sorted.pop();
+    }
+    0
+}
+
 /// The part of `free` slots for the host of the given rank among `hosts` hosts.
 ///
 /// The parts of all ranks sum up to `free`.
--- a/crates/oleander-routing/src/workspace.rs
+++ b/crates/oleander-routing/src/workspace.rs
@@ -1,9 +1,10 @@
 //! Rate limits of workspaces, shared by all hosts.
 //!
 //! Each host holds a token bucket that fills with the host's part of the workspace's rate. The
-//! part follows the use: what the peers report as used lately is left to them, and what nobody
-//! uses is divided evenly, so that callers who come through one host get nearly the whole rate
-//! and the sum over all hosts stays near it.
+//! part follows the use: what nobody used lately is divided among the hosts with use, and when
+//! all together used more than the rate each is cut by the same factor, but never below an even
+//! part. Callers who come through one host get nearly the whole rate within seconds, and the sum
+//! over all hosts stays near it.
 
 use std::collections::HashMap;
 
@@ -11,6 +12,8 @@
 
 /// Parts of a token, so that fills are whole numbers.
 const TOKEN: u64 = 1_000_000;
+/// Fewest hosts among which the unused rate is divided.
+const FEWEST_PARTS: u64 = 2;
 /// Span over which the use is measured.
 const WINDOW: Span = Span::from_secs(1);
 
@@ -111,7 +114,7 @@
     pub fn used(&mut self, now: Time, workspace: &WorkspaceId) -> Rate {
         let Some(bucket) = self.buckets.get_mut(workspace) else { return Rate(0) };
         bucket.roll(now);
-        Rate(u64::from(bucket.used_before.max(bucket.used)))
+        bucket.lately()
     }
 
     /// Takes a peer's use of a workspace into account.
@@ -126,14 +129,22 @@
         let Some(bucket) = self.buckets.get(workspace) else { return Rate(u64::MAX) };
         let even = self.even_part(bucket.rate);
         let fresh = bucket.peers.values().filter(|used| now.since(used.at) <= self.keep);
-        let (known, used) =
-            fresh.fold((0, 0_u64), |(n, sum), peer| (n + 1, sum + peer.rate.0.min(bucket.rate.0)));
-        if known == 0 {
+        let peers: Vec<u64> = fresh.map(|used| used.rate.0.min(bucket.rate.0)).collect();
+        if peers.is_empty() {
             return even;
         }
-        let unknown = u64::from(self.hosts.saturating_sub(1)).saturating_sub(known) * even.0;
-        let free = bucket.rate.0.saturating_sub(used + unknown);
-        Rate(free.max(even.0))
+        let others: u64 = peers.iter().sum();
+        let active = peers.iter().filter(|used| **used > 0).count() as u64 + 1;
+        let silent = u64::from(self.hosts.saturating_sub(1)).saturating_sub(peers.len() as u64);
+        let own = bucket.lately();
+        let used = own.0 + others + silent * even.0;
+        let rate = bucket.rate.0;
+        let wanted = if used > rate {
+            own.0 * rate / used
+        } else {
+            own.0 + (rate - used) / active.max(FEWEST_PARTS)
+        };
+        Rate(wanted.max(even.0))
     }
 
     fn even_part(&self, rate: Rate) -> Rate {
@@ -154,6 +165,11 @@
         self.level = self.level.saturating_add(gained).min(capacity);
     }
 
+    /// Requests that passed in a window.
+    fn lately(&self) -> Rate {
+        Rate(u64::from(self.used_before.max(self.used)))
+    }
+
     fn roll(&mut self, now: Time) {
         let passed = now.since(self.window);
         if passed < WINDOW {
--- /dev/null
+++ b/crates/oleander-routing/tests/budgets.rs
@@ -0,0 +1,203 @@
+//! Properties of budgets, rate limits, ejection and the latency-driven limit.
+
+#![allow(clippy::unwrap_used)]
+
+mod common;
+
+use common::{host, millis, name, properties};
+use oleander_core::{Rate, Span, WorkspaceId};
+use oleander_routing::{
+    EjectConfig, EjectState, Ejector, HedgeConfig, Hedger, LatencyWindow, LimitConfig,
+    LimitController, PrefixIndex, RetryBudget, WorkspaceLimiter,
+};
+
+fn workspace() -> WorkspaceId {
+    "growers".parse().unwrap()
+}
+
+properties! {
+    fn retries_stay_within_their_share(steps: Vec<(bool, u8)>) -> bool {
+        let mut budget = RetryBudget::new().percent(10).trickle(1).capacity(5);
+        let (start, mut now) = (millis(0), millis(0));
+        budget.request(start);
+        let (mut requests, mut retries) = (1, 0);
+        steps.into_iter().all(|(retry, ms)| {
+            now = now + Span::from_millis(u64::from(ms));
+            if retry {
+                retries += u64::from(budget.take(now));
+            } else {
+                budget.request(now);
+                requests += 1;
+            }
+            let trickled = now.since(start).as_secs_ceil();
+            retries <= 5 + requests / 10 + trickled
+        })
+    }
+
+    fn hedges_stay_within_their_share_and_never_repeat_the_unrepeatable(calls: Vec<u8>) -> bool {
+        let mut hedger = Hedger::new(HedgeConfig::new().percent(5));
+        for _ in 0..100 {
+            hedger.first_token(Span::from_millis(100));
+        }
+        let mut hedges = 0;
+        let sent = millis(0);
+        for (count, wait) in calls.iter().enumerate() {
+            hedger.request(sent);
+            let now = sent + Span::from_millis(u64::from(*wait));
+            if hedger.take(now, sent, false) {
+                return false;
+            }
+            let taken = hedger.take(now, sent, true);
+            if taken && *wait < 100 {
+                return false;
+            }
+            hedges += usize::from(taken);
+            if hedges > 5 + (count + 1) / 20 {
+                return false;
+            }
+        }
+        hedger.delay(false).is_none()
+    }
+
+    fn all_hosts_together_stay_near_the_rate(demand: Vec<u8>, hosts: u8) -> bool {
+        let hosts = usize::from(hosts % 6) + 2;
+        let (rate, seconds) = (240, 10);
+        let mut limiters = vec![WorkspaceLimiter::new(hosts as u32); hosts];
+        limiters.iter_mut().for_each(|l| l.set_rate(millis(0), &workspace(), Rate(rate)));
+        let mut passed = 0;
+        for tick in 0..seconds * 10 {
+            let now = millis(tick * 100);
+            let asked = demand.get(tick as usize % demand.len().max(1)).map_or(0, |n| n % 40);
+            for limiter in &mut limiters {
+                passed += (0..asked).filter(|_| limiter.take(now, &workspace()).is_ok()).count();
+            }
+            exchange(&mut limiters, tick);
+        }
+        passed as u64 <= rate * seconds + 2 * rate
+    }
+
+    fn at_most_a_third_is_ejected(faults: Vec<(u8, bool)>, count: u8) -> bool {
+        let count = usize::from(count % 20) + 1;
+        let mut ejector = Ejector::new(EjectConfig::new());
+        (0..count).for_each(|index| ejector.add(&name(index)));
+        let mut now = millis(0);
+        faults.into_iter().all(|(which, ok)| {
+            now = now + Span::from_millis(20);
+            let target = name(usize::from(which) % count);
+            if ok { ejector.success(now, &target) } else { ejector.fault(now, &target) }
+            let out = |index| ejector.state(now, &name(index)) != EjectState::In;
+            (0..count).filter(|index| out(*index)).count() <= count / 3
+        })
+    }
+
+    fn time_away_doubles_up_to_a_bound(rounds: u8) -> bool {
+        let mut ejector = Ejector::new(EjectConfig::new().faults(1).away(Span::from_secs(2)));
+        (0..3).for_each(|index| ejector.add(&name(index)));
+        let mut now = millis(0);
+        (0..u32::from(rounds % 12)).all(|round| {
+            ejector.fault(now, &name(0));
+            let EjectState::Out(until) = ejector.state(now, &name(0)) else { return false };
+            let away = until.since(now);
+            now = until;
+            let probing = ejector.state(now, &name(0)) == EjectState::Probing;
+            probing && away == Span::from_secs(2 << round.min(6))
+        })
+    }
+
+    fn the_limit_stays_between_floor_and_configured(samples: Vec<(u16, bool)>, most: u8) -> bool {
+        let config = LimitConfig::new().floor(2).window(Span::from_millis(100));
+        let mut limit = LimitController::new(config, u32::from(most));
+        let mut now = millis(0);
+        samples.into_iter().all(|(ms, first)| {
+            now = now + Span::from_millis(7);
+            let took = Span::from_millis(u64::from(ms));
+            if first { limit.first_token(now, took) } else { limit.between_tokens(now, took) }
+            let current = limit.current();
+            current <= u32::from(most) && current >= u32::from(most).min(2)
+        })
+    }
+
+    fn quantiles_are_samples_at_their_rank(samples: Vec<u16>) -> bool {
+        let mut window = LatencyWindow::new(1_000);
+        samples.iter().for_each(|s| window.add(Span(u64::from(*s))));
+        let Some(p95) = window.quantile(950) else { return samples.is_empty() };
+        let above = samples.iter().filter(|s| u64::from(**s) > p95.0).count();
+        let at_least = samples.iter().filter(|s| u64::from(**s) >= p95.0).count();
+        above * 20 <= samples.len() && at_least * 20 >= samples.len()
+    }
+
+    fn the_prefix_index_is_bounded_and_keeps_the_latest(prefixes: Vec<(u16, u8)>) -> bool {
+        let mut index = PrefixIndex::new(8);
+        prefixes.into_iter().all(|(prefix, target)| {
+            index.insert(u64::from(prefix), u32::from(target));
+            let known = index.targets(u64::from(prefix));
+            index.len() <= 16 && known.len() <= 4 && known.first() == Some(&u32::from(target))
+        })
+    }
+}
+
+fn exchange(limiters: &mut [WorkspaceLimiter], tick: u64) {
+    let now = millis(tick * 100 + 50);
+    let used: Vec<Rate> = limiters.iter_mut().map(|l| l.used(now, &workspace())).collect();
+    for (index, limiter) in limiters.iter_mut().enumerate() {
+        for (from, rate) in used.iter().enumerate().filter(|(from, _)| *from != index) {
+            limiter.peer(now, &host(from), &workspace(), *rate);
+        }
+    }
+}
+
+#[test]
+fn one_host_gets_nearly_the_whole_rate_when_others_are_idle() {
+    let mut limiters = vec![WorkspaceLimiter::new(8); 8];
+    limiters.iter_mut().for_each(|l| l.set_rate(millis(0), &workspace(), Rate(80)));
+    let mut passed = 0;
+    for tick in 0..100 {
+        let now = millis(tick * 100);
+        let taken = (0..50).filter(|_| limiters[0].take(now, &workspace()).is_ok()).count();
+        passed += if tick < 20 { 0 } else { taken };
+        exchange(&mut limiters, tick);
+    }
+    assert!((608..=720).contains(&passed), "{passed} passed in the last 8 of 10 s at 80/s");
+}
+
+#[test]
+fn a_refused_request_passes_after_the_time_it_was_told() {
+    let mut limiter = WorkspaceLimiter::new(1).burst(Span::from_millis(100));
+    limiter.set_rate(millis(0), &workspace(), Rate(10));
+    assert_eq!(limiter.take(millis(0), &workspace()), Ok(()));
+    let wait = limiter.take(millis(10), &workspace()).unwrap_err();
+    assert!(limiter.take(millis(9) + wait, &workspace()).is_err());
+    assert_eq!(limiter.take(millis(10) + wait, &workspace()), Ok(()));
+}
+
+#[test]
+fn a_slow_target_is_ejected_and_the_others_stay() {
+    let mut ejector = Ejector::new(EjectConfig::new().slow_factor(4));
+    (0..4).for_each(|index| ejector.add(&name(index)));
+    for _ in 0..32 {
+        for index in 0..4 {
+            let took = Span::from_millis(if index == 0 { 900 } else { 200 });
+            ejector.first_token(millis(0), &name(index), took);
+        }
+    }
+    let states: Vec<EjectState> =
+        (0..4).map(|index| ejector.state(millis(0), &name(index))).collect();
+    assert!(matches!(states[0], EjectState::Out(_)));
+    assert_eq!(&states[1..], &[EjectState::In; 3]);
+}
+
+#[test]
+fn the_limit_falls_under_late_answers_and_recovers() {
+    let config = LimitConfig::new().first_token(Span::from_millis(100));
+    let mut limit = LimitController::new(config, 40);
+    let feed = |limit: &mut LimitController, from: u64, took: u64| {
+        for tick in 0..400 {
+            limit.first_token(millis(from + tick * 50), Span::from_millis(took));
+        }
+    };
+    feed(&mut limit, 0, 300);
+    let lowered = limit.current();
+    feed(&mut limit, 20_000, 50);
+    assert!(lowered < 10, "{lowered} after 20 s of late answers");
+    assert!(limit.current() >= lowered + 15, "{} after 20 s of early answers", limit.current());
+}
--- /dev/null
+++ b/crates/oleander-routing/tests/peers.rs
@@ -0,0 +1,305 @@
+//! Properties of routers that exchange counts with a lag.
+
+#![allow(clippy::unwrap_used)]
+
+mod common;
+
+use std::collections::VecDeque;
+
+use common::{fill_batch, host, millis, name, online, properties, router, send};
+use oleander_core::{HostId, Span, TargetId, Time};
+use oleander_routing::{
+    LeaseId, LoadReport, Observation, PeerCount, Pick, Router, fair_part, fill_level, raise_level,
+};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+const EXCHANGE: Span = Span::from_millis(100);
+
+/// Counts under way from one host to the others.
+struct Message {
+    from: HostId,
+    counts: Vec<PeerCount>,
+    sent_at: Time,
+}
+
+/// Routers with the work that is really at the targets.
+struct Fleet {
+    routers: Vec<Router>,
+    open: Vec<Vec<(TargetId, LeaseId)>>,
+    messages: VecDeque<Message>,
+    lag: Span,
+    now: Time,
+}
+
+impl Fleet {
+    fn new(hosts: usize, targets: usize, limit: u32, reserve: u32, lag: Span) -> Self {
+        Self {
+            routers: (0..hosts).map(|index| router(index, targets, limit, reserve)).collect(),
+            open: vec![Vec::new(); hosts],
+            messages: VecDeque::new(),
+            lag,
+            now: millis(0),
+        }
+    }
+
+    fn advance(&mut self, span: Span) {
+        let before = self.now;
+        self.now = self.now + span;
+        if before.0 / EXCHANGE.0 != self.now.0 / EXCHANGE.0 {
+            self.exchange();
+        }
+        while let Some(message) = self.messages.front() {
+            if message.sent_at + self.lag > self.now {
+                break;
+            }
+            let message = self.messages.pop_front().unwrap();
+            self.deliver(&message);
+        }
+    }
+
+    fn exchange(&mut self) {
+        for (index, router) in self.routers.iter().enumerate() {
+            let counts = router.counts();
+            self.messages.push_back(Message { from: host(index), counts, sent_at: self.now });
+        }
+    }
+
+    fn deliver(&mut self, message: &Message) {
+        for (index, router) in self.routers.iter_mut().enumerate() {
+            if host(index) != message.from {
+                router.peer(self.now, &message.from, message.counts.clone(), message.sent_at);
+            }
+        }
+    }
+
+    fn start(&mut self, index: usize, pick: &Pick) -> bool {
+        let Some((target, lease, _)) = send(self.routers[index].pick(self.now, pick)) else {
+            return false;
+        };
+        self.open[index].push((target, lease));
+        true
+    }
+
+    fn finish(&mut self, index: usize, rng: &mut Pcg64Mcg) {
+        if self.open[index].is_empty() {
+            return;
+        }
+        let position = rng.random_range(0..self.open[index].len());
+        let (_, lease) = self.open[index].swap_remove(position);
+        self.routers[index].observe(self.now, lease, Observation::Done);
+    }
+
+    /// Cancels what the host has no room for; all its work must be batch.
+    fn cancel_excess(&mut self, index: usize) {
+        for excess in self.routers[index].batch_excess(self.now) {
+            for _ in 0..excess.count {
+                let at_target = |(target, _): &(TargetId, LeaseId)| *target == excess.target;
+                let position = self.open[index].iter().position(at_target).unwrap();
+                let (_, lease) = self.open[index].swap_remove(position);
+                self.routers[index].observe(self.now, lease, Observation::Cancelled);
+            }
+        }
+    }
+
+    fn most_at_one_target(&self, targets: usize) -> u32 {
+        let at = |target: &TargetId| {
+            self.open.iter().flatten().filter(|(name, _)| name == target).count() as u32
+        };
+        (0..targets).map(|index| at(&name(index))).max().unwrap()
+    }
+}
+
+properties! {
+    fn hosts_that_start_together_fit_into_the_room(hosts: u8, lag_ms: u8, seed: u64) -> bool {
+        let hosts = usize::from(hosts % 8) + 1;
+        let mut fleet = Fleet::new(hosts, 3, 32, 4, Span::from_millis(u64::from(lag_ms % 90)));
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        for index in 0..hosts {
+            fleet.start(index, &Pick::batch());
+        }
+        fleet.advance(EXCHANGE);
+        fleet.advance(Span::from_millis(90));
+        for _ in 0..2_000 {
+            let index = rng.random_range(0..hosts);
+            fleet.start(index, &Pick::batch());
+        }
+        fleet.most_at_one_target(3) <= 28 && fleet.open.iter().flatten().count() >= 3 * 28 - 2
+    }
+
+    fn overshoot_of_batch_is_bounded(hosts: u8, lag_ms: u8, seed: u64) -> bool {
+        let hosts = usize::from(hosts % 8) + 1;
+        let mut fleet = Fleet::new(hosts, 2, 32, 4, Span::from_millis(u64::from(lag_ms % 100)));
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        (0..60).all(|round| {
+            for _ in 0..4 {
+                let index = rng.random_range(0..hosts);
+                if rng.random_bool(0.6) {
+                    while fleet.start(index, &Pick::batch()) {}
+                } else {
+                    (0..rng.random_range(0..16)).for_each(|_| fleet.finish(index, &mut rng));
+                }
+            }
+            fleet.advance(Span::from_millis(20));
+            (0..hosts).for_each(|index| fleet.cancel_excess(index));
+            round < 10 || fleet.most_at_one_target(2) <= 2 * 28
+
+        })
+    }
+
+    fn overshoot_of_online_is_bounded(hosts: u8, lag_ms: u8, seed: u64) -> bool {
+        let hosts = usize::from(hosts % 8) + 1;
+        let mut fleet = Fleet::new(hosts, 2, 32, 4, Span::from_millis(u64::from(lag_ms % 100)));
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        (0..60).all(|round| {
+            for _ in 0..40 {
+                let index = rng.random_range(0..hosts);
+                if rng.random_bool(0.6) {
+                    let ticket = fleet.routers[index].ticket();
+                    fleet.start(index, &Pick::online(ticket));
+                    fleet.routers[index].forget(ticket);
+                } else {
+                    fleet.finish(index, &mut rng);
+                }
+            }
+            fleet.advance(Span::from_millis(20));
+            round < 10 || fleet.most_at_one_target(2) <= 32 + 16 + 8 * hosts as u32
+        })
+    }
+
+    fn excess_is_cancelled_once_over_all_hosts(held: Vec<u8>, online: u8, acted: u8) -> bool {
+        let held: Vec<u32> = held.into_iter().take(8).map(|n| u32::from(n % 12)).collect();
+        let (limit, reserve) = (200, 10);
+        let mut routers: Vec<Router> = Vec::new();
+        for (index, count) in held.iter().enumerate() {
+            let mut router = router(index, 1, limit, reserve);
+            for _ in 0..*count {
+                send(router.pick(millis(0), &Pick::batch())).unwrap();
+            }
+            routers.push(router);
+        }
+        let messages: Vec<_> = routers.iter().map(Router::counts).collect();
+        let online = limit - reserve - 30 + u32::from(online % 30);
+        for (index, router) in routers.iter_mut().enumerate() {
+            for (from, counts) in messages.iter().enumerate().filter(|(from, _)| *from != index) {
+                router.peer(millis(1), &host(from), counts.clone(), millis(1));
+            }
+            let burst = vec![PeerCount { target: name(0), online, batch: 0 }];
+            router.peer(millis(2), &host(99), burst, millis(2));
+        }
+        let excess = |router: &Router| -> u32 {
+            router.batch_excess(millis(3)).iter().map(|e| e.count).sum()
+        };
+        let asked: Vec<u32> = routers.iter().map(excess).collect();
+        let room = limit - reserve - online;
+        let total: u32 = held.iter().sum();
+        let exact = asked.iter().sum::<u32>() == total.saturating_sub(room);
+        let Some(actor) = routers.get_mut(usize::from(acted) % held.len().max(1)) else {
+            return exact;
+        };
+        let mut cut = asked[usize::from(acted) % held.len()];
+        for lease in (0..).map(LeaseId) {
+            if cut == 0 {
+                break;
+            }
+            actor.observe(millis(4), lease, Observation::Cancelled);
+            cut -= 1;
+        }
+        exact && excess(actor) == 0
+    }
+
+    fn fill_level_is_the_largest_that_fits(room: u16, counts: Vec<u8>) -> bool {
+        let counts: Vec<u32> = counts.into_iter().map(u32::from).collect();
+        let room = u32::from(room % 2_000);
+        let used = |level: u32| counts.iter().map(|count| *count.min(&level)).sum::<u32>();
+        let level = fill_level(room, &counts);
+        let all_fit = counts.iter().sum::<u32>() <= room;
+        used(level) <= room && (all_fit || used(level + 1) > room)
+    }
+
+    fn raise_level_is_the_largest_that_fits(room: u16, counts: Vec<u8>) -> bool {
+        let counts: Vec<u32> = counts.into_iter().map(u32::from).collect();
+        let room = u32::from(room % 2_000);
+        let used = |level: u32| counts.iter().map(|count| *count.max(&level)).sum::<u32>();
+        let level = raise_level(room, &counts);
+        let no_room = counts.is_empty() || used(0) > room;
+        no_room || (used(level) <= room && used(level + 1) > room)
+    }
+
+    fn parts_sum_up_to_the_whole(free: u16, hosts: u8) -> bool {
+        let hosts = u32::from(hosts) + 1;
+        let parts = (0..hosts).map(|rank| fair_part(u32::from(free), rank, hosts));
+        parts.sum::<u32>() == u32::from(free)
+    }
+
+    fn counts_of_silent_peers_expire(online: u8) -> bool {
+        let mut router = router(0, 1, 32, 4);
+        let count = PeerCount { target: name(0), online: u32::from(online), batch: 3 };
+        router.peer(millis(0), &host(1), vec![count], millis(0));
+        let before = router.snapshot()[0].clone();
+        fill_batch(&mut router, millis(3_000));
+        let after = router.snapshot()[0].clone();
+        (before.online, before.batch) == (u32::from(online), 3) && (after.online, after.batch) == (0, 28)
+    }
+
+    fn late_messages_of_a_peer_are_ignored(sent: Vec<u8>) -> bool {
+        let mut router = router(0, 1, 1_000, 4);
+        let mut newest = 0;
+        sent.into_iter().all(|at| {
+            let at = u32::from(at);
+            newest = newest.max(at);
+            let count = PeerCount { target: name(0), online: at, batch: 0 };
+            router.peer(millis(500), &host(1), vec![count], millis(u64::from(at)));
+            router.snapshot()[0].online == newest
+        })
+    }
+}
+
+const HERD_TARGETS: usize = 20;
+const HERD_HOSTS: usize = 8;
+const HERD_REQUESTS: u32 = 1_600;
+
+/// Takes the target with the lowest reported load.
+fn naive_choice(reports: &[u32]) -> usize {
+    let lowest = reports.iter().enumerate().min_by_key(|(_, load)| **load);
+    lowest.map(|(index, _)| index).unwrap()
+}
+
+/// Most requests that any target had when each request takes the choice's target until the next
+/// report.
+fn herd(mut choice: impl FnMut(usize, &[u32], bool) -> usize) -> u32 {
+    let mut loads = vec![0; HERD_TARGETS];
+    let mut reports = loads.clone();
+    for request in 0..HERD_REQUESTS {
+        let fresh = request % 400 == 0;
+        if fresh {
+            reports.clone_from(&loads);
+        }
+        loads[choice(request as usize % HERD_HOSTS, &reports, fresh)] += 1;
+    }
+    loads.into_iter().max().unwrap()
+}
+
+#[test]
+fn late_reports_alone_make_hosts_herd() {
+    let most = herd(|_, reports, _| naive_choice(reports));
+    assert_eq!(most, 400, "all requests between two reports go to one target");
+}
+
+#[test]
+fn choice_by_corrected_counts_spreads_in_spite_of_late_reports() {
+    let mut routers: Vec<Router> =
+        (0..HERD_HOSTS).map(|index| router(index, HERD_TARGETS, 400, 10)).collect();
+    let mut now = millis(0);
+    let most = herd(|index, reports, fresh| {
+        now = now + Span::from_millis(1);
+        for (target, load) in reports.iter().enumerate().filter(|_| fresh) {
+            let report = LoadReport { running: *load, waiting: 0, measured_at: now };
+            routers.iter_mut().for_each(|r| r.report(now, &name(target), report.clone()));
+        }
+        let (target, ..) = send(online(&mut routers[index], now)).unwrap();
+        (0..HERD_TARGETS).find(|known| name(*known) == target).unwrap()
+    });
+    let mean = HERD_REQUESTS / HERD_TARGETS as u32;
+    assert!(most <= mean * 5 / 4, "{most} at one target, {mean} on average");
+}
