Serve files and jobs over HTTP, with operators' list and cancel

A file is checked while it streams in; memory is one piece, one line, one chunk and a hash of each custom_id. A job is announced first and committed by one create, so that no committed job goes unannounced and a resend finds it. A lot that is closed is an object whose name holds its counts: status and completion need listings only.

--- /dev/null
+++ b/crates/oleander-intake/src/error.rs
@@ -0,0 +1,68 @@
+//! Answers to calls that are not served.
+
+use axum::{
+    Json,
+    http::{HeaderValue, StatusCode, header},
+    response::{IntoResponse, Response},
+};
+use oleander_core::{ApiError, ErrorCode, Span, api::ErrorBody};
+
+use crate::store::StoreError;
+
+/// Time after which a caller may ask again when the platform does not answer.
+const PLATFORM_RETRY: Span = Span::from_secs(2);
+
+/// An error answer with its `retry-after`.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Refusal(pub ApiError);
+
+impl Refusal {
+    pub(crate) fn invalid(message: impl Into<String>) -> Self {
+        Self(ApiError::not_run(ErrorCode::InvalidRequest, message))
+    }
+
+    pub(crate) fn not_found(what: &str) -> Self {
+        Self(ApiError::not_run(ErrorCode::NotFound, format!("no such {what}")))
+    }
+
+    pub(crate) fn conflict(message: &str) -> Self {
+        Self(ApiError::not_run(ErrorCode::Conflict, message))
+    }
+
+    pub(crate) fn unavailable(message: &str) -> Self {
+        let error = ApiError::not_run(ErrorCode::Unavailable, message);
+        Self(error.retry_after(PLATFORM_RETRY))
+    }
+}
+
+impl From<StoreError> for Refusal {
+    fn from(error: StoreError) -> Self {
+        match error {
+            StoreError::Platform { may_have_written: false, .. } => {
+                Self::unavailable("the platform does not answer")
+            }
+            StoreError::Platform { may_have_written: true, .. } => {
+                let text = "the platform does not answer; the change may have taken effect";
+                let error = ApiError::unknown(ErrorCode::Unavailable, text);
+                Self(error.retry_after(PLATFORM_RETRY))
+            }
+            StoreError::Record(_) | StoreError::Missing(_) => {
+                log::error!("{error}");
+                Self(ApiError::not_run(ErrorCode::Internal, "stored data can't be read"))
+            }
+        }
+    }
+}
+
+impl IntoResponse for Refusal {
+    fn into_response(self) -> Response {
+        let status = StatusCode::from_u16(self.0.code.status());
+        let status = status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+        let retry = self.0.retry_after_ms.map(|millis| Span::from_millis(millis).as_secs_ceil());
+        let mut response = (status, Json(ErrorBody { error: self.0 })).into_response();
+        if let Some(seconds) = retry {
+            response.headers_mut().insert(header::RETRY_AFTER, HeaderValue::from(seconds));
+        }
+        response
+    }
+}
--- /dev/null
+++ b/crates/oleander-intake/src/upload.rs
@@ -0,0 +1,216 @@
+//! Upload of an input file, streamed into chunks.
+//!
+//! Memory is one piece, one line, one chunk and a hash of each `custom_id`. Nothing counts until
+//! the record of the file is created.
+
+use std::{mem, time::Duration};
+
+use axum::{
+    Extension, Json,
+    body::{Body, BodyDataStream},
+    extract::{FromRequest, Multipart, Request, State, multipart::Field},
+    http::{HeaderMap, header},
+};
+use bytes::Bytes;
+use futures_util::StreamExt;
+use oleander_core::{ApiError, Bytes as Size, ErrorCode, Span, hash};
+use oleander_document::Workspace;
+use oleander_host::clock;
+use oleander_jobs::{
+    BatchParser, ChunkRecord, FileRecord, ParseError, ParseLimits, ParsedChunk, ParsedFile, key,
+};
+use oleander_platform::Platform;
+use tokio::{task, time};
+
+use crate::{Documents, Intake, JobStore, Put, error::Refusal, view::FileView};
+
+/// Longest wait for the next piece of a body.
+const PIECE_TIMEOUT: Duration = Duration::from_secs(10);
+/// Bytes that are checked without giving way to other tasks.
+const SLICE_BYTES: usize = 32 << 10;
+/// Time after which a caller may try an upload again.
+const RETRY_BUSY: Span = Span::from_secs(5);
+
+/// Bounds of a parser that takes nothing.
+const NOTHING: ParseLimits = ParseLimits { bytes: Size(0), items: 0 };
+
+/// Where the pieces of the file come from.
+enum Source<'a> {
+    Raw(BodyDataStream),
+    Field(Box<Field<'a>>),
+}
+
+impl Source<'_> {
+    async fn next(&mut self) -> Result<Option<Bytes>, Refusal> {
+        let piece = async {
+            match self {
+                Self::Raw(stream) => stream.next().await.transpose().map_err(|e| e.to_string()),
+                Self::Field(field) => field.chunk().await.map_err(|e| e.to_string()),
+            }
+        };
+        match time::timeout(PIECE_TIMEOUT, piece).await {
+            Ok(piece) => piece.map_err(Refusal::invalid),
+            Err(_) => {
+                let text = "the body did not arrive in time";
+                Err(Refusal(ApiError::not_run(ErrorCode::RequestTimeout, text)))
+            }
+        }
+    }
+}
+
+/// Takes in a file.
+pub(crate) async fn upload<P: Platform, D: Documents>(
+    State(intake): State<Intake<P, D>>,
+    Extension(workspace): Extension<Workspace>,
+    request: Request,
+) -> Result<Json<FileView>, Refusal> {
+    let Ok(_permit) = intake.uploads.try_acquire() else {
+        let error = ApiError::not_run(ErrorCode::Overloaded, "too many uploads at once");
+        return Err(Refusal(error.retry_after(RETRY_BUSY)));
+    };
+    let mut taker = Taker::new(&intake.store, &workspace);
+    if is_multipart(request.headers()) {
+        let multipart = Multipart::from_request(request, &()).await;
+        let multipart = multipart.map_err(|e| Refusal::invalid(e.body_text()))?;
+        taker.take_form(multipart).await?;
+    } else {
+        check_length(request.headers(), &workspace)?;
+        let body: Body = request.into_body();
+        taker.take(Source::Raw(body.into_data_stream())).await?;
+    }
+    let record = taker.finish().await?;
+    Ok(Json(FileView::from(&record)))
+}
+
+fn is_multipart(headers: &HeaderMap) -> bool {
+    let kind = headers.get(header::CONTENT_TYPE).and_then(|value| value.to_str().ok());
+    kind.is_some_and(|kind| kind.starts_with("multipart/form-data"))
+}
+
+fn check_length(headers: &HeaderMap, workspace: &Workspace) -> Result<(), Refusal> {
+    let length = headers.get(header::CONTENT_LENGTH).and_then(|value| value.to_str().ok());
+    let length: Option<u64> = length.and_then(|text| text.parse().ok());
+    let limit = workspace.limits.file_bytes;
+    if length.is_some_and(|length| length > limit.0) {
+        return Err(ParseError::TooLarge(limit).into());
+    }
+    Ok(())
+}
+
+/// Checks the pieces of one file and stores its chunks.
+struct Taker<'a, P> {
+    store: &'a JobStore<P>,
+    workspace: &'a Workspace,
+    parser: BatchParser,
+    chunks: Vec<ChunkRecord>,
+}
+
+impl<'a, P: Platform> Taker<'a, P> {
+    fn new(store: &'a JobStore<P>, workspace: &'a Workspace) -> Self {
+        let limits =
+            ParseLimits { bytes: workspace.limits.file_bytes, items: workspace.limits.job_items };
+        Self { store, workspace, parser: BatchParser::new(limits), chunks: Vec::new() }
+    }
+
+    async fn take_form(&mut self, mut form: Multipart) -> Result<(), Refusal> {
+        loop {
+            let field = time::timeout(PIECE_TIMEOUT, form.next_field()).await;
+            let Ok(field) = field else {
+                let text = "the form did not arrive in time";
+                return Err(Refusal(ApiError::not_run(ErrorCode::RequestTimeout, text)));
+            };
+            let field = field.map_err(|e| Refusal::invalid(e.body_text()))?;
+            let Some(field) = field else {
+                return Err(Refusal::invalid("the form has no field \"file\""));
+            };
+            match field.name() {
+                Some("file") => return self.take(Source::Field(Box::new(field))).await,
+                Some("purpose") => check_purpose(field).await?,
+                _ => return Err(Refusal::invalid("the form has an unknown field")),
+            }
+        }
+    }
+
+    async fn take(&mut self, mut source: Source<'_>) -> Result<(), Refusal> {
+        while let Some(piece) = source.next().await? {
+            for slice in piece.chunks(SLICE_BYTES) {
+                let chunks = self.parser.push(slice)?;
+                self.keep(chunks).await?;
+                task::yield_now().await;
+            }
+        }
+        Ok(())
+    }
+
+    async fn keep(&mut self, chunks: Vec<ParsedChunk>) -> Result<(), Refusal> {
+        for chunk in chunks {
+            let digest = hash::digest(&chunk.content);
+            let key = key::chunk(&self.workspace.name, &digest);
+            self.store.put(&key, Bytes::from(chunk.content)).await.map_err(not_counted)?;
+            self.chunks.push(ChunkRecord { digest, items: chunk.items });
+        }
+        Ok(())
+    }
+
+    async fn finish(mut self) -> Result<FileRecord, Refusal> {
+        let parser = mem::replace(&mut self.parser, BatchParser::new(NOTHING));
+        let mut parsed = parser.finish()?;
+        let last = mem::take(&mut parsed.last);
+        self.keep(last).await?;
+        let record = self.record(&parsed)?;
+        let key = key::file(&record.workspace, &record.file);
+        match self.store.put_record(&key, &record).await.map_err(not_counted)? {
+            Put::New => Ok(record),
+            Put::Exists => {
+                let found = self.store.file(&record.workspace, &record.file).await?;
+                Ok(found.unwrap_or(record))
+            }
+        }
+    }
+
+    fn record(&self, parsed: &ParsedFile) -> Result<FileRecord, Refusal> {
+        let service = parsed.model.parse().ok();
+        let service = service.filter(|service| self.workspace.services.contains(service));
+        let Some(service) = service else {
+            let text = format!("model {:?} is not a service of this workspace", parsed.model);
+            return Err(Refusal::invalid(text));
+        };
+        let digests: Vec<_> = self.chunks.iter().map(|chunk| chunk.digest.clone()).collect();
+        Ok(FileRecord {
+            workspace: self.workspace.name.clone(),
+            file: key::file_id(&digests),
+            service,
+            bytes: parsed.bytes,
+            items: parsed.items,
+            created: clock::now(),
+            chunks: self.chunks.clone(),
+        })
+    }
+}
+
+/// A refusal of an upload: whatever was written counts for nothing and runs nothing.
+fn not_counted(error: crate::StoreError) -> Refusal {
+    log::warn!("upload: {error}");
+    Refusal::unavailable("the platform does not answer")
+}
+
+async fn check_purpose(field: Field<'_>) -> Result<(), Refusal> {
+    let purpose = time::timeout(PIECE_TIMEOUT, field.text()).await;
+    match purpose {
+        Ok(Ok(purpose)) if purpose == "batch" => Ok(()),
+        Ok(Err(error)) => Err(Refusal::invalid(error.body_text())),
+        _ => Err(Refusal::invalid("purpose must be batch")),
+    }
+}
+
+impl From<ParseError> for Refusal {
+    fn from(error: ParseError) -> Self {
+        let code = match &error {
+            ParseError::TooLarge(_) => ErrorCode::TooLarge,
+            ParseError::TooMany(_) | ParseError::Empty | ParseError::Lines(_) => {
+                ErrorCode::InvalidRequest
+            }
+        };
+        Self(ApiError::not_run(code, error.to_string()))
+    }
+}
--- a/crates/oleander-jobs/src/item.rs
+++ b/crates/oleander-jobs/src/item.rs
@@ -6,7 +6,7 @@
 use serde_json::{Map, Value};
 
 /// Endpoint that items may name.
-pub(crate) const ITEM_URL: &str = "/v1/chat/completions";
+pub const ITEM_URL: &str = "/v1/chat/completions";
 const ITEM_METHOD: &str = "POST";
 const MAX_CUSTOM_ID_BYTES: usize = 256;
 
--- a/crates/oleander-jobs/src/key.rs
+++ b/crates/oleander-jobs/src/key.rs
@@ -6,6 +6,8 @@
 
 use oleander_core::{DigestId, FileId, JobId, LotIndex, Time, WorkspaceId, hash};
 
+use crate::record::Counts;
+
 /// Prefix of all announcements.
 pub const OPEN_PREFIX: &str = "open/";
 /// Prefix of all job records.
@@ -92,10 +94,21 @@
     format!("closed/{job}/")
 }
 
-/// Object that marks a lot as closed and holds its counts.
+/// Object that marks a lot as closed; its name holds the counts, so that a listing sums them.
+#[must_use]
+pub fn closed(job: &JobId, lot: LotIndex, counts: Counts) -> String {
+    let Counts { completed, failed } = counts;
+    format!("{}{:06}/{completed}/{failed}", closed_prefix(job), lot.0)
+}
+
+/// Reads the name of a closed lot.
 #[must_use]
-pub fn closed(job: &JobId, lot: LotIndex) -> String {
-    format!("{}{:06}", closed_prefix(job), lot.0)
+pub fn parse_closed(key: &str) -> Option<(LotIndex, Counts)> {
+    let mut parts = key.split('/').skip(2);
+    let lot = LotIndex(parts.next()?.parse().ok()?);
+    let completed = parts.next()?.parse().ok()?;
+    let failed = parts.next()?.parse().ok()?;
+    Some((lot, Counts { completed, failed }))
 }
 
 /// The id of a file with these chunks.
--- a/crates/oleander-jobs/src/lib.rs
+++ b/crates/oleander-jobs/src/lib.rs
@@ -11,16 +11,14 @@
 mod item;
 pub mod key;
 mod lot;
-pub mod message;
 mod parse;
 mod plan;
 mod record;
 
 pub use board::{BoardJob, JobBoard};
 pub use health::TargetHealth;
-pub use item::{ItemLine, LineError, read_items};
+pub use item::{ITEM_URL, ItemLine, LineError, read_items};
 pub use lot::{ItemEnd, Lot, LotAction, LotConfig, LotEnd, LotEvent, Partial, RunId};
-pub use message::{BatchAnswer, BatchMessage, TargetCount};
 pub use parse::{BatchParser, LineFault, ParseError, ParseLimits, ParsedChunk, ParsedFile};
 pub use plan::{LotPlan, LotRange};
 pub use record::{
--- a/crates/oleander-jobs/src/record.rs
+++ b/crates/oleander-jobs/src/record.rs
@@ -61,6 +61,8 @@
         pub lot_items: u32,
         /// When it was submitted.
         pub created: Time,
+        /// Time allowed, as the caller wrote it.
+        pub window: String,
         /// When its remaining items fail.
         pub deadline: Time,
         /// When it was cancelled or completed.
