Add the console: forms that edit, check, preview and apply the document

The page holds the whole draft and the revision that was read, so the process keeps nothing between requests. Fields are named by JSON path, which puts each fault beside its field. Requests with Basic credentials need the console's own Origin. Templates by maud, which escapes all text.

--- /dev/null
+++ b/crates/oleander-console/src/pages.rs
@@ -0,0 +1,192 @@
+//! Routes of the console.
+
+use std::{fmt::Display, sync::Arc};
+
+use axum::{
+    Router,
+    extract::{DefaultBodyLimit, Form, Query, State, rejection::FormRejection},
+    middleware,
+    response::{IntoResponse, Redirect, Response},
+    routing::get,
+};
+use http::{StatusCode, header};
+use oleander_core::Revision;
+use oleander_document::{Document, Fault};
+use oleander_host::OperatorKey;
+use oleanderctl::{
+    Fleet,
+    admin::Current,
+    apply::{self, Apply, Conflict, Outcome},
+};
+use serde::Deserialize;
+
+use crate::{
+    Draft, auth,
+    submission::{Action, Submission},
+    view::{self, Notice, Page},
+};
+
+/// Largest submitted form, in bytes.
+const MAX_FORM_BYTES: usize = 16 << 20;
+/// Style sheet of the page.
+const STYLE: &str = include_str!("style.css");
+
+/// What the pages need: the hosts to ask and the key to check.
+#[derive(Debug, Clone)]
+pub struct Console {
+    fleet: Arc<Fleet>,
+    key: Arc<OperatorKey>,
+}
+
+impl Console {
+    /// A console that applies documents through `fleet`.
+    #[must_use]
+    pub fn new(fleet: Fleet, key: OperatorKey) -> Self {
+        Self { fleet: Arc::new(fleet), key: Arc::new(key) }
+    }
+}
+
+/// All routes; `/health` needs no key.
+pub fn router(console: Console) -> Router {
+    let check = middleware::from_fn_with_state(Arc::clone(&console.key), auth::check);
+    Router::new()
+        .route("/", get(show).post(submit))
+        .route("/style.css", get(style))
+        .layer(DefaultBodyLimit::max(MAX_FORM_BYTES))
+        .layer(check)
+        .route("/health", get(health))
+        .layer(middleware::from_fn(auth::protect))
+        .with_state(console)
+}
+
+/// Query of the page.
+#[derive(Debug, Deserialize)]
+struct ShowQuery {
+    /// Revision that was just accepted.
+    applied: Option<Revision>,
+}
+
+async fn health() -> &'static str {
+    "ok\n"
+}
+
+async fn style() -> impl IntoResponse {
+    ([(header::CONTENT_TYPE, "text/css; charset=utf-8")], STYLE)
+}
+
+/// Shows the document in force.
+async fn show(State(console): State<Console>, Query(query): Query<ShowQuery>) -> Response {
+    match console.fleet.document().await {
+        Ok(current) => {
+            let notice = query.applied.map(Notice::Applied);
+            let draft = Draft::from(&current.document.clone().unwrap_or_default());
+            view::render(&Page { notice, ..Page::new(current, draft) }).into_response()
+        }
+        Err(error) => failure(StatusCode::BAD_GATEWAY, &error),
+    }
+}
+
+/// Takes in a submitted form.
+async fn submit(
+    State(console): State<Console>,
+    form: Result<Form<Vec<(String, String)>>, FormRejection>,
+) -> Response {
+    let fields = match form {
+        Ok(Form(fields)) => fields,
+        Err(rejection) => return failure(rejection.status(), &rejection),
+    };
+    let submission = match Submission::try_from(fields.as_slice()) {
+        Ok(submission) => submission,
+        Err(error) => return failure(StatusCode::BAD_REQUEST, &error),
+    };
+    let Submission { action, base, draft } = submission;
+    match action {
+        Action::Add(path) => edit(base, draft, |draft| draft.add(&path)),
+        Action::Remove(path) => edit(base, draft, |draft| draft.remove(&path)),
+        Action::Check => check(base, draft),
+        Action::Preview => preview(&console, base, draft).await,
+        Action::Apply => apply(&console, base, draft).await,
+    }
+}
+
+fn edit(
+    base: Current,
+    mut draft: Draft,
+    change: impl FnOnce(&mut Draft) -> Result<(), crate::DraftError>,
+) -> Response {
+    match change(&mut draft) {
+        Ok(()) => view::render(&Page::new(base, draft)).into_response(),
+        Err(error) => failure(StatusCode::BAD_REQUEST, &error),
+    }
+}
+
+fn check(base: Current, draft: Draft) -> Response {
+    match draft.check() {
+        Ok(_) => {
+            let notice = Some(Notice::NoFaults);
+            view::render(&Page { notice, ..Page::new(base, draft) }).into_response()
+        }
+        Err(faults) => faulty(base, draft, faults),
+    }
+}
+
+fn faulty(base: Current, draft: Draft, faults: Vec<Fault>) -> Response {
+    let page = Page { faults, ..Page::new(base, draft) };
+    (StatusCode::UNPROCESSABLE_ENTITY, view::render(&page)).into_response()
+}
+
+async fn preview(console: &Console, base: Current, draft: Draft) -> Response {
+    let document = match draft.check() {
+        Ok(document) => document,
+        Err(faults) => return faulty(base, draft, faults),
+    };
+    let notice = match console.fleet.document().await {
+        Ok(current) if current.revision == base.revision => None,
+        Ok(current) => Some(Notice::Conflict(newer(&base, &current))),
+        Err(error) => Some(Notice::Unreachable(error.to_string())),
+    };
+    let changes = Some(apply::changes(base.document.as_ref(), Some(&document)));
+    view::render(&Page { notice, changes, ..Page::new(base, draft) }).into_response()
+}
+
+fn newer(base: &Current, current: &Current) -> Conflict {
+    Conflict {
+        base: base.revision,
+        revision: current.revision,
+        changes: apply::changes(base.document.as_ref(), current.document.as_ref()),
+        unsure: false,
+    }
+}
+
+async fn apply(console: &Console, base: Current, draft: Draft) -> Response {
+    match draft.check() {
+        Ok(document) => apply_document(console, base, draft, document).await,
+        Err(faults) => faulty(base, draft, faults),
+    }
+}
+
+async fn apply_document(
+    console: &Console,
+    base: Current,
+    draft: Draft,
+    document: Document,
+) -> Response {
+    let outcome = apply::apply(&console.fleet, Apply::against(document, base.clone())).await;
+    let (status, notice) = match outcome {
+        Outcome::Applied(applied) => {
+            let revision = applied.revision.unwrap_or_default();
+            log::info!("revision {revision} applied, {} changes", applied.changes.len());
+            return Redirect::to(&format!("/?applied={revision}")).into_response();
+        }
+        Outcome::Rejected(faults) => return faulty(base, draft, faults),
+        Outcome::Conflict(conflict) => (StatusCode::CONFLICT, Notice::Conflict(conflict)),
+        Outcome::Unknown(error) => (StatusCode::BAD_GATEWAY, Notice::Unknown(error.to_string())),
+        Outcome::Failed(error) => (StatusCode::BAD_GATEWAY, Notice::Unreachable(error.to_string())),
+    };
+    let page = Page { notice: Some(notice), ..Page::new(base, draft) };
+    (status, view::render(&page)).into_response()
+}
+
+fn failure(status: StatusCode, error: &impl Display) -> Response {
+    (status, view::failure(&error.to_string())).into_response()
+}
--- /dev/null
+++ b/crates/oleander-console/src/settings.rs
@@ -0,0 +1,88 @@
+//! Settings of the console, read from a JSON file and checked whole.
+
+use std::{fs, net::SocketAddr, path::Path, path::PathBuf};
+
+use oleander_core::value;
+use oleander_host::settings::{Fault, LogRaw, LogSettings, SettingsError};
+use serde::Deserialize;
+
+/// A settings file as written.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RawSettings {
+    listen: SocketAddr,
+    admin: Vec<SocketAddr>,
+    operator_key_file: PathBuf,
+    #[serde(default)]
+    log: LogRaw,
+}
+
+value! {
+    /// Checked settings.
+    pub struct Settings {
+        /// Address for browsers.
+        pub listen: SocketAddr,
+        /// Admin listeners of entry hosts, tried in this order.
+        pub admin: Vec<SocketAddr>,
+        /// File with the operators' key.
+        pub operator_key_file: PathBuf,
+        /// Logs.
+        pub log: LogSettings,
+    }
+}
+
+impl Settings {
+    /// Reads and checks the settings file at `path`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the read error, or the faults found.
+    pub fn read(path: impl AsRef<Path>) -> Result<Self, SettingsError> {
+        let text = fs::read_to_string(path).map_err(SettingsError::Read)?;
+        Self::parse(&text)
+    }
+
+    /// Parses and checks settings from JSON text.
+    ///
+    /// # Errors
+    ///
+    /// Returns the faults found.
+    pub fn parse(text: &str) -> Result<Self, SettingsError> {
+        let mut json = serde_json::Deserializer::from_str(text);
+        let raw: RawSettings = serde_path_to_error::deserialize(&mut json)
+            .map_err(|error| SettingsError::Faults(vec![Fault::from(error)]))?;
+        json.end().map_err(|error| SettingsError::Faults(vec![fault(".", &error.to_string())]))?;
+        Self::try_from(raw)
+    }
+}
+
+impl TryFrom<RawSettings> for Settings {
+    type Error = SettingsError;
+
+    fn try_from(raw: RawSettings) -> Result<Self, Self::Error> {
+        let mut faults = Vec::new();
+        if raw.listen.port() == 0 {
+            faults.push(fault("listen", "port 0 is not an address"));
+        }
+        if raw.admin.is_empty() {
+            faults.push(fault("admin", "must name at least one admin listener"));
+        }
+        if raw.operator_key_file.as_os_str().is_empty() {
+            faults.push(fault("operator_key_file", "path is empty"));
+        }
+        if !faults.is_empty() {
+            return Err(SettingsError::Faults(faults));
+        }
+        let LogRaw { json, level, file } = raw.log;
+        Ok(Self {
+            listen: raw.listen,
+            admin: raw.admin,
+            operator_key_file: raw.operator_key_file,
+            log: LogSettings { json, level, file: file.map(PathBuf::from) },
+        })
+    }
+}
+
+fn fault(path: &str, reason: &str) -> Fault {
+    Fault { path: path.to_owned(), reason: reason.to_owned() }
+}
