--- a/crates/oleander-document/src/json.rs
+++ b/crates/oleander-document/src/json.rs
@@ -22,10 +22,12 @@
             Ok(_) => return Err(parsed.repeated),
             Err(faults) => return Err([parsed.repeated, faults].concat()),
         };
-        let size = document.to_value().to_string().len();
+        let size = document.to_json().len();
         if size > schema::MAX_DOCUMENT_BYTES {
             let bound = schema::MAX_DOCUMENT_BYTES;
-            return Err(root_fault(format!("must fit into {bound} bytes, takes {size}")));
+            return Err(root_fault(format!(
+                "canonical text must fit into {bound} bytes, takes {size}"
+            )));
         }
         Ok(document)
     }
--- a/crates/oleander-document/src/schema.rs
+++ b/crates/oleander-document/src/schema.rs
@@ -14,7 +14,7 @@
 pub const MAX_OPERATION_BYTES: usize = 64;
 /// Longest JSON input, in bytes.
 pub const MAX_INPUT_BYTES: usize = 4 << 20;
-/// Largest document without white space, in bytes: one value of the platform.
+/// Largest canonical text, in bytes: one value of the platform.
 pub const MAX_DOCUMENT_BYTES: usize = 1 << 20;
 
 /// Fields of the document.
--- a/crates/oleander-document/tests/read.rs
+++ b/crates/oleander-document/tests/read.rs
@@ -1,7 +1,7 @@
 //! Reading of whole documents and the faults of broken ones.
 
 use oleander_core::hash;
-use oleander_document::{Document, ServiceKind, schema};
+use oleander_document::{Document, ServiceKind, Workspace, schema};
 
 const VENTILADORES: &str = include_str!("../../../examples/ventiladores.json");
 const HARROW: &str = include_str!("../../../examples/harrow.json");
@@ -83,6 +83,24 @@
     );
 }
 
+#[test]
+fn a_document_larger_than_one_value_is_refused() {
+    let example = Document::from_json(VENTILADORES.as_bytes()).unwrap();
+    let mut document = example.clone();
+    let mut number = 0;
+    while document.to_json().len() <= schema::MAX_DOCUMENT_BYTES {
+        document.workspaces.extend((0..500).map(|_| {
+            number += 1;
+            let digest = hash::digest(format!("key-{number}").as_bytes());
+            let name = format!("w-{number}").parse().unwrap();
+            Workspace { name, key_digest: digest, ..example.workspaces[0].clone() }
+        }));
+    }
+    assert_eq!(fault_paths(&document.to_json()), ["$"]);
+    document.workspaces.truncate(500);
+    assert_eq!(Document::from_json(document.to_json().as_bytes()), Ok(document));
+}
+
 #[test]
 fn text_that_is_not_json_is_one_fault() {
     assert_eq!(fault_paths("{\"zones\": ["), ["$"]);
--- a/crates/oleanderctl/src/admin.rs
+++ b/crates/oleanderctl/src/admin.rs
@@ -19,7 +19,7 @@
 mod wire;
 
 pub use error::{AdminError, Cause};
-pub use wire::{ApplyAnswer, ApplyRequest, Current, EventQuery, JobEntry};
+pub use wire::{ApplyAnswer, ApplyRequest, Current, EventQuery, JobEntry, JobPage};
 
 /// Longest time to set up a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
@@ -122,14 +122,16 @@
         }
     }
 
-    /// Jobs that are known to the process.
+    /// The first jobs after `after`, by name.
     ///
     /// # Errors
     ///
     /// Returns why there is no answer.
-    pub async fn jobs(&self) -> Result<Vec<JobEntry>, AdminError> {
-        let body: wire::JobsBody = self.get("/admin/jobs").await?;
-        Ok(body.jobs)
+    pub async fn jobs(&self, after: Option<&JobId>) -> Result<JobPage, AdminError> {
+        match after {
+            Some(job) => self.get(&format!("/admin/jobs?after={job}")).await,
+            None => self.get("/admin/jobs").await,
+        }
     }
 
     /// Cancels a job.
--- a/crates/oleanderctl/src/admin/wire.rs
+++ b/crates/oleanderctl/src/admin/wire.rs
@@ -32,6 +32,15 @@
         pub failed: u64,
     }
 
+    /// Some of the jobs, by name.
+    pub struct JobPage {
+        /// The jobs.
+        pub jobs: Vec<JobEntry>,
+        /// Whether more follow the last one.
+        #[serde(default)]
+        pub more: bool,
+    }
+
     /// Which events to read.
     #[derive(Default)]
     pub struct EventQuery {
@@ -75,11 +84,6 @@
     pub(super) events: Vec<Event>,
 }
 
-#[derive(Debug, Deserialize)]
-pub(super) struct JobsBody {
-    pub(super) jobs: Vec<JobEntry>,
-}
-
 #[derive(Debug, Deserialize)]
 pub(super) struct AppliedBody {
     pub(super) revision: Revision,
--- a/crates/oleanderctl/src/cli.rs
+++ b/crates/oleanderctl/src/cli.rs
@@ -84,8 +84,13 @@
     },
     /// Lists batch jobs.
     #[command(after_help = "Examples:
-  oleanderctl jobs --hosts hosts.json --key-file operator.key")]
-    Jobs,
+  oleanderctl jobs --hosts hosts.json --key-file operator.key
+  oleanderctl jobs --after batch-7f3a --hosts hosts.json --key-file operator.key")]
+    Jobs {
+        /// Only jobs whose names follow this one.
+        #[arg(long, value_name = "JOB")]
+        after: Option<JobId>,
+    },
     /// Cancels a batch job.
     #[command(after_help = "Examples:
   oleanderctl cancel batch-7f3a --hosts hosts.json --key-file operator.key")]
@@ -104,6 +109,13 @@
         #[arg(long, value_name = "SECONDS")]
         last: Option<u64>,
     },
+    /// Prints the `key_digest` of a caller's key for the document.
+    #[command(after_help = "Examples:
+  oleanderctl digest caller.key")]
+    Digest {
+        /// File with the key; white space around it does not count.
+        file: PathBuf,
+    },
     /// Prints the completions for a shell.
     #[command(after_help = "Examples:
   oleanderctl completions bash > /etc/bash_completion.d/oleanderctl")]
--- a/crates/oleanderctl/src/commands.rs
+++ b/crates/oleanderctl/src/commands.rs
@@ -3,9 +3,10 @@
 use std::{fs, net::SocketAddr, path::Path};
 
 use clap::CommandFactory;
+use oleander_core::{DigestId, hash};
 use oleander_document::{Document, Fault};
 use oleanderctl::{AdminKey, Fleet};
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 
 use crate::{
     cli::{Cli, Command, Options},
@@ -29,15 +30,32 @@
         Command::Apply { file } => documents::apply(&fleet(&options)?, &file).await,
         Command::Status => hosts::status(&fleet(&options)?).await,
         Command::Drain { host } => hosts::drain(&fleet(&options)?, &host).await,
-        Command::Jobs => jobs::list(&fleet(&options)?).await,
+        Command::Jobs { after } => jobs::list(&fleet(&options)?, after.as_ref()).await,
         Command::Cancel { job } => jobs::cancel(&fleet(&options)?, &job).await,
         Command::Timeline { subject, last } => {
             timeline::show(&fleet(&options)?, subject, last).await
         }
+        Command::Digest { file } => digest(&file),
         Command::Completions { shell } => Ok(completions(shell)),
     }
 }
 
+/// Outcome of `digest`, for programs.
+#[derive(Debug, Serialize)]
+struct KeyDigest {
+    key_digest: DigestId,
+}
+
+fn digest(file: &Path) -> Result<Report, Failure> {
+    let bytes = read_file(file)?;
+    let key = bytes.trim_ascii();
+    if key.is_empty() {
+        return Err(Failure::new(Exit::Unreadable, format!("{}: holds no key", file.display())));
+    }
+    let key_digest = hash::digest(key);
+    Ok(Report::new(format!("{key_digest}\n"), KeyDigest { key_digest }))
+}
+
 fn completions(shell: clap_complete::Shell) -> Report {
     let mut script = Vec::new();
     clap_complete::generate(shell, &mut Cli::command(), "oleanderctl", &mut script);
--- a/crates/oleanderctl/src/commands/jobs.rs
+++ b/crates/oleanderctl/src/commands/jobs.rs
@@ -1,17 +1,14 @@
 //! Commands on batch jobs.
 
 use oleander_core::JobId;
-use oleanderctl::{Fleet, admin::JobEntry};
+use oleanderctl::{
+    Fleet,
+    admin::{JobEntry, JobPage},
+};
 use serde::Serialize;
 
 use crate::report::{Failure, Report};
 
-/// Outcome of `jobs`, for programs.
-#[derive(Debug, Serialize)]
-struct Jobs<'a> {
-    jobs: &'a [JobEntry],
-}
-
 /// Outcome of `cancel`, for programs.
 #[derive(Debug, Serialize)]
 struct Cancelled<'a> {
@@ -19,10 +16,18 @@
     state: &'static str,
 }
 
-/// Lists jobs.
-pub(super) async fn list(fleet: &Fleet) -> Result<Report, Failure> {
-    let jobs = fleet.jobs().await?;
-    Ok(Report::new(table(&jobs), Jobs { jobs: &jobs }))
+/// Lists the first jobs after `after`.
+pub(super) async fn list(fleet: &Fleet, after: Option<&JobId>) -> Result<Report, Failure> {
+    let page = fleet.jobs(after).await?;
+    Ok(Report::new(table(&page.jobs) + &hint(&page), &page))
+}
+
+/// Says how to see the jobs that follow.
+fn hint(page: &JobPage) -> String {
+    match page.jobs.last() {
+        Some(last) if page.more => format!("more follow: --after {}\n", last.id),
+        _ => String::new(),
+    }
 }
 
 fn table(jobs: &[JobEntry]) -> String {
--- a/crates/oleanderctl/src/commands/timeline.rs
+++ b/crates/oleanderctl/src/commands/timeline.rs
@@ -62,6 +62,6 @@
 
 /// The kind in the words of the wire.
 fn kind(event: &oleander_core::Event) -> String {
-    let value = serde_json::to_value(&event.kind).unwrap_or_default();
+    let value = serde_json::to_value(event.kind).unwrap_or_default();
     value.as_str().unwrap_or_default().to_owned()
 }
--- a/crates/oleanderctl/src/fleet.rs
+++ b/crates/oleanderctl/src/fleet.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     AdminClient, AdminError, AdminKey,
-    admin::{ApplyAnswer, ApplyRequest, Current, EventQuery, JobEntry},
+    admin::{ApplyAnswer, ApplyRequest, Current, EventQuery, JobPage},
 };
 
 /// The admin listeners of several processes; never empty.
@@ -71,13 +71,13 @@
         self.first(|client| async move { client.apply(request).await }).await
     }
 
-    /// Jobs, from the first process that serves them.
+    /// The first jobs after `after`, from the first process that serves them.
     ///
     /// # Errors
     ///
     /// Returns the last error if none does.
-    pub async fn jobs(&self) -> Result<Vec<JobEntry>, AdminError> {
-        self.first(|client| async move { client.jobs().await }).await
+    pub async fn jobs(&self, after: Option<&JobId>) -> Result<JobPage, AdminError> {
+        self.first(|client| async move { client.jobs(after).await }).await
     }
 
     /// Cancels a job through the first process that answers; cancelling is idempotent.
--- a/crates/oleanderctl/tests/command_line.rs
+++ b/crates/oleanderctl/tests/command_line.rs
@@ -131,13 +131,22 @@
 async fn jobs_are_listed_and_cancelled() {
     let entry = Fake::start("entry-1").await;
     let (code, json) = run(&[&entry], &["jobs"]).await;
-    assert_eq!((code, &json["jobs"][0]["completed"]), (0, &json!(4)));
+    assert_eq!((code, &json["jobs"][0]["completed"], &json["more"]), (0, &json!(4), &json!(true)));
+    let (_, json) = run(&[&entry], &["jobs", "--after", "job-1"]).await;
+    assert_eq!(json, json!({ "jobs": [], "more": false }));
     let (code, _) = run(&[&entry], &["cancel", "job-1"]).await;
     assert_eq!((code, entry.with(|m| m.cancelled.len())), (0, 1));
     let (code, _) = run(&[&entry], &["cancel", "job-2"]).await;
     assert_eq!(code, 6);
 }
 
+#[tokio::test]
+async fn the_digest_of_a_key_is_that_of_the_examples() {
+    let key = file("demo-caller-key\n");
+    let (code, json) = run(&[], &["digest", key.to_str().unwrap()]).await;
+    assert_eq!((code, &json["key_digest"]), (0, &read(EXAMPLE)["workspaces"][0]["key_digest"]));
+}
+
 #[tokio::test]
 async fn the_time_line_is_causal_where_clocks_disagree() {
     let (first, second) = (Fake::start("entry-1").await, Fake::start("batch-1").await);
--- a/crates/oleanderctl/tests/fake/mod.rs
+++ b/crates/oleanderctl/tests/fake/mod.rs
@@ -5,7 +5,7 @@
 use axum::{
     Json, Router,
     extract::{Path, Request, State},
-    http::{StatusCode, header},
+    http::{StatusCode, Uri, header},
     middleware::{self, Next},
     response::{IntoResponse, Response},
     routing::{get, post},
@@ -135,10 +135,13 @@
     Json(json!({ "revision": memory.revision })).into_response()
 }
 
-async fn jobs() -> Json<Value> {
+async fn jobs(uri: Uri) -> Json<Value> {
+    if uri.query() == Some("after=job-1") {
+        return Json(json!({ "jobs": [], "more": false }));
+    }
     let job = json!({ "id": "job-1", "workspace": "w", "state": "in_progress",
         "total": 10, "completed": 4, "failed": 1 });
-    Json(json!({ "jobs": [job] }))
+    Json(json!({ "jobs": [job], "more": true }))
 }
 
 async fn cancel(State(state): Shared, Path(id): Path<String>) -> Response {
