Tell lost changes from refused ones, and bound the depth of form fields

After a lost answer no other host is asked in the same breath: its conflict would hide that the change may have been in force. A 5xx that says 'not run' is no lost answer. A form field with 100,000 steps overflowed the stack of the console's test; paths now have at most 8 steps.

--- a/crates/oleander-console/src/steps.rs
+++ b/crates/oleander-console/src/steps.rs
@@ -1,5 +1,8 @@
 //! JSON paths as steps.
 
+/// Most steps of a path; no field of a document lies deeper.
+const MAX_STEPS: usize = 8;
+
 /// One step into a JSON value.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub(crate) enum Step {
@@ -14,6 +17,9 @@
     let mut rest = path.strip_prefix('$')?;
     let mut steps = Vec::new();
     while !rest.is_empty() {
+        if steps.len() == MAX_STEPS {
+            return None;
+        }
         let (step, after) = first(rest)?;
         steps.push(step);
         rest = after;
--- a/crates/oleander-console/tests/draft.rs
+++ b/crates/oleander-console/tests/draft.rs
@@ -57,7 +57,8 @@
 
 #[test]
 fn fields_without_a_place_are_refused() {
-    for path in ["$.zones[7]", "$.zones[", "$..x", "zones", "$.zones[0].name[1]", ""] {
+    let deep = format!("${}", ".x".repeat(100_000));
+    for path in ["$.zones[7]", "$.zones[", "$..x", "zones", "$.zones[0].name[1]", "", &deep] {
         let result = Draft::from_fields([("$.zones", "[]"), (path, "x")]);
         assert_eq!(result, Err(DraftError::BadField(path.to_owned())));
     }
--- a/crates/oleanderctl/src/admin/error.rs
+++ b/crates/oleanderctl/src/admin/error.rs
@@ -3,7 +3,10 @@
 use std::{error::Error, fmt, net::SocketAddr};
 
 use http::StatusCode;
-use oleander_core::ApiError;
+use oleander_core::{ApiError, Ran};
+
+/// Least HTTP status of a fault on the side of the process.
+const SERVER_ERROR: u16 = 500;
 
 /// A failed call to one process.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -40,7 +43,10 @@
     pub fn is_lost(&self) -> bool {
         match &self.cause {
             Cause::Lost(_) | Cause::BadAnswer(_) => true,
-            Cause::Refused { status, .. } => *status >= 500,
+            Cause::Refused { status, error } => {
+                let is_not_run = error.as_ref().is_some_and(|error| error.ran == Ran::No);
+                *status >= SERVER_ERROR && !is_not_run
+            }
             Cause::BadRequest(_) | Cause::Unreachable(_) => false,
         }
     }
@@ -51,16 +57,20 @@
         match &self.cause {
             Cause::Unreachable(_) | Cause::Lost(_) | Cause::BadAnswer(_) => true,
             Cause::Refused { status, .. } => {
-                *status >= 500 || *status == StatusCode::NOT_FOUND.as_u16()
+                *status >= SERVER_ERROR || *status == StatusCode::NOT_FOUND.as_u16()
             }
             Cause::BadRequest(_) => false,
         }
     }
 
-    /// Whether the process itself answered.
+    /// Whether the call itself is at fault, so that another try fails as well.
     #[must_use]
-    pub const fn is_refusal(&self) -> bool {
-        matches!(self.cause, Cause::Refused { .. })
+    pub const fn is_final(&self) -> bool {
+        match self.cause {
+            Cause::Refused { status, .. } => status < SERVER_ERROR,
+            Cause::BadRequest(_) => true,
+            Cause::Unreachable(_) | Cause::Lost(_) | Cause::BadAnswer(_) => false,
+        }
     }
 }
 
--- a/crates/oleanderctl/src/apply.rs
+++ b/crates/oleanderctl/src/apply.rs
@@ -202,12 +202,15 @@
 /// Carries out an apply to its end.
 pub async fn apply(fleet: &Fleet, mut apply: Apply) -> Outcome {
     let mut step = apply.start();
+    let mut sends = 0;
     loop {
         step = match step {
             Step::Read => apply.on_read(fleet.document().await),
             Step::Send(base) => {
                 let request = ApplyRequest::new(base, &apply.wanted);
-                apply.on_answer(fleet.apply(&request).await)
+                let answer = fleet.apply(sends, &request).await;
+                sends += 1;
+                apply.on_answer(answer)
             }
             Step::Settle => {
                 tokio::time::sleep(PAUSE).await;
--- a/crates/oleanderctl/src/commands/hosts.rs
+++ b/crates/oleanderctl/src/commands/hosts.rs
@@ -29,6 +29,9 @@
 pub(super) async fn status(fleet: &Fleet) -> Result<Report, Failure> {
     let (mut hosts, errors) = split(fleet.status().await)?;
     hosts.sort_by(|a, b| a.host.cmp(&b.host));
+    for host in &mut hosts {
+        host.targets.sort_by(|a, b| a.name.cmp(&b.name));
+    }
     let unreachable = errors.iter().map(ToString::to_string).collect();
     let json = FleetStatus { hosts: &hosts, unreachable };
     Ok(Report::new(table(&hosts), json).missing(&errors))
@@ -96,7 +99,7 @@
         if !error.is_lost() {
             return Err(error.into());
         }
-        client.drain().await?;
+        client.drain().await.map_err(Failure::of_change)?;
     }
     let json = Draining { host, state: HostState::Draining };
     Ok(Report::new(format!("{host} drains\n"), json))
@@ -112,5 +115,5 @@
     }
     let errors: Vec<String> = errors.iter().map(ToString::to_string).collect();
     let message = format!("no answer names {host:?}; without answer: {}", errors.join("; "));
-    Failure::new(Exit::Unreachable, message)
+    Failure::new(Exit::Unavailable, message)
 }
--- a/crates/oleanderctl/src/commands/jobs.rs
+++ b/crates/oleanderctl/src/commands/jobs.rs
@@ -51,6 +51,6 @@
 
 /// Cancels a job.
 pub(super) async fn cancel(fleet: &Fleet, job: &JobId) -> Result<Report, Failure> {
-    fleet.cancel(job).await?;
+    fleet.cancel(job).await.map_err(Failure::of_change)?;
     Ok(Report::new(format!("{job} cancelled\n"), Cancelled { job, state: "cancelled" }))
 }
--- a/crates/oleanderctl/src/exit.rs
+++ b/crates/oleanderctl/src/exit.rs
@@ -11,8 +11,8 @@
     Usage,
     /// Another operator's change came first.
     Conflict,
-    /// No process answered.
-    Unreachable,
+    /// No process could answer; nothing was changed.
+    Unavailable,
     /// Some processes did not answer.
     Partial,
     /// A process refused, or nothing has the given name.
@@ -32,7 +32,7 @@
   1  the document has faults
   2  wrong usage
   3  conflict: another change came first
-  4  no process answered
+  4  unavailable: no process could answer; nothing was changed
   5  partial: some processes did not answer
   6  refused, or nothing has the given name
   7  unknown: the change may or may not have taken effect
@@ -47,7 +47,7 @@
             Self::Faults => 1,
             Self::Usage => 2,
             Self::Conflict => 3,
-            Self::Unreachable => 4,
+            Self::Unavailable => 4,
             Self::Partial => 5,
             Self::Refused => 6,
             Self::Unknown => 7,
--- a/crates/oleanderctl/src/fleet.rs
+++ b/crates/oleanderctl/src/fleet.rs
@@ -57,18 +57,28 @@
     ///
     /// Returns the last error if none does.
     pub async fn document(&self) -> Result<Current, AdminError> {
-        self.first(|client| async move { client.document().await }).await
+        self.first(0, |client| async move { client.document().await }).await
     }
 
-    /// Applies a document through the first process that answers.
-    ///
-    /// Asking several is safe: the change is bound to the revision that was read.
+    /// Applies a document through one process after another, beginning with the one at `start`,
+    /// until one answers or an answer is lost.
     ///
     /// # Errors
     ///
-    /// Returns a lost answer if there was one, else the last error.
-    pub async fn apply(&self, request: &ApplyRequest) -> Result<ApplyAnswer, AdminError> {
-        self.first(|client| async move { client.apply(request).await }).await
+    /// Returns a lost answer, else the last error.
+    pub async fn apply(
+        &self,
+        start: usize,
+        request: &ApplyRequest,
+    ) -> Result<ApplyAnswer, AdminError> {
+        self.first(start, |client| async move {
+            match client.apply(request).await {
+                Err(error) if error.is_lost() => Ok(Err(error)),
+                Err(error) => Err(error),
+                Ok(answer) => Ok(Ok(answer)),
+            }
+        })
+        .await?
     }
 
     /// The first jobs after `after`, from the first process that serves them.
@@ -77,7 +87,7 @@
     ///
     /// Returns the last error if none does.
     pub async fn jobs(&self, after: Option<&JobId>) -> Result<JobPage, AdminError> {
-        self.first(|client| async move { client.jobs(after).await }).await
+        self.first(0, |client| async move { client.jobs(after).await }).await
     }
 
     /// Cancels a job through the first process that answers; cancelling is idempotent.
@@ -86,7 +96,7 @@
     ///
     /// Returns a lost answer if there was one, else the last error.
     pub async fn cancel(&self, job: &JobId) -> Result<(), AdminError> {
-        self.first(|client| async move { client.cancel(job).await }).await
+        self.first(0, |client| async move { client.cancel(job).await }).await
     }
 
     async fn each<'a, T, F>(&'a self, call: impl Fn(&'a AdminClient) -> F) -> Vec<HostAnswer<T>>
@@ -101,11 +111,16 @@
     }
 
     /// Calls one process after another until one gives an answer of its own.
-    async fn first<'a, T, F>(&'a self, call: impl Fn(&'a AdminClient) -> F) -> Result<T, AdminError>
+    async fn first<'a, T, F>(
+        &'a self,
+        start: usize,
+        call: impl Fn(&'a AdminClient) -> F,
+    ) -> Result<T, AdminError>
     where
         F: Future<Output = Result<T, AdminError>>,
     {
-        let mut clients = self.clients.iter();
+        let count = self.clients.len();
+        let mut clients = self.clients.iter().cycle().skip(start % count).take(count);
         let Some(client) = clients.next() else { unreachable!("a fleet is never empty") };
         let mut answer = call(client).await;
         for client in clients {
@@ -121,6 +136,6 @@
 
 /// Keeps the error that matters most to the operator.
 fn prefer(first: AdminError, second: AdminError) -> AdminError {
-    let keep_first = first.is_lost() || (first.is_refusal() && !second.is_refusal());
+    let keep_first = first.is_lost() || (first.is_final() && !second.is_final());
     if keep_first && second.is_worth_elsewhere() { first } else { second }
 }
--- a/crates/oleanderctl/src/report.rs
+++ b/crates/oleanderctl/src/report.rs
@@ -50,6 +50,14 @@
         Self { message: message.into(), exit }
     }
 
+    /// The failure of a change, which may have taken effect.
+    pub(crate) fn of_change(error: AdminError) -> Self {
+        if error.is_lost() {
+            return Self::new(Exit::Unknown, error.to_string());
+        }
+        error.into()
+    }
+
     /// The failure for programs.
     pub(crate) fn to_json(&self) -> Value {
         json!({ "error": self.message })
@@ -57,8 +65,9 @@
 }
 
 impl From<AdminError> for Failure {
+    /// The failure of a call that changes nothing, or has changed nothing.
     fn from(error: AdminError) -> Self {
-        let exit = if error.is_refusal() { Exit::Refused } else { Exit::Unreachable };
+        let exit = if error.is_final() { Exit::Refused } else { Exit::Unavailable };
         Self::new(exit, error.to_string())
     }
 }
--- a/crates/oleanderctl/tests/apply.rs
+++ b/crates/oleanderctl/tests/apply.rs
@@ -109,7 +109,7 @@
 }
 
 fn lost() -> AdminError {
-    let reason = ApiError::not_run(ErrorCode::Unavailable, "lost");
+    let reason = ApiError::unknown(ErrorCode::Unavailable, "lost");
     error(Cause::Refused { status: 503, error: Some(reason) })
 }
 
--- a/crates/oleanderctl/tests/command_line.rs
+++ b/crates/oleanderctl/tests/command_line.rs
@@ -78,6 +78,14 @@
     assert_eq!((code, &json["settled"], &json["revision"]), (0, &json!(true), &json!(1)));
 }
 
+#[tokio::test]
+async fn another_host_is_asked_when_one_is_gone() {
+    let entry = Fake::start("entry-1").await;
+    let addresses = [closed_port().await, entry.address];
+    let output = output(KEY, &addresses, &["apply", EXAMPLE]).await;
+    assert_eq!((output.status.code(), entry.with(|m| m.revision)), (Some(0), 1));
+}
+
 #[tokio::test]
 async fn a_conflict_names_the_change_that_won() {
     let entry = Fake::start("entry-1").await;
@@ -106,6 +114,8 @@
     let (code, json) = run(&[&second, &first], &["status"]).await;
     assert_eq!((code, &json["hosts"][1]["host"]), (0, &json!("entry-2")));
     let closed = closed_port().await;
+    let none = output(KEY, &[closed], &["status"]).await;
+    assert_eq!(none.status.code(), Some(4));
     let output = output(KEY, &[first.address, closed], &["status"]).await;
     assert_eq!(output.status.code(), Some(5));
     let json: Value = serde_json::from_slice(&output.stdout).unwrap();
--- a/crates/oleanderctl/tests/fake/mod.rs
+++ b/crates/oleanderctl/tests/fake/mod.rs
@@ -130,7 +130,8 @@
     memory.revision += 1;
     if memory.lose_answers > 0 {
         memory.lose_answers -= 1;
-        return failure(StatusCode::SERVICE_UNAVAILABLE, "unavailable", "answer lost");
+        let error = json!({ "code": "unavailable", "message": "lost", "ran": "unknown" });
+        return (StatusCode::SERVICE_UNAVAILABLE, Json(json!({ "error": error }))).into_response();
     }
     Json(json!({ "revision": memory.revision })).into_response()
 }
