--- a/crates/oleander-routing/src/router/room.rs
+++ b/crates/oleander-routing/src/router/room.rs
@@ -51,7 +51,7 @@
     /// Batch items that this host may start at the target now.
     pub(super) fn batch_free(&self, now: Time, backend: &Backend) -> u32 {
         let free = self.batch_room(now, backend).saturating_sub(backend.batch_total());
-        if self.config.policy != Policy::Managed || self.peers.len() == 0 {
+        if self.peers.len() == 0 {
             return free;
         }
         free.min(backend.batch_cap.saturating_sub(backend.batch))
