--- a/crates/oleanderctl/tests/command_line.rs
+++ b/crates/oleanderctl/tests/command_line.rs
@@ -78,6 +78,14 @@
     assert_eq!((code, &json["settled"], &json["revision"]), (0, &json!(true), &json!(1)));
 }
 
+#[tokio::test]
+async fn another_host_is_asked_when_one_is_gone() {
+    let entry = Fake::start("entry-1").await;
+    let addresses = [closed_port().await, entry.address];
+    let output = output(KEY, &addresses, &["apply", EXAMPLE]).await;
+    assert_eq!((output.status.code(), entry.with(|m| m.revision)), (Some(0), 1));
+}
+
 #[tokio::test]
 async fn a_conflict_names_the_change_that_won() {
     let entry = Fake::start("entry-1").await;
@@ -106,6 +114,8 @@
     let (code, json) = run(&[&second, &first], &["status"]).await;
     assert_eq!((code, &json["hosts"][1]["host"]), (0, &json!("entry-2")));
     let closed = closed_port().await;
+    let none = output(KEY, &[closed], &["status"]).await;
+    assert_eq!(none.status.code(), Some(4));
     let output = output(KEY, &[first.address, closed], &["status"]).await;
     assert_eq!(output.status.code(), Some(5));
     let json: Value = serde_json::from_slice(&output.stdout).unwrap();
@@ -131,13 +141,22 @@
 async fn jobs_are_listed_and_cancelled() {
     let entry = Fake::start("entry-1").await;
     let (code, json) = run(&[&entry], &["jobs"]).await;
-    assert_eq!((code, &json["jobs"][0]["completed"]), (0, &json!(4)));
+    assert_eq!((code, &json["jobs"][0]["completed"], &json["more"]), (0, &json!(4), &json!(true)));
+    let (_, json) = run(&[&entry], &["jobs", "--after", "job-1"]).await;
+    assert_eq!(json, json!({ "jobs": [], "more": false }));
     let (code, _) = run(&[&entry], &["cancel", "job-1"]).await;
     assert_eq!((code, entry.with(|m| m.cancelled.len())), (0, 1));
     let (code, _) = run(&[&entry], &["cancel", "job-2"]).await;
     assert_eq!(code, 6);
 }
 
+#[tokio::test]
+async fn the_digest_of_a_key_is_that_of_the_examples() {
+    let key = file("demo-caller-key\n");
+    let (code, json) = run(&[], &["digest", key.to_str().unwrap()]).await;
+    assert_eq!((code, &json["key_digest"]), (0, &read(EXAMPLE)["workspaces"][0]["key_digest"]));
+}
+
 #[tokio::test]
 async fn the_time_line_is_causal_where_clocks_disagree() {
     let (first, second) = (Fake::start("entry-1").await, Fake::start("batch-1").await);
