--- /dev/null
+++ b/crates/oleander-link/examples/calls.rs
@@ -0,0 +1,90 @@
+//! Measures the latency and the processor time of calls over loopback.
+//!
+//! Both ends run in this process, so that the processor time of a call is that of both.
+
+#![allow(clippy::print_stdout, reason = "prints its measurements")]
+
+use std::{
+    fs,
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+};
+
+use oleander_core::{Span, Time};
+use oleander_link::{Link, LinkError, LinkKey};
+
+const ADDRESS: &str = "127.0.0.1:47312";
+const TIMEOUT: Duration = Duration::from_secs(10);
+const SEQUENTIAL: usize = 5_000;
+const CALLERS: usize = 64;
+const CALLS_PER_CALLER: usize = 500;
+const PAYLOAD_BYTES: usize = 1_024;
+
+/// Clock ticks in a second, as the process statistics count them.
+const TICKS: f64 = 100.0;
+
+#[tokio::main]
+async fn main() -> Result<(), LinkError> {
+    let key = LinkKey::from_secret(b"a shared secret of the example")?;
+    let host = "host-1".parse().map_err(|_| LinkError::Key("host".to_owned()))?;
+    let link = Link::new(host, key, now);
+    let _server = link.serve(ADDRESS, CALLERS, |_, text: Vec<u8>| async move { text.len() })?;
+    sequential(&link).await?;
+    concurrent(&link).await
+}
+
+async fn sequential(link: &Link) -> Result<(), LinkError> {
+    let mut micros = Vec::with_capacity(SEQUENTIAL);
+    for _ in 0..SEQUENTIAL {
+        let start = Instant::now();
+        call(link).await?;
+        micros.push(start.elapsed().as_micros());
+    }
+    micros.sort_unstable();
+    let at = |percent: usize| micros[SEQUENTIAL * percent / 100];
+    println!("one after another: p50 {} us, p99 {} us", at(50), at(99));
+    Ok(())
+}
+
+async fn concurrent(link: &Link) -> Result<(), LinkError> {
+    let (start, processor) = (Instant::now(), processor_seconds());
+    let callers: Vec<_> = (0..CALLERS)
+        .map(|_| {
+            let link = link.clone();
+            tokio::spawn(async move {
+                for _ in 0..CALLS_PER_CALLER {
+                    call(&link).await?;
+                }
+                Ok::<(), LinkError>(())
+            })
+        })
+        .collect();
+    for caller in callers {
+        caller.await.map_err(|e| LinkError::NoAnswer(e.to_string()))??;
+    }
+    let calls = (CALLERS * CALLS_PER_CALLER) as f64;
+    let spent = processor_seconds() - processor;
+    let rate = calls / start.elapsed().as_secs_f64();
+    println!(
+        "{CALLERS} at once: {rate:.0} calls/s, {:.1} us of processor a call",
+        spent * 1e6 / calls
+    );
+    Ok(())
+}
+
+async fn call(link: &Link) -> Result<(), LinkError> {
+    let _: usize = link.call(ADDRESS, &vec![0_u8; PAYLOAD_BYTES], TIMEOUT).await?;
+    Ok(())
+}
+
+/// User and system time of this process.
+fn processor_seconds() -> f64 {
+    let statistics = fs::read_to_string("/proc/self/stat").unwrap_or_default();
+    let after_name = statistics.rsplit(") ").next().unwrap_or_default();
+    let ticks = after_name.split(' ').skip(11).take(2);
+    ticks.filter_map(|text| text.parse::<f64>().ok()).sum::<f64>() / TICKS
+}
+
+fn now() -> Time {
+    let elapsed = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    Time(Span::from(elapsed).0)
+}
--- /dev/null
+++ b/crates/oleander-members/tests/links.rs
@@ -0,0 +1,153 @@
+//! Members over real links: the acknowledgement of a probe is the answer of its call.
+
+#![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
+
+use std::{
+    collections::BTreeMap,
+    net::{SocketAddr, TcpListener},
+    sync::{Arc, Mutex},
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+};
+
+use oleander_core::{HostId, Revision, Span, Time};
+use oleander_link::{Link, LinkKey, Peer, Server};
+use oleander_members::{
+    ListedHost, Listing, MemberAction, MemberEvent, MemberRole, MemberState, Members,
+    MembersConfig, Message, Profile,
+};
+use tokio::{task::JoinHandle, time};
+
+const HOSTS: usize = 5;
+const ENOUGH: Duration = Duration::from_secs(30);
+const CALL_TIMEOUT: Duration = Duration::from_millis(500);
+const PAUSE: Duration = Duration::from_millis(20);
+
+fn now() -> Time {
+    Time(Span::from(SystemTime::now().duration_since(UNIX_EPOCH).unwrap()).0)
+}
+
+fn free_address() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+}
+
+/// A host without anything but membership.
+struct Shell {
+    host: HostId,
+    members: Arc<Mutex<Members>>,
+    _server: Server,
+    ticks: JoinHandle<()>,
+}
+
+impl Drop for Shell {
+    fn drop(&mut self) {
+        self.ticks.abort();
+    }
+}
+
+#[derive(Clone)]
+struct Ports {
+    members: Arc<Mutex<Members>>,
+    link: Link,
+}
+
+impl Ports {
+    /// Gives the members an event, sends what they ask for, and returns what goes to `caller`.
+    fn handle(&self, event: MemberEvent, caller: Option<&HostId>) -> Option<Message> {
+        let actions = self.members.lock().unwrap().handle(now(), event);
+        let mut answer = None;
+        for action in actions {
+            let MemberAction::Send { to, message } = action else { continue };
+            if Some(&to) == caller && answer.is_none() {
+                answer = Some(message);
+            } else {
+                self.send(to, message);
+            }
+        }
+        answer
+    }
+
+    fn send(&self, to: HostId, message: Message) {
+        let Some(address) = self.members.lock().unwrap().address(&to) else { return };
+        let ports = self.clone();
+        tokio::spawn(async move {
+            let address = address.to_string();
+            let answer = ports.link.call(&address, &message, CALL_TIMEOUT).await;
+            if let Ok(Some(message)) = answer {
+                ports.handle(MemberEvent::Received { from: to, message }, None);
+            }
+        });
+    }
+}
+
+fn start(host: &HostId, addresses: &BTreeMap<HostId, SocketAddr>) -> Shell {
+    let key = LinkKey::from_secret(b"a shared secret of the test").unwrap();
+    let link = Link::new(host.clone(), key, now);
+    let config = MembersConfig::new()
+        .probe_interval(Span::from_millis(150))
+        .ack_timeout(Span::from_millis(50));
+    let tick = config.tick_interval().to_duration();
+    let (zone, role, address) = ("junin".parse().unwrap(), MemberRole::Entry, addresses[host]);
+    let me = Profile { host: host.clone(), zone, role, address, started: now() };
+    let members = Arc::new(Mutex::new(Members::new(config, me, u64::from(address.port()))));
+    let ports = Ports { members: Arc::clone(&members), link: link.clone() };
+    ports.handle(MemberEvent::Listed(listing(addresses)), None);
+    let served = ports.clone();
+    let server = link.serve(&address.to_string(), 2, move |Peer(from), message: Message| {
+        let received = MemberEvent::Received { from: from.clone(), message };
+        let answer = served.handle(received, Some(&from));
+        async move { answer }
+    });
+    let ticks = tokio::spawn(async move {
+        let mut interval = time::interval(tick);
+        loop {
+            interval.tick().await;
+            ports.handle(MemberEvent::Tick, None);
+        }
+    });
+    Shell { host: host.clone(), members, _server: server.unwrap(), ticks }
+}
+
+fn listing(addresses: &BTreeMap<HostId, SocketAddr>) -> Listing {
+    let hosts = addresses.iter().map(|(host, &address)| {
+        let (host, zone, role) = (host.clone(), "junin".parse().unwrap(), MemberRole::Entry);
+        ListedHost { host, zone, role, address, leaving: false }
+    });
+    Listing { revision: Revision(1), hosts: hosts.collect() }
+}
+
+/// Waits until all `shells` see all hosts but themselves as `expected` says.
+async fn await_states(shells: &[Shell], expected: &BTreeMap<HostId, MemberState>) {
+    let start = Instant::now();
+    let sees = |shell: &Shell| {
+        let members = shell.members.lock().unwrap();
+        let mut others = expected.iter().filter(|(host, _)| **host != shell.host);
+        others.all(|(host, state)| members.state(host) == Some(*state))
+    };
+    while !shells.iter().all(sees) {
+        assert!(start.elapsed() < ENOUGH, "members don't agree on {expected:?}");
+        time::sleep(PAUSE).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn hosts_find_each_other_and_notice_a_leave_a_death_and_a_restart() {
+    let hosts: Vec<HostId> = (0..HOSTS).map(|n| format!("host-{n}").parse().unwrap()).collect();
+    let addresses = hosts.iter().map(|host| (host.clone(), free_address())).collect();
+    let mut shells: Vec<Shell> = hosts.iter().map(|host| start(host, &addresses)).collect();
+    let mut expected: BTreeMap<_, _> =
+        hosts.iter().map(|host| (host.clone(), MemberState::Live)).collect();
+    await_states(&shells, &expected).await;
+
+    let actions = shells[1].members.lock().unwrap().handle(now(), MemberEvent::Leave);
+    assert!(!actions.is_empty());
+    expected.insert(hosts[1].clone(), MemberState::Leaving);
+    await_states(&shells, &expected).await;
+
+    drop(shells.remove(0));
+    expected.insert(hosts[0].clone(), MemberState::Failed);
+    await_states(&shells, &expected).await;
+
+    shells.push(start(&hosts[0], &addresses));
+    expected.insert(hosts[0].clone(), MemberState::Live);
+    await_states(&shells, &expected).await;
+}
