--- a/crates/oleander-members/src/members.rs
+++ b/crates/oleander-members/src/members.rs
@@ -23,6 +23,27 @@
 const DOWN_ROUNDS: u64 = 4;
 
 /// Membership as one host sees it.
+///
+/// # Examples
+///
+/// ```
+/// use oleander_core::Time;
+/// use oleander_members::{MemberEvent, MemberRole, Members, MembersConfig, Profile};
+///
+/// # fn main() -> Result<(), oleander_core::ParseIdError> {
+/// let me = Profile {
+///     host: "entry-1".parse()?,
+///     zone: "junin".parse()?,
+///     role: MemberRole::Entry,
+///     address: ([127, 0, 0, 1], 7001).into(),
+///     started: Time(1_700_000_000_000_000),
+/// };
+/// let mut members = Members::new(MembersConfig::new(), me, 1);
+/// let actions = members.handle(Time(1_700_000_000_100_000), MemberEvent::Tick);
+/// assert!(actions.is_empty(), "nobody to probe yet");
+/// # Ok(())
+/// # }
+/// ```
 #[derive(Debug)]
 pub struct Members {
     pub(crate) config: MembersConfig,
