Run batch jobs: the batch process

Lots are state machines under a lock each; the shell carries out their platform calls, offers them places that the router grants, and runs each item as a stream that can be stopped. Items give way to online work by a peer's word or by the router's own view, and are resumed with what they have. A leaving host gives its lots back.

--- /dev/null
+++ b/crates/oleander-batch/src/admin.rs
@@ -0,0 +1,47 @@
+//! The operators' view of the batch process.
+
+use std::sync::Arc;
+
+use oleander_host::{AdminState, HostState, HostStatus, TargetStatus};
+
+use crate::app::App;
+
+/// The batch process as operators see it.
+pub(crate) struct BatchAdmin(pub(crate) Arc<App>);
+
+impl AdminState for BatchAdmin {
+    async fn status(&self) -> HostStatus {
+        let app = &self.0;
+        let revision = app.documents.revision();
+        let state = match (app.is_running(), revision) {
+            (false, _) => HostState::Draining,
+            (true, None) => HostState::Starting,
+            (true, Some(_)) => HostState::Ready,
+        };
+        let targets = app.pools.all().into_iter().flat_map(|pool| pool.snapshot());
+        HostStatus {
+            host: app.settings.host.clone(),
+            role: app.settings.role,
+            zone: app.settings.zone.clone(),
+            revision,
+            state,
+            in_flight: app.runs.lock().len() as u64,
+            targets: targets.map(target_status).collect(),
+        }
+    }
+
+    async fn drain(&self) {
+        self.0.drain.start();
+    }
+}
+
+fn target_status(target: oleander_routing::TargetStatus) -> TargetStatus {
+    let state = serde_json::to_value(target.state).ok();
+    TargetStatus {
+        name: target.name,
+        state: state.and_then(|s| s.as_str().map(str::to_owned)).unwrap_or_default(),
+        online: target.online.into(),
+        batch: target.batch.into(),
+        limit: target.limit.into(),
+    }
+}
--- /dev/null
+++ b/crates/oleander-batch/src/app.rs
@@ -0,0 +1,136 @@
+//! What all parts of the batch process share.
+//!
+//! Lock order: one lot, then the table of runs, then one router. The other tables are locked
+//! alone.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU64, AtomicUsize},
+    },
+    time::Duration,
+};
+
+use oleander_core::{EventKind, JobId, hash};
+use oleander_host::{Drain, Phase, Policy, Settings, Timeline, clock};
+use oleander_intake::JobStore;
+use oleander_jobs::TargetHealth;
+use oleander_link::{Link, LinkError};
+use oleander_peer::{Contact, PeerAnswer, PeerRequest, Status};
+use oleander_platform::HttpPlatform;
+use oleander_routing::Policy as RoutingPolicy;
+use oleander_target::{HttpTargets, Timeouts};
+use parking_lot::Mutex;
+use tokio::sync::Notify;
+
+use crate::{documents::Documents, jobs::Jobs, lots::Lots, peers::Peers, pool::Pools, runs::Runs};
+
+/// Longest wait for the first token of an item.
+const FIRST_TOKEN_TIMEOUT: Duration = Duration::from_secs(30);
+/// Targets that the fixed split leaves to batch.
+const SPLIT_TARGETS: u32 = 1;
+
+/// The batch process.
+pub(crate) struct App {
+    pub(crate) settings: Settings,
+    pub(crate) link: Link,
+    pub(crate) contact: Contact,
+    pub(crate) platform: HttpPlatform,
+    pub(crate) store: JobStore<HttpPlatform>,
+    pub(crate) targets: HttpTargets,
+    pub(crate) timeline: Arc<Timeline>,
+    pub(crate) documents: Documents,
+    pub(crate) peers: Mutex<Peers>,
+    pub(crate) pools: Pools,
+    pub(crate) jobs: Mutex<Jobs>,
+    pub(crate) lots: Mutex<Lots>,
+    pub(crate) runs: Mutex<Runs>,
+    pub(crate) health: Mutex<TargetHealth>,
+    pub(crate) drain: Drain,
+    /// Wakes the dispatcher.
+    pub(crate) work: Notify,
+    /// Lots that are being opened.
+    pub(crate) opening: AtomicUsize,
+    /// Names the claims of this process.
+    pub(crate) claims: AtomicU64,
+}
+
+impl App {
+    /// A process that knows nothing yet.
+    pub(crate) fn new(settings: Settings, link: Link, drain: Drain) -> Self {
+        let started = clock::now().0;
+        let platform = HttpPlatform::new(&settings.platform.to_string());
+        let seed = hash::hash_parts(&[settings.host.as_str()]) ^ started;
+        let policy = routing_policy(settings.batch.policy);
+        let timeouts = Timeouts::new().first(FIRST_TOKEN_TIMEOUT);
+        Self {
+            contact: Contact {
+                host: settings.host.clone(),
+                zone: settings.zone.clone(),
+                entry: false,
+                listen: settings.listen.to_string(),
+                link: settings.link.to_string(),
+                admin: settings.admin.to_string(),
+            },
+            store: JobStore::new(platform.clone()),
+            targets: HttpTargets::new(timeouts),
+            timeline: Arc::new(Timeline::new(settings.host.clone(), Timeline::DEFAULT_CAPACITY)),
+            documents: Documents::default(),
+            peers: Mutex::new(Peers::new(settings.link.to_string())),
+            pools: Pools::new(settings.host.clone(), settings.zone.clone(), policy, seed),
+            jobs: Mutex::new(Jobs::new(settings.host.clone(), settings.batch.claim)),
+            lots: Mutex::default(),
+            runs: Mutex::default(),
+            health: Mutex::default(),
+            work: Notify::new(),
+            opening: AtomicUsize::new(0),
+            claims: AtomicU64::new(started),
+            platform,
+            settings,
+            link,
+            drain,
+        }
+    }
+
+    /// Whether the process takes new work.
+    pub(crate) fn is_running(&self) -> bool {
+        self.drain.phase() == Phase::Running
+    }
+
+    /// Records an event of a job.
+    pub(crate) fn event(&self, kind: EventKind, job: &JobId, detail: String) {
+        self.timeline.record(clock::now(), kind, job.to_string(), detail);
+    }
+
+    /// Calls a peer.
+    pub(crate) async fn call_peer(
+        &self,
+        link: &str,
+        request: &PeerRequest,
+        timeout: Duration,
+    ) -> Result<PeerAnswer, LinkError> {
+        self.link.call(link, request, timeout).await
+    }
+
+    /// This process's own status.
+    pub(crate) fn status(&self) -> Status {
+        Status {
+            contact: self.contact.clone(),
+            at: clock::now(),
+            logical: self.timeline.logical(),
+            revision: self.documents.revision(),
+            draining: !self.is_running(),
+            counts: self.pools.all().iter().flat_map(|pool| pool.counts()).collect(),
+            events: Vec::new(),
+        }
+    }
+}
+
+const fn routing_policy(policy: Policy) -> RoutingPolicy {
+    match policy {
+        Policy::Managed => RoutingPolicy::Managed,
+        Policy::FirstCome => RoutingPolicy::FirstCome,
+        Policy::Split => RoutingPolicy::Split { batch_targets: SPLIT_TARGETS },
+        Policy::OnlineOnly => RoutingPolicy::OnlineOnly,
+    }
+}
--- /dev/null
+++ b/crates/oleander-batch/src/pool.rs
@@ -0,0 +1,178 @@
+//! The targets of one service, behind the router that chooses among them.
+
+use std::{collections::HashMap, sync::Arc};
+
+use oleander_core::{HostId, ServiceId, TargetId, Time, ZoneId};
+use oleander_document::{BatchLimits, Document, Service, ServiceKind};
+use oleander_host::clock;
+use oleander_peer::TargetCount;
+use oleander_routing::{
+    BatchExcess, Decision, LeaseId, LoadReport, Observation, PeerCount, Pick, Policy, Router,
+    RouterConfig, Target, TargetStatus,
+};
+use parking_lot::{Mutex, RwLock};
+
+/// The targets of one service.
+pub(crate) struct Pool {
+    router: Mutex<Router>,
+    declared: RwLock<Declared>,
+}
+
+#[derive(Debug, Clone)]
+struct Declared {
+    addresses: HashMap<TargetId, String>,
+    batch: BatchLimits,
+}
+
+/// A place at a target.
+#[derive(Debug, Clone)]
+pub(crate) struct Place {
+    /// The target.
+    pub(crate) target: TargetId,
+    /// Its address.
+    pub(crate) address: String,
+    /// To be ended by one final observation.
+    pub(crate) lease: LeaseId,
+}
+
+impl Pool {
+    fn new(service: &Service, host: &HostId, zone: &ZoneId, policy: Policy, seed: u64) -> Self {
+        let limits = &service.online;
+        let config = RouterConfig::new(host.clone(), zone.clone())
+            .policy(policy)
+            .first_token(limits.first_token)
+            .between_tokens(limits.between_tokens);
+        let router = Mutex::new(Router::new(config, seed));
+        let pool = Self { router, declared: RwLock::new(Declared::from(service)) };
+        pool.set_service(service);
+        pool
+    }
+
+    fn set_service(&self, service: &Service) {
+        let targets = service.targets.iter().map(|target| Target {
+            name: target.name.clone(),
+            zone: target.zone.clone(),
+            limit: service.online.target_limit,
+            reserve: service.online.reserve,
+        });
+        self.router.lock().set_targets(targets.collect());
+        *self.declared.write() = Declared::from(service);
+    }
+
+    /// Limits of batch work.
+    pub(crate) fn limits(&self) -> BatchLimits {
+        self.declared.read().batch.clone()
+    }
+
+    /// Names and addresses of the targets.
+    pub(crate) fn addresses(&self) -> Vec<(TargetId, String)> {
+        let declared = self.declared.read();
+        declared.addresses.iter().map(|(name, address)| (name.clone(), address.clone())).collect()
+    }
+
+    /// Takes a place at a target, if there is room now.
+    pub(crate) fn pick(&self, now: Time, pick: &Pick) -> Option<Place> {
+        let Decision::Send { target, lease, .. } = self.router.lock().pick(now, pick) else {
+            return None;
+        };
+        let Some(address) = self.declared.read().addresses.get(&target).cloned() else {
+            self.observe(lease, Observation::Cancelled);
+            return None;
+        };
+        Some(Place { target, address, lease })
+    }
+
+    /// Tells the router what happened to a run.
+    pub(crate) fn observe(&self, lease: LeaseId, observation: Observation) {
+        self.router.lock().observe(clock::now(), lease, observation);
+    }
+
+    /// Takes a target's own load report.
+    pub(crate) fn report(&self, target: &TargetId, load: LoadReport) {
+        self.router.lock().report(clock::now(), target, load);
+    }
+
+    /// Marks a target as leaving, or as back.
+    pub(crate) fn set_leaving(&self, target: &TargetId, leaving: bool) {
+        self.router.lock().set_leaving(target, leaving);
+    }
+
+    /// Takes a peer's counts.
+    pub(crate) fn peer(&self, peer: &HostId, counts: &[TargetCount], sent_at: Time) {
+        let counts = counts.iter().map(|count| PeerCount {
+            target: count.target.clone(),
+            online: count.online,
+            batch: count.batch,
+        });
+        self.router.lock().peer(clock::now(), peer, counts.collect(), sent_at);
+    }
+
+    /// Own work in flight.
+    pub(crate) fn counts(&self) -> Vec<TargetCount> {
+        let counts = self.router.lock().counts().into_iter().map(|count| TargetCount {
+            target: count.target,
+            online: count.online,
+            batch: count.batch,
+        });
+        counts.collect()
+    }
+
+    /// Own items that targets have no room for.
+    pub(crate) fn excess(&self) -> Vec<BatchExcess> {
+        self.router.lock().batch_excess(clock::now())
+    }
+
+    /// The targets as this host sees them.
+    pub(crate) fn snapshot(&self) -> Vec<TargetStatus> {
+        self.router.lock().snapshot()
+    }
+}
+
+impl From<&Service> for Declared {
+    fn from(service: &Service) -> Self {
+        let targets = service.targets.iter();
+        let addresses = targets.map(|target| (target.name.clone(), target.address.clone()));
+        Self { addresses: addresses.collect(), batch: service.batch.clone() }
+    }
+}
+
+/// The pools of all engine services.
+pub(crate) struct Pools {
+    host: HostId,
+    zone: ZoneId,
+    policy: Policy,
+    seed: u64,
+    pools: RwLock<HashMap<ServiceId, Arc<Pool>>>,
+}
+
+impl Pools {
+    /// No pools yet.
+    pub(crate) fn new(host: HostId, zone: ZoneId, policy: Policy, seed: u64) -> Self {
+        Self { host, zone, policy, seed, pools: RwLock::default() }
+    }
+
+    /// Follows a document; pools of services that stay keep what they know.
+    pub(crate) fn set_document(&self, document: &Document) {
+        let mut pools = self.pools.write();
+        pools.retain(|name, _| document.service(name.as_str()).is_some());
+        let engines = document.services.iter();
+        for service in engines.filter(|s| matches!(s.kind, ServiceKind::Engine { .. })) {
+            if let Some(pool) = pools.get(&service.name) {
+                pool.set_service(service);
+                continue;
+            }
+            let pool = Pool::new(service, &self.host, &self.zone, self.policy, self.seed);
+            pools.insert(service.name.clone(), Arc::new(pool));
+        }
+    }
+
+    /// The pool of a service.
+    pub(crate) fn get(&self, service: &ServiceId) -> Option<Arc<Pool>> {
+        self.pools.read().get(service).cloned()
+    }
+
+    /// All pools.
+    pub(crate) fn all(&self) -> Vec<Arc<Pool>> {
+        self.pools.read().values().cloned().collect()
+    }
+}
--- /dev/null
+++ b/crates/oleander-batch/src/run.rs
@@ -0,0 +1,244 @@
+//! One run of one item at one target.
+
+use std::{sync::Arc, time::Duration};
+
+use oleander_core::{EventKind, Span, TargetId, Time, Tokens};
+use oleander_host::clock;
+use oleander_jobs::{Answer, ItemEnd, ItemLine, LotEvent, Partial, RunId};
+use oleander_routing::{Failure, Observation};
+use oleander_target::{Piece, TargetError, Usage, stream_body};
+use serde_json::json;
+use tokio::{sync::oneshot, time};
+
+use crate::{
+    app::App,
+    lots::LotCell,
+    pool::Place,
+    runs::{LotKey, Stop},
+};
+
+const OK: u16 = 200;
+const TOO_MANY_REQUESTS: u16 = 429;
+const UNAVAILABLE: u16 = 503;
+/// Output of other items within this time shows that a silent target works.
+const ACTIVE_WITHIN: Span = Span::from_secs(1);
+/// Longest wait for a target that broke off to show that it lives.
+const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
+const CANCEL_TRIES: u32 = 3;
+const CANCEL_DELAY: Duration = Duration::from_millis(100);
+
+/// What a run is given.
+#[derive(Debug)]
+pub(crate) struct Grant {
+    /// Names the run.
+    pub(crate) run: RunId,
+    /// Where it runs.
+    pub(crate) place: Place,
+    /// Whether nothing else of this host runs there.
+    pub(crate) alone: bool,
+    /// Output of an earlier run.
+    pub(crate) partial: Option<Partial>,
+}
+
+enum Ending {
+    Answered(Answer),
+    Failed(TargetError),
+    Stopped(Stop),
+}
+
+/// Runs an item until it ends or is stopped.
+pub(crate) async fn run(
+    app: Arc<App>,
+    cell: Arc<LotCell>,
+    grant: Grant,
+    mut stop: oneshot::Receiver<Stop>,
+) {
+    let mut output = grant.partial.clone().unwrap_or_default();
+    let id = request_id(&cell, grant.run);
+    record_start(&app, &cell, &grant);
+    let ending = {
+        let call = call(&app, &cell, &grant, &id, &mut output);
+        tokio::pin!(call);
+        tokio::select! {
+            biased;
+            // A table that drops the sender has no more interest in the run.
+            why = &mut stop => Ending::Stopped(why.unwrap_or(Stop::Drop)),
+            result = &mut call => match result {
+                Ok(answer) => Ending::Answered(answer),
+                Err(error) => Ending::Failed(error),
+            },
+        }
+    };
+    cell.pool.observe(grant.place.lease, observation(&ending));
+    if matches!(ending, Ending::Stopped(_)) {
+        tokio::spawn(cancel(Arc::clone(&app), grant.place.address.clone(), id));
+    }
+    let end = judge(&app, &cell, &grant, ending, output).await;
+    app.runs.lock().remove(&cell.key, grant.run);
+    if let Some(end) = end {
+        app.drive(&cell, LotEvent::End { run: grant.run, end });
+    }
+}
+
+fn request_id(cell: &LotCell, run: RunId) -> String {
+    let LotKey { job, .. } = &cell.key;
+    format!("{job}:{}:{}:{}", run.item, cell.tag, run.number)
+}
+
+fn record_start(app: &App, cell: &LotCell, grant: &Grant) {
+    metrics::counter!("oleander_batch_runs_total").increment(1);
+    let resumed = grant.partial.as_ref().map_or(0, |partial| partial.tokens);
+    let kind = if resumed > 0 { EventKind::Resumed } else { EventKind::Dispatched };
+    let target = &grant.place.target;
+    let detail = format!("item {} at {target} from token {resumed}", grant.run.item);
+    app.event(kind, &cell.key.job, detail);
+}
+
+/// Streams the answer of the target into `output`.
+async fn call(
+    app: &App,
+    cell: &LotCell,
+    grant: &Grant,
+    id: &str,
+    output: &mut Partial,
+) -> Result<Answer, TargetError> {
+    let fault = |e: &dyn std::fmt::Display| TargetError::Connect(e.to_string());
+    let line = &cell.lines[(grant.run.item.0 - cell.first) as usize];
+    let item = ItemLine::parse(line).map_err(|e| fault(&e))?;
+    let body = serde_json::to_vec(&item.body).map_err(|e| fault(&e))?;
+    let skip = u64::from(output.tokens);
+    let body = stream_body(&body, skip).map_err(|e| fault(&e))?;
+    let Place { target, address, lease } = &grant.place;
+    let mut stream = app.targets.chat(address, id, body, skip).await?;
+    let mut is_first = true;
+    loop {
+        match stream.next().await? {
+            Piece::Token(text) => {
+                output.text.push_str(&text);
+                output.tokens += 1;
+                let seen = if is_first {
+                    Observation::FirstOutput
+                } else {
+                    Observation::Output { tokens: Tokens(1) }
+                };
+                is_first = false;
+                cell.pool.observe(*lease, seen);
+                app.health.lock().gave_output(clock::now(), target);
+            }
+            Piece::End { finish, usage } => {
+                let body = completion(id, item.model(), &output.text, &finish, usage);
+                return Ok(Answer { status: OK, request: id.to_owned(), body });
+            }
+        }
+    }
+}
+
+/// The whole answer as JSON text.
+fn completion(id: &str, model: &str, text: &str, finish: &str, usage: Usage) -> String {
+    json!({
+        "id": id,
+        "object": "chat.completion",
+        "model": model,
+        "choices": [{
+            "index": 0,
+            "message": {"role": "assistant", "content": text},
+            "finish_reason": finish,
+        }],
+        "usage": usage,
+    })
+    .to_string()
+}
+
+/// What the end of a run says about its item; `None` if it no longer matters.
+async fn judge(
+    app: &App,
+    cell: &LotCell,
+    grant: &Grant,
+    ending: Ending,
+    output: Partial,
+) -> Option<ItemEnd> {
+    let now = clock::now();
+    let target = &grant.place.target;
+    match ending {
+        Ending::Answered(answer) => {
+            app.health.lock().succeeded(now, target);
+            metrics::counter!("oleander_batch_answers_total").increment(1);
+            Some(ItemEnd::Answered(answer))
+        }
+        Ending::Stopped(Stop::Drop) => None,
+        Ending::Stopped(Stop::Yield) => {
+            app.event(
+                EventKind::Yielded,
+                &cell.key.job,
+                format!("item {} at {target}", grant.run.item),
+            );
+            let partial = (output.tokens > 0).then_some(output);
+            Some(ItemEnd::Yielded(partial))
+        }
+        Ending::Failed(error) => {
+            let detail = format!("item {} at {target}: {error}", grant.run.item);
+            app.event(EventKind::TargetFailed, &cell.key.job, detail);
+            Some(judge_failure(app, grant, now, error).await)
+        }
+    }
+}
+
+async fn judge_failure(app: &App, grant: &Grant, now: Time, error: TargetError) -> ItemEnd {
+    let Place { target, address, .. } = &grant.place;
+    let target_works = works_apart_from(app, now, target, &error);
+    let end = match error {
+        TargetError::Status(TOO_MANY_REQUESTS | UNAVAILABLE, _)
+        | TargetError::Connect(_)
+        | TargetError::Crossed(_) => ItemEnd::NotRun,
+        TargetError::Status(status, body) if status < 500 => {
+            let request = String::new();
+            return ItemEnd::Answered(Answer { status, request, body });
+        }
+        TargetError::Status(..) | TargetError::Silent => ItemEnd::Failed { target_works },
+        // A target that lives broke off this item alone: the item counts it against that target.
+        TargetError::Broken(_) if grant.alone && is_alive(app, address).await => {
+            ItemEnd::Failed { target_works: true }
+        }
+        TargetError::Broken(_) => ItemEnd::Lost,
+    };
+    app.health.lock().faulted(now, target);
+    end
+}
+
+/// Whether other items get on at the target that failed this one.
+fn works_apart_from(app: &App, now: Time, target: &TargetId, error: &TargetError) -> bool {
+    let health = app.health.lock();
+    match error {
+        TargetError::Silent => health.is_active(now - ACTIVE_WITHIN, target),
+        _ => health.works(now, target),
+    }
+}
+
+async fn is_alive(app: &App, address: &str) -> bool {
+    let probe = time::timeout(PROBE_TIMEOUT, app.targets.load(address)).await;
+    matches!(probe, Ok(Ok(_)))
+}
+
+fn observation(ending: &Ending) -> Observation {
+    match ending {
+        Ending::Answered(_) => Observation::Done,
+        Ending::Stopped(_) => Observation::Cancelled,
+        Ending::Failed(error) => Observation::Failed(match error {
+            TargetError::Connect(_) => Failure::Connect,
+            TargetError::Silent => Failure::Silent,
+            TargetError::Broken(_) | TargetError::Crossed(_) => Failure::BrokenStream,
+            TargetError::Status(status, _) => Failure::Status(*status),
+        }),
+    }
+}
+
+/// Cancels a request at its engine; a closed connection alone may not reach it.
+async fn cancel(app: Arc<App>, address: String, id: String) {
+    for _ in 0..CANCEL_TRIES {
+        if app.targets.cancel(&address, &id).await.is_ok() {
+            return;
+        }
+        time::sleep(CANCEL_DELAY).await;
+    }
+    log::warn!("request {id} could not be cancelled at {address}");
+}
--- /dev/null
+++ b/crates/oleander-batch/tests/cluster/mod.rs
@@ -0,0 +1,350 @@
+//! Batch processes against stand-ins for the platform and the engines.
+
+use std::{
+    collections::BTreeMap,
+    fs,
+    net::{SocketAddr, TcpListener},
+    path::PathBuf,
+    process::{Child, Command},
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
+    time::Duration,
+};
+
+use axum::{
+    Extension, Router,
+    body::{Body, to_bytes},
+    http::{Method, Request, StatusCode},
+};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper_util::{client::legacy::Client, rt::TokioExecutor};
+use oleander_document::Document;
+use oleander_platform::{Created, HttpPlatform, Platform as _};
+use serde_json::{Value, json};
+use standin::{
+    engine::{Engine, Faults, Options},
+    platform,
+    server::Server,
+};
+use tokio::{sync::Mutex, time};
+use tower::ServiceExt;
+
+const MAX_BODY: usize = 64 << 20;
+pub(crate) const LINK_SECRET: &str = "a link secret of the tests";
+const OPERATOR_KEY: &str = "an operator key of the tests";
+const POLL: Duration = Duration::from_millis(50);
+
+static CLUSTERS: AtomicU32 = AtomicU32::new(0);
+
+/// One engine; `None` after it was stopped for good.
+pub(crate) struct Slot {
+    address: SocketAddr,
+    pub(crate) engine: Engine,
+    server: Option<Server>,
+    /// Engines that ran here before.
+    pub(crate) past: Vec<Engine>,
+}
+
+pub(crate) struct Host {
+    pub(crate) link: SocketAddr,
+    pub(crate) child: Child,
+}
+
+pub(crate) struct Cluster {
+    platform_server: Server,
+    pub(crate) engines: Arc<Mutex<Vec<Slot>>>,
+    document: Arc<Document>,
+    folder: PathBuf,
+    pub(crate) hosts: Vec<Host>,
+    claim_ms: u64,
+}
+
+/// Settings of a cluster.
+pub(crate) struct Shape {
+    pub(crate) engines: usize,
+    pub(crate) hosts: usize,
+    pub(crate) lot_items: u32,
+    pub(crate) claim_ms: u64,
+    pub(crate) faults: Faults,
+    pub(crate) step_base_us: u64,
+}
+
+impl Default for Shape {
+    fn default() -> Self {
+        Self {
+            engines: 3,
+            hosts: 2,
+            lot_items: 10,
+            claim_ms: 2_000,
+            faults: Faults::default(),
+            step_base_us: 5_000,
+        }
+    }
+}
+
+impl Cluster {
+    pub(crate) async fn start(shape: Shape) -> Self {
+        let options = platform::Options::default();
+        let platform_server = Server::start(|l| platform::serve(l, options)).await.unwrap();
+        let mut engines = Vec::new();
+        for _ in 0..shape.engines {
+            engines.push(Slot::start(&shape).await);
+        }
+        let number = CLUSTERS.fetch_add(1, Ordering::SeqCst);
+        let folder = format!("oleander-batch-{}-{number}", std::process::id());
+        let folder = std::env::temp_dir().join(folder);
+        fs::create_dir_all(&folder).unwrap();
+        let text = document(&engines, shape.lot_items);
+        let document = Arc::new(Document::from_json(text.as_bytes()).unwrap());
+        let mut cluster = Self {
+            platform_server,
+            engines: Arc::new(Mutex::new(engines)),
+            document,
+            folder,
+            hosts: Vec::new(),
+            claim_ms: shape.claim_ms,
+        };
+        let created = cluster.client().create("config/document", Bytes::from(text)).await;
+        assert!(matches!(created, Ok(Created::New(_))));
+        for number in 0..shape.hosts {
+            cluster.start_host(number).await;
+        }
+        cluster
+    }
+
+    pub(crate) fn client(&self) -> HttpPlatform {
+        HttpPlatform::new(&self.platform_server.address().to_string())
+    }
+
+    pub(crate) async fn start_host(&mut self, number: usize) {
+        let (listen, link, admin) = (free_address(), free_address(), free_address());
+        let name = format!("batch-{number}");
+        let path = |file: &str| self.folder.join(file);
+        fs::write(path("link.key"), LINK_SECRET).unwrap();
+        fs::write(path("operator.key"), OPERATOR_KEY).unwrap();
+        let settings = json!({
+            "host": name, "zone": "junin", "role": "batch",
+            "listen": listen, "link": link, "admin": admin,
+            "platform": self.platform_server.address(),
+            "link_key_file": path("link.key"), "operator_key_file": path("operator.key"),
+            "log": {"file": path(&format!("{name}.log")), "level": "debug"},
+            "batch": {"claim_ms": self.claim_ms},
+        });
+        let file = path(&format!("{name}.json"));
+        fs::write(&file, settings.to_string()).unwrap();
+        let host = json!({"name": name, "role": "batch", "zone": "junin",
+            "address": link, "state": "live"});
+        self.put(&format!("/v1/hosts/{name}"), host).await;
+        let mut command = Command::new(env!("CARGO_BIN_EXE_oleander-batch"));
+        let child = command.arg("--config").arg(file).spawn().unwrap();
+        self.hosts.push(Host { link, child });
+    }
+
+    /// Takes a host off the platform's list.
+    pub(crate) async fn remove_host(&self, number: usize) {
+        self.set(Method::DELETE, &format!("/v1/hosts/batch-{number}"), Value::Null).await;
+    }
+
+    async fn put(&self, path: &str, body: Value) {
+        self.set(Method::PUT, path, body).await;
+    }
+
+    async fn set(&self, method: Method, path: &str, body: Value) {
+        let client = Client::builder(TokioExecutor::new()).build_http::<Full<Bytes>>();
+        let uri = format!("http://{}{path}", self.platform_server.address());
+        let request = Request::builder().method(method).uri(uri);
+        let request = request.header("content-type", "application/json");
+        let request = request.body(Full::new(Bytes::from(body.to_string()))).unwrap();
+        assert!(client.request(request).await.unwrap().status().is_success());
+    }
+
+    fn intake(&self) -> Router {
+        let document = Arc::clone(&self.document);
+        let workspace = self.document.workspaces[0].clone();
+        oleander_intake::router(self.client(), move || Some(Arc::clone(&document)))
+            .layer(Extension(workspace))
+    }
+
+    async fn call(&self, method: Method, path: &str, body: String) -> (StatusCode, Bytes) {
+        let request = Request::builder().method(method).uri(path).body(Body::from(body)).unwrap();
+        let response = self.intake().oneshot(request).await.unwrap();
+        let status = response.status();
+        (status, to_bytes(response.into_body(), MAX_BODY).await.unwrap())
+    }
+
+    async fn json(&self, method: Method, path: &str, body: String) -> Value {
+        let (status, bytes) = self.call(method, path, body).await;
+        assert_eq!(status, StatusCode::OK, "{path}: {bytes:?}");
+        serde_json::from_slice(&bytes).unwrap()
+    }
+
+    /// Submits one item for each text and returns the job's id.
+    pub(crate) async fn submit(&self, items: &BTreeMap<String, Value>) -> String {
+        let lines: String = items
+            .iter()
+            .map(|(name, body)| {
+                let line = json!({"custom_id": name, "method": "POST",
+                    "url": "/v1/chat/completions", "body": body});
+                format!("{line}\n")
+            })
+            .collect();
+        let file = self.json(Method::POST, "/v1/files", lines).await;
+        let body = json!({"input_file_id": file["id"], "endpoint": "/v1/chat/completions",
+            "completion_window": "1h"});
+        let job = self.json(Method::POST, "/v1/batches", body.to_string()).await;
+        job["id"].as_str().unwrap().to_owned()
+    }
+
+    pub(crate) async fn job(&self, job: &str) -> Value {
+        self.json(Method::GET, &format!("/v1/batches/{job}"), String::new()).await
+    }
+
+    pub(crate) async fn cancel(&self, job: &str) -> Value {
+        self.json(Method::POST, &format!("/v1/batches/{job}/cancel"), String::new()).await
+    }
+
+    /// Waits until the job's status is `status`.
+    pub(crate) async fn wait_for(&self, job: &str, status: &str, limit: Duration) -> Value {
+        let waited = time::timeout(limit, async {
+            loop {
+                let found = self.job(job).await;
+                if found["status"] == status {
+                    return found;
+                }
+                time::sleep(POLL).await;
+            }
+        });
+        match waited.await {
+            Ok(job) => job,
+            Err(_) => panic!("job did not become {status}: {}", self.job(job).await),
+        }
+    }
+
+    /// Waits until engines have started so many runs.
+    pub(crate) async fn wait_for_runs(&self, count: usize, limit: Duration) {
+        let waited = time::timeout(limit, async {
+            while self.runs().await.len() < count {
+                time::sleep(POLL).await;
+            }
+        });
+        assert!(waited.await.is_ok(), "{count} runs did not start");
+    }
+
+    /// Times of all requests that engines received, in microseconds.
+    pub(crate) async fn runs(&self) -> Vec<u64> {
+        let engines = self.engines.lock().await;
+        let all = engines.iter().flat_map(|slot| slot.past.iter().chain([&slot.engine]));
+        let records = all.flat_map(|engine| engine.records().list(&Default::default()).records);
+        let received = records.filter(|r| r.event == standin::record::RecordEvent::Received);
+        received.map(|record| record.at_us).collect()
+    }
+
+    /// The job's output by `custom_id`; each may stand once.
+    pub(crate) async fn output(&self, job: &str) -> BTreeMap<String, Value> {
+        let found = self.job(job).await;
+        let Some(file) = found["output_file_id"].as_str() else { return BTreeMap::new() };
+        let path = format!("/v1/files/{file}/content");
+        let (status, content) = self.call(Method::GET, &path, String::new()).await;
+        assert_eq!(status, StatusCode::OK);
+        let mut rows = BTreeMap::new();
+        for line in std::str::from_utf8(&content).unwrap().lines() {
+            let row: Value = serde_json::from_str(line).unwrap();
+            let name = row["custom_id"].as_str().unwrap().to_owned();
+            assert!(rows.insert(name, row).is_none(), "an item ended twice: {line}");
+        }
+        rows
+    }
+
+    /// Restarts engines that die, until the cluster is dropped.
+    pub(crate) fn revive(&self, faults: Faults) {
+        let engines = Arc::downgrade(&self.engines);
+        tokio::spawn(async move {
+            while let Some(engines) = engines.upgrade() {
+                for slot in engines.lock().await.iter_mut() {
+                    slot.revive(&faults).await;
+                }
+                drop(engines);
+                time::sleep(POLL).await;
+            }
+        });
+    }
+
+    /// Stops an engine for good.
+    pub(crate) async fn stop_engine(&self, number: usize) {
+        let server = self.engines.lock().await[number].server.take();
+        server.unwrap().stop().await;
+    }
+}
+
+impl Drop for Cluster {
+    fn drop(&mut self) {
+        for host in &mut self.hosts {
+            // A process that has ended needs no kill.
+            let _ = host.child.kill();
+            let _ = host.child.wait();
+        }
+        if !std::thread::panicking() {
+            let _ = fs::remove_dir_all(&self.folder);
+        }
+    }
+}
+
+impl Slot {
+    async fn start(shape: &Shape) -> Self {
+        let engine = Engine::new(options(shape.step_base_us));
+        engine.set_faults(shape.faults.clone());
+        let served = engine.clone();
+        let server = Server::start(|listener| served.serve(listener)).await.unwrap();
+        Self { address: server.address(), engine, server: Some(server), past: Vec::new() }
+    }
+
+    async fn revive(&mut self, faults: &Faults) {
+        if !self.server.as_ref().is_some_and(Server::is_dead) {
+            return;
+        }
+        let engine = Engine::new(options(Shape::default().step_base_us));
+        engine.set_faults(faults.clone());
+        let served = engine.clone();
+        if let Ok(server) = Server::start_at(self.address, |l| served.serve(l)).await {
+            self.past.push(std::mem::replace(&mut self.engine, engine));
+            self.server = Some(server);
+        }
+    }
+}
+
+fn options(step_base_us: u64) -> Options {
+    Options { step_base_us, models: vec!["alarma-7b".to_owned()], ..Options::default() }
+}
+
+fn free_address() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+}
+
+fn document(engines: &[Slot], lot_items: u32) -> String {
+    let targets: Vec<Value> = engines
+        .iter()
+        .enumerate()
+        .map(|(i, slot)| json!({"name": format!("e{i}"), "zone": "junin", "address": slot.address}))
+        .collect();
+    json!({
+        "zones": ["junin"],
+        "services": [{"name": "alarma-llm", "kind": "engine", "model": "alarma-7b",
+            "targets": targets, "online": {"target_limit": 8, "reserve": 2},
+            "batch": {"lot_items": lot_items, "item_tries": 3, "checkpoint_ms": 200}}],
+        "workspaces": [{"name": "pampeanos", "key_digest": "a".repeat(64),
+            "services": ["alarma-llm"]}],
+    })
+    .to_string()
+}
+
+/// Bodies of `count` items by name.
+pub(crate) fn items(count: usize) -> BTreeMap<String, Value> {
+    (0..count).map(|i| (format!("shed-{i}"), body(&format!("summary of shed {i}")))).collect()
+}
+
+pub(crate) fn body(text: &str) -> Value {
+    json!({"model": "alarma-llm", "messages": [{"role": "user", "content": text}]})
+}
--- /dev/null
+++ b/crates/oleander-batch/tests/job.rs
@@ -0,0 +1,145 @@
+//! Whole jobs by separate batch processes, under faults of items, engines and hosts.
+
+#![allow(clippy::unwrap_used)]
+
+mod cluster;
+
+use std::{
+    collections::BTreeMap,
+    process::{Child, Command, ExitStatus},
+    time::Duration,
+};
+
+use cluster::{Cluster, LINK_SECRET, Shape, body, items};
+use oleander_host::clock;
+use oleander_link::{Link, LinkKey};
+use oleander_peer::{PeerAnswer, PeerRequest};
+use serde_json::Value;
+use standin::{answer::expected_text, engine::Faults, record::RecordEvent, record::unix_micros};
+use tokio::time;
+
+const LIMIT: Duration = Duration::from_secs(60);
+const EXIT_LIMIT: Duration = Duration::from_secs(10);
+const POISON: &str = "poison";
+
+fn assert_whole(items: &BTreeMap<String, Value>, output: &BTreeMap<String, Value>) {
+    assert!(output.keys().eq(items.keys()), "{:?}", output.keys());
+    for (name, body) in items {
+        let row = &output[name];
+        let text = &row["response"]["body"]["choices"][0]["message"]["content"];
+        assert_eq!(text.as_str(), Some(expected_text(body).as_str()), "{name}: {row}");
+    }
+}
+
+async fn wait_exit(child: &mut Child) -> ExitStatus {
+    let waited = time::timeout(EXIT_LIMIT, async {
+        loop {
+            if let Some(status) = child.try_wait().unwrap() {
+                return status;
+            }
+            time::sleep(Duration::from_millis(20)).await;
+        }
+    });
+    waited.await.expect("the process must exit in time")
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_job_with_a_poison_item_and_a_lost_engine_completes() {
+    let faults = Faults { die_on: POISON.to_owned(), ..Faults::default() };
+    let shape = Shape { engines: 4, faults: faults.clone(), ..Shape::default() };
+    let cluster = Cluster::start(shape).await;
+    cluster.revive(faults);
+    let mut items = items(49);
+    items.insert(POISON.to_owned(), body(POISON));
+    let job = cluster.submit(&items).await;
+    cluster.wait_for_runs(10, LIMIT).await;
+    cluster.stop_engine(0).await;
+    let found = cluster.wait_for(&job, "completed", LIMIT).await;
+    let mut output = cluster.output(&job).await;
+    let failed: Vec<&Value> = output.values().filter(|row| !row["error"].is_null()).collect();
+    assert_eq!(failed.len(), 1, "{failed:?}");
+    assert_eq!(found["request_counts"]["failed"], 1);
+    assert_eq!(found["request_counts"]["completed"], 49);
+    let poison = output.remove(POISON).unwrap();
+    let code = poison["error"]["code"].as_str().unwrap();
+    assert!(matches!(code, "target_lost" | "target_failed"), "{poison}");
+    items.remove(POISON);
+    assert_whole(&items, &output);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_killed_host_loses_and_doubles_no_item() {
+    let mut cluster = Cluster::start(Shape::default()).await;
+    let items = items(100);
+    let job = cluster.submit(&items).await;
+    cluster.wait_for_runs(20, LIMIT).await;
+    cluster.hosts[0].child.kill().unwrap();
+    cluster.wait_for(&job, "completed", LIMIT).await;
+    assert_whole(&items, &cluster.output(&job).await);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_leaving_host_gives_its_lots_back() {
+    let shape = Shape { claim_ms: 600_000, ..Shape::default() };
+    let mut cluster = Cluster::start(shape).await;
+    let items = items(100);
+    let job = cluster.submit(&items).await;
+    cluster.wait_for_runs(20, LIMIT).await;
+    let pid = cluster.hosts[0].child.id().to_string();
+    assert!(Command::new("kill").args(["-TERM", &pid]).status().unwrap().success());
+    assert!(wait_exit(&mut cluster.hosts[0].child).await.success());
+    // The platform's list shows that the host is gone.
+    cluster.remove_host(0).await;
+    cluster.wait_for(&job, "completed", LIMIT).await;
+    assert_whole(&items, &cluster.output(&job).await);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_cancelled_job_stops_and_stays_readable() {
+    let shape = Shape { step_base_us: 20_000, ..Shape::default() };
+    let cluster = Cluster::start(shape).await;
+    let items = items(400);
+    let job = cluster.submit(&items).await;
+    cluster.wait_for_runs(60, LIMIT).await;
+    assert_eq!(cluster.cancel(&job).await["status"], "cancelled");
+    let bound = unix_micros() + 4_000_000;
+    time::sleep(Duration::from_secs(6)).await;
+    let late = cluster.runs().await.into_iter().filter(|&at| at > bound).count();
+    assert_eq!(late, 0);
+    for slot in cluster.engines.lock().await.iter() {
+        let counts = slot.engine.records().counts();
+        let count = |event| counts.get(&event).copied().unwrap_or(0);
+        let ended = count(RecordEvent::Finished) + count(RecordEvent::Cancelled);
+        assert_eq!(count(RecordEvent::Received), ended, "{counts:?}");
+    }
+    let output = cluster.output(&job).await;
+    assert!(!output.is_empty() && output.len() < items.len(), "{}", output.len());
+    let done = items.into_iter().filter(|(name, _)| output.contains_key(name)).collect();
+    assert_whole(&done, &output);
+    assert_eq!(cluster.job(&job).await["status"], "cancelled");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn items_that_give_way_are_resumed_whole() {
+    let shape = Shape { hosts: 1, step_base_us: 20_000, ..Shape::default() };
+    let cluster = Cluster::start(shape).await;
+    let items = items(30);
+    let job = cluster.submit(&items).await;
+    cluster.wait_for_runs(10, LIMIT).await;
+    let key = LinkKey::from_secret(LINK_SECRET.as_bytes()).unwrap();
+    let link = Link::new("entry-1".parse().unwrap(), key, clock::now);
+    let peer = cluster.hosts[0].link.to_string();
+    for target in ["e0", "e1", "e2"] {
+        let request = PeerRequest::Yield(target.parse().unwrap(), 3);
+        let answer: PeerAnswer = link.call(&peer, &request, LIMIT).await.unwrap();
+        assert_eq!(answer, PeerAnswer::Done);
+        time::sleep(Duration::from_millis(300)).await;
+    }
+    cluster.wait_for(&job, "completed", LIMIT).await;
+    assert_whole(&items, &cluster.output(&job).await);
+    let engines = cluster.engines.lock().await;
+    let cancelled = |slot: &cluster::Slot| {
+        slot.engine.records().counts().get(&RecordEvent::Cancelled).copied().unwrap_or(0)
+    };
+    assert!(engines.iter().map(cancelled).sum::<u64>() >= 3);
+}
--- a/crates/oleander-jobs/src/board.rs
+++ b/crates/oleander-jobs/src/board.rs
@@ -113,6 +113,12 @@
         self.assign(now, &job.job);
     }
 
+    /// Whether nothing of the job is left to this host.
+    #[must_use]
+    pub fn is_idle(&self, job: &JobId) -> bool {
+        self.jobs.get(job).is_none_or(|e| e.waiting.is_empty() && e.active.is_empty())
+    }
+
     /// Drops a job that has ended.
     pub fn forget(&mut self, job: &JobId) {
         self.jobs.remove(job);
@@ -168,11 +174,18 @@
         }
     }
 
+    /// Whether a lot is known to be closed.
+    #[must_use]
+    pub fn is_closed(&self, job: &JobId, lot: LotIndex) -> bool {
+        self.jobs.get(job).is_none_or(|entry| entry.closed.contains(&lot))
+    }
+
     /// Marks a lot as closed by another host.
     pub fn closed(&mut self, job: &JobId, lot: LotIndex) {
         if let Some(entry) = self.jobs.get_mut(job) {
             entry.closed.insert(lot);
             entry.waiting.remove(&lot);
+            entry.active.remove(&lot);
         }
     }
 
--- a/crates/oleander-jobs/src/lot.rs
+++ b/crates/oleander-jobs/src/lot.rs
@@ -42,8 +42,8 @@
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Phase {
-    /// Reading the log; another host may hold the lot.
-    Watching { since: Time, next: u64 },
+    /// Reading the log; another host may hold the lot. The end of the log was first seen `since`.
+    Watching { since: Time, next: Option<u64> },
     /// The own claim is not committed yet.
     Claiming,
     /// This host runs the lot.
@@ -102,7 +102,7 @@
             attempt,
             config,
             first: range.first,
-            phase: Phase::Watching { since: now, next: 0 },
+            phase: Phase::Watching { since: now, next: None },
             holder: None,
             items: vec![Item::new(); range.count as usize],
             counts: Counts::default(),
@@ -121,6 +121,12 @@
         matches!(self.phase, Phase::Holding)
     }
 
+    /// Whether another host may hold the lot.
+    #[must_use]
+    pub const fn is_watching(&self) -> bool {
+        matches!(self.phase, Phase::Watching { .. })
+    }
+
     /// Whether nothing more is to be done here.
     #[must_use]
     pub const fn is_ended(&self) -> bool {
@@ -342,16 +348,18 @@
         }
     }
 
-    fn watch(&mut self, now: Time, since: Time, next: u64, actions: &mut Vec<LotAction>) {
+    /// Claims the lot if it is free or its holder stands still; leaves it to a holder that moves.
+    fn watch(&mut self, now: Time, since: Time, next: Option<u64>, actions: &mut Vec<LotAction>) {
         if !self.log.is_current() {
             return;
         }
-        if self.log.next() != next {
-            self.phase = Phase::Watching { since: now, next: self.log.next() };
-        }
-        let lapsed = self.log.next() == next && now.since(since) >= self.config.stale;
+        let current = self.log.next();
+        let (since, first) = next.map_or((now, current), |first| (since, first));
+        self.phase = Phase::Watching { since, next: Some(first) };
         let foreign = self.holder.as_ref().is_some_and(|holder| holder.runner != self.host);
-        if !foreign || lapsed {
+        if foreign && current != first {
+            self.finish(LotEnd::Released, actions);
+        } else if !foreign || now.since(since) >= self.config.stale {
             self.phase = Phase::Claiming;
             self.append(now, self.claim(), actions);
         } else if now.since(self.refreshed) >= self.config.checkpoint {
--- a/crates/oleander-jobs/src/lot/action.rs
+++ b/crates/oleander-jobs/src/lot/action.rs
@@ -7,6 +7,7 @@
 
 value! {
     /// Output that an item has so far.
+    #[derive(Default)]
     pub struct Partial {
         /// Text of the tokens.
         pub text: String,
