Run suspects of each target by one host only

Cause: two batch hosts ran suspects at one engine at the same time; the one that kills it put a strike on the other's innocent item as well, and their trials then went in step. One host by rendezvous hashing runs the suspects of a target; a host without a free target of its own takes any after 5 s. Ruled out: the counts that hosts exchange, since a run that kills its engine at once ends before any count shows it.

--- a/crates/oleander-batch/src/dispatch.rs
+++ b/crates/oleander-batch/src/dispatch.rs
@@ -2,6 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
+use oleander_core::{Span, TargetId};
 use oleander_host::clock;
 use oleander_jobs::LotEvent;
 use oleander_routing::{Observation, Pick};
@@ -11,6 +12,8 @@
 
 const DISPATCH_INTERVAL: Duration = Duration::from_millis(20);
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
+/// Time for which a suspect waits for a target of this host's own.
+const SUSPECT_PATIENCE: Span = Span::from_secs(5);
 const YIELD_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Starts the loops.
@@ -76,11 +79,37 @@
         let now = clock::now();
         (lot.ready_alone(now), lot.ready(now) > 0)
     };
-    (suspect && start_item(app, cell, true)) || (ready && start_item(app, cell, false))
+    if !suspect {
+        *cell.suspect_since.lock() = None;
+    }
+    (suspect && start_suspect(app, cell)) || (ready && start_item(app, cell, false, Vec::new()))
+}
+
+/// Starts a suspect alone, where this host runs suspects; elsewhere after some time in vain.
+fn start_suspect(app: &Arc<App>, cell: &Arc<LotCell>) -> bool {
+    let now = clock::now();
+    let since = *cell.suspect_since.lock().get_or_insert(now);
+    let foreign = if now.since(since) >= SUSPECT_PATIENCE {
+        Vec::new()
+    } else {
+        let targets = cell.pool.addresses().into_iter().map(|(target, _)| target);
+        let jobs = app.jobs.lock();
+        targets.filter(|target| !jobs.tries_suspects_at(target)).collect()
+    };
+    let started = start_item(app, cell, true, foreign);
+    if started {
+        *cell.suspect_since.lock() = None;
+    }
+    started
 }
 
-fn start_item(app: &Arc<App>, cell: &Arc<LotCell>, alone: bool) -> bool {
-    let mut exclude = app.runs.lock().reserved();
+fn start_item(
+    app: &Arc<App>,
+    cell: &Arc<LotCell>,
+    alone: bool,
+    mut exclude: Vec<TargetId>,
+) -> bool {
+    exclude.extend(app.runs.lock().reserved());
     loop {
         let pick = Pick::batch().exclude(exclude.clone());
         let pick = if alone { pick.alone() } else { pick };
--- a/crates/oleander-batch/src/jobs.rs
+++ b/crates/oleander-batch/src/jobs.rs
@@ -7,7 +7,7 @@
 };
 
 use bytes::Bytes;
-use oleander_core::{EventKind, HostId, JobId, LotIndex, ServiceId, Span, Time, hash};
+use oleander_core::{EventKind, HostId, JobId, LotIndex, ServiceId, Span, TargetId, Time, hash};
 use oleander_host::clock;
 use oleander_intake::StoreError;
 use oleander_jobs::{
@@ -68,6 +68,11 @@
         self.board.set_hosts(now, hosts);
     }
 
+    /// Whether this host runs suspects at the target.
+    pub(crate) fn tries_suspects_at(&self, target: &TargetId) -> bool {
+        self.board.tries_suspects_at(target)
+    }
+
     /// Takes in how a lot ended for this host.
     pub(crate) fn end(&mut self, now: Time, job: &JobId, lot: LotIndex, end: LotEnd) {
         self.board.end(now, job, lot, end);
@@ -232,6 +237,7 @@
         first: range.first.0,
         lines: lines(&chunk, range.offset, range.count),
         tag: tag[..TAG_DIGITS].to_owned(),
+        suspect_since: Mutex::new(None),
         lot: Mutex::new(Lot::new(host, claim, range, config, clock::now())),
     }))
 }
--- a/crates/oleander-batch/src/lots.rs
+++ b/crates/oleander-batch/src/lots.rs
@@ -6,7 +6,7 @@
 use std::{collections::HashMap, sync::Arc};
 
 use bytes::Bytes;
-use oleander_core::{EventKind, TargetId};
+use oleander_core::{EventKind, TargetId, Time};
 use oleander_host::clock;
 use oleander_jobs::{Lot, LotAction, LotEnd, LotEvent, LotRecord, key};
 use oleander_ledger::{LogEvent, Segment};
@@ -38,6 +38,8 @@
     pub(crate) lines: Vec<Bytes>,
     /// Tells the runs of this claim from others.
     pub(crate) tag: String,
+    /// Since when a suspect waits for a place.
+    pub(crate) suspect_since: Mutex<Option<Time>>,
     /// The state machine.
     pub(crate) lot: Mutex<Lot>,
 }
--- a/crates/oleander-jobs/src/board.rs
+++ b/crates/oleander-jobs/src/board.rs
@@ -7,7 +7,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use oleander_core::{HostId, JobId, LotIndex, ServiceId, Span, Time, hash, value};
+use oleander_core::{HostId, JobId, LotIndex, ServiceId, Span, TargetId, Time, hash, value};
 
 use crate::lot::LotEnd;
 
@@ -94,6 +94,16 @@
         hash::rendezvous(job.as_str(), hosts) == Some(self.host.as_str())
     }
 
+    /// Whether this host runs suspects at the target.
+    ///
+    /// One host does so at each target, so that a suspect of another host that kills the target
+    /// puts no blame on this host's.
+    #[must_use]
+    pub fn tries_suspects_at(&self, target: &TargetId) -> bool {
+        let hosts = self.hosts.iter().map(HostId::as_str);
+        hash::rendezvous(target.as_str(), hosts) == Some(self.host.as_str())
+    }
+
     /// Takes in an open job.
     pub fn learn(&mut self, now: Time, job: BoardJob) {
         if self.jobs.contains_key(&job.job) {
--- a/crates/oleander-jobs/tests/board.rs
+++ b/crates/oleander-jobs/tests/board.rs
@@ -86,3 +86,17 @@
     assert_eq!(board.pick(START + STALE, |_| true), Some(taken[1].clone()));
     assert_eq!(board.pick(START + STALE, |_| true), None);
 }
+
+#[test]
+fn one_host_runs_suspects_at_each_target() {
+    let hosts: Vec<HostId> = (0..5).map(host).collect();
+    for number in 0..40 {
+        let target = format!("e{number}").parse().unwrap();
+        let count = hosts.iter().filter(|host| {
+            let mut board = JobBoard::new((*host).clone(), STALE);
+            board.set_hosts(START, hosts.clone());
+            board.tries_suspects_at(&target)
+        });
+        assert_eq!(count.count(), 1);
+    }
+}
