--- a/crates/oleander-batch/tests/cluster/mod.rs
+++ b/crates/oleander-batch/tests/cluster/mod.rs
@@ -26,7 +26,7 @@
 use serde_json::{Value, json};
 use standin::{
     engine::{Engine, Faults, Options},
-    platform,
+    platform::{self, Platform},
     server::Server,
 };
 use tokio::{sync::Mutex, time};
@@ -54,6 +54,7 @@
 }
 
 pub(crate) struct Cluster {
+    pub(crate) platform: Platform,
     platform_server: Server,
     pub(crate) engines: Arc<Mutex<Vec<Slot>>>,
     document: Arc<Document>,
@@ -87,8 +88,9 @@
 
 impl Cluster {
     pub(crate) async fn start(shape: Shape) -> Self {
-        let options = platform::Options::default();
-        let platform_server = Server::start(|l| platform::serve(l, options)).await.unwrap();
+        let platform = Platform::new(platform::Options::default());
+        let served = platform.clone();
+        let platform_server = Server::start(|listener| served.serve(listener)).await.unwrap();
         let mut engines = Vec::new();
         for _ in 0..shape.engines {
             engines.push(Slot::start(&shape).await);
@@ -100,6 +102,7 @@
         let text = document(&engines, shape.lot_items);
         let document = Arc::new(Document::from_json(text.as_bytes()).unwrap());
         let mut cluster = Self {
+            platform,
             platform_server,
             engines: Arc::new(Mutex::new(engines)),
             document,
--- a/crates/oleander-batch/tests/job.rs
+++ b/crates/oleander-batch/tests/job.rs
@@ -15,7 +15,12 @@
 use oleander_link::{Link, LinkKey};
 use oleander_peer::{PeerAnswer, PeerRequest};
 use serde_json::Value;
-use standin::{answer::expected_text, engine::Faults, record::RecordEvent, record::unix_micros};
+use standin::{
+    answer::expected_text,
+    engine::Faults,
+    platform,
+    record::{RecordEvent, unix_micros},
+};
 use tokio::time;
 
 const LIMIT: Duration = Duration::from_secs(60);
@@ -31,6 +36,10 @@
     }
 }
 
+fn signal(kind: &str, pid: &str) {
+    assert!(Command::new("kill").args([kind, pid]).status().unwrap().success());
+}
+
 async fn wait_exit(child: &mut Child) -> ExitStatus {
     let waited = time::timeout(EXIT_LIMIT, async {
         loop {
@@ -78,6 +87,34 @@
     assert_whole(&items, &cluster.output(&job).await);
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_outage_and_lost_answers_lose_and_double_no_item() {
+    let cluster = Cluster::start(Shape::default()).await;
+    let items = items(100);
+    let job = cluster.submit(&items).await;
+    cluster.wait_for_runs(20, LIMIT).await;
+    cluster.platform.set_faults(platform::Faults { down: true, ..Default::default() });
+    time::sleep(Duration::from_secs(3)).await;
+    cluster.platform.set_faults(platform::Faults { lose_answers: 6, ..Default::default() });
+    cluster.wait_for(&job, "completed", LIMIT).await;
+    assert_whole(&items, &cluster.output(&job).await);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_paused_host_doubles_no_item() {
+    let shape = Shape { claim_ms: 1_000, step_base_us: 20_000, ..Shape::default() };
+    let cluster = Cluster::start(shape).await;
+    let items = items(100);
+    let job = cluster.submit(&items).await;
+    cluster.wait_for_runs(20, LIMIT).await;
+    let pid = cluster.hosts[0].child.id().to_string();
+    signal("-STOP", &pid);
+    time::sleep(Duration::from_secs(4)).await;
+    signal("-CONT", &pid);
+    cluster.wait_for(&job, "completed", LIMIT).await;
+    assert_whole(&items, &cluster.output(&job).await);
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_leaving_host_gives_its_lots_back() {
     let shape = Shape { claim_ms: 600_000, ..Shape::default() };
@@ -86,7 +123,7 @@
     let job = cluster.submit(&items).await;
     cluster.wait_for_runs(20, LIMIT).await;
     let pid = cluster.hosts[0].child.id().to_string();
-    assert!(Command::new("kill").args(["-TERM", &pid]).status().unwrap().success());
+    signal("-TERM", &pid);
     assert!(wait_exit(&mut cluster.hosts[0].child).await.success());
     // The platform's list shows that the host is gone.
     cluster.remove_host(0).await;
