--- a/crates/oleander-jobs/src/board.rs
+++ b/crates/oleander-jobs/src/board.rs
@@ -7,7 +7,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use oleander_core::{HostId, JobId, LotIndex, ServiceId, Span, Time, hash, value};
+use oleander_core::{HostId, JobId, LotIndex, ServiceId, Span, TargetId, Time, hash, value};
 
 use crate::lot::LotEnd;
 
@@ -94,6 +94,16 @@
         hash::rendezvous(job.as_str(), hosts) == Some(self.host.as_str())
     }
 
+    /// Whether this host runs suspects at the target.
+    ///
+    /// One host does so at each target, so that a suspect of another host that kills the target
+    /// puts no blame on this host's.
+    #[must_use]
+    pub fn tries_suspects_at(&self, target: &TargetId) -> bool {
+        let hosts = self.hosts.iter().map(HostId::as_str);
+        hash::rendezvous(target.as_str(), hosts) == Some(self.host.as_str())
+    }
+
     /// Takes in an open job.
     pub fn learn(&mut self, now: Time, job: BoardJob) {
         if self.jobs.contains_key(&job.job) {
@@ -113,6 +123,12 @@
         self.assign(now, &job.job);
     }
 
+    /// Whether nothing of the job is left to this host.
+    #[must_use]
+    pub fn is_idle(&self, job: &JobId) -> bool {
+        self.jobs.get(job).is_none_or(|e| e.waiting.is_empty() && e.active.is_empty())
+    }
+
     /// Drops a job that has ended.
     pub fn forget(&mut self, job: &JobId) {
         self.jobs.remove(job);
@@ -168,11 +184,18 @@
         }
     }
 
+    /// Whether a lot is known to be closed.
+    #[must_use]
+    pub fn is_closed(&self, job: &JobId, lot: LotIndex) -> bool {
+        self.jobs.get(job).is_none_or(|entry| entry.closed.contains(&lot))
+    }
+
     /// Marks a lot as closed by another host.
     pub fn closed(&mut self, job: &JobId, lot: LotIndex) {
         if let Some(entry) = self.jobs.get_mut(job) {
             entry.closed.insert(lot);
             entry.waiting.remove(&lot);
+            entry.active.remove(&lot);
         }
     }
 
