Cancel batch only when the reserve is nearly used, and keep cut-off hosts to their parts

Cancelled items: every online request that came cost a cancelled item whose prompt was read again elsewhere, about 50 a second. Batch still starts only beyond the reserve, and now goes on using a part of it (the yield band) until online needs more.

Cut-off hosts: once the counts of its peers were too old, each batch host took all room for itself: p99 13.8 s and 14.9 s.

Low limits: a host without work at a target had no samples, so that a lowered limit stayed low for good; it now recovers with time.

Tried and reverted: preferring targets where no batch has to make room.

--- a/crates/oleander-routing/src/config.rs
+++ b/crates/oleander-routing/src/config.rs
@@ -34,6 +34,7 @@
     pub(crate) peer_keep: Span,
     pub(crate) report_keep: Span,
     pub(crate) yield_grace: Span,
+    pub(crate) yield_band: u32,
     pub(crate) zone_cost: u32,
     pub(crate) affinity_slack: u32,
 }
@@ -49,6 +50,8 @@
     pub const REPORT_KEEP: Span = Span::from_secs(15);
     /// Time within which a peer's counts show what it was asked to cancel.
     pub const YIELD_GRACE: Span = Span::from_millis(500);
+    /// Part of the reserve that batch may go on using, in percent.
+    pub const YIELD_BAND: u32 = 70;
     /// Cost of another data centre, in per mille of a target's limit.
     pub const ZONE_COST: u32 = 30;
     /// Extra load for which a cached prefix makes up, in per mille of a target's limit.
@@ -68,6 +71,7 @@
             peer_keep: Self::PEER_KEEP,
             report_keep: Self::REPORT_KEEP,
             yield_grace: Self::YIELD_GRACE,
+            yield_band: Self::YIELD_BAND,
             zone_cost: Self::ZONE_COST,
             affinity_slack: Self::AFFINITY_SLACK,
         }
@@ -129,6 +133,16 @@
         self
     }
 
+    /// Sets the part of the reserve that batch may go on using when online takes slots.
+    ///
+    /// Batch never starts in the reserve. With a band of 0 percent an item is cancelled for each
+    /// slot that online takes; with 100 percent only when the whole reserve is in use.
+    #[must_use]
+    pub const fn yield_band(mut self, percent: u32) -> Self {
+        self.yield_band = if percent > 100 { 100 } else { percent };
+        self
+    }
+
     /// Sets the cost of another data centre, in per mille of a target's limit.
     #[must_use]
     pub const fn zone_cost(mut self, cost: u32) -> Self {
--- a/crates/oleander-routing/src/limit.rs
+++ b/crates/oleander-routing/src/limit.rs
@@ -2,7 +2,8 @@
 //!
 //! Samples are judged in windows: the goals are meant for 95 in 100, so a window in which more
 //! than [`LATE_SHARE`] of the samples are late lowers the limit by a factor, and one with fewer
-//! raises it by one slot. The limit stays between the floor and the configured limit.
+//! raises it by one slot. Without enough samples the limit recovers as slowly, because a host whose
+//! work went elsewhere would keep it low for good. The limit stays between the floor and the configured limit.
 
 use oleander_core::{Span, Time};
 
@@ -87,6 +88,7 @@
     configured: u32,
     current: u32,
     opened: Time,
+    judged: Time,
     samples: u32,
     late: u32,
 }
@@ -95,7 +97,15 @@
     /// A controller that starts at the configured limit.
     #[must_use]
     pub const fn new(config: LimitConfig, configured: u32) -> Self {
-        Self { config, configured, current: configured, opened: Time(0), samples: 0, late: 0 }
+        Self {
+            config,
+            configured,
+            current: configured,
+            opened: Time(0),
+            judged: Time(0),
+            samples: 0,
+            late: 0,
+        }
     }
 
     /// The limit in force.
@@ -129,15 +139,27 @@
         self.late += u32::from(late);
         let over = now.since(self.opened) >= self.config.window && self.samples >= LEAST_SAMPLES;
         if over || self.samples >= FULL_WINDOW {
-            self.judge();
+            self.judge(now);
         }
     }
 
-    fn judge(&mut self) {
-        let raised = self.current.saturating_add(1).min(self.configured);
+    /// Raises the limit by a slot if there were too few samples to judge it for two windows.
+    pub fn recover(&mut self, now: Time) {
+        if now.since(self.judged) >= self.config.window * 2 {
+            self.judged = now;
+            self.current = self.raised();
+        }
+    }
+
+    fn raised(&self) -> u32 {
+        self.current.saturating_add(1).min(self.configured)
+    }
+
+    fn judge(&mut self, now: Time) {
         let lowered = (u64::from(self.current) * u64::from(DECREASE) / 1_000) as u32;
         let slow = self.late * LATE_SHARE > self.samples;
-        self.current = if slow { lowered.max(self.floor()) } else { raised };
+        self.current = if slow { lowered.max(self.floor()) } else { self.raised() };
+        self.judged = now;
         self.samples = 0;
         self.late = 0;
     }
--- a/crates/oleander-routing/src/router.rs
+++ b/crates/oleander-routing/src/router.rs
@@ -11,7 +11,7 @@
 
 use std::collections::HashMap;
 
-use oleander_core::{HostId, TargetId, Time};
+use oleander_core::{HostId, Span, TargetId, Time};
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 
@@ -31,6 +31,9 @@
     target::{Target, TargetState, TargetStatus},
 };
 
+/// Time between two looks at limits without samples.
+const RECOVER_EVERY: Span = Span::from_millis(500);
+
 /// Decides which target gets which request.
 ///
 /// # Examples
@@ -69,6 +72,7 @@
     prefixes: PrefixIndex,
     peers: Peers,
     shared_at: Time,
+    recovered_at: Time,
     batch_began: Option<Time>,
     batch_last: Option<Time>,
     latest: Time,
@@ -92,6 +96,7 @@
             prefixes: PrefixIndex::default(),
             peers: Peers::default(),
             shared_at: Time(0),
+            recovered_at: Time(0),
             batch_began: None,
             batch_last: None,
             latest: Time(0),
@@ -252,6 +257,15 @@
             self.sum_peers(now);
         }
         self.share_when_due(now);
+        self.recover_limits(now);
+    }
+
+    fn recover_limits(&mut self, now: Time) {
+        if now.since(self.recovered_at) < RECOVER_EVERY {
+            return;
+        }
+        self.recovered_at = now;
+        self.backends.iter_mut().for_each(|backend| backend.limit.recover(now));
     }
 
     /// Works out the peers' sums at each target again.
--- a/crates/oleander-routing/src/router/admit.rs
+++ b/crates/oleander-routing/src/router/admit.rs
@@ -97,7 +97,7 @@
             return 0;
         }
         let backend = &self.backends[index];
-        let room = self.batch_room(now, backend).saturating_sub(1);
+        let room = self.batch_bound(now, backend).saturating_sub(1);
         backend.unasked_batch(now, &self.config).saturating_sub(room)
     }
 
--- a/crates/oleander-routing/src/router/peers.rs
+++ b/crates/oleander-routing/src/router/peers.rs
@@ -37,6 +37,8 @@
     last_batch: Option<Time>,
     sent_at: Time,
     received_at: Time,
+    /// Its counts became too old; it may still be there.
+    silent: bool,
 }
 
 impl Peer {
@@ -92,6 +94,7 @@
             last_batch: batch.or_else(|| known.and_then(|known| known.last_batch)),
             sent_at,
             received_at: now,
+            silent: false,
         };
         match self.peers.insert(peer.clone(), message) {
             Some(_) => Update::Known,
@@ -99,16 +102,27 @@
         }
     }
 
-    /// Drops messages older than `keep`; returns whether there were any.
+    /// Drops counts older than `keep`; returns whether there were any.
+    ///
+    /// A silent peer may be cut off and still at work, so it keeps its part of the slots for a
+    /// while.
     pub(super) fn expire(&mut self, now: Time, keep: Span) -> bool {
-        let before = self.peers.len();
-        self.peers.retain(|_, peer| now.since(peer.received_at) < keep);
-        self.peers.len() != before
+        let mut changed = false;
+        for peer in self.peers.values_mut().filter(|peer| !peer.silent) {
+            peer.silent = now.since(peer.received_at) >= keep;
+            if peer.silent {
+                peer.counts.clear();
+                changed = true;
+            }
+        }
+        self.peers.retain(|_, peer| now.since(peer.received_at) < MEMORY);
+        changed
     }
 
     /// The time at which the next message becomes too old.
     pub(super) fn next_expiry(&self, keep: Span) -> Option<Time> {
-        self.peers.values().map(|peer| peer.received_at + keep).min()
+        let heard = self.peers.values().filter(|peer| !peer.silent);
+        heard.map(|peer| peer.received_at + keep).min()
     }
 
     /// Sum of the counts at one target.
@@ -145,8 +159,13 @@
         self.peers.values().any(|peer| peer.runs(now, class))
     }
 
+    /// Whether the counts of any peer are too old.
+    pub(super) fn any_silent(&self) -> bool {
+        self.peers.values().any(|peer| peer.silent)
+    }
+
     /// Whether every peer has been heard after `since`.
     pub(super) fn all_since(&self, since: Time) -> bool {
-        self.peers.values().all(|peer| peer.received_at > since)
+        self.peers.values().all(|peer| peer.silent || peer.received_at > since)
     }
 }
--- a/crates/oleander-routing/src/router/room.rs
+++ b/crates/oleander-routing/src/router/room.rs
@@ -37,15 +37,33 @@
         }
     }
 
-    /// Batch items that fit next to the online requests and the reserve.
+    /// Batch items that fit next to the online requests and the whole reserve.
+    ///
+    /// Batch is started up to here.
     pub(super) fn batch_room(&self, now: Time, backend: &Backend) -> u32 {
-        let unknown = backend.unknown(now, &self.config);
-        let online = backend.online_total() + unknown;
-        let reserve = match self.config.policy {
+        self.slots_left(now, backend, self.reserve(backend))
+    }
+
+    /// Batch items that may stay next to the online requests.
+    ///
+    /// Lies above [`Router::batch_room`] by a band, so that a single online request that comes
+    /// and goes costs no cancelled item.
+    pub(super) fn batch_bound(&self, now: Time, backend: &Backend) -> u32 {
+        let reserve = self.reserve(backend);
+        let band = reserve * self.config.yield_band / 100;
+        self.slots_left(now, backend, reserve.saturating_sub(band))
+    }
+
+    fn reserve(&self, backend: &Backend) -> u32 {
+        match self.config.policy {
             Policy::Managed => backend.target.reserve,
             Policy::FirstCome | Policy::Split { .. } | Policy::OnlineOnly => 0,
-        };
-        backend.limit.current().saturating_sub(reserve).saturating_sub(online)
+        }
+    }
+
+    fn slots_left(&self, now: Time, backend: &Backend, kept: u32) -> u32 {
+        let online = backend.online_total() + backend.unknown(now, &self.config);
+        backend.limit.current().saturating_sub(kept).saturating_sub(online)
     }
 
     /// Batch items that this host may start at the target now.
@@ -122,7 +140,8 @@
     ///
     /// All hosts that run the class are raised to one level, so that hosts that fill up at the
     /// same moment fit beside each other. Slots that were free already at the last division are
-    /// not wanted by the hosts below the level; half of them is divided among all.
+    /// not wanted by the hosts below the level; half of them is divided among all, unless a host
+    /// is silent, whose use isn't known.
     fn share(&self, now: Time, class: Class, backend: &Backend, room: u32) -> Share {
         let own = backend.own_of(class);
         let others = self.sharers(now, class, backend);
@@ -134,7 +153,8 @@
         let extra =
             u32::from(own <= level && self.rank(backend, below) < room.saturating_sub(used));
         let free = room.saturating_sub(counts.iter().sum());
-        let unwanted = free.min(backend.free[class as usize]);
+        let all_heard = !self.peers.any_silent();
+        let unwanted = if all_heard { free.min(backend.free[class as usize]) } else { 0 };
         let rank = self.rank(backend, others.iter().map(|(host, _)| *host));
         let lent = unwanted.div_ceil(LENT_PART);
         let cap = own.max(level + extra) + fair_part(lent, rank, counts.len() as u32);
@@ -183,7 +203,7 @@
     }
 
     fn excess_at(&self, now: Time, backend: &Backend) -> u32 {
-        let room = self.batch_room(now, backend);
+        let room = self.batch_bound(now, backend);
         if backend.batch == 0 || backend.batch_total() <= room {
             return 0;
         }
--- a/crates/oleander-routing/tests/budgets.rs
+++ b/crates/oleander-routing/tests/budgets.rs
@@ -186,6 +186,17 @@
     assert_eq!(&states[1..], &[EjectState::In; 3]);
 }
 
+#[test]
+fn a_lowered_limit_recovers_without_samples() {
+    let config = LimitConfig::new().first_token(Span::from_millis(100));
+    let mut limit = LimitController::new(config, 40);
+    (0..400).for_each(|tick| limit.first_token(millis(tick * 50), Span::from_millis(300)));
+    let lowered = limit.current();
+    (0..120).for_each(|tick| limit.recover(millis(20_000 + tick * 1_000)));
+    assert!(lowered < 10, "{lowered} after 20 s of late answers");
+    assert_eq!(limit.current(), 40, "after two minutes without samples");
+}
+
 #[test]
 fn the_limit_falls_under_late_answers_and_recovers() {
     let config = LimitConfig::new().first_token(Span::from_millis(100));
