--- a/crates/oleander-orders/tests/world/mod.rs
+++ b/crates/oleander-orders/tests/world/mod.rs
@@ -159,7 +159,7 @@
     }
 
     fn disturb(&mut self, faults: Faults) {
-        if self.one_in(100) {
+        if self.one_in(60) {
             self.change_document();
         }
         if self.one_in(60) {
@@ -219,6 +219,10 @@
     fn feed(&mut self, index: usize, event: OrderEvent) {
         for action in self.hosts[index].orderer.handle(self.now, event) {
             let at = self.within(LATENCY);
+            let order = matches!(action, OrderAction::Order { .. });
+            if order && self.faults.is_some() && self.one_in(6) {
+                self.hosts[index].paused_until = self.within(LONGEST_PAUSE);
+            }
             self.pending.push(Pending { host: index, at, stage: Stage::Send(action) });
         }
     }
@@ -241,7 +245,8 @@
 
     fn send(&mut self, host: usize, action: OrderAction) {
         let mut span = LATENCY;
-        let mut lost = self.faults.is_some() && self.one_in(10);
+        let rate = if matches!(action, OrderAction::Order { .. }) { 3 } else { 10 };
+        let mut lost = self.faults.is_some() && self.one_in(rate);
         if let OrderAction::Order { ticket, not_after, .. } = &action {
             if self.now > *not_after {
                 let event = OrderEvent::Ordered(ticket.clone(), Ordered::Expired);
