Check histories of concurrent calls under seeded faults

Callers of mixed calls resend through other entries while faults befall processes, the platform and the targets, alone and in pairs; a checker compares each answer and read with the promises and the targets' own records.

--- a/crates/oleander-check/src/deployment.rs
+++ b/crates/oleander-check/src/deployment.rs
@@ -36,8 +36,17 @@
     batches: usize,
     engines: usize,
     engine_args: Vec<String>,
+    service_args: Vec<String>,
     entry: Value,
     batch: Value,
+    platform: Option<PlatformAddresses>,
+}
+
+/// Where the platform stand-in listens, and where the hosts reach it.
+#[derive(Debug, Clone)]
+struct PlatformAddresses {
+    listen: String,
+    seen: String,
 }
 
 impl Default for Shape {
@@ -56,8 +65,10 @@
             batches: 0,
             engines: 3,
             engine_args: args.map(str::to_owned).to_vec(),
+            service_args: Vec::new(),
             entry: json!({"keep_addresses_ms": 1000, "shards": 4}),
             batch: json!({}),
+            platform: None,
         }
     }
 
@@ -81,6 +92,42 @@
         self.engines = engines;
         self
     }
+
+    /// Sets the options of the engine stand-ins.
+    #[must_use]
+    pub fn engine_args(mut self, args: &[&str]) -> Self {
+        self.engine_args = args.iter().map(|&arg| arg.to_owned()).collect();
+        self
+    }
+
+    /// Sets the options of the plain service stand-in.
+    #[must_use]
+    pub fn service_args(mut self, args: &[&str]) -> Self {
+        self.service_args = args.iter().map(|&arg| arg.to_owned()).collect();
+        self
+    }
+
+    /// Sets the `entry` section of the entries' settings.
+    #[must_use]
+    pub fn entry_settings(mut self, entry: Value) -> Self {
+        self.entry = entry;
+        self
+    }
+
+    /// Sets the `batch` section of the batch runners' settings.
+    #[must_use]
+    pub fn batch_settings(mut self, batch: Value) -> Self {
+        self.batch = batch;
+        self
+    }
+
+    /// Lets the platform stand-in listen at one address while the hosts are told another.
+    #[must_use]
+    pub fn platform_behind(mut self, listen: &str, seen: &str) -> Self {
+        self.platform =
+            Some(PlatformAddresses { listen: listen.to_owned(), seen: seen.to_owned() });
+        self
+    }
 }
 
 /// A running deployment; all its processes are killed when it is dropped.
@@ -89,6 +136,7 @@
     folder: PathBuf,
     client: Client,
     platform_address: String,
+    platform_seen: String,
     service_address: String,
     engine_addresses: Vec<String>,
     entry_addresses: Vec<String>,
@@ -118,7 +166,9 @@
     }
 }
 
-fn free_address() -> String {
+/// A free loopback address.
+#[must_use]
+pub fn free_address() -> String {
     format!("127.0.0.1:{}", free_port())
 }
 
@@ -139,13 +189,17 @@
         fs::write(folder.join("link.key"), "check-link-key-of-at-least-32-bytes!").expect("a file");
         fs::write(folder.join("operator.key"), OPERATOR_KEY).expect("a file");
         let (platform_address, service_address) = (free_address(), free_address());
+        let behind = shape.platform.as_ref();
+        let platform_address = behind.map_or(platform_address, |a| a.listen.clone());
+        let platform_seen = behind.map_or(platform_address.clone(), |a| a.seen.clone());
         let stand_in = |name: &str, log: &str, address: &str, extra: &[String]| {
             let mut args = vec!["--listen".to_owned(), address.to_owned()];
             args.extend_from_slice(extra);
             Process::start(name, &args, &folder.join(log))
         };
         let platform = stand_in("standin-platform", "platform.log", &platform_address, &[]);
-        let service = stand_in("standin-service", "service.log", &service_address, &[]);
+        let service =
+            stand_in("standin-service", "service.log", &service_address, &shape.service_args);
         let engine_addresses: Vec<String> = (0..shape.engines).map(|_| free_address()).collect();
         let engines = engine_addresses.iter().enumerate().map(|(index, address)| {
             let log = format!("engine-{index}.log");
@@ -162,6 +216,7 @@
             admin_addresses: Vec::new(),
             folder: folder.clone(),
             platform_address,
+            platform_seen,
             service_address,
             engine_addresses,
         };
@@ -189,7 +244,7 @@
         let settings = json!({
             "host": name, "zone": "zone-a", "role": role,
             "listen": listen, "link": link, "admin": admin,
-            "platform": self.platform_address,
+            "platform": self.platform_seen,
             "link_key_file": self.folder.join("link.key"),
             "operator_key_file": self.folder.join("operator.key"),
             "log": {"json": true, "level": "info"},
@@ -301,10 +356,7 @@
         key: &str,
         body: &Value,
     ) -> Result<Answer, String> {
-        let url = format!("{}/{path}", self.entry_addresses[entry]);
-        let bearer = format!("Bearer {CALLER_KEY}");
-        let headers = [("authorization", bearer.as_str()), ("idempotency-key", key)];
-        self.client.send(Method::POST, &url, &headers, text(body)).await
+        post(&self.client, &self.entry_addresses[entry], path, key, body).await
     }
 
     /// Reads from an entry as the caller.
@@ -313,9 +365,7 @@
     ///
     /// Returns why there is no whole answer.
     pub async fn get(&self, entry: usize, path: &str) -> Result<Answer, String> {
-        let url = format!("{}/{path}", self.entry_addresses[entry]);
-        let bearer = format!("Bearer {CALLER_KEY}");
-        self.client.get(&url, &[("authorization", &bearer)]).await
+        get(&self.client, &self.entry_addresses[entry], path).await
     }
 
     /// A chat completion through an entry.
@@ -330,11 +380,56 @@
         prompt: &str,
         stream: bool,
     ) -> Result<Answer, String> {
-        let body = json!({
-            "model": "llm", "stream": stream,
-            "messages": [{"role": "user", "content": prompt}],
-        });
-        self.post(entry, "v1/chat/completions", key, &body).await
+        self.post(entry, "v1/chat/completions", key, &chat_body(prompt, stream)).await
+    }
+
+    /// A handle that calls the entries while the processes change.
+    #[must_use]
+    pub fn caller(&self, timeout: Duration) -> Caller {
+        Caller { client: Client::new(timeout), entries: self.entry_addresses.clone() }
+    }
+
+    /// Address of an engine stand-in.
+    #[must_use]
+    pub fn engine_address(&self, engine: usize) -> &str {
+        &self.engine_addresses[engine]
+    }
+
+    /// Address of the platform stand-in.
+    #[must_use]
+    pub fn platform_address(&self) -> &str {
+        &self.platform_address
+    }
+
+    /// Address of the plain service stand-in.
+    #[must_use]
+    pub fn service_address(&self) -> &str {
+        &self.service_address
+    }
+
+    /// Log file of a process.
+    #[must_use]
+    pub fn log(&self, name: &str) -> PathBuf {
+        self.folder.join(format!("{name}.log"))
+    }
+
+    /// Applies a document and waits until it is in force on all hosts.
+    ///
+    /// # Panics
+    ///
+    /// Panics if it is refused or not in force within the bound.
+    pub async fn apply(&self, document: &Value) {
+        let base = self.revision(0).await.expect("a document in force");
+        let body = json!({"base": base, "document": document});
+        let answer = self.admin(0, Method::POST, "admin/apply", &body).await.expect("an answer");
+        assert!(answer.status.is_success(), "apply: {}", answer.body);
+        let revision = answer.json()["revision"].as_u64();
+        for index in 0..self.admin_addresses.len() {
+            eventually("the document is in force", START_BOUND, || async {
+                (self.revision(index).await >= revision).then_some(())
+            })
+            .await;
+        }
     }
 
     /// Callers' address of an entry.
@@ -413,6 +508,65 @@
     }
 }
 
+/// Calls the entries as the caller; clones share their connections.
+#[derive(Debug, Clone)]
+pub struct Caller {
+    client: Client,
+    entries: Vec<String>,
+}
+
+impl Caller {
+    /// Calls an entry with an idempotency key.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is no whole answer.
+    pub async fn post(
+        &self,
+        entry: usize,
+        path: &str,
+        key: &str,
+        body: &Value,
+    ) -> Result<Answer, String> {
+        post(&self.client, &self.entries[entry], path, key, body).await
+    }
+
+    /// Reads from an entry.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is no whole answer.
+    pub async fn get(&self, entry: usize, path: &str) -> Result<Answer, String> {
+        get(&self.client, &self.entries[entry], path).await
+    }
+}
+
+async fn post(
+    client: &Client,
+    address: &str,
+    path: &str,
+    key: &str,
+    body: &Value,
+) -> Result<Answer, String> {
+    let bearer = format!("Bearer {CALLER_KEY}");
+    let headers = [("authorization", bearer.as_str()), ("idempotency-key", key)];
+    client.send(Method::POST, &format!("{address}/{path}"), &headers, text(body)).await
+}
+
+async fn get(client: &Client, address: &str, path: &str) -> Result<Answer, String> {
+    let bearer = format!("Bearer {CALLER_KEY}");
+    client.get(&format!("{address}/{path}"), &[("authorization", &bearer)]).await
+}
+
+/// A chat/completions body with one message.
+#[must_use]
+pub fn chat_body(prompt: &str, stream: bool) -> Value {
+    json!({
+        "model": "llm", "stream": stream,
+        "messages": [{"role": "user", "content": prompt}],
+    })
+}
+
 fn text(body: &Value) -> String {
     if body.is_null() { String::new() } else { body.to_string() }
 }
--- a/crates/oleander-check/src/lib.rs
+++ b/crates/oleander-check/src/lib.rs
@@ -11,6 +11,8 @@
 mod properties;
 
 pub use client::{Answer, Client, eventually};
-pub use deployment::{CALLER_KEY, Deployment, OPERATOR_KEY, Shape};
+pub use deployment::{
+    CALLER_KEY, Caller, Deployment, OPERATOR_KEY, Shape, chat_body, free_address,
+};
 pub use process::Process;
 pub use properties::seeded;
--- /dev/null
+++ b/crates/oleander-check/tests/history/checker.rs
@@ -0,0 +1,127 @@
+//! Checks a history against what must always hold.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::call::{Call, Heard, Kind, Word};
+
+/// What the targets themselves saw.
+#[derive(Debug, Default)]
+pub(crate) struct Records {
+    /// Keys of calls that reached a target.
+    pub(crate) reached: BTreeSet<String>,
+    /// Runs of the plain service by request id.
+    pub(crate) runs: BTreeMap<String, u64>,
+}
+
+/// All that was heard about one call.
+#[derive(Debug)]
+pub(crate) struct Story {
+    /// The call.
+    pub(crate) call: Call,
+    /// Answers in order of their arrival.
+    pub(crate) answers: Vec<Heard>,
+    /// The result as each entry reads it in the end.
+    pub(crate) reads: Vec<Word>,
+}
+
+/// The answers of a history by call.
+pub(crate) fn stories(history: Vec<Heard>) -> BTreeMap<String, Story> {
+    let mut stories = BTreeMap::new();
+    for heard in history {
+        let story = stories.entry(heard.call.key.clone()).or_insert_with(|| Story {
+            call: heard.call.clone(),
+            answers: Vec::new(),
+            reads: Vec::new(),
+        });
+        story.answers.push(heard);
+    }
+    stories
+}
+
+/// Everything that breaks a promise, as text.
+pub(crate) fn violations(stories: &BTreeMap<String, Story>, records: &Records) -> Vec<String> {
+    let mut found = Vec::new();
+    for story in stories.values() {
+        let checks = [
+            one_outcome(story),
+            own_answers(story),
+            unknown_is_last(story),
+            not_run_is_true(story, records),
+        ];
+        found.extend(checks.into_iter().flatten().map(|text| format!("{text}: {story:?}")));
+    }
+    let twice = records.runs.iter().filter(|&(id, &runs)| runs > 1 && !id.contains('~'));
+    found.extend(twice.map(|(id, runs)| format!("{id} may not be repeated and ran {runs} times")));
+    found
+}
+
+fn words(story: &Story) -> impl Iterator<Item = &Word> {
+    story.answers.iter().map(|heard| &heard.word).chain(&story.reads)
+}
+
+/// One result over all answers and reads, and the same at each read.
+fn one_outcome(story: &Story) -> Option<String> {
+    let whole: BTreeSet<&String> = words(story)
+        .filter_map(|word| match word {
+            Word::Whole(text) => Some(text),
+            _ => None,
+        })
+        .collect();
+    if whole.len() > 1 {
+        return Some("more than one result".to_owned());
+    }
+    if story.reads.windows(2).any(|pair| pair[0] != pair[1]) {
+        return Some("entries read different results".to_owned());
+    }
+    let readable = story.reads.iter().any(|word| matches!(word, Word::Whole(_)));
+    (!whole.is_empty() && !readable)
+        .then(|| "a result that was answered is not readable".to_owned())
+}
+
+/// Each whole answer is the one that belongs to the call, each partial one a beginning of it.
+fn own_answers(story: &Story) -> Option<String> {
+    let expected = story.call.expected();
+    let wrong = words(story).any(|word| match word {
+        Word::Whole(text) => *text != expected,
+        Word::Partial(text) => !expected.starts_with(text.as_str()),
+        Word::Malformed(_) => true,
+        Word::Refused(..) | Word::Lost(_) => false,
+    });
+    wrong.then(|| format!("an answer that is not {expected:?}"))
+}
+
+/// An outcome that can't be known is never followed by another one.
+fn unknown_is_last(story: &Story) -> Option<String> {
+    let unknown = |word: &Word| matches!(word, Word::Refused(code, _) if code == "outcome_unknown");
+    let first = words(story).position(unknown)?;
+    let later = words(story).skip(first).any(|word| matches!(word, Word::Whole(_)));
+    later.then(|| "a result after an unknown outcome".to_owned())
+}
+
+/// A last word that says "not run" is true by the targets' records.
+///
+/// Calls with a lost or unknown answer before are left to a test of their own.
+fn not_run_is_true(story: &Story, records: &Records) -> Option<String> {
+    let refused = |word: &Word| matches!(word, Word::Refused(_, ran) if ran == "no");
+    let only_refused = story.answers.iter().all(|heard| refused(&heard.word));
+    let ran = records.reached.contains(&story.call.key);
+    (only_refused && ran).then(|| "said not to have run, but it ran".to_owned())
+}
+
+/// Number of stories of each kind, and how they ended; for the report of a run.
+pub(crate) fn summary(stories: &BTreeMap<String, Story>) -> String {
+    let count = |holds: &dyn Fn(&Story) -> bool| stories.values().filter(|s| holds(s)).count();
+    let whole = |s: &Story| s.reads.iter().any(|word| matches!(word, Word::Whole(_)));
+    let unknown = |s: &Story| {
+        words(s).any(|word| matches!(word, Word::Refused(code, _) if code == "outcome_unknown"))
+    };
+    let answers: usize = stories.values().map(|story| story.answers.len()).sum();
+    format!(
+        "calls {} (dispatches {}), answers {answers}, done {}, unknown {}, given up {}",
+        stories.len(),
+        count(&|s| s.call.kind == Kind::Dispatch),
+        count(&whole),
+        count(&unknown),
+        count(&|s| !whole(s) && !unknown(s)),
+    )
+}
--- /dev/null
+++ b/crates/oleander-check/tests/network.rs
@@ -0,0 +1,267 @@
+//! What must hold when connections are cut, reset, or silent for good while new ones work.
+
+#![allow(clippy::unwrap_used)]
+
+use std::time::Duration;
+
+use futures_util::future::join_all;
+use http::{Method, StatusCode};
+use oleander_check::{Answer, Client, Deployment, Shape, chat_body, eventually, free_address};
+use serde_json::{Value, json};
+use standin::{
+    answer::expected_text,
+    relay::{Action, Relay},
+};
+
+/// An accepted document must be in force everywhere within this time.
+const IN_FORCE: Duration = Duration::from_secs(8);
+/// Bounds of silence at two targets, one after another, and a resend.
+const CALL_BOUND: Duration = Duration::from_secs(25);
+const BOUND: Duration = Duration::from_secs(30);
+/// Steps slow enough for faults to meet streams under way.
+const SLOW_STEPS: [&str; 4] = ["--step-base-us", "25000", "--step-per-seq-us", "100"];
+
+/// A deployment whose entries reach the targets through relays.
+struct Relayed {
+    deployment: Deployment,
+    engines: Vec<Relay>,
+    service: Relay,
+}
+
+impl Relayed {
+    async fn start(name: &str) -> Self {
+        let shape = Shape::new().engine_args(&SLOW_STEPS).service_args(&["--work-ms", "500"]);
+        let deployment = Deployment::start(name, &shape).await;
+        let mut engines = Vec::new();
+        for engine in 0..3 {
+            engines.push(relay(deployment.engine_address(engine)).await);
+        }
+        let service = relay(deployment.service_address()).await;
+        let mut document = deployment.document();
+        for (n, relay) in engines.iter().enumerate() {
+            document["services"][0]["targets"][n]["address"] = json!(relay.address().to_string());
+        }
+        document["services"][1]["targets"][0]["address"] = json!(service.address().to_string());
+        deployment.apply(&document).await;
+        Self { deployment, engines, service }
+    }
+
+    async fn engines_apply(&self, action: Action) {
+        for relay in &self.engines {
+            relay.apply(action).await;
+        }
+    }
+
+    /// Starts calls, lets `fault` happen while they stream, and checks that all end whole.
+    async fn calls_end_whole(&self, prefix: &str, fault: impl Future<Output = ()>) {
+        let keys: Vec<String> = (0..9).map(|n| format!("{prefix}-{n}")).collect();
+        let calls = keys.iter().enumerate().map(|(n, key)| self.whole(n, key));
+        let (texts, ()) = tokio::join!(join_all(calls), async {
+            eventually("streams run", BOUND, || async {
+                let mut started = 0;
+                for engine in 0..3 {
+                    started += self.started(engine, prefix).await;
+                }
+                (started >= keys.len()).then_some(())
+            })
+            .await;
+            fault.await;
+        });
+        for (key, text) in keys.iter().zip(texts) {
+            assert_eq!(text, expected_text(&chat_body(key, false)), "{key}");
+        }
+    }
+
+    async fn started(&self, engine: usize, prefix: &str) -> usize {
+        let records = self.deployment.engine_records(engine).await;
+        let own = records.iter().filter(|record| {
+            let id = record["request_id"].as_str().unwrap();
+            record["event"] == "started" && id.starts_with(prefix)
+        });
+        own.count()
+    }
+
+    /// Sends a chat until it is answered whole.
+    async fn whole(&self, n: usize, key: &str) -> String {
+        let stream = n.is_multiple_of(2);
+        eventually("the call is answered whole", CALL_BOUND, || async {
+            let answer = self.deployment.chat(n % 3, key, key, stream).await.ok()?;
+            if answer.status != StatusCode::OK {
+                return None;
+            }
+            if stream { answer.streamed_text() } else { answer.text() }
+        })
+        .await
+    }
+
+    async fn operation(&self, entry: usize, operation: &str, key: &str) -> Answer {
+        let path = format!("v1/services/desk/{operation}");
+        self.deployment.post(entry, &path, key, &json!({"about": key})).await.unwrap()
+    }
+}
+
+async fn relay(to: &str) -> Relay {
+    Relay::start(to.parse().unwrap()).await.unwrap()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn calls_end_whole_when_open_connections_go_silent_for_good() {
+    let relayed = Relayed::start("net-silent").await;
+    relayed.calls_end_whole("silent", relayed.engines_apply(Action::SilenceExisting)).await;
+    relayed.calls_end_whole("after", async {}).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn calls_end_whole_when_connections_are_reset() {
+    let relayed = Relayed::start("net-reset").await;
+    relayed.calls_end_whole("reset", relayed.engines_apply(Action::Reset)).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn calls_end_whole_when_two_engines_are_cut_off() {
+    let relayed = Relayed::start("net-cut").await;
+    let cut = async {
+        relayed.engines[0].apply(Action::Cut).await;
+        relayed.engines[1].apply(Action::Cut).await;
+    };
+    relayed.calls_end_whole("cut", cut).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn idle_connections_that_went_silent_do_not_keep_calls_from_ending() {
+    let relayed = Relayed::start("net-idle").await;
+    relayed.calls_end_whole("warm", async {}).await;
+    relayed.engines_apply(Action::SilenceExisting).await;
+    relayed.calls_end_whole("next", async {}).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn unrepeatable_calls_over_silent_connections_run_at_most_once() {
+    let relayed = Relayed::start("net-once").await;
+    let keys: Vec<String> = (0..6).map(|n| format!("t{n}")).collect();
+    let calls = keys.iter().enumerate().map(|(n, key)| relayed.operation(n % 3, "dispatch", key));
+    let (answers, ()) = tokio::join!(join_all(calls), async {
+        eventually("all run", BOUND, || async {
+            (relayed.deployment.service_runs().await.len() == keys.len()).then_some(())
+        })
+        .await;
+        relayed.service.apply(Action::SilenceExisting).await;
+    });
+    for (n, (key, first)) in keys.iter().zip(answers).enumerate() {
+        let unknown = first.code().as_deref() == Some("outcome_unknown");
+        assert!(first.status == StatusCode::OK || unknown, "{key}: {}", first.body);
+        let again = relayed.operation(n + 1, "dispatch", key).await;
+        assert_eq!((again.status, again.body), (first.status, first.body), "{key}");
+    }
+    for (id, runs) in relayed.deployment.service_runs().await {
+        assert_eq!(runs, 1, "{id}");
+    }
+    let next = relayed.operation(0, "dispatch", "next").await;
+    assert_eq!(next.status, StatusCode::OK, "{}", next.body);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn repeatable_operations_end_over_silent_connections() {
+    let relayed = Relayed::start("net-notify").await;
+    for entry in 0..3 {
+        assert_eq!(relayed.operation(entry, "notify", "warm").await.status, StatusCode::OK);
+    }
+    relayed.service.apply(Action::SilenceExisting).await;
+    for entry in 0..3 {
+        let key = format!("n{entry}");
+        eventually("the operation is answered", CALL_BOUND, || async {
+            let answer = relayed.operation(entry, "notify", &key).await;
+            (answer.status == StatusCode::OK).then_some(())
+        })
+        .await;
+    }
+}
+
+/// A deployment whose hosts reach the platform through a relay.
+async fn behind_relay(name: &str) -> (Deployment, Relay) {
+    let listen = free_address();
+    let relay = relay(&listen).await;
+    let shape = Shape::new().platform_behind(&listen, &relay.address().to_string());
+    (Deployment::start(name, &shape).await, relay)
+}
+
+/// Puts a changed document straight to the platform, as an entry that died right after would.
+async fn put_document(deployment: &Deployment) -> u64 {
+    let base = deployment.revision(0).await.unwrap().to_string();
+    let mut document = deployment.document();
+    document["services"][0]["online"]["queue_limit"] = json!(77);
+    let url = format!("{}/v1/objects/config/document", deployment.platform_address());
+    let client = Client::new(BOUND);
+    let headers = [("if-match", base.as_str())];
+    let answer = client.send(Method::PUT, &url, &headers, document.to_string()).await.unwrap();
+    assert_eq!(answer.status, StatusCode::OK, "{}", answer.body);
+    answer.headers["x-revision"].to_str().unwrap().parse().unwrap()
+}
+
+async fn in_force(deployment: &Deployment, revision: u64) {
+    let all = async {
+        for host in 0..3 {
+            eventually("the revision is in force", BOUND, || async {
+                (deployment.revision(host).await >= Some(revision)).then_some(())
+            })
+            .await;
+        }
+    };
+    assert!(tokio::time::timeout(IN_FORCE, all).await.is_ok(), "not in force in {IN_FORCE:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_document_is_in_force_in_time_after_the_watches_went_silent() {
+    let (deployment, relay) = behind_relay("net-watch").await;
+    let body = json!({"about": 1});
+    let calls =
+        (0..30).map(|n| {
+            let (deployment, body) = (&deployment, &body);
+            async move {
+                deployment.post(n % 3, "v1/services/desk/dispatch", &format!("t{n}"), body).await
+            }
+        });
+    for answer in join_all(calls).await {
+        assert_eq!(answer.unwrap().status, StatusCode::OK);
+    }
+    relay.apply(Action::SilenceExisting).await;
+    let revision = put_document(&deployment).await;
+    in_force(&deployment, revision).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_document_is_in_force_in_time_with_gaps_in_the_watches() {
+    let (deployment, _relay) = behind_relay("net-gap").await;
+    deployment.platform_fault(&json!({"watch_gap": 10})).await;
+    let revision = put_document(&deployment).await;
+    in_force(&deployment, revision).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_document_is_in_force_in_time_with_late_watches() {
+    let (deployment, _relay) = behind_relay("net-late").await;
+    deployment.platform_fault(&json!({"watch_delay_ms": 60_000})).await;
+    let revision = put_document(&deployment).await;
+    in_force(&deployment, revision).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn unrepeatable_calls_settle_after_the_platform_connections_went_silent() {
+    let (deployment, relay) = behind_relay("net-platform").await;
+    let body = json!({"about": 1});
+    for round in 0..3 {
+        relay.apply(Action::SilenceExisting).await;
+        for n in 0..6 {
+            let key = format!("t{round}-{n}");
+            eventually("the dispatch is at its end", BOUND, || async {
+                let path = "v1/services/desk/dispatch";
+                let answer = deployment.post(n % 3, path, &key, &body).await.ok()?;
+                (answer.status == StatusCode::OK).then_some(())
+            })
+            .await;
+        }
+    }
+    for (id, runs) in deployment.service_runs().await {
+        assert_eq!(runs, Value::from(1), "{id}");
+    }
+}
