Say not run only where it is known, and hand over uncommitted outcomes

Cause (three faults found by the whole-system proofs, tests/truth.rs and tests/network.rs): - a refusal while the platform is down said ran: no, though the owner could not have known (12 of 12 keys that had run, after entries were replaced); - a restarted owner answered 404 for results that the interim owner held uncommitted; - a watch that left a change out kept the document from being read for ever. Ruled out: loss of results (all were readable later), the log. Change: Unavailable carries whether the call is certainly new (the log was read to its end since this host became the owner under the present view); a new owner holds calls until the other hosts told what they have uncommitted; only an owner says that a call is absent; a watch is given up after 3 s and the document read in any case.

--- a/crates/oleander-check/tests/online.rs
+++ b/crates/oleander-check/tests/online.rs
@@ -159,6 +159,10 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_refusal_as_not_run_is_true_while_the_platform_is_down() {
     let deployment = Deployment::start("outage", &Shape::new()).await;
+    for n in 0..12 {
+        // Each owner has read its log before the outage, so that it knows what never ran.
+        chat_until_whole(&deployment, n, &format!("k{n}")).await;
+    }
     deployment.platform_fault(&json!({"down": true})).await;
     for n in 0..4 {
         let answer = dispatch(&deployment, n % 3, &format!("t{n}")).await.unwrap();
--- a/crates/oleander-entry/src/app.rs
+++ b/crates/oleander-entry/src/app.rs
@@ -10,7 +10,8 @@
     time::Duration,
 };
 
-use oleander_core::{AttemptId, CallId, ShardId, hash};
+use futures_util::future::join_all;
+use oleander_core::{AttemptId, CallId, ShardId, Span, Time, hash};
 use oleander_host::{Drain, Policy, Settings, Timeline, clock};
 use oleander_ledger::{CallRecord, ShardReply};
 use oleander_link::{Link, LinkError};
@@ -25,22 +26,27 @@
     flight::Flights,
     hosts::Hosts,
     pool::Pools,
-    shards::{CopySink, Shards, shard_config},
+    shards::{Others, Shards, shard_config},
 };
 
 /// Longest wait for a shard's owner.
 const OWNER_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Time after the start within which the other hosts become known.
+const SETTLE_TIME: Span = Span::from_secs(1);
+/// Longest wait for one host's uncommitted outcomes.
+const GATHER_TIMEOUT: Duration = Duration::from_millis(500);
 /// Targets that the fixed split leaves to batch.
 const SPLIT_TARGETS: u32 = 1;
 
-/// Sends copies to the next owner of a shard.
+/// The other hosts, over links.
 #[derive(Clone)]
-pub(crate) struct PeerCopies {
+pub(crate) struct Peers {
+    started: Time,
     link: Link,
     hosts: Arc<Mutex<Hosts>>,
 }
 
-impl CopySink for PeerCopies {
+impl Others for Peers {
     async fn copy(&self, shard: ShardId, records: Vec<CallRecord>) -> bool {
         let owners = self.hosts.lock().owners(clock::now(), shard);
         let Some(second) = owners.into_iter().flatten().next() else { return false };
@@ -48,6 +54,32 @@
         let answer = self.link.call::<_, PeerAnswer>(&second, &request, OWNER_TIMEOUT).await;
         matches!(answer, Ok(PeerAnswer::Shard(_)))
     }
+
+    async fn gather(&self, shard: ShardId) -> Vec<CallRecord> {
+        let settled = self.started + SETTLE_TIME;
+        tokio::time::sleep(settled.since(clock::now()).to_duration()).await;
+        let owners = self.hosts.lock().owners(clock::now(), shard);
+        let request = PeerRequest::Shard(shard, ShardCall::Buffered);
+        let calls = owners.into_iter().flatten().map(|link| {
+            let request = &request;
+            async move { self.link.call::<_, PeerAnswer>(&link, request, GATHER_TIMEOUT).await }
+        });
+        let answers = join_all(calls).await.into_iter();
+        let buffered = answers.filter_map(|answer| match answer {
+            Ok(PeerAnswer::Shard(ShardReply::Buffered(records))) => Some(records),
+            _ => None,
+        });
+        buffered.flatten().collect()
+    }
+
+    fn view(&self) -> u64 {
+        self.hosts.lock().view(clock::now())
+    }
+
+    fn is_owner(&self, shard: ShardId) -> bool {
+        let owners = self.hosts.lock().owners(clock::now(), shard);
+        owners.first() == Some(&None)
+    }
 }
 
 /// The entry process.
@@ -61,7 +93,7 @@
     pub(crate) hosts: Arc<Mutex<Hosts>>,
     pub(crate) pools: Pools,
     pub(crate) flights: Flights,
-    pub(crate) shards: Shards<HttpPlatform, PeerCopies>,
+    pub(crate) shards: Shards<HttpPlatform, Peers>,
     pub(crate) drain: Drain,
     pub(crate) limiter: Mutex<WorkspaceLimiter>,
     incarnation: u64,
@@ -82,7 +114,7 @@
             admin: settings.admin.to_string(),
         };
         let hosts = Arc::new(Mutex::new(Hosts::new(contact)));
-        let sink = PeerCopies { link: link.clone(), hosts: Arc::clone(&hosts) };
+        let others = Peers { started: clock::now(), link: link.clone(), hosts: Arc::clone(&hosts) };
         let seed = hash::hash_parts(&[settings.host.as_str()]) ^ incarnation;
         let policy = routing_policy(settings.entry.policy);
         let config = shard_config(settings.entry.commit_interval);
@@ -92,7 +124,13 @@
             documents: Documents::default(),
             pools: Pools::new(settings.host.clone(), settings.zone.clone(), policy, seed),
             flights: Flights::default(),
-            shards: Shards::new(platform.clone(), sink, settings.host.clone(), incarnation, config),
+            shards: Shards::new(
+                platform.clone(),
+                others,
+                settings.host.clone(),
+                incarnation,
+                config,
+            ),
             attempts: AtomicU64::new(0),
             limiter: Mutex::new(WorkspaceLimiter::new(1)),
             settings,
--- a/crates/oleander-entry/src/call.rs
+++ b/crates/oleander-entry/src/call.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use oleander_core::{
-    ApiError, AttemptId, CallId, DigestId, ErrorCode, EventKind, HostId, ServiceId, Span, Time,
+    ApiError, AttemptId, CallId, DigestId, ErrorCode, EventKind, HostId, Ran, ServiceId, Span, Time,
 };
 use oleander_host::clock;
 use oleander_ledger::{Claim, Outcome, ShardReply};
@@ -99,6 +99,7 @@
 /// Claims the call until it is run here or its outcome is known.
 async fn settle(app: &Arc<App>, request: &CallRequest, flight: &Flight) -> Outcome {
     let mut gone = None;
+    let mut joined = false;
     loop {
         let claim = Claim {
             call: request.call.clone(),
@@ -112,6 +113,7 @@
         match app.ask_owner(shard, ShardCall::Claim(claim)).await {
             Some(ShardReply::Run) => return run_here(app, request, flight).await,
             Some(ShardReply::Join { runner, attempt }) => {
+                joined = true;
                 match follow(app, request, flight, &runner, &attempt).await {
                     Some(outcome) => return outcome,
                     None => gone = Some(attempt),
@@ -121,16 +123,19 @@
                 return outcome;
             }
             Some(ShardReply::Mismatch) => return Outcome::Failed(mismatch()),
-            Some(ShardReply::Unavailable) | None => {
+            Some(ShardReply::Unavailable { clean: true }) if !joined => {
                 withdraw(app, request, flight).await;
-                return Outcome::Failed(unavailable());
+                return Outcome::Failed(unavailable(Ran::No));
             }
-            Some(ShardReply::Absent | ShardReply::Withdrawn) => {}
+            Some(ShardReply::Unavailable { .. }) | None => {
+                withdraw(app, request, flight).await;
+                return Outcome::Failed(unavailable(Ran::Unknown));
+            }
+            Some(ShardReply::Absent | ShardReply::Withdrawn | ShardReply::Buffered(_)) => {}
         }
         if clock::now() >= request.deadline {
             withdraw(app, request, flight).await;
-            let text = "the deadline passed before the call could run";
-            return Outcome::Failed(ApiError::not_run(ErrorCode::DeadlineExceeded, text));
+            return Outcome::Failed(too_late(joined));
         }
     }
 }
@@ -140,9 +145,16 @@
     ApiError::not_run(ErrorCode::Conflict, text)
 }
 
-fn unavailable() -> ApiError {
+fn unavailable(ran: Ran) -> ApiError {
     let text = "the platform does not answer, and this call needs it";
-    ApiError::not_run(ErrorCode::Unavailable, text).retry_after(PLATFORM_RETRY)
+    let error = ApiError { ran, ..ApiError::not_run(ErrorCode::Unavailable, text) };
+    error.retry_after(PLATFORM_RETRY)
+}
+
+fn too_late(joined: bool) -> ApiError {
+    let ran = if joined { Ran::Unknown } else { Ran::No };
+    let text = "the deadline passed before the call could run here";
+    ApiError { ran, ..ApiError::not_run(ErrorCode::DeadlineExceeded, text) }
 }
 
 async fn run_here(app: &Arc<App>, request: &CallRequest, flight: &Flight) -> Outcome {
--- a/crates/oleander-entry/src/exchange.rs
+++ b/crates/oleander-entry/src/exchange.rs
@@ -27,6 +27,7 @@
 
 async fn exchange_statuses(app: Arc<App>) {
     loop {
+        app.shards.open_owned(app.settings.entry.shards);
         let links = app.hosts.lock().links();
         for link in links {
             tokio::spawn(exchange_status(Arc::clone(&app), link));
--- a/crates/oleander-entry/src/hosts.rs
+++ b/crates/oleander-entry/src/hosts.rs
@@ -94,6 +94,14 @@
             .filter(move |known| known.contact.entry == entry && Self::is_live(now, known))
     }
 
+    /// A number that differs whenever other entries are live.
+    pub(crate) fn view(&self, now: Time) -> u64 {
+        let mut hosts: Vec<&str> =
+            self.live(now, true).map(|known| known.contact.host.as_str()).collect();
+        hosts.sort_unstable();
+        hash::hash_parts(&hosts)
+    }
+
     /// Link addresses of a shard's owners, first choice first; `None` is this host.
     pub(crate) fn owners(&self, now: Time, shard: ShardId) -> Vec<Option<String>> {
         let key = shard.to_string();
--- a/crates/oleander-entry/src/shards.rs
+++ b/crates/oleander-entry/src/shards.rs
@@ -16,12 +16,21 @@
 use tokio::sync::{mpsc, oneshot};
 
 const QUEUE: usize = 4096;
-const IDLE_TICK: Duration = Duration::from_millis(500);
+const IDLE_TICK: Duration = Duration::from_millis(200);
 
-/// Sends outcomes to the host that keeps copies of a shard.
-pub(crate) trait CopySink: Clone + Send + Sync + 'static {
+/// The other hosts, as a shard needs them.
+pub(crate) trait Others: Clone + Send + Sync + 'static {
     /// Returns once the second host holds the copies; false if none does.
     fn copy(&self, shard: ShardId, records: Vec<CallRecord>) -> impl Future<Output = bool> + Send;
+
+    /// Outcomes of a shard that other hosts hold uncommitted.
+    fn gather(&self, shard: ShardId) -> impl Future<Output = Vec<CallRecord>> + Send;
+
+    /// Number of the view of the live hosts; it changes with them.
+    fn view(&self) -> u64;
+
+    /// Whether this host is the shard's first owner.
+    fn is_owner(&self, shard: ShardId) -> bool;
 }
 
 enum Input {
@@ -32,7 +41,7 @@
 /// All shards that this host was asked about.
 pub(crate) struct Shards<P, S> {
     platform: P,
-    sink: S,
+    others: S,
     host: HostId,
     incarnation: u64,
     config: ShardConfig,
@@ -40,18 +49,18 @@
     backlog: Arc<Mutex<HashMap<ShardId, usize>>>,
 }
 
-impl<P: Platform, S: CopySink> Shards<P, S> {
+impl<P: Platform, S: Others> Shards<P, S> {
     /// Shards with their log at `platform`.
     pub(crate) fn new(
         platform: P,
-        sink: S,
+        others: S,
         host: HostId,
         incarnation: u64,
         config: ShardConfig,
     ) -> Self {
         Self {
             platform,
-            sink,
+            others,
             host,
             incarnation,
             config,
@@ -67,6 +76,13 @@
         answer.await.ok()
     }
 
+    /// Opens the shards that this host owns, so that they are read before they are asked.
+    pub(crate) fn open_owned(&self, shards: u32) {
+        for shard in (0..shards).map(ShardId).filter(|&shard| self.others.is_owner(shard)) {
+            self.input(shard);
+        }
+    }
+
     /// Number of outcomes that the platform does not hold yet.
     pub(crate) fn backlog(&self) -> usize {
         self.backlog.lock().values().sum()
@@ -82,7 +98,7 @@
             id: shard,
             shard: Shard::new(self.host.clone(), self.incarnation, self.config),
             platform: self.platform.clone(),
-            sink: self.sink.clone(),
+            others: self.others.clone(),
             events: sender.clone(),
             replies: HashMap::new(),
             tickets: 0,
@@ -98,21 +114,23 @@
     id: ShardId,
     shard: Shard,
     platform: P,
-    sink: S,
+    others: S,
     events: mpsc::Sender<Input>,
     replies: HashMap<Ticket, oneshot::Sender<ShardReply>>,
     tickets: u64,
     backlog: Arc<Mutex<HashMap<ShardId, usize>>>,
 }
 
-impl<P: Platform, S: CopySink> ShardTask<P, S> {
+impl<P: Platform, S: Others> ShardTask<P, S> {
     async fn run(mut self, mut inputs: mpsc::Receiver<Input>) {
         self.step(ShardEvent::Log(LogEvent::Tick));
         loop {
             let now = clock::now();
             let wait =
                 self.shard.next_wake(now).map_or(IDLE_TICK, |at| at.since(now).to_duration());
-            let event = match tokio::time::timeout(wait.min(IDLE_TICK), inputs.recv()).await {
+            let input = tokio::time::timeout(wait.min(IDLE_TICK), inputs.recv()).await;
+            self.step(ShardEvent::View(self.others.view(), self.others.is_owner(self.id)));
+            let event = match input {
                 Ok(Some(Input::Ask(call, reply))) => self.open_ticket(call, reply),
                 Ok(Some(Input::Event(event))) => event,
                 Ok(None) => return,
@@ -132,6 +150,7 @@
             }
             ShardCall::Withdraw(call, attempt) => ShardEvent::Withdraw(ticket, call, attempt),
             ShardCall::Lookup(call) => ShardEvent::Lookup(ticket, call),
+            ShardCall::Buffered => ShardEvent::Buffered(ticket),
             ShardCall::Copies(records) => {
                 let _ = reply.send(ShardReply::Withdrawn);
                 return ShardEvent::Copies(records);
@@ -158,6 +177,7 @@
                 }
             }
             ShardAction::Copy(records) => self.copy(records),
+            ShardAction::Gather => self.gather(),
         }
     }
 
@@ -209,11 +229,19 @@
         });
     }
 
+    fn gather(&self) {
+        let (others, events, shard) = (self.others.clone(), self.events.clone(), self.id);
+        tokio::spawn(async move {
+            let records = others.gather(shard).await;
+            let _ = events.send(Input::Event(ShardEvent::Gathered(records))).await;
+        });
+    }
+
     fn copy(&self, records: Vec<CallRecord>) {
-        let (sink, events, shard) = (self.sink.clone(), self.events.clone(), self.id);
+        let (others, events, shard) = (self.others.clone(), self.events.clone(), self.id);
         tokio::spawn(async move {
             let calls: Vec<CallId> = records.iter().map(|record| record.call().clone()).collect();
-            if sink.copy(shard, records).await {
+            if others.copy(shard, records).await {
                 let _ = events.send(Input::Event(ShardEvent::Copied(calls))).await;
             }
         });
--- a/crates/oleander-ledger/src/shard.rs
+++ b/crates/oleander-ledger/src/shard.rs
@@ -33,6 +33,8 @@
     pub freshness: Span,
     /// Time after which a copy is committed by the host that holds it.
     pub copy_delay: Span,
+    /// Longest wait of a new owner for what the other hosts hold.
+    pub gather: Span,
     /// Bytes of outcomes kept in memory.
     pub memory: usize,
 }
@@ -46,6 +48,7 @@
             patience: Span::from_millis(250),
             freshness: Span::from_secs(2),
             copy_delay: Span::from_secs(3),
+            gather: Span::from_secs(2),
             memory: 4 << 20,
         }
     }
@@ -75,6 +78,12 @@
     Withdraw(Ticket, CallId, AttemptId),
     /// Somebody reads a call.
     Lookup(Ticket, CallId),
+    /// The view of the live hosts: its number, and whether it makes this host the first owner.
+    View(u64, bool),
+    /// Somebody asks for the outcomes that are not committed.
+    Buffered(Ticket),
+    /// What the other hosts hold uncommitted.
+    Gathered(Vec<CallRecord>),
     /// Outcomes that another owner could not commit yet.
     Copies(Vec<CallRecord>),
     /// The second host holds copies of these calls.
@@ -102,7 +111,12 @@
         /// Nothing is known of the call.
         Absent,
         /// The platform is needed and does not answer.
-        Unavailable,
+        Unavailable {
+            /// Whether it is certain that the call was never sent to a target.
+            clean: bool,
+        },
+        /// Outcomes that are not committed.
+        Buffered(Vec<CallRecord>),
         /// The run is withdrawn.
         Withdrawn,
         /// The outcome that counts, and whether the platform holds it.
@@ -126,6 +140,8 @@
     Reply(Ticket, ShardReply),
     /// Copy outcomes to the second host.
     Copy(Vec<CallRecord>),
+    /// Ask the other hosts for outcomes that are not committed.
+    Gather,
 }
 
 #[derive(Debug)]
@@ -193,6 +209,15 @@
     appended: u64,
     held: Vec<(Time, ShardEvent)>,
     readers: BTreeMap<u64, Vec<Reader>>,
+    owned: Option<Owned>,
+}
+
+/// Ownership under one view of the live hosts.
+#[derive(Debug)]
+struct Owned {
+    view: u64,
+    since: Time,
+    gathering: bool,
 }
 
 impl Shard {
@@ -211,6 +236,7 @@
             appended: 0,
             held: Vec::new(),
             readers: BTreeMap::new(),
+            owned: None,
         }
     }
 
@@ -262,6 +288,17 @@
                 self.withdraw(now, ticket, call, attempt, actions);
             }
             ShardEvent::Lookup(ticket, call) => self.lookup(now, ticket, call, actions),
+            ShardEvent::View(view, owned) => self.set_view(now, view, owned, actions),
+            ShardEvent::Buffered(ticket) => {
+                let reply = ShardReply::Buffered(self.uncommitted());
+                actions.push(ShardAction::Reply(ticket, reply));
+            }
+            ShardEvent::Gathered(records) => {
+                self.keep_copies(now, records);
+                if let Some(owned) = &mut self.owned {
+                    owned.gathering = false;
+                }
+            }
             ShardEvent::Copies(records) => self.keep_copies(now, records),
             ShardEvent::Copied(calls) => self.copied(&calls, actions),
             ShardEvent::Log(LogEvent::Fetched(sequence, Some(segment)))
@@ -283,9 +320,43 @@
         !self.log.is_current() || now.since(self.log.read_at()) > self.config.freshness
     }
 
-    /// Keeps an event until the log is read to its end; false if it need not or can't wait.
+    /// Whether other hosts may still hold outcomes that this new owner does not know.
+    fn is_gathering(&self, now: Time) -> bool {
+        let owned = self.owned.as_ref().filter(|owned| owned.gathering);
+        owned.is_some_and(|owned| now.since(owned.since) < self.config.gather)
+    }
+
+    /// Whether a call that is not known here was certainly never granted.
+    ///
+    /// It holds if the log was read to its end since this host became the owner: later grants
+    /// are its own.
+    fn is_clean(&self) -> bool {
+        self.owned.as_ref().is_some_and(|owned| self.log.read_at() >= owned.since)
+    }
+
+    fn set_view(&mut self, now: Time, view: u64, owned: bool, actions: &mut Vec<ShardAction>) {
+        if !owned {
+            self.owned = None;
+        } else if self.owned.as_ref().is_none_or(|owned| owned.view != view) {
+            self.owned = Some(Owned { view, since: now, gathering: true });
+            actions.push(ShardAction::Gather);
+            self.drive(now, LogEvent::Refresh, actions);
+        }
+    }
+
+    fn uncommitted(&self) -> Vec<CallRecord> {
+        let records = self.buffered.iter().map(|(call, buffered)| CallRecord::Final {
+            call: call.clone(),
+            digest: buffered.digest.clone(),
+            outcome: buffered.outcome.clone(),
+        });
+        records.collect()
+    }
+
+    /// Keeps an event until what is recorded is known; false if it need not or can't wait.
     fn hold(&mut self, now: Time, event: ShardEvent, actions: &mut Vec<ShardAction>) -> bool {
-        if !self.is_stale(now) || self.is_degraded(now) {
+        let waits_for_log = self.is_stale(now) && !self.is_degraded(now);
+        if !waits_for_log && !self.is_gathering(now) {
             return false;
         }
         self.held.push((now, event));
@@ -294,7 +365,8 @@
     }
 
     fn release_held(&mut self, now: Time, actions: &mut Vec<ShardAction>) {
-        if self.held.is_empty() || (self.is_stale(now) && !self.is_degraded(now)) {
+        let waits_for_log = self.is_stale(now) && !self.is_degraded(now);
+        if self.held.is_empty() || waits_for_log || self.is_gathering(now) {
             return;
         }
         for (_, event) in mem::take(&mut self.held) {
@@ -358,7 +430,8 @@
 
     fn grant(&mut self, now: Time, ticket: Ticket, claim: Claim, actions: &mut Vec<ShardAction>) {
         if !claim.repeatable && self.is_degraded(now) {
-            actions.push(ShardAction::Reply(ticket, ShardReply::Unavailable));
+            let reply = ShardReply::Unavailable { clean: self.is_clean() };
+            actions.push(ShardAction::Reply(ticket, reply));
             return;
         }
         let run = Run {
@@ -447,8 +520,8 @@
         if self.hold(now, ShardEvent::Lookup(ticket, call), actions) {
             return;
         }
-        let reply = match self.is_stale(now) {
-            true => ShardReply::Unavailable,
+        let reply = match self.is_stale(now) || self.owned.is_none() {
+            true => ShardReply::Unavailable { clean: false },
             false => ShardReply::Absent,
         };
         actions.push(ShardAction::Reply(ticket, reply));
@@ -708,9 +781,11 @@
         if !self.is_degraded(now) {
             return;
         }
+        let clean = self.is_clean();
         for purpose in self.purposes.values_mut() {
             if let Purpose::Grant(ticket, claim) = purpose {
-                actions.push(ShardAction::Reply(*ticket, ShardReply::Unavailable));
+                let reply = ShardReply::Unavailable { clean };
+                actions.push(ShardAction::Reply(*ticket, reply));
                 *purpose = Purpose::Abandoned(claim.attempt.clone());
             }
         }
--- a/crates/oleander-ledger/tests/shard.rs
+++ b/crates/oleander-ledger/tests/shard.rs
@@ -106,7 +106,7 @@
                     self.owners[index].pending.push(Pending::Fetch(sequence));
                 }
                 ShardAction::Reply(ticket, reply) => self.reply(index, ticket, reply),
-                ShardAction::Copy(_) => {}
+                ShardAction::Copy(_) | ShardAction::Gather => {}
             }
         }
     }
--- a/crates/oleander-peer/src/message.rs
+++ b/crates/oleander-peer/src/message.rs
@@ -46,6 +46,8 @@
         Lookup(CallId),
         /// Keep outcomes that the platform does not take.
         Copies(Vec<CallRecord>),
+        /// Tell the outcomes that are not committed.
+        Buffered,
     }
 
     /// The answer to a [`PeerRequest`].
--- a/crates/oleander-platform/src/client.rs
+++ b/crates/oleander-platform/src/client.rs
@@ -19,6 +19,8 @@
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 const CALL_TIMEOUT: Duration = Duration::from_secs(3);
+/// Time after which a watch is given up, since it may have left a change out.
+const WATCH_BOUND: Duration = Duration::from_secs(3);
 const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
 const REVISION_HEADER: &str = "x-revision";
 
@@ -86,6 +88,31 @@
         }
     }
 
+    /// Waits for a line of the watch that names a change after `from`.
+    async fn watch(&self, prefix: &str, from: Revision) -> Result<Revision, PlatformError> {
+        let uri = format!("{}/watch?prefix={prefix}&from={from}", self.base);
+        let request = Request::get(uri).body(Full::default()).map_err(no_answer)?;
+        let response = tokio::time::timeout(CALL_TIMEOUT, self.client.request(request))
+            .await
+            .map_err(no_answer)?
+            .map_err(from_client)?;
+        let mut body = response.into_body();
+        let mut pending = Vec::new();
+        loop {
+            let frame =
+                tokio::time::timeout(CALL_TIMEOUT, body.frame()).await.map_err(no_answer)?;
+            let frame = frame.ok_or_else(|| no_answer("watch ended"))?.map_err(no_answer)?;
+            pending.extend_from_slice(frame.data_ref().map_or(&[][..], |data| &data[..]));
+            while let Some(end) = pending.iter().position(|&byte| byte == b'\n') {
+                let line: Vec<u8> = pending.drain(..=end).collect();
+                let line: WatchLine = serde_json::from_slice(&line).map_err(no_answer)?;
+                if line.key.is_some() && line.revision > from {
+                    return Ok(line.revision);
+                }
+            }
+        }
+    }
+
     async fn read<T: for<'de> Deserialize<'de>>(&self, path: &str) -> Result<T, PlatformError> {
         let answer = self.call(Method::GET, path, None, Bytes::new()).await?;
         serde_json::from_slice(&answer.body).map_err(no_answer)
@@ -149,27 +176,8 @@
     }
 
     async fn changed(&self, prefix: &str, from: Revision) -> Result<Revision, PlatformError> {
-        let uri = format!("{}/watch?prefix={prefix}&from={from}", self.base);
-        let request = Request::get(uri).body(Full::default()).map_err(no_answer)?;
-        let response = tokio::time::timeout(CALL_TIMEOUT, self.client.request(request))
-            .await
-            .map_err(no_answer)?
-            .map_err(from_client)?;
-        let mut body = response.into_body();
-        let mut pending = Vec::new();
-        loop {
-            let frame =
-                tokio::time::timeout(CALL_TIMEOUT, body.frame()).await.map_err(no_answer)?;
-            let frame = frame.ok_or_else(|| no_answer("watch ended"))?.map_err(no_answer)?;
-            pending.extend_from_slice(frame.data_ref().map_or(&[][..], |data| &data[..]));
-            while let Some(end) = pending.iter().position(|&byte| byte == b'\n') {
-                let line: Vec<u8> = pending.drain(..=end).collect();
-                let line: WatchLine = serde_json::from_slice(&line).map_err(no_answer)?;
-                if line.key.is_some() && line.revision > from {
-                    return Ok(line.revision);
-                }
-            }
-        }
+        let watch = self.watch(prefix, from);
+        tokio::time::timeout(WATCH_BOUND, watch).await.unwrap_or(Ok(from))
     }
 
     async fn hosts(&self) -> Result<HostView, PlatformError> {
--- a/crates/oleander-platform/src/platform.rs
+++ b/crates/oleander-platform/src/platform.rs
@@ -39,6 +39,9 @@
     ) -> impl Future<Output = Result<Listing, PlatformError>> + Send;
 
     /// Waits until an object below `prefix` changes after `from`; returns the newest revision seen.
+    ///
+    /// Returns `from` after a bounded wait: watches may leave changes out, so that the caller
+    /// reads the object in any case.
     fn changed(
         &self,
         prefix: &str,
