Let a resend run after its refused intent is committed

Cause: a grant that was refused while the platform was silent was withdrawn only if no resend had taken its place among the running calls; a resend in the moment between the platform's answer and the commit of the refused intent then found that intent and was answered outcome unknown for good. Ruled out: the runner's own withdrawal (it may be lost with its call). Change: the withdrawal always follows the refused intent; a claim that meets such an intent waits for it; a claim of the same run without its intent appends it again.

--- a/crates/oleander-ledger/src/shard.rs
+++ b/crates/oleander-ledger/src/shard.rs
@@ -9,7 +9,7 @@
 //! here and copied to a second host, and are committed later.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, HashMap, HashSet},
     mem,
 };
 
@@ -192,7 +192,8 @@
 #[derive(Debug)]
 enum Purpose {
     Grant(Ticket, Claim),
-    Abandoned(AttemptId),
+    Abandoned(CallId, AttemptId),
+    Reclaim(Ticket, Claim),
     Final(CallId),
     Withdraw(Option<Ticket>),
 }
@@ -210,6 +211,8 @@
     held: Vec<(Time, ShardEvent)>,
     readers: BTreeMap<u64, Vec<Reader>>,
     owned: Option<Owned>,
+    /// Runs that were refused before they were told, so that no target has seen them.
+    abandoned: HashSet<AttemptId>,
 }
 
 /// Ownership under one view of the live hosts.
@@ -237,6 +240,7 @@
             held: Vec::new(),
             readers: BTreeMap::new(),
             owned: None,
+            abandoned: HashSet::new(),
         }
     }
 
@@ -392,15 +396,18 @@
         if let Some(run) = self.running.get(&claim.call)
             && claim.gone.as_ref() != Some(&run.attempt)
         {
-            let granted = run.attempt == claim.attempt && run.repeatable;
-            let reply = match granted {
+            let same = run.attempt == claim.attempt;
+            let reply = match same {
                 true => ShardReply::Run,
                 false => {
                     ShardReply::Join { runner: run.runner.clone(), attempt: run.attempt.clone() }
                 }
             };
-            actions.push(ShardAction::Reply(ticket, reply));
-            return;
+            // A run that may not be repeated still needs its intent.
+            if !same || run.repeatable {
+                actions.push(ShardAction::Reply(ticket, reply));
+                return;
+            }
         }
         if self.hold(now, ShardEvent::Claim(ticket, claim.clone()), actions) {
             return;
@@ -420,6 +427,9 @@
     ) {
         if attempt == claim.attempt {
             actions.push(ShardAction::Reply(ticket, ShardReply::Run));
+        } else if self.abandoned.contains(&attempt) {
+            let record = CallRecord::Withdrawn { call: claim.call.clone(), attempt };
+            self.append(now, Purpose::Reclaim(ticket, claim), record, actions);
         } else if claim.gone.as_ref() == Some(&attempt) {
             let Claim { call, digest, .. } = claim;
             self.record(now, ticket, call, digest, Outcome::Unknown, actions);
@@ -633,6 +643,9 @@
     ) {
         for record in &segment.records {
             self.table.apply(sequence, record);
+            if let CallRecord::Withdrawn { attempt, .. } = record {
+                self.abandoned.remove(attempt);
+            }
             self.settle_final(record.call(), actions);
         }
         for ticket in tickets {
@@ -655,8 +668,12 @@
 
     fn committed(&mut self, now: Time, purpose: Purpose, actions: &mut Vec<ShardAction>) {
         match purpose {
-            Purpose::Grant(ticket, claim) => self.claim(now, ticket, claim, actions),
-            Purpose::Abandoned(attempt) => self.withdraw_abandoned(now, &attempt, actions),
+            Purpose::Grant(ticket, claim) | Purpose::Reclaim(ticket, claim) => {
+                self.claim(now, ticket, claim, actions);
+            }
+            Purpose::Abandoned(call, attempt) => {
+                self.withdraw_abandoned(now, call, attempt, actions);
+            }
             Purpose::Withdraw(Some(ticket)) => {
                 actions.push(ShardAction::Reply(ticket, ShardReply::Withdrawn));
             }
@@ -664,16 +681,18 @@
         }
     }
 
+    /// Withdraws the committed intent of a grant that was refused before it was told.
     fn withdraw_abandoned(
         &mut self,
         now: Time,
-        attempt: &AttemptId,
+        call: CallId,
+        attempt: AttemptId,
         actions: &mut Vec<ShardAction>,
     ) {
-        let call = self.running.iter().find(|(_, run)| run.attempt == *attempt);
-        let Some(call) = call.map(|(call, _)| call.clone()) else { return };
-        self.running.remove(&call);
-        let record = CallRecord::Withdrawn { call, attempt: attempt.clone() };
+        if self.running.get(&call).is_some_and(|run| run.attempt == attempt) {
+            self.running.remove(&call);
+        }
+        let record = CallRecord::Withdrawn { call, attempt };
         self.append(now, Purpose::Withdraw(None), record, actions);
     }
 
@@ -691,9 +710,12 @@
                     self.running.remove(&claim.call);
                     self.claim(now, ticket, claim, actions);
                 }
-                Purpose::Abandoned(attempt) => {
-                    self.running.retain(|_, run| run.attempt != attempt);
+                Purpose::Abandoned(call, attempt) => {
+                    if self.running.get(&call).is_some_and(|run| run.attempt == attempt) {
+                        self.running.remove(&call);
+                    }
                 }
+                Purpose::Reclaim(ticket, claim) => self.claim(now, ticket, claim, actions),
                 Purpose::Final(call) if self.buffered.contains_key(&call) => {
                     self.append(now, Purpose::Final(call), record, actions);
                 }
@@ -786,7 +808,8 @@
             if let Purpose::Grant(ticket, claim) = purpose {
                 let reply = ShardReply::Unavailable { clean };
                 actions.push(ShardAction::Reply(*ticket, reply));
-                *purpose = Purpose::Abandoned(claim.attempt.clone());
+                self.abandoned.insert(claim.attempt.clone());
+                *purpose = Purpose::Abandoned(claim.call.clone(), claim.attempt.clone());
             }
         }
     }
