--- a/crates/oleander-entry/src/main.rs
+++ b/crates/oleander-entry/src/main.rs
@@ -9,6 +9,7 @@
 mod exchange;
 mod flight;
 mod hosts;
+mod orders;
 mod peers;
 mod pool;
 mod run;
@@ -68,6 +69,7 @@
     record_lifecycle(&app, "started");
     let _peers = peers::serve(&app)?;
     exchange::start(&app);
+    orders::start(&app);
     let admin = admin_router(
         admin::EntryAdmin(Arc::clone(&app)),
         Arc::clone(&app.timeline),
--- /dev/null
+++ b/crates/oleander-entry/src/orders/calls.rs
@@ -0,0 +1,174 @@
+//! The calls of the orderer: records at the platform, state and orders at engines.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use oleander_core::{Fence, Revision, Time};
+use oleander_host::clock;
+use oleander_orders::{
+    Command, ORDER_PREFIX, OrderAction, OrderEvent, OrderRecord, Ordered, RecordRead, Stored,
+    StoredKey, Ticket, WriteOutcome,
+};
+use oleander_platform::{Created, HttpPlatform, Listed, Object, Platform, Updated};
+use oleander_target::{HttpTargets, Order, OrderOutcome, Timeouts};
+use tokio::sync::mpsc;
+
+/// Rows of one page of a listing.
+const PAGE: usize = 1_000;
+/// Longest wait for the head of an engine's answer, and for its body.
+const ENGINE_TIMEOUT: Duration = Duration::from_millis(1_400);
+
+/// Makes calls and sends their outcomes to the orderer.
+#[derive(Clone)]
+pub(super) struct Calls {
+    platform: HttpPlatform,
+    targets: HttpTargets,
+    limit: Duration,
+    events: mpsc::Sender<OrderEvent>,
+}
+
+impl Calls {
+    pub(super) fn new(
+        platform: HttpPlatform,
+        limit: Duration,
+        events: mpsc::Sender<OrderEvent>,
+    ) -> Self {
+        let targets = HttpTargets::new(Timeouts::new().first(ENGINE_TIMEOUT));
+        Self { platform, targets, limit, events }
+    }
+
+    /// Makes one call in the background.
+    pub(super) fn make(&self, action: OrderAction) {
+        let calls = self.clone();
+        tokio::spawn(async move {
+            let event = calls.outcome(action).await;
+            let _ = calls.events.send(event).await;
+        });
+    }
+
+    async fn outcome(&self, action: OrderAction) -> OrderEvent {
+        match action {
+            OrderAction::ReadRecord(ticket) => {
+                let read = self.read(&ticket).await;
+                OrderEvent::Record(ticket, read)
+            }
+            OrderAction::Write { ticket, expected, record } => {
+                let outcome = self.write(&ticket, expected, &record).await;
+                OrderEvent::Written(ticket, outcome)
+            }
+            OrderAction::ReadState { ticket, address } => {
+                let state = tokio::time::timeout(self.limit, self.targets.state(&address)).await;
+                let models = state.ok().and_then(Result::ok).map(|state| state.models);
+                OrderEvent::State(ticket, models)
+            }
+            OrderAction::Order { ticket, address, fence, command, not_after } => {
+                let ordered = self.order(&address, fence, command, not_after).await;
+                OrderEvent::Ordered(ticket, ordered)
+            }
+            OrderAction::List => OrderEvent::Listed(self.list().await),
+        }
+    }
+
+    async fn read(&self, ticket: &Ticket) -> RecordRead {
+        let key = OrderRecord::key(&ticket.target);
+        match self.platform.get(&key).await {
+            Ok(Some(object)) => decode(&key, &object),
+            Ok(None) => RecordRead::Absent,
+            Err(error) => {
+                log::warn!("read of {key} failed: {error}");
+                RecordRead::Failed
+            }
+        }
+    }
+
+    async fn write(
+        &self,
+        ticket: &Ticket,
+        expected: Option<Revision>,
+        record: &OrderRecord,
+    ) -> WriteOutcome {
+        let key = OrderRecord::key(&ticket.target);
+        let body = match record.encode() {
+            Ok(body) => Bytes::from(body),
+            Err(error) => {
+                log::error!("record {key} can't be encoded: {error}");
+                return WriteOutcome::Failed;
+            }
+        };
+        let written = match expected {
+            None => self.platform.create(&key, body).await.map(|created| match created {
+                Created::New(revision) => WriteOutcome::Done(revision),
+                Created::Exists => WriteOutcome::Conflict,
+            }),
+            Some(expected) => {
+                self.platform.update(&key, body, expected).await.map(|updated| match updated {
+                    Updated::Done(revision) => WriteOutcome::Done(revision),
+                    Updated::Stale(_) => WriteOutcome::Conflict,
+                })
+            }
+        };
+        written.unwrap_or_else(|error| {
+            log::warn!("write of {key} failed: {error}");
+            WriteOutcome::Failed
+        })
+    }
+
+    async fn order(
+        &self,
+        address: &str,
+        fence: Fence,
+        command: Command,
+        not_after: Time,
+    ) -> Ordered {
+        let order = match command {
+            Command::Load(model) => Order::Load(model),
+            Command::Unload(model) => Order::Unload(model),
+        };
+        if clock::now() > not_after {
+            return Ordered::Expired;
+        }
+        let call = self.targets.order(address, fence, &order);
+        let ordered = match tokio::time::timeout(self.limit, call).await {
+            Ok(Ok(OrderOutcome::Taken)) => Ordered::Taken,
+            Ok(Ok(OrderOutcome::Stale(current))) => Ordered::Refused(current),
+            Ok(Err(_)) | Err(_) => Ordered::Failed,
+        };
+        log::info!("order {order:?} with fence {fence} to {address}: {ordered:?}");
+        ordered
+    }
+
+    /// Keys of all records; empty if a page is missing.
+    async fn list(&self) -> Vec<StoredKey> {
+        let mut keys = Vec::new();
+        let mut after = String::new();
+        loop {
+            let page = match self.platform.list(ORDER_PREFIX, &after, PAGE).await {
+                Ok(page) => page,
+                Err(error) => {
+                    log::warn!("listing the orders failed: {error}");
+                    return Vec::new();
+                }
+            };
+            keys.extend(page.objects.iter().filter_map(stored_key));
+            match page.objects.last() {
+                Some(last) if page.more => after.clone_from(&last.key),
+                _ => return keys,
+            }
+        }
+    }
+}
+
+fn decode(key: &str, object: &Object) -> RecordRead {
+    match OrderRecord::decode(&object.body) {
+        Ok(record) => RecordRead::Found(Stored { revision: object.revision, record }),
+        Err(error) => {
+            log::error!("record {key} can't be decoded: {error}");
+            RecordRead::Failed
+        }
+    }
+}
+
+fn stored_key(listed: &Listed) -> Option<StoredKey> {
+    let target = listed.key.strip_prefix(ORDER_PREFIX)?.parse().ok()?;
+    Some(StoredKey { target, revision: listed.revision })
+}
--- /dev/null
+++ b/crates/oleander-entry/src/orders/view.rs
@@ -0,0 +1,36 @@
+//! What the orderer needs to know of the document and the hosts.
+
+use std::collections::HashSet;
+
+use oleander_core::HostId;
+use oleander_document::{Document, Service, ServiceKind};
+use oleander_host::{Phase, clock};
+use oleander_orders::{Goal, TargetGoal};
+
+use crate::app::App;
+
+/// Goals of all engine targets of a document.
+pub(super) fn goals(document: &Document) -> Vec<TargetGoal> {
+    document.services.iter().flat_map(service_goals).collect()
+}
+
+fn service_goals(service: &Service) -> Vec<TargetGoal> {
+    let ServiceKind::Engine { model } = &service.kind else { return Vec::new() };
+    let goal = |address: &String| Goal::Hold { address: address.clone(), model: model.clone() };
+    let targets = service.targets.iter();
+    targets
+        .map(|target| TargetGoal { target: target.name.clone(), goal: goal(&target.address) })
+        .collect()
+}
+
+/// Entry hosts that are live and stay, in order of name.
+pub(super) fn live_entries(app: &App) -> Vec<HostId> {
+    let hosts = app.hosts.lock();
+    let live: HashSet<String> = hosts.addresses(clock::now()).into_iter().collect();
+    let me = hosts.me().host;
+    let stays = app.drain.phase() == Phase::Running;
+    let live = |listen: &String, host: &HostId| live.contains(listen) && (stays || *host != me);
+    let contacts = hosts.contacts().into_iter();
+    let entries = contacts.filter(|contact| contact.entry && live(&contact.listen, &contact.host));
+    entries.map(|contact| contact.host).collect()
+}
