--- a/crates/oleander-check/tests/orders.rs
+++ b/crates/oleander-check/tests/orders.rs
@@ -104,4 +104,8 @@
             assert_eq!(record(&deployment, engine).await["document"], json!(base));
         }
     }
+    let late = json!({"fence": 1, "order": {"load": "older-0"}});
+    assert_eq!(order(&deployment, UNFENCED, &late).await, StatusCode::OK);
+    assert!(models(&deployment, UNFENCED).await.unwrap().to_string().contains("older-0"));
+    all_hold(&deployment, "newer-2").await;
 }
--- /dev/null
+++ b/crates/oleander-orders/tests/cost.rs
@@ -0,0 +1,118 @@
+//! Calls that one target costs, counted.
+
+#![allow(clippy::unwrap_used)]
+
+use oleander_core::{HostId, ModelId, Revision, Span, Time};
+use oleander_orders::{
+    Command, Goal, OrderAction, OrderEvent, Ordered, Orderer, OrdersConfig, RecordRead, Stored,
+    TargetGoal, WriteOutcome,
+};
+
+const STEP: Span = Span::from_millis(10);
+
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+struct Counts {
+    record_reads: usize,
+    writes: usize,
+    state_reads: usize,
+    orders: usize,
+}
+
+/// One orderer and one engine without faults.
+struct Pair {
+    now: Time,
+    orderer: Orderer,
+    stored: Option<Stored>,
+    models: Vec<ModelId>,
+    revision: u64,
+    counts: Counts,
+}
+
+impl Pair {
+    fn new() -> Self {
+        let me: HostId = "host".parse().unwrap();
+        let mut orderer = Orderer::new(OrdersConfig::new(), me.clone(), 1, 1);
+        let now = Time(1_000_000);
+        assert!(orderer.handle(now, OrderEvent::Hosts(vec![me])).is_empty());
+        let counts = Counts::default();
+        Self { now, orderer, stored: None, models: Vec::new(), revision: 0, counts }
+    }
+
+    fn document(&mut self, model: &str) {
+        self.revision += 1;
+        let goal = Goal::Hold { address: "engine".to_owned(), model: model.parse().unwrap() };
+        let goals = vec![TargetGoal { target: "target".parse().unwrap(), goal }];
+        let event = OrderEvent::Document { revision: Revision(self.revision), goals };
+        assert!(self.orderer.handle(self.now, event).is_empty());
+    }
+
+    /// Runs for a time and returns the calls made in it.
+    fn run(&mut self, span: Span) -> Counts {
+        self.counts = Counts::default();
+        let end = self.now + span;
+        while self.now < end {
+            self.now = self.now + STEP;
+            let mut actions = self.orderer.handle(self.now, OrderEvent::Tick);
+            while let Some(action) = actions.pop() {
+                if let Some(event) = self.perform(action) {
+                    actions.extend(self.orderer.handle(self.now, event));
+                }
+            }
+        }
+        self.counts
+    }
+
+    fn perform(&mut self, action: OrderAction) -> Option<OrderEvent> {
+        Some(match action {
+            OrderAction::ReadRecord(ticket) => {
+                self.counts.record_reads += 1;
+                let read = self.stored.clone().map_or(RecordRead::Absent, RecordRead::Found);
+                OrderEvent::Record(ticket, read)
+            }
+            OrderAction::Write { ticket, record, .. } => {
+                self.counts.writes += 1;
+                self.revision += 1;
+                let revision = Revision(self.revision);
+                self.stored = Some(Stored { revision, record });
+                OrderEvent::Written(ticket, WriteOutcome::Done(revision))
+            }
+            OrderAction::ReadState { ticket, .. } => {
+                self.counts.state_reads += 1;
+                OrderEvent::State(ticket, Some(self.models.clone()))
+            }
+            OrderAction::Order { ticket, command, .. } => {
+                self.counts.orders += 1;
+                match command {
+                    Command::Load(model) => self.models.push(model),
+                    Command::Unload(model) => self.models.retain(|held| *held != model),
+                }
+                OrderEvent::Ordered(ticket, Ordered::Taken)
+            }
+            OrderAction::List => return None,
+        })
+    }
+}
+
+#[test]
+fn calls_of_one_target_are_few() {
+    let mut pair = Pair::new();
+    pair.document("old");
+    let first = pair.run(Span::from_secs(1));
+    assert_eq!(first, Counts { record_reads: 1, writes: 1, state_reads: 2, orders: 1 });
+
+    let settled = pair.run(Span::from_secs(1_000));
+    assert_eq!((settled.record_reads, settled.writes, settled.orders), (0, 0, 0));
+    assert!((66..=200).contains(&settled.state_reads), "{settled:?}");
+
+    pair.document("old");
+    let unchanged = pair.run(Span::from_secs(4));
+    assert_eq!((unchanged.record_reads, unchanged.writes), (0, 0));
+
+    pair.document("new");
+    let changed = pair.run(Span::from_secs(9));
+    assert_eq!(changed, Counts { record_reads: 2, writes: 1, state_reads: 4, orders: 2 });
+
+    pair.models.clear();
+    let restarted = pair.run(Span::from_secs(20));
+    assert_eq!((restarted.record_reads, restarted.writes, restarted.orders), (1, 0, 1));
+}
