--- a/crates/oleander-orders/src/config.rs
+++ b/crates/oleander-orders/src/config.rs
@@ -16,6 +16,8 @@
 const RETRY_MIN: Span = Span::from_millis(200);
 /// Longest delay before a retry.
 const RETRY_MAX: Span = Span::from_secs(10);
+/// Most targets with a call under way.
+const MAX_CALLS: usize = 32;
 
 /// Tunables of the orderer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -27,6 +29,7 @@
     pub(crate) sweep: Span,
     pub(crate) retry_min: Span,
     pub(crate) retry_max: Span,
+    pub(crate) max_calls: usize,
 }
 
 impl OrdersConfig {
@@ -41,6 +44,7 @@
             sweep: SWEEP,
             retry_min: RETRY_MIN,
             retry_max: RETRY_MAX,
+            max_calls: MAX_CALLS,
         }
     }
 
@@ -58,6 +62,13 @@
         self
     }
 
+    /// Sets the most targets with a call under way.
+    #[must_use]
+    pub const fn max_calls(mut self, max: usize) -> Self {
+        self.max_calls = max;
+        self
+    }
+
     /// Longest time that one call of the shell may take.
     #[must_use]
     pub const fn call_limit(&self) -> Span {
--- a/crates/oleander-orders/src/orderer.rs
+++ b/crates/oleander-orders/src/orderer.rs
@@ -98,11 +98,12 @@
         mem::take(&mut self.actions)
     }
 
-    /// When the next tick is of use.
+    /// When the next tick is of use; an answer may make one useful earlier.
     #[must_use]
     pub fn next_wake(&self) -> Option<Time> {
         let resting = self.tasks.values().filter(|task| task.pending.is_none());
-        resting.map(|task| task.due).chain(self.sweep.due()).min()
+        let work = if self.room() > 0 { resting.map(|task| task.due).min() } else { None };
+        work.into_iter().chain(self.sweep.due()).min()
     }
 
     /// Number of targets that this host orders at present.
@@ -115,18 +116,31 @@
         if self.sweep.take_due(now, self.config.sweep) {
             self.actions.push(OrderAction::List);
         }
+        for target in self.due_targets(now) {
+            if let Some(next) = self.tasks.get_mut(&target).map(Task::wake) {
+                self.perform(now, target, next);
+            }
+        }
+    }
+
+    /// Number of targets that may start a call.
+    fn room(&self) -> usize {
+        let busy = self.tasks.values().filter(|task| task.pending.is_some()).count();
+        self.config.max_calls.saturating_sub(busy)
+    }
+
+    /// Targets to work on now, the longest due first.
+    fn due_targets(&self, now: Time) -> Vec<TargetId> {
         let due = |task: &Task| task.pending.is_none() && task.due <= now;
-        let due: Vec<TargetId> = self
+        let mut targets: Vec<(Time, &TargetId)> = self
             .tasks
             .iter()
             .filter(|(_, task)| due(task))
-            .map(|(target, _)| target.clone())
+            .map(|(target, task)| (task.due, target))
             .collect();
-        for target in due {
-            if let Some(next) = self.tasks.get_mut(&target).map(Task::wake) {
-                self.perform(now, target, next);
-            }
-        }
+        targets.sort_unstable();
+        targets.truncate(self.room());
+        targets.into_iter().map(|(_, target)| target.clone()).collect()
     }
 
     fn set_document(&mut self, now: Time, revision: Revision, goals: Vec<TargetGoal>) {
--- a/crates/oleander-orders/tests/cost.rs
+++ b/crates/oleander-orders/tests/cost.rs
@@ -116,3 +116,42 @@
     let restarted = pair.run(Span::from_secs(20));
     assert_eq!((restarted.record_reads, restarted.writes, restarted.orders), (1, 0, 1));
 }
+
+#[test]
+fn targets_with_calls_under_way_are_bounded() {
+    const TARGETS: usize = 500;
+    const MAX_CALLS: usize = 8;
+    let me: HostId = "host".parse().unwrap();
+    let config = OrdersConfig::new().max_calls(MAX_CALLS);
+    let mut orderer = Orderer::new(config, me.clone(), 1, 1);
+    let goal = |i: usize| {
+        let goal = Goal::Hold { address: i.to_string(), model: "model".parse().unwrap() };
+        TargetGoal { target: format!("target-{i}").parse().unwrap(), goal }
+    };
+    let goals = (0..TARGETS).map(goal).collect();
+    let mut now = Time(1_000_000);
+    orderer.handle(now, OrderEvent::Hosts(vec![me]));
+    orderer.handle(now, OrderEvent::Document { revision: Revision(1), goals });
+    assert_eq!(orderer.owned(), TARGETS);
+    let mut reached = 0;
+    let mut under_way: Vec<OrderAction> = Vec::new();
+    while reached < TARGETS {
+        now = now + STEP;
+        under_way.extend(orderer.handle(now, OrderEvent::Tick));
+        under_way.retain(|action| *action != OrderAction::List);
+        assert!((1..=MAX_CALLS).contains(&under_way.len()) || now < Time(2_000_000));
+        let Some(action) = under_way.pop() else { continue };
+        let event = match action {
+            OrderAction::ReadRecord(ticket) => OrderEvent::Record(ticket, RecordRead::Absent),
+            OrderAction::Write { ticket, .. } => {
+                OrderEvent::Written(ticket, WriteOutcome::Done(Revision(1)))
+            }
+            OrderAction::ReadState { ticket, .. } => {
+                reached += 1;
+                OrderEvent::State(ticket, Some(vec!["model".parse().unwrap()]))
+            }
+            other => panic!("{other:?}"),
+        };
+        under_way.extend(orderer.handle(now, event));
+    }
+}
