--- a/crates/oleander-check/src/deployment.rs
+++ b/crates/oleander-check/src/deployment.rs
@@ -368,6 +368,18 @@
         get(&self.client, &self.entry_addresses[entry], path).await
     }
 
+    /// Uploads JSON lines through an entry.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is no whole answer.
+    pub async fn upload(&self, entry: usize, lines: &str) -> Result<Answer, String> {
+        let url = format!("{}/v1/files", self.entry_addresses[entry]);
+        let bearer = format!("Bearer {CALLER_KEY}");
+        let headers = [("authorization", bearer.as_str())];
+        self.client.send(Method::POST, &url, &headers, lines.to_owned()).await
+    }
+
     /// A chat completion through an entry.
     ///
     /// # Errors
--- a/crates/oleander-check/src/process.rs
+++ b/crates/oleander-check/src/process.rs
@@ -76,6 +76,15 @@
         self.child.wait().await.expect("wait").success()
     }
 
+    /// Whether the process has ended.
+    ///
+    /// # Panics
+    ///
+    /// Panics if its state can't be read.
+    pub fn has_ended(&mut self) -> bool {
+        self.child.try_wait().expect("a state").is_some()
+    }
+
     /// Starts the same command again.
     pub fn restart(&mut self) {
         self.child = spawn(&self.program, &self.args, &self.log);
