Tell runs apart in histories, and send each ended call once more

The stand-ins' answers are a function of the request, so that a second run showed only in the id of its target call and in the targets' records; the checker now compares both.

--- a/crates/oleander-check/tests/history/call.rs
+++ b/crates/oleander-check/tests/history/call.rs
@@ -33,8 +33,8 @@
 /// What one answer or read said.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum Word {
-    /// A whole result.
-    Whole(String),
+    /// A whole result, and the id that its target was called with, where the answer tells it.
+    Whole(String, String),
     /// An error: its code and its `ran` member.
     Refused(String, String),
     /// A stream that ended early, with the text so far.
@@ -92,7 +92,7 @@
     /// Whether nothing else may follow `word`.
     pub(crate) fn is_final(&self, word: &Word) -> bool {
         match word {
-            Word::Whole(_) | Word::Malformed(_) => true,
+            Word::Whole(..) | Word::Malformed(_) => true,
             Word::Refused(code, ran) => {
                 code == "outcome_unknown"
                     || (self.kind == Kind::Dispatch && code == "target_failed" && ran != "no")
@@ -119,7 +119,7 @@
             _ => (&json["request_id"], json["result"].as_str().map(str::to_owned)),
         };
         match (id.as_str(), result) {
-            (Some(id), Some(result)) if self.is_own(id) => Word::Whole(result),
+            (Some(id), Some(result)) if self.is_own(id) => Word::Whole(result, id.to_owned()),
             _ => Word::Malformed(answer.body),
         }
     }
@@ -131,7 +131,7 @@
 
     fn read_stream(&self, answer: &Answer) -> Word {
         if let Some(text) = answer.streamed_text() {
-            return Word::Whole(text);
+            return Word::Whole(text, self.key.clone());
         }
         let data = answer.body.lines().filter_map(|line| line.strip_prefix("data: "));
         let chunks: Vec<Value> = data.filter_map(|data| serde_json::from_str(data).ok()).collect();
--- a/crates/oleander-check/tests/history/checker.rs
+++ b/crates/oleander-check/tests/history/checker.rs
@@ -7,12 +7,20 @@
 /// What the targets themselves saw.
 #[derive(Debug, Default)]
 pub(crate) struct Records {
-    /// Keys of calls that reached a target.
-    pub(crate) reached: BTreeSet<String>,
+    /// Requests that reached a target, by key.
+    pub(crate) requests: BTreeMap<String, usize>,
     /// Runs of the plain service by request id.
     pub(crate) runs: BTreeMap<String, u64>,
 }
 
+impl Records {
+    /// Counts a request at a target by the key that its id begins with.
+    pub(crate) fn count(&mut self, id: &str) {
+        let key = id.split('@').next().unwrap_or_default();
+        *self.requests.entry(key.to_owned()).or_default() += 1;
+    }
+}
+
 /// All that was heard about one call.
 #[derive(Debug)]
 pub(crate) struct Story {
@@ -61,9 +69,9 @@
 
 /// One result over all answers and reads, and the same at each read.
 fn one_outcome(story: &Story) -> Option<String> {
-    let whole: BTreeSet<&String> = words(story)
+    let whole: BTreeSet<(&String, &String)> = words(story)
         .filter_map(|word| match word {
-            Word::Whole(text) => Some(text),
+            Word::Whole(text, run) => Some((text, run)),
             _ => None,
         })
         .collect();
@@ -73,7 +81,7 @@
     if story.reads.windows(2).any(|pair| pair[0] != pair[1]) {
         return Some("entries read different results".to_owned());
     }
-    let readable = story.reads.iter().any(|word| matches!(word, Word::Whole(_)));
+    let readable = story.reads.iter().any(|word| matches!(word, Word::Whole(..)));
     (!whole.is_empty() && !readable)
         .then(|| "a result that was answered is not readable".to_owned())
 }
@@ -82,7 +90,7 @@
 fn own_answers(story: &Story) -> Option<String> {
     let expected = story.call.expected();
     let wrong = words(story).any(|word| match word {
-        Word::Whole(text) => *text != expected,
+        Word::Whole(text, _) => *text != expected,
         Word::Partial(text) => !expected.starts_with(text.as_str()),
         Word::Malformed(_) => true,
         Word::Refused(..) | Word::Lost(_) => false,
@@ -94,7 +102,7 @@
 fn unknown_is_last(story: &Story) -> Option<String> {
     let unknown = |word: &Word| matches!(word, Word::Refused(code, _) if code == "outcome_unknown");
     let first = words(story).position(unknown)?;
-    let later = words(story).skip(first).any(|word| matches!(word, Word::Whole(_)));
+    let later = words(story).skip(first).any(|word| matches!(word, Word::Whole(..)));
     later.then(|| "a result after an unknown outcome".to_owned())
 }
 
@@ -104,14 +112,20 @@
 fn not_run_is_true(story: &Story, records: &Records) -> Option<String> {
     let refused = |word: &Word| matches!(word, Word::Refused(_, ran) if ran == "no");
     let only_refused = story.answers.iter().all(|heard| refused(&heard.word));
-    let ran = records.reached.contains(&story.call.key);
+    let ran = records.requests.contains_key(&story.call.key);
     (only_refused && ran).then(|| "said not to have run, but it ran".to_owned())
 }
 
+/// Calls that reached a target again between two readings of the records.
+pub(crate) fn ran_again(before: &Records, after: &Records) -> Vec<String> {
+    let new = after.requests.iter().filter(|(key, count)| before.requests.get(*key) != Some(count));
+    new.map(|(key, _)| format!("{key} ran again after its end")).collect()
+}
+
 /// Number of stories of each kind, and how they ended; for the report of a run.
 pub(crate) fn summary(stories: &BTreeMap<String, Story>) -> String {
     let count = |holds: &dyn Fn(&Story) -> bool| stories.values().filter(|s| holds(s)).count();
-    let whole = |s: &Story| s.reads.iter().any(|word| matches!(word, Word::Whole(_)));
+    let whole = |s: &Story| s.reads.iter().any(|word| matches!(word, Word::Whole(..)));
     let unknown = |s: &Story| {
         words(s).any(|word| matches!(word, Word::Refused(code, _) if code == "outcome_unknown"))
     };
--- a/crates/oleander-check/tests/history/main.rs
+++ b/crates/oleander-check/tests/history/main.rs
@@ -19,7 +19,6 @@
 use futures_util::future::join_all;
 use oleander_check::{Caller, Deployment, Shape, eventually};
 use rand::{SeedableRng, rngs::SmallRng};
-use serde_json::Value;
 
 use call::Word;
 use callers::Shared;
@@ -65,7 +64,10 @@
     let history = mem::take(&mut *shared.history.lock().unwrap());
     let mut stories = checker::stories(history);
     read_all(&shared.caller, &mut stories).await;
-    let violations = checker::violations(&stories, &records(&deployment).await);
+    let ended = records(&deployment).await;
+    resend_all(&shared.caller, &mut stories).await;
+    let mut violations = checker::violations(&stories, &ended);
+    violations.extend(checker::ran_again(&ended, &records(&deployment).await));
     println!("seed {seed}: {} faults {faults:?}", faults.len());
     println!("seed {seed}: {}", checker::summary(&stories));
     assert!(violations.is_empty(), "seed {seed}, faults {faults:?}:\n{}", violations.join("\n"));
@@ -79,6 +81,17 @@
     }
 }
 
+/// Sends each call that is at its end once more; the answers count as reads.
+async fn resend_all(caller: &Caller, stories: &mut BTreeMap<String, Story>) {
+    for (n, story) in stories.values_mut().enumerate() {
+        let call = &story.call;
+        if story.reads.iter().all(|word| call.is_final(word)) {
+            let answer = caller.post(n % 3, call.path(), &call.key, &call.body()).await;
+            story.reads.push(call.read(answer));
+        }
+    }
+}
+
 /// The settled word of an entry about a call; a result that was answered must come.
 async fn read(caller: &Caller, story: &Story, entry: usize) -> Word {
     let path = format!("v1/results/{}", story.call.key);
@@ -96,18 +109,14 @@
     let mut records = Records::default();
     for engine in 0..3 {
         for record in deployment.engine_records(engine).await {
-            records.reached.insert(key_of(&record["request_id"]));
+            if record["event"] == "received" {
+                records.count(record["request_id"].as_str().unwrap());
+            }
         }
     }
     for (id, runs) in deployment.service_runs().await {
-        records.reached.insert(id.split('@').next().unwrap_or_default().to_owned());
+        records.count(&id);
         records.runs.insert(id, runs.as_u64().unwrap());
     }
     records
 }
-
-/// Key of the call that a request id at a target belongs to.
-fn key_of(id: &Value) -> String {
-    let id = id.as_str().unwrap();
-    id.split('@').next().unwrap_or_default().to_owned()
-}
