--- /dev/null
+++ b/scripts/slopes.sh
@@ -0,0 +1,251 @@
+#!/usr/bin/env bash
+# Measures what a deployment on loopback costs, and fits a line to each series.
+#
+# usage: scripts/slopes.sh [entries] [targets] [requests] [tokens] [items] [documents]
+#
+# Needs release builds (`cargo build --release --bins`) and port 7001 free. Processor time is that
+# of all threads of a process; bytes are those of its open connections, as the kernel counts them,
+# with 52 bytes of headers for each segment.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+BIN=${BIN:-target/release}
+RUN=${RUN:-run/slopes}
+SECONDS_EACH=${SECONDS_EACH:-10}
+# shellcheck source=scripts/deployment.sh
+. scripts/deployment.sh
+# Processes under measurement, as name=pid.
+watched=()
+
+wait_for_port() {
+    local tries=600
+    while ss -ltnH | grep -q ':7001 '; do
+        tries=$((tries - 1))
+        [ "$tries" -gt 0 ] || { echo "port 7001 is in use" >&2; exit 1; }
+        sleep 0.5
+    done
+}
+
+# A document of the deployment with as many engines as run, and some workspaces.
+document() { # engines workspaces
+    jq --argjson n "$1" --argjson w "$2" '
+        .zones as $zones
+        | .services[0].targets = [range(1; $n + 1) | {name: "worker-\(.)",
+            zone: $zones[(. - 1) % ($zones | length)], address: "127.0.0.1:\(7100 + .)"}]
+        | .workspaces[0] as $first
+        | .workspaces += [range(1; $w) | $first + {name: "workspace-\(. + 10000)",
+            key_digest: ("0" * 59 + "\(. + 10000)")}]
+    ' examples/ventiladores.json >"$RUN/document.json"
+}
+
+begin() { # engines entries batches
+    wait_for_port
+    ENGINES=$1 ENTRIES=$2 BATCHES=$3
+    start_deployment
+    document "$ENGINES" 1
+    ctl apply "$RUN/document.json" >/dev/null
+    wait_for 20 all_ready
+    watched=()
+    local n
+    for n in $(seq "$ENTRIES"); do watch_process "entry-$n"; done
+    for n in $(seq "$BATCHES"); do watch_process "batch-$n"; done
+    sleep 4
+}
+
+watch_process() { # name
+    local pid=pid_${1//-/_}
+    watched+=("$1=${!pid}")
+}
+
+processor_ns() { # pid
+    cat /proc/"$1"/task/*/schedstat | awk '{ sum += $1 } END { printf "%d\n", sum }'
+}
+
+# Bytes and segments that each process sent and received, by the kind of peer.
+traffic() {
+    ss -tinpOH state established | awk '
+        function port(address) { sub(/.*:/, "", address); return address + 0 }
+        function field(name,  m) {
+            return match($0, "[ ]" name ":[0-9]+") ?
+                substr($0, RSTART + length(name) + 2, RLENGTH - length(name) - 2) + 0 : 0
+        }
+        match($0, /pid=[0-9]+/) {
+            pid = substr($0, RSTART + 4, RLENGTH - 4)
+            near = port($3); far = port($4); kind = "other"
+            if ((near >= 7400 && near < 7500) || (far >= 7400 && far < 7500)) kind = "link"
+            else if (far == 7001) kind = "platform"
+            else if (far > 7100 && far < 7300) kind = "target"
+            sent[pid " " kind] += field("bytes_sent") + 52 * field("segs_out")
+            got[pid " " kind] += field("bytes_received") + 52 * field("segs_in")
+        }
+        END { for (k in sent) print k, sent[k], got[k] }'
+}
+
+snapshot() { # file
+    local entry
+    {
+        echo "at $(date +%s%N)"
+        for entry in "${watched[@]}"; do
+            echo "cpu $entry $(processor_ns "${entry#*=}")"
+            echo "rss $entry $(awk '/^VmRSS/ { print $2 }' /proc/"${entry#*=}"/status)"
+        done
+        curl -sf "$PLATFORM/_stats" | jq -r 'to_entries[] | "platform \(.key) \(.value)"'
+        traffic | sed 's/^/net /'
+    } >"$1"
+}
+
+# Prints the rates between two snapshots as points of series that start with $1.
+rates() { # prefix x
+    awk -v prefix="$1" -v x="$2" '
+        function role(name) { sub(/-.*/, "", name); return name }
+        FNR == 1 { file++ }
+        $1 == "at" { at[file] = $2 / 1e9 }
+        $1 == "cpu" || $1 == "rss" {
+            split($2, part, "="); name[part[2]] = role(part[1])
+            if (file == 1) count[role(part[1])]++
+        }
+        $1 == "cpu" { cpu[file, role(part[1])] += $3 }
+        $1 == "rss" { rss[file, role(part[1])] += $3 }
+        $1 == "platform" { calls[file, $2] = $3; if (file == 1) kinds[++k] = $2 }
+        $1 == "net" && $2 in name { net[file, name[$2] "_" $3] += $4; got[file, name[$2] "_" $3] += $5; seen[name[$2] "_" $3] }
+        END {
+            seconds = at[2] - at[1]
+            for (r in count) {
+                printf "%s.%s.cpu_us_per_s %s %.1f\n", prefix, r, x, (cpu[2, r] - cpu[1, r]) / 1e3 / seconds / count[r]
+                printf "%s.%s.resident_kb %s %.0f\n", prefix, r, x, rss[2, r] / count[r]
+            }
+            for (s in seen) {
+                split(s, part, "_"); if (part[2] == "other") continue
+                printf "%s.%s.%s_sent_B_per_s %s %.0f\n", prefix, part[1], part[2], x, (net[2, s] - net[1, s]) / seconds / count[part[1]]
+            }
+            for (i = 1; i <= k; i++) {
+                kind = kinds[i]
+                if (kind == "watching") printf "%s.platform.watching %s %d\n", prefix, x, calls[2, kind]
+                else printf "%s.platform.%s_per_s %s %.2f\n", prefix, kind, x, (calls[2, kind] - calls[1, kind]) / seconds
+            }
+        }' "$RUN/before" "$RUN/after" | sort
+}
+
+idle() { # prefix x
+    snapshot "$RUN/before"
+    sleep "$SECONDS_EACH"
+    snapshot "$RUN/after"
+    rates "$1" "$2"
+}
+
+load() { # rate tokens
+    "$BIN/standin-load" --address 127.0.0.1:7301 --ask-addresses --key-file "$RUN/keys/caller.key" \
+        --rate "$1" --max-tokens "$2" --seconds "$SECONDS_EACH" --callers 32 \
+        --report "$RUN/load.json" --label slopes >"$RUN/load.txt" 2>&1 ||
+        echo "# load tool: exit code $?" >&2
+}
+
+loaded() { # prefix x rate tokens
+    load 5 4
+    snapshot "$RUN/before"
+    load "$3" "$4"
+    snapshot "$RUN/after"
+    rates "$1" "$2"
+    jq -r --arg x "$2" '"# load at x=\($x): sent \(.sent) whole \(.whole) refused \(.refused) failed \(.failed)"' "$RUN/load.json"
+}
+
+measure_entries() {
+    echo "# entries: x = entries, idle; 2 batch hosts, 3 targets; figures are means a process"
+    local n
+    for n in 2 4 6 8; do
+        begin 3 "$n" 2
+        idle entries "$n"
+        stop_deployment
+    done
+}
+
+measure_targets() {
+    echo "# targets: x = targets, idle; 2 entries, 1 batch host"
+    local n
+    for n in 3 12 24 48; do
+        begin "$n" 2 1
+        idle targets "$n"
+        stop_deployment
+    done
+}
+
+measure_requests() {
+    echo "# requests: x = streamed requests a second of 16 tokens over 2 entries; 6 targets"
+    begin 6 2 1
+    local n
+    for n in 10 20 40 80; do loaded requests "$n" "$n" 16; done
+    stop_deployment
+}
+
+measure_tokens() {
+    echo "# tokens: x = tokens of each of 10 requests a second over 2 entries; 6 targets"
+    begin 6 2 1
+    local n
+    for n in 8 32 64 128; do loaded tokens "$n" 10 "$n"; done
+    stop_deployment
+}
+
+job_done() { # job
+    caller GET "127.0.0.1:7301/v1/batches/$1" | jq -e '.status == "completed"'
+}
+
+run_job() { # items
+    "$BIN/standin-load" --batch-file "$RUN/items-$1.jsonl" --items "$1" --prompt-tokens 100 \
+        --max-tokens 8 --seed "$1"
+    local file job
+    file=$(caller POST 127.0.0.1:7301/v1/files -H 'content-type: application/jsonl' \
+        --data-binary "@$RUN/items-$1.jsonl" | jq -r .id)
+    job=$(caller POST 127.0.0.1:7301/v1/batches -H 'content-type: application/json' \
+        -d "{\"input_file_id\":\"$file\",\"endpoint\":\"/v1/chat/completions\",\"completion_window\":\"24h\"}" | jq -r .id)
+    wait_for 300 job_done "$job"
+}
+
+# Totals between two snapshots, less what the idle deployment costs in that time.
+measure_items() {
+    echo "# items: x = items of one job, 8 tokens each; 1 entry, 1 batch host, 6 targets; totals"
+    begin 6 1 1
+    local n seconds
+    idle idle 0 >"$RUN/idle.txt"
+    for n in 256 512 1024 2048; do
+        snapshot "$RUN/before"
+        run_job "$n" >/dev/null
+        snapshot "$RUN/after"
+        seconds=$(awk '$1 == "at" { t[++n] = $2 } END { print (t[2] - t[1]) / 1e9 }' "$RUN/before" "$RUN/after")
+        rates items "$n" | awk -v s="$seconds" '
+            NR == FNR { sub(/^idle/, "items", $1); base[$1] = $3; next }
+            /_per_s/ { name = $1; sub(/_per_s/, "_total", name); printf "%s %s %.1f\n", name, $2, ($3 - base[$1]) * s }
+            /resident/ { print }' "$RUN/idle.txt" -
+        echo "items.seconds $n $seconds"
+    done
+    stop_deployment
+}
+
+measure_documents() {
+    echo "# documents: x = workspaces; 3 entries, 2 batch hosts; apply until in force at all"
+    begin 3 3 2
+    local n start
+    for n in 500 1000 2000 3000; do
+        document 3 "$n"
+        snapshot "$RUN/before"
+        start=$(date +%s%N)
+        ctl apply "$RUN/document.json" >"$RUN/apply.txt"
+        wait_for 20 revision_everywhere
+        echo "documents.in_force_ms $n $((($(date +%s%N) - start) / 1000000))"
+        sleep 4
+        snapshot "$RUN/after"
+        rates documents "$n" | grep -E 'resident|cpu|sent'
+    done
+    stop_deployment
+}
+
+revision_everywhere() {
+    ctl status --json | jq -e '[.. | objects | .revision? // empty] | (unique | length) == 1'
+}
+
+measure() {
+    trap stop_deployment EXIT
+    local part
+    for part in "$@"; do "measure_$part"; done
+}
+
+[ $# -gt 0 ] || set -- entries targets requests tokens items documents
+measure "$@" | awk -f scripts/slopes/fit.awk
