--- a/scripts/slopes.sh
+++ b/scripts/slopes.sh
@@ -62,22 +62,7 @@
 
 # Bytes and segments that each process sent and received, by the kind of peer.
 traffic() {
-    ss -tinpOH state established | awk '
-        function port(address) { sub(/.*:/, "", address); return address + 0 }
-        function field(name,  m) {
-            return match($0, "[ ]" name ":[0-9]+") ?
-                substr($0, RSTART + length(name) + 2, RLENGTH - length(name) - 2) + 0 : 0
-        }
-        match($0, /pid=[0-9]+/) {
-            pid = substr($0, RSTART + 4, RLENGTH - 4)
-            near = port($3); far = port($4); kind = "other"
-            if ((near >= 7400 && near < 7500) || (far >= 7400 && far < 7500)) kind = "link"
-            else if (far == 7001) kind = "platform"
-            else if (far > 7100 && far < 7300) kind = "target"
-            sent[pid " " kind] += field("bytes_sent") + 52 * field("segs_out")
-            got[pid " " kind] += field("bytes_received") + 52 * field("segs_in")
-        }
-        END { for (k in sent) print k, sent[k], got[k] }'
+    ss -tinpOH state established | awk -f scripts/slopes/traffic.awk
 }
 
 snapshot() { # file
@@ -95,34 +80,7 @@
 
 # Prints the rates between two snapshots as points of series that start with $1.
 rates() { # prefix x
-    awk -v prefix="$1" -v x="$2" '
-        function role(name) { sub(/-.*/, "", name); return name }
-        FNR == 1 { file++ }
-        $1 == "at" { at[file] = $2 / 1e9 }
-        $1 == "cpu" || $1 == "rss" {
-            split($2, part, "="); name[part[2]] = role(part[1])
-            if (file == 1) count[role(part[1])]++
-        }
-        $1 == "cpu" { cpu[file, role(part[1])] += $3 }
-        $1 == "rss" { rss[file, role(part[1])] += $3 }
-        $1 == "platform" { calls[file, $2] = $3; if (file == 1) kinds[++k] = $2 }
-        $1 == "net" && $2 in name { net[file, name[$2] "_" $3] += $4; got[file, name[$2] "_" $3] += $5; seen[name[$2] "_" $3] }
-        END {
-            seconds = at[2] - at[1]
-            for (r in count) {
-                printf "%s.%s.cpu_us_per_s %s %.1f\n", prefix, r, x, (cpu[2, r] - cpu[1, r]) / 1e3 / seconds / count[r]
-                printf "%s.%s.resident_kb %s %.0f\n", prefix, r, x, rss[2, r] / count[r]
-            }
-            for (s in seen) {
-                split(s, part, "_"); if (part[2] == "other") continue
-                printf "%s.%s.%s_sent_B_per_s %s %.0f\n", prefix, part[1], part[2], x, (net[2, s] - net[1, s]) / seconds / count[part[1]]
-            }
-            for (i = 1; i <= k; i++) {
-                kind = kinds[i]
-                if (kind == "watching") printf "%s.platform.watching %s %d\n", prefix, x, calls[2, kind]
-                else printf "%s.platform.%s_per_s %s %.2f\n", prefix, kind, x, (calls[2, kind] - calls[1, kind]) / seconds
-            }
-        }' "$RUN/before" "$RUN/after" | sort
+    awk -v prefix="$1" -v x="$2" -f scripts/slopes/rates.awk "$RUN/before" "$RUN/after" | sort
 }
 
 idle() { # prefix x
