--- a/crates/oleander-document/examples/slope_document.rs
+++ b/crates/oleander-document/examples/slope_document.rs
@@ -10,6 +10,8 @@
 const WORKSPACES: [usize; 5] = [250, 500, 1_000, 2_000, 4_000];
 const TARGETS: [usize; 5] = [500, 1_000, 3_000, 6_000, 12_000];
 const REPEATS: u32 = 30;
+/// Rows of the copies whose memory is measured together.
+const COPIED_ROWS: usize = 200_000;
 
 fn limits() -> Value {
     json!({"rate_per_s": 1000, "burst": 2000, "file_bytes": 200_000_000, "job_items": 310_000})
@@ -61,8 +63,9 @@
     point(&format!("document.{name}.write_us"), x, nanos / 1e3 / f64::from(REPEATS));
     let before = resident_bytes();
     // Kept, so that no point is served from memory that an earlier one gave back.
-    kept.extend((0..REPEATS).map(|_| document.clone()));
-    let bytes = (resident_bytes() - before) / f64::from(REPEATS);
+    let copies = COPIED_ROWS / x;
+    kept.extend((0..copies).map(|_| document.clone()));
+    let bytes = (resident_bytes() - before) / copies as f64;
     point(&format!("document.{name}.memory_bytes"), x, bytes);
     let key = document.workspaces.last().map(|workspace| workspace.key_digest.clone());
     let Some(key) = key else { return };
--- a/crates/oleander-jobs/examples/slope_items.rs
+++ b/crates/oleander-jobs/examples/slope_items.rs
@@ -21,6 +21,10 @@
 const HOSTS: [usize; 4] = [50, 100, 200, 395];
 /// Lots of the jobs on the board: the letter's mean of 8,871 items in lots of 64.
 const LOTS: u32 = 139;
+/// Jobs that one look at the announcements finds.
+const SCANNED: usize = 500;
+/// Lots whose memory is measured together.
+const COPIES: usize = 100;
 const PROMPT: &str = "El ventilador 3 del galpon 12 se detuvo; explique al productor que hacer.";
 
 fn now() -> Time {
@@ -59,8 +63,7 @@
     parser
 }
 
-/// Runs a lot with a platform that answers at once; returns the number of segments.
-fn run_lot(items: usize, incarnation: u64) -> (u64, u64) {
+fn lot(items: usize, incarnation: u64) -> Lot {
     let range =
         LotRange { chunk: ChunkIndex(0), offset: 0, first: ItemIndex(0), count: items as u32 };
     let config = LotConfig {
@@ -70,10 +73,14 @@
         stale: Span::from_secs(15),
         deadline: now() + Span::from_secs(3_600),
     };
+    Lot::new(host(1), incarnation, range, config, now())
+}
+
+/// Runs a lot to its end with a platform that answers at once.
+fn run_lot(items: usize, incarnation: u64) {
     let mut at = now();
-    let mut lot = Lot::new(host(1), incarnation, range, config, at);
+    let mut lot = lot(items, incarnation);
     let mut pending = vec![LotEvent::Tick];
-    let (mut creates, mut reads) = (0, 0);
     while !lot.is_ended() {
         let event = pending.pop().unwrap_or_else(|| {
             at = at + Span::from_millis(100);
@@ -86,11 +93,9 @@
         for action in lot.handle(at, event) {
             match action {
                 LotAction::Create(sequence, _) => {
-                    creates += 1;
                     pending.push(LotEvent::Log(LogEvent::Created(sequence)));
                 }
                 LotAction::Fetch(sequence) => {
-                    reads += 1;
                     pending.push(LotEvent::Log(LogEvent::Fetched(sequence, None)));
                 }
                 LotAction::Run { run, .. } => pending.push(end(run)),
@@ -98,7 +103,6 @@
             }
         }
     }
-    (creates, reads)
 }
 
 fn answer(n: usize, body: usize) -> Answer {
@@ -109,22 +113,15 @@
     LotEvent::End { run, end: ItemEnd::Answered(answer(run.item.0 as usize, 512)) }
 }
 
+fn lot_memory(kept: &mut Vec<Lot>, items: usize) {
+    let before = resident_bytes();
+    kept.extend((0..COPIES).map(|n| lot(items, n as u64)));
+    point("jobs.lot_memory_bytes", items, (resident_bytes() - before) / COPIES as f64);
+}
+
 fn lot_cost(items: usize) {
     let repeats = (20_000 / items).max(4);
-    let before = resident_bytes();
-    let range =
-        LotRange { chunk: ChunkIndex(0), offset: 0, first: ItemIndex(0), count: items as u32 };
-    let config = LotConfig {
-        tries: 3,
-        targets: 20,
-        checkpoint: Span::from_secs(2),
-        stale: Span::from_secs(15),
-        deadline: now(),
-    };
-    let lots: Vec<Lot> = (0..200).map(|_| Lot::new(host(1), 1, range, config, now())).collect();
-    point("jobs.lot_memory_bytes", items, (resident_bytes() - before) / lots.len() as f64);
-    let run = || (0..repeats).map(|n| run_lot(items, n as u64).0).sum::<u64>();
-    let (nanos, _) = measure(run);
+    let (nanos, ()) = measure(|| (0..repeats).for_each(|n| run_lot(items, n as u64)));
     point("jobs.lot_ns_per_item", items, nanos / (items * repeats) as f64);
 }
 
@@ -152,10 +149,14 @@
     board
 }
 
-fn board_by_jobs(jobs: usize) {
+fn board_memory(kept: &mut Vec<JobBoard>, jobs: usize) {
     let before = resident_bytes();
-    let mut table = board(jobs, 100);
+    kept.push(board(jobs, 100));
     point("jobs.board.jobs.memory_bytes", jobs, resident_bytes() - before);
+}
+
+fn board_by_jobs(jobs: usize) {
+    let mut table = board(jobs, 100);
     let mut lots: Vec<(JobId, LotIndex)> = Vec::new();
     let (nanos, ()) = measure(|| {
         lots.extend((0..200).map_while(|_| table.pick(now(), |_| true)));
@@ -165,24 +166,28 @@
 
 fn board_by_hosts(hosts: usize) {
     let table = board(0, hosts);
-    let job = board_job(1);
     let (nanos, ()) = measure(|| {
-        (0..40).for_each(|_| {
-            std::hint::black_box((0..LOTS).filter(|_| table.concerns(&job.job, LOTS)).count());
+        (0..SCANNED).for_each(|n| {
+            std::hint::black_box(table.concerns(&board_job(n).job, LOTS));
         });
     });
-    point("jobs.board.hosts.concerns_ns", hosts, nanos / (40.0 * f64::from(LOTS)));
+    point("jobs.board.hosts.concerns_ns", hosts, nanos / SCANNED as f64);
     let mut table = table;
-    let (nanos, ()) = measure(|| (0..50).for_each(|n| table.learn(now(), board_job(n))));
-    point("jobs.board.hosts.learn_ns", hosts, nanos / 50.0);
+    let (nanos, ()) = measure(|| (0..SCANNED).for_each(|n| table.learn(now(), board_job(n))));
+    point("jobs.board.hosts.learn_ns", hosts, nanos / SCANNED as f64);
 }
 
 fn main() {
+    // What memory is measured of is kept, so that no point is served from freed memory.
+    println!("# jobs: x = items of a lot, memory at its start");
+    let mut lots = Vec::new();
+    LOT_ITEMS.into_iter().for_each(|items| lot_memory(&mut lots, items));
+    println!("# jobs: x = open jobs of {LOTS} lots on a board with 100 hosts, memory");
+    let mut boards = Vec::new();
+    JOBS.into_iter().for_each(|jobs| board_memory(&mut boards, jobs));
     println!("# jobs: x = items of a file that is checked");
-    // Kept, so that no point is served from memory that an earlier one gave back.
-    let kept: Vec<BatchParser> = ITEMS.into_iter().map(parse).collect();
+    let parsers: Vec<BatchParser> = ITEMS.into_iter().map(parse).collect();
     println!("# jobs: x = items of a lot, run against a platform that answers at once");
-    drop(kept);
     LOT_ITEMS.into_iter().for_each(lot_cost);
     println!("# jobs: x = bytes of an answer; y = bytes of its record in a segment of 64");
     BODIES.into_iter().for_each(record_bytes);
@@ -190,4 +195,5 @@
     JOBS.into_iter().for_each(board_by_jobs);
     println!("# jobs: x = batch hosts; a job of {LOTS} lots");
     HOSTS.into_iter().for_each(board_by_hosts);
+    drop((lots, boards, parsers));
 }
