Spread the starts of batch items at a target

Cause: after a burst ended, each batch host filled all freed slots of a target at once, and the prompts of all these items were read in one step, which held up first tokens; with reports 5 s old this came back with each late report. A host now leaves a gap between two starts at one target, at most 100 ms and a quarter of what items of the usual length need.

--- a/crates/oleander-routing/examples/policy/main.rs
+++ b/crates/oleander-routing/examples/policy/main.rs
@@ -2,13 +2,18 @@
 //!
 //! An experiment on a small model of routers and engines in virtual time, not a measurement of
 //! processes. Usage: `cargo run --release -p oleander-routing --example policy -- [vpu|ht] [SEEDS] [brief]`.
-//! With `brief`, of the baselines only the one without batch is run. Prints a JSON line a run, then a table.
+//! With `brief`, of the baselines only the one without batch is run. Prints a JSON line a run,
+//! then a table over all seeds; see the column names in `report.rs`.
 
 mod engine;
 mod load;
+mod report;
 mod world;
 
-use std::io::{self, Write};
+use std::{
+    io::{self, Write},
+    thread,
+};
 
 use oleander_core::{Span, Time};
 use oleander_routing::Policy;
@@ -16,8 +21,12 @@
 use rand_pcg::Pcg64Mcg;
 
 use engine::EngineConfig;
+use report::Row;
 use world::{Outcome, Setting, World};
 
+/// Seeds that run at the same time.
+const THREADS: usize = 3;
+
 const ENGINE: EngineConfig = EngineConfig {
     slots: 48,
     step_base: Span(20_000),
@@ -56,6 +65,11 @@
     World::new(setting.clone(), &arrivals).run()
 }
 
+/// Tokens a second of batch alone under the policy of the setting.
+fn idle(base: &Setting) -> f64 {
+    simulate(base, 0.0, None).batch_tokens as f64 / seconds(base)
+}
+
 /// Tokens a second of all targets when every slot is used by items of `length` tokens.
 fn capacity(base: &Setting, length: u32) -> f64 {
     let setting = Setting { policy: Policy::FirstCome, item_length: length, ..base.clone() };
@@ -67,53 +81,37 @@
     setting.end.since(setting.warm_up).as_secs_f64()
 }
 
-struct Row {
-    scenario: &'static str,
-    policy: &'static str,
-    seed: u64,
-    outcome: Outcome,
-    share: f64,
-    goodput: f64,
-}
-
-impl Row {
-    fn json(&self) -> serde_json::Value {
-        let o = &self.outcome;
-        let quantiles = |h: &hdrhistogram::Histogram<u64>| {
-            serde_json::json!({
-                "p50_us": h.value_at_quantile(0.5), "p95_us": h.value_at_quantile(0.95),
-                "p99_us": h.value_at_quantile(0.99), "p999_us": h.value_at_quantile(0.999),
-            })
-        };
-        serde_json::json!({
-            "scenario": self.scenario, "policy": self.policy, "seed": self.seed,
-            "first": quantiles(&o.first), "whole": quantiles(&o.whole),
-            "give_way_p50_us": o.give_way.value_at_quantile(0.5), "give_way_max_us": o.give_way.max(),
-            "bursts": o.give_way.len(), "batch_share": self.share, "goodput": self.goodput,
-            "arrived": o.arrived, "answered": o.whole.len(), "refused": o.refused,
-            "items": o.items, "cancels": o.cancels, "most_at_engine": o.most,
-        })
-    }
-}
-
 fn main() -> io::Result<()> {
     let mut args = std::env::args().skip(1);
     let size = args.next().unwrap_or_else(|| "vpu".to_owned());
     let seeds: u64 = args.next().and_then(|text| text.parse().ok()).unwrap_or(3);
     let brief = args.next().is_some_and(|text| text == "brief");
-    let mut out = io::stdout().lock();
+    let seeds: Vec<u64> = (1..=seeds).collect();
     let mut rows = Vec::new();
-    for seed in 1..=seeds {
-        run_seed(&Setting { seed, ..setting(&size) }, brief, &mut rows);
+    for together in seeds.chunks(THREADS) {
+        rows.extend(run_seeds(&setting(&size), together, brief));
     }
+    let mut out = io::stdout().lock();
     for row in &rows {
         writeln!(out, "{}", row.json())?;
     }
-    table(&mut out, &rows)
+    report::table(&mut out, &rows)
+}
+
+fn run_seeds(base: &Setting, seeds: &[u64], brief: bool) -> Vec<Row> {
+    let run = |seed: u64| run_seed(&Setting { seed, ..base.clone() }, brief);
+    thread::scope(|scope| {
+        let run = &run;
+        let threads = seeds.iter().map(|&seed| scope.spawn(move || run(seed)));
+        let threads: Vec<_> = threads.collect();
+        threads.into_iter().flat_map(|t| t.join().expect("a run doesn't panic")).collect()
+    })
 }
 
-fn run_seed(base: &Setting, brief: bool, rows: &mut Vec<Row>) {
+fn run_seed(base: &Setting, brief: bool) -> Vec<Row> {
+    let mut rows = Vec::new();
     let batch_capacity = capacity(base, load::BATCH_LENGTH);
+    let managed_idle = idle(base);
     let online_capacity = capacity(base, load::ONLINE_LENGTH);
     let full = online_capacity / f64::from(load::ONLINE_LENGTH);
     let burst = Some(Span::from_millis(2_000));
@@ -128,10 +126,13 @@
     let mut add = |scenario, policy, setting: Setting, load: f64| {
         let outcome = simulate(&setting, full * load, burst);
         let per_second = |tokens: u64| tokens as f64 / seconds(base);
-        let idle = 1.0 - per_second(outcome.online_tokens) / online_capacity;
-        let share = per_second(outcome.batch_tokens) / batch_capacity / idle;
+        let used = per_second(outcome.online_tokens) / online_capacity;
+        let idle = |capacity: f64| capacity - used * batch_capacity;
+        let batch = per_second(outcome.batch_tokens);
+        let share = batch / idle(managed_idle);
+        let full_share = batch / idle(batch_capacity);
         let goodput = per_second(outcome.in_time) / online_capacity;
-        rows.push(Row { scenario, policy, seed: base.seed, outcome, share, goodput });
+        rows.push(Row { scenario, policy, seed: base.seed, outcome, share, full_share, goodput });
     };
     for &(name, policy) in &policies {
         add("steady", name, Setting { policy, ..base.clone() }, 0.3);
@@ -144,57 +145,5 @@
     let lag = Span::from_secs(5);
     add("lag-5s", "managed", Setting { report_lag: lag, ..base.clone() }, 0.3);
     add("cut", "managed", Setting { cut: true, ..base.clone() }, 0.3);
-}
-
-fn table(out: &mut impl Write, rows: &[Row]) -> io::Result<()> {
-    writeln!(
-        out,
-        "{:9} {:12} {:>4} {:>8} {:>6} {:>6} {:>6} {:>6} {:>6} {:>6} {:>8} {:>8} {:>7} {:>5}",
-        "scenario",
-        "policy",
-        "seed",
-        "p99 ms",
-        "r50",
-        "r95",
-        "r99",
-        "r999",
-        "share",
-        "good",
-        "way p50",
-        "way max",
-        "cancels",
-        "most"
-    )?;
-    for row in rows {
-        let base = rows.iter().find(|other| {
-            let scenario =
-                if matches!(row.scenario, "lag-5s" | "cut") { "steady" } else { row.scenario };
-            other.seed == row.seed && other.policy == "online-only" && other.scenario == scenario
-        });
-        let first = &row.outcome.first;
-        let ratio = |q: f64| {
-            let baseline = base.map_or(0, |b| b.outcome.first.value_at_quantile(q));
-            first.value_at_quantile(q) as f64 / baseline as f64
-        };
-        let ms = |us: u64| us as f64 / 1e3;
-        writeln!(
-            out,
-            "{:9} {:12} {:>4} {:>8.1} {:>6.3} {:>6.3} {:>6.3} {:>6.3} {:>6.3} {:>6.3} {:>8.1} {:>8.1} {:>7} {:>5}",
-            row.scenario,
-            row.policy,
-            row.seed,
-            ms(first.value_at_quantile(0.99)),
-            ratio(0.5),
-            ratio(0.95),
-            ratio(0.99),
-            ratio(0.999),
-            row.share,
-            row.goodput,
-            ms(row.outcome.give_way.value_at_quantile(0.5)),
-            ms(row.outcome.give_way.max()),
-            row.outcome.cancels,
-            row.outcome.most
-        )?;
-    }
-    Ok(())
+    rows
 }
--- a/crates/oleander-routing/src/config.rs
+++ b/crates/oleander-routing/src/config.rs
@@ -35,6 +35,7 @@
     pub(crate) report_keep: Span,
     pub(crate) yield_grace: Span,
     pub(crate) yield_band: u32,
+    pub(crate) start_gap: Span,
     pub(crate) zone_cost: u32,
     pub(crate) affinity_slack: u32,
 }
@@ -52,6 +53,8 @@
     pub const YIELD_GRACE: Span = Span::from_millis(500);
     /// Part of the reserve that batch may go on using, in percent.
     pub const YIELD_BAND: u32 = 70;
+    /// Longest time between two starts of batch items at one target.
+    pub const START_GAP: Span = Span::from_millis(100);
     /// Cost of another data centre, in per mille of a target's limit.
     pub const ZONE_COST: u32 = 30;
     /// Extra load for which a cached prefix makes up, in per mille of a target's limit.
@@ -72,6 +75,7 @@
             report_keep: Self::REPORT_KEEP,
             yield_grace: Self::YIELD_GRACE,
             yield_band: Self::YIELD_BAND,
+            start_gap: Self::START_GAP,
             zone_cost: Self::ZONE_COST,
             affinity_slack: Self::AFFINITY_SLACK,
         }
@@ -143,6 +147,16 @@
         self
     }
 
+    /// Sets the longest time between two starts of batch items of this host at one target.
+    ///
+    /// Spreads the reading of prompts, which holds up the first tokens of online requests. The
+    /// gap is shorter where short items need more starts.
+    #[must_use]
+    pub const fn start_gap(mut self, gap: Span) -> Self {
+        self.start_gap = gap;
+        self
+    }
+
     /// Sets the cost of another data centre, in per mille of a target's limit.
     #[must_use]
     pub const fn zone_cost(mut self, cost: u32) -> Self {
--- a/crates/oleander-routing/src/router.rs
+++ b/crates/oleander-routing/src/router.rs
@@ -73,6 +73,7 @@
     peers: Peers,
     shared_at: Time,
     recovered_at: Time,
+    batch_hold: Span,
     batch_began: Option<Time>,
     batch_last: Option<Time>,
     latest: Time,
@@ -97,6 +98,7 @@
             peers: Peers::default(),
             shared_at: Time(0),
             recovered_at: Time(0),
+            batch_hold: WaitQueue::FIRST_HOLD,
             batch_began: None,
             batch_last: None,
             latest: Time(0),
@@ -245,6 +247,7 @@
             self.queue.next_deadline(now),
             self.peers.next_expiry(self.config.peer_keep),
             self.next_share(),
+            self.next_start(now),
         ];
         wakes.into_iter().flatten().min()
     }
--- a/crates/oleander-routing/src/router/backend.rs
+++ b/crates/oleander-routing/src/router/backend.rs
@@ -41,6 +41,8 @@
     pub(super) leaving: bool,
     pub(super) online: u32,
     pub(super) batch: u32,
+    /// Last start of an own batch item.
+    pub(super) batch_started: Option<Time>,
     pub(super) limit: LimitController,
     pub(super) probe: Option<LeaseId>,
     /// Own online requests up to which this host may go before the next division of slots.
@@ -65,6 +67,7 @@
             leaving: false,
             online: 0,
             batch: 0,
+            batch_started: None,
             probe: None,
             online_cap: 0,
             batch_cap: 0,
@@ -115,7 +118,10 @@
     pub(super) fn open(&mut self, now: Time, class: Class) {
         match class {
             Class::Online => self.online += 1,
-            Class::Batch => self.batch += 1,
+            Class::Batch => {
+                self.batch += 1;
+                self.batch_started = Some(now);
+            }
         }
         self.history.record(now, self.total());
     }
--- a/crates/oleander-routing/src/router/observe.rs
+++ b/crates/oleander-routing/src/router/observe.rs
@@ -66,6 +66,9 @@
         if lease.class == Class::Batch {
             self.note_batch(now);
         }
+        if lease.class == Class::Batch && ending == Ending::Answered {
+            self.held_batch(now.since(lease.started));
+        }
         match ending {
             Ending::Answered => self.ejector.success(now, &lease.target),
             Ending::Fault => self.ejector.fault(now, &lease.target),
--- a/crates/oleander-routing/src/router/room.rs
+++ b/crates/oleander-routing/src/router/room.rs
@@ -14,6 +14,10 @@
 const LONGEST_SHARE: Span = Span::from_millis(500);
 /// Time from its first item for which a host expects all others to run batch too.
 const COLD: Span = Span::from_millis(300);
+/// Starts for which the gap between them leaves room, as a multiple of those needed.
+const STARTS_NEEDED: u64 = 4;
+/// Weight of a new hold time in the running mean, as a divisor.
+const HOLD_WEIGHT: u64 = 16;
 /// Part of the free slots that one host may take for a burst, as a divisor.
 const BURST_PART: u32 = 4;
 /// Part of the unwanted slots that is divided among all hosts, as a divisor.
@@ -68,6 +72,9 @@
 
     /// Batch items that this host may start at the target now.
     pub(super) fn batch_free(&self, now: Time, backend: &Backend) -> u32 {
+        if self.start_due(backend).is_some_and(|due| due > now) {
+            return 0;
+        }
         let free = self.batch_room(now, backend).saturating_sub(backend.batch_total());
         if self.peers.len() == 0 {
             return free;
@@ -75,6 +82,30 @@
         free.min(backend.batch_cap.saturating_sub(backend.batch))
     }
 
+    /// When the next batch item may start at the target; `None` before the first one.
+    ///
+    /// The gap leaves room for several times as many starts as items of the usual length need.
+    fn start_due(&self, backend: &Backend) -> Option<Time> {
+        if self.config.policy != Policy::Managed {
+            return None;
+        }
+        let slots = if self.peers.len() == 0 { backend.limit.current() } else { backend.batch_cap };
+        let starts = u64::from(slots.max(1)) * STARTS_NEEDED;
+        let gap = self.config.start_gap.min(Span(self.batch_hold.0 / starts));
+        backend.batch_started.map(|started| started + gap)
+    }
+
+    /// When the next batch item may start at any target that had one lately.
+    pub(super) fn next_start(&self, now: Time) -> Option<Time> {
+        let due = self.backends.iter().filter_map(|backend| self.start_due(backend));
+        due.filter(|due| *due > now).min()
+    }
+
+    /// Takes into account how long a batch item ran.
+    pub(super) const fn held_batch(&mut self, took: Span) {
+        self.batch_hold = Span((self.batch_hold.0 * (HOLD_WEIGHT - 1) + took.0) / HOLD_WEIGHT);
+    }
+
     /// Online requests that this host may start at the target now; batch makes room for them.
     pub(super) fn online_free(&self, now: Time, backend: &Backend) -> u32 {
         let used = match self.config.policy {
--- a/crates/oleander-routing/tests/common/mod.rs
+++ b/crates/oleander-routing/tests/common/mod.rs
@@ -45,8 +45,9 @@
     format!("engine-{index:02}").parse().unwrap()
 }
 
+/// Settings that let a host start any number of batch items at once.
 pub(crate) fn config(index: usize) -> RouterConfig {
-    RouterConfig::new(host(index), zone())
+    RouterConfig::new(host(index), zone()).start_gap(Span::ZERO)
 }
 
 pub(crate) fn targets(count: usize, limit: u32, reserve: u32) -> Vec<Target> {
--- a/crates/oleander-routing/tests/router.rs
+++ b/crates/oleander-routing/tests/router.rs
@@ -223,6 +223,17 @@
     assert_eq!(router.pick(millis(0), &Pick::batch().alone()), Decision::Wait);
 }
 
+#[test]
+fn starts_of_batch_are_spread() {
+    let gap = Span::from_millis(50);
+    let mut router = Router::new(config(0).start_gap(gap), 1);
+    router.set_targets(targets(2, 4, 0));
+    assert_eq!(fill_batch(&mut router, millis(0)).len(), 2, "one at each target");
+    assert_eq!(router.next_wake(millis(0)), Some(millis(50)));
+    assert_eq!(fill_batch(&mut router, millis(49)).len(), 0);
+    assert_eq!(fill_batch(&mut router, millis(50)).len(), 2);
+}
+
 #[test]
 fn targets_that_stay_keep_their_counts() {
     let mut router = router(0, 2, 4, 0);
