--- a/crates/oleander-routing/src/router/room.rs
+++ b/crates/oleander-routing/src/router/room.rs
@@ -112,13 +112,25 @@
             Policy::FirstCome => backend.total(),
             Policy::Managed | Policy::Split { .. } | Policy::OnlineOnly => backend.online_total(),
         };
-        let free = backend.limit.current().saturating_sub(used);
+        let free = self.online_limit(backend).saturating_sub(used);
         if !self.peers.run(now, Class::Online) {
             return free;
         }
         free.min(backend.online_cap.saturating_sub(backend.online))
     }
 
+    /// Slots for online requests.
+    ///
+    /// A lowered limit binds batch first, because batch may have been what slowed the target:
+    /// online requests may take the slots of batch items on top.
+    fn online_limit(&self, backend: &Backend) -> u32 {
+        let batch = match self.config.policy {
+            Policy::Managed => backend.batch_total(),
+            Policy::FirstCome | Policy::Split { .. } | Policy::OnlineOnly => 0,
+        };
+        backend.limit.current().saturating_add(batch).min(backend.target.limit)
+    }
+
     /// Divides the slots anew once all peers have been heard since the last time.
     pub(super) fn share_when_heard(&mut self, now: Time) {
         if self.peers.all_since(self.shared_at) {
@@ -153,8 +165,7 @@
     fn set_caps(&mut self, now: Time) {
         let shares = (0..self.backends.len()).map(|index| {
             let backend = &self.backends[index];
-            let limit = backend.limit.current();
-            let online = self.share(now, Class::Online, backend, limit);
+            let online = self.share(now, Class::Online, backend, self.online_limit(backend));
             let batch = self.share(now, Class::Batch, backend, self.batch_room(now, backend));
             (online, batch)
         });
