--- a/crates/oleander-routing/src/router/admit.rs
+++ b/crates/oleander-routing/src/router/admit.rs
@@ -17,6 +17,8 @@
 const NO_TARGET_RETRY: Span = Span::from_millis(1_000);
 /// Largest random part of a retry time, in per mille.
 const RETRY_JITTER: u64 = 250;
+/// Extra weight of own work whose prompt is being read.
+const READING_WEIGHT: u32 = 2;
 /// Per mille in a whole.
 const WHOLE: u32 = 1_000;
 
@@ -206,7 +208,8 @@
 
     /// Load in per mille of the limit, with the cost of distance.
     fn load(&self, now: Time, backend: &Backend) -> u32 {
-        let total = backend.total() + backend.unknown(now, &self.config);
+        let reading = backend.reading * READING_WEIGHT;
+        let total = backend.total() + reading + backend.unknown(now, &self.config);
         let load = total.saturating_mul(WHOLE) / backend.limit.current().max(1);
         let near = backend.target.zone == self.config.zone;
         load.saturating_add(if near { 0 } else { self.config.zone_cost })
--- a/crates/oleander-routing/src/router/backend.rs
+++ b/crates/oleander-routing/src/router/backend.rs
@@ -41,6 +41,8 @@
     pub(super) leaving: bool,
     pub(super) online: u32,
     pub(super) batch: u32,
+    /// Own work without first output.
+    pub(super) reading: u32,
     /// Last start of an own batch item.
     pub(super) batch_started: Option<Time>,
     pub(super) limit: LimitController,
@@ -68,6 +70,7 @@
             online: 0,
             batch: 0,
             batch_started: None,
+            reading: 0,
             probe: None,
             online_cap: 0,
             batch_cap: 0,
@@ -116,6 +119,7 @@
 
     /// Counts a new own request.
     pub(super) fn open(&mut self, now: Time, class: Class) {
+        self.reading += 1;
         match class {
             Class::Online => self.online += 1,
             Class::Batch => {
@@ -127,7 +131,8 @@
     }
 
     /// Counts the end of an own request.
-    pub(super) fn close(&mut self, now: Time, class: Class) {
+    pub(super) fn close(&mut self, now: Time, class: Class, reading: bool) {
+        self.reading -= u32::from(reading);
         match class {
             Class::Online => self.online = self.online.saturating_sub(1),
             Class::Batch => {
--- a/crates/oleander-routing/src/router/observe.rs
+++ b/crates/oleander-routing/src/router/observe.rs
@@ -34,11 +34,18 @@
 
     fn first_output(&mut self, now: Time, id: LeaseId) {
         let Some(lease) = self.leases.get_mut(&id) else { return };
-        if lease.last_output.replace(now).is_some() || lease.class == Class::Batch {
+        if lease.last_output.replace(now).is_some() {
             return;
         }
         let took = now.since(lease.started);
+        let class = lease.class;
         let name = lease.target.clone();
+        if let Some(backend) = self.backend_mut(&name) {
+            backend.reading -= 1;
+        }
+        if class == Class::Batch {
+            return;
+        }
         self.ejector.first_token(now, &name, took);
         if let Some(backend) = self.backend_mut(&name) {
             backend.limit.first_token(now, took);
@@ -47,7 +54,8 @@
 
     fn output(&mut self, now: Time, id: LeaseId, tokens: Tokens) {
         let Some(lease) = self.leases.get_mut(&id) else { return };
-        let Some(last) = lease.last_output.replace(now) else { return };
+        let Some(last) = lease.last_output else { return };
+        lease.last_output = Some(now);
         if tokens.0 == 0 {
             return;
         }
@@ -75,7 +83,7 @@
             Ending::Cancelled => {}
         }
         if let Some(backend) = self.backend_mut(&lease.target) {
-            backend.close(now, lease.class);
+            backend.close(now, lease.class, lease.last_output.is_none());
             backend.probe = backend.probe.filter(|probe| *probe != id);
         }
     }
