Keep lots with their holders over an outage; split the lot machine

Cause: a host that watches a lot counted the time of an outage as a standstill of the holder, though nobody can write then, and claimed the lot as soon as the platform was back. The time now begins again with the first read after a gap. The new test fails without that.

--- a/crates/oleander-jobs/src/lot.rs
+++ b/crates/oleander-jobs/src/lot.rs
@@ -9,10 +9,11 @@
 //! is lost again, the item gets a strike. Faults of targets use up no try.
 
 mod action;
+mod claim;
 mod run;
 mod state;
 
-use oleander_core::{AttemptId, HostId, ItemIndex, Span, TargetId, Time};
+use oleander_core::{AttemptId, HostId, ItemIndex, Span, Time};
 use oleander_ledger::{Log, LogAction, LogEvent, Segment, Ticket};
 
 pub use self::action::{ItemEnd, LotAction, LotEnd, LotEvent, Partial, RunId};
@@ -78,6 +79,7 @@
     tickets: u64,
     runs: u32,
     refreshed: Time,
+    seen: Time,
     committed: Time,
     progress: Time,
 }
@@ -110,6 +112,7 @@
             tickets: 0,
             runs: 0,
             refreshed: now,
+            seen: now,
             committed: now,
             progress: now,
         }
@@ -160,12 +163,6 @@
         self.items.iter().filter(|item| item.is_running()).count()
     }
 
-    /// Whether an item could start at the target now, together with others.
-    #[must_use]
-    pub fn accepts(&self, now: Time, target: &TargetId) -> bool {
-        self.is_held() && self.find_ready(now, target).is_some()
-    }
-
     /// Takes one event and returns what to do, in order.
     pub fn handle(&mut self, now: Time, event: LotEvent) -> Vec<LotAction> {
         let mut actions = Vec::new();
@@ -277,40 +274,6 @@
         }
     }
 
-    fn on_claimed(
-        &mut self,
-        now: Time,
-        runner: HostId,
-        attempt: AttemptId,
-        actions: &mut Vec<LotAction>,
-    ) {
-        if self.holder.as_ref().is_some_and(|holder| holder.attempt == attempt) {
-            return;
-        }
-        self.items.iter_mut().for_each(Item::lose_trial);
-        let own = attempt == self.attempt;
-        self.holder = Some(Holder { runner, attempt });
-        match self.phase {
-            Phase::Claiming if own => {
-                self.phase = Phase::Holding;
-                self.progress = now;
-            }
-            Phase::Watching { .. } | Phase::Ended => {}
-            _ if own => {}
-            _ => self.finish(LotEnd::Superseded, actions),
-        }
-    }
-
-    fn on_released(&mut self, attempt: &AttemptId, actions: &mut Vec<LotAction>) {
-        if self.holder.as_ref().is_some_and(|holder| holder.attempt == *attempt) {
-            self.holder = None;
-            self.items.iter_mut().for_each(Item::end_trial);
-        }
-        if self.phase == Phase::Releasing && *attempt == self.attempt {
-            self.finish(LotEnd::Released, actions);
-        }
-    }
-
     fn finish(&mut self, end: LotEnd, actions: &mut Vec<LotAction>) {
         if self.is_ended() {
             return;
@@ -329,23 +292,6 @@
         }
     }
 
-    fn release(&mut self, now: Time, actions: &mut Vec<LotAction>) {
-        match self.phase {
-            Phase::Holding | Phase::Closing => {
-                self.stop_runs(actions);
-                self.phase = Phase::Releasing;
-                self.append(now, LotRecord::Released { attempt: self.attempt.clone() }, actions);
-            }
-            Phase::Watching { .. } => self.finish(LotEnd::Released, actions),
-            // A claim under way may take effect: it is settled first, then given back.
-            Phase::Claiming => {
-                self.phase = Phase::Releasing;
-                self.append(now, LotRecord::Released { attempt: self.attempt.clone() }, actions);
-            }
-            Phase::Releasing | Phase::Ended => {}
-        }
-    }
-
     fn advance(&mut self, now: Time, actions: &mut Vec<LotAction>) {
         match self.phase {
             Phase::Watching { since, next } => self.watch(now, since, next, actions),
@@ -354,30 +300,6 @@
         }
     }
 
-    /// Claims the lot if it is free or its holder stands still; leaves it to a holder that moves.
-    fn watch(&mut self, now: Time, since: Time, next: Option<u64>, actions: &mut Vec<LotAction>) {
-        if !self.log.is_current() {
-            return;
-        }
-        let current = self.log.next();
-        let (since, first) = next.map_or((now, current), |first| (since, first));
-        self.phase = Phase::Watching { since, next: Some(first) };
-        let foreign = self.holder.as_ref().is_some_and(|holder| holder.runner != self.host);
-        if foreign && current != first {
-            self.finish(LotEnd::Released, actions);
-        } else if !foreign || now.since(since) >= self.config.stale {
-            self.phase = Phase::Claiming;
-            self.append(now, self.claim(), actions);
-        } else if now.since(self.refreshed) >= self.config.checkpoint {
-            self.refreshed = now;
-            self.feed(now, LogEvent::Refresh, actions);
-        }
-    }
-
-    fn claim(&self) -> LotRecord {
-        LotRecord::Claimed { runner: self.host.clone(), attempt: self.attempt.clone() }
-    }
-
     fn hold(&mut self, now: Time, actions: &mut Vec<LotAction>) {
         self.fail_lost_items(now, actions);
         self.ask_trials(now, actions);
@@ -388,13 +310,4 @@
             self.renew(now, actions);
         }
     }
-
-    /// Shows that the lot is still held, or gives it back if nothing moves here.
-    fn renew(&mut self, now: Time, actions: &mut Vec<LotAction>) {
-        if now.since(self.progress) >= self.config.stale && self.running() == 0 {
-            self.release(now, actions);
-        } else {
-            self.append(now, self.claim(), actions);
-        }
-    }
 }
--- a/crates/oleander-jobs/tests/lot.rs
+++ b/crates/oleander-jobs/tests/lot.rs
@@ -406,3 +406,35 @@
     assert!(world.outcomes().iter().all(|results| results.len() == 1));
     assert_eq!(world.runners[0].ends, [LotEnd::Superseded]);
 }
+
+#[test]
+fn an_outage_takes_no_lot_from_its_holder() {
+    let mut world = World::new(vec![Nature::Good; ITEMS as usize]);
+    for _ in 0..10 {
+        world.wait(1);
+        world.call(0, true, true);
+    }
+    assert!(world.runners[0].lot.is_held());
+    for _ in 0..10 {
+        world.wait(1);
+        world.call(1, true, true);
+    }
+    world.start(0, 0);
+    world.finish(0);
+    world.start(0, 1);
+    for _ in 0..300 {
+        world.wait(1);
+        (0..2).for_each(|r| world.call(r, false, false));
+    }
+    for _ in 0..15 {
+        world.wait(1);
+        (0..4).for_each(|_| world.call(1, true, true));
+    }
+    for _ in 0..20 {
+        world.wait(1);
+        (0..2).for_each(|r| world.call(r, true, true));
+    }
+    assert!(world.runners[0].lot.is_held());
+    assert_eq!(world.runners[0].ends, []);
+    assert_eq!(world.outcomes().iter().map(Vec::len).sum::<usize>(), 1);
+}
