--- a/crates/oleanderctl/src/exit.rs
+++ b/crates/oleanderctl/src/exit.rs
@@ -7,10 +7,12 @@
     Done,
     /// The document has faults.
     Faults,
+    /// Wrong usage; also the code of the command line parser.
+    Usage,
     /// Another operator's change came first.
     Conflict,
-    /// No process answered.
-    Unreachable,
+    /// No process could answer; nothing was changed.
+    Unavailable,
     /// Some processes did not answer.
     Partial,
     /// A process refused, or nothing has the given name.
@@ -23,14 +25,14 @@
     Differs,
 }
 
-/// The codes as the help shows them. Wrong usage exits with 2.
+/// The codes as the help shows them.
 pub(crate) const HELP: &str = "\
 Exit codes:
   0  done
   1  the document has faults
   2  wrong usage
   3  conflict: another change came first
-  4  no process answered
+  4  unavailable: no process could answer; nothing was changed
   5  partial: some processes did not answer
   6  refused, or nothing has the given name
   7  unknown: the change may or may not have taken effect
@@ -43,8 +45,9 @@
         match self {
             Self::Done => 0,
             Self::Faults => 1,
+            Self::Usage => 2,
             Self::Conflict => 3,
-            Self::Unreachable => 4,
+            Self::Unavailable => 4,
             Self::Partial => 5,
             Self::Refused => 6,
             Self::Unknown => 7,
