Answer refused uploads over their connections, and give up on slow ones

A refusal before the body is read would close the connection with unread bytes and lose the answer; the rest is read and dropped up to 16 MiB or 5 s. A body slower than 4 KiB a second after 30 s is answered 408, so that slow bodies can't hold all upload permits.

--- a/crates/oleander-intake/src/upload.rs
+++ b/crates/oleander-intake/src/upload.rs
@@ -1,7 +1,8 @@
 //! Upload of an input file, streamed into chunks.
 //!
 //! Memory is one piece, one line, one chunk and a hash of each `custom_id`. Nothing counts until
-//! the record of the file is created.
+//! the record of the file is created. The rest of a refused body is read and dropped up to a bound:
+//! closing a connection with unread bytes would destroy the answer on its way to the caller.
 
 use std::{mem, time::Duration};
 
@@ -20,12 +21,22 @@
     BatchParser, ChunkRecord, FileRecord, ParseError, ParseLimits, ParsedChunk, ParsedFile, key,
 };
 use oleander_platform::Platform;
-use tokio::{task, time};
+use tokio::{
+    task,
+    time::{self, Instant},
+};
 
 use crate::{Documents, Intake, JobStore, Put, error::Refusal, view::FileView};
 
 /// Longest wait for the next piece of a body.
 const PIECE_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time after which a body must have come at [`MIN_RATE`] on average.
+const RATE_GRACE: Duration = Duration::from_secs(30);
+/// Slowest accepted body, in bytes a second.
+const MIN_RATE: u64 = 4 << 10;
+/// Most bytes of a refused body that are read, and the longest time for it.
+const MAX_DROPPED_BYTES: usize = 16 << 20;
+const DROP_TIMEOUT: Duration = Duration::from_secs(5);
 /// Bytes that are checked without giving way to other tasks.
 const SLICE_BYTES: usize = 32 << 10;
 /// Time after which a caller may try an upload again.
@@ -50,12 +61,29 @@
         };
         match time::timeout(PIECE_TIMEOUT, piece).await {
             Ok(piece) => piece.map_err(Refusal::invalid),
-            Err(_) => {
-                let text = "the body did not arrive in time";
-                Err(Refusal(ApiError::not_run(ErrorCode::RequestTimeout, text)))
-            }
+            Err(_) => Err(too_slow()),
         }
     }
+
+    /// Reads and drops what is left.
+    async fn drop_rest(&mut self) {
+        let read = async {
+            let mut dropped = 0;
+            while let Ok(Some(piece)) = self.next().await {
+                dropped += piece.len();
+                if dropped > MAX_DROPPED_BYTES {
+                    return;
+                }
+            }
+        };
+        // A body that goes on longer is cut off with its connection.
+        let _ = time::timeout(DROP_TIMEOUT, read).await;
+    }
+}
+
+fn too_slow() -> Refusal {
+    let text = "the body did not arrive in time";
+    Refusal(ApiError::not_run(ErrorCode::RequestTimeout, text))
 }
 
 /// Takes in a file.
@@ -64,20 +92,63 @@
     Extension(workspace): Extension<Workspace>,
     request: Request,
 ) -> Result<Json<FileView>, Refusal> {
-    let Ok(_permit) = intake.uploads.try_acquire() else {
-        let error = ApiError::not_run(ErrorCode::Overloaded, "too many uploads at once");
-        return Err(Refusal(error.retry_after(RETRY_BUSY)));
-    };
-    let mut taker = Taker::new(&intake.store, &workspace);
     if is_multipart(request.headers()) {
         let multipart = Multipart::from_request(request, &()).await;
         let multipart = multipart.map_err(|e| Refusal::invalid(e.body_text()))?;
-        taker.take_form(multipart).await?;
-    } else {
-        check_length(request.headers(), &workspace)?;
-        let body: Body = request.into_body();
-        taker.take(Source::Raw(body.into_data_stream())).await?;
+        return take_form(&intake, &workspace, multipart).await;
+    }
+    let length = check_length(request.headers(), &workspace);
+    let body: Body = request.into_body();
+    let mut source = Source::Raw(body.into_data_stream());
+    let taken = match length {
+        Ok(()) => take_file(&intake, &workspace, &mut source).await,
+        Err(refusal) => Err(refusal),
+    };
+    if taken.is_err() {
+        source.drop_rest().await;
     }
+    taken
+}
+
+/// Takes the field `file` of a form.
+async fn take_form<P: Platform, D: Documents>(
+    intake: &Intake<P, D>,
+    workspace: &Workspace,
+    mut form: Multipart,
+) -> Result<Json<FileView>, Refusal> {
+    loop {
+        let field = time::timeout(PIECE_TIMEOUT, form.next_field()).await;
+        let field = field.map_err(|_| too_slow())?;
+        let field = field.map_err(|e| Refusal::invalid(e.body_text()))?;
+        let Some(field) = field else {
+            return Err(Refusal::invalid("the form has no field \"file\""));
+        };
+        match field.name() {
+            Some("file") => {
+                let mut source = Source::Field(Box::new(field));
+                let taken = take_file(intake, workspace, &mut source).await;
+                if taken.is_err() {
+                    source.drop_rest().await;
+                }
+                return taken;
+            }
+            Some("purpose") => check_purpose(field).await?,
+            _ => return Err(Refusal::invalid("the form has an unknown field")),
+        }
+    }
+}
+
+async fn take_file<P: Platform, D: Documents>(
+    intake: &Intake<P, D>,
+    workspace: &Workspace,
+    source: &mut Source<'_>,
+) -> Result<Json<FileView>, Refusal> {
+    let Ok(_permit) = intake.uploads.try_acquire() else {
+        let error = ApiError::not_run(ErrorCode::Overloaded, "too many uploads at once");
+        return Err(Refusal(error.retry_after(RETRY_BUSY)));
+    };
+    let mut taker = Taker::new(&intake.store, workspace);
+    taker.take(source).await?;
     let record = taker.finish().await?;
     Ok(Json(FileView::from(&record)))
 }
@@ -112,27 +183,15 @@
         Self { store, workspace, parser: BatchParser::new(limits), chunks: Vec::new() }
     }
 
-    async fn take_form(&mut self, mut form: Multipart) -> Result<(), Refusal> {
-        loop {
-            let field = time::timeout(PIECE_TIMEOUT, form.next_field()).await;
-            let Ok(field) = field else {
-                let text = "the form did not arrive in time";
-                return Err(Refusal(ApiError::not_run(ErrorCode::RequestTimeout, text)));
-            };
-            let field = field.map_err(|e| Refusal::invalid(e.body_text()))?;
-            let Some(field) = field else {
-                return Err(Refusal::invalid("the form has no field \"file\""));
-            };
-            match field.name() {
-                Some("file") => return self.take(Source::Field(Box::new(field))).await,
-                Some("purpose") => check_purpose(field).await?,
-                _ => return Err(Refusal::invalid("the form has an unknown field")),
-            }
-        }
-    }
-
-    async fn take(&mut self, mut source: Source<'_>) -> Result<(), Refusal> {
+    async fn take(&mut self, source: &mut Source<'_>) -> Result<(), Refusal> {
+        let started = Instant::now();
+        let mut bytes = 0;
         while let Some(piece) = source.next().await? {
+            bytes += piece.len() as u64;
+            let elapsed = started.elapsed();
+            if elapsed > RATE_GRACE && bytes < MIN_RATE * elapsed.as_secs() {
+                return Err(too_slow());
+            }
             for slice in piece.chunks(SLICE_BYTES) {
                 let chunks = self.parser.push(slice)?;
                 self.keep(chunks).await?;
--- a/crates/oleander-intake/tests/intake.rs
+++ b/crates/oleander-intake/tests/intake.rs
@@ -2,7 +2,7 @@
 
 #![allow(clippy::unwrap_used)]
 
-use std::sync::Arc;
+use std::{convert::Infallible, sync::Arc, time::Duration};
 
 use axum::{
     Extension, Router,
@@ -10,6 +10,7 @@
     http::{Request, StatusCode},
 };
 use bytes::Bytes;
+use futures_util::{StreamExt, stream};
 use oleander_core::{ItemIndex, JobId, LotIndex, Revision, Time};
 use oleander_document::{Document, Workspace};
 use oleander_intake::{JobStore, admin_router, router};
@@ -20,7 +21,11 @@
     Updated,
 };
 use serde_json::{Value, json};
-use tokio::task;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    task, time,
+};
 use tower::ServiceExt;
 
 const MAX_BODY: usize = 64 << 20;
@@ -150,6 +155,50 @@
     assert!(desk.keys("file/pampeanos/record/").await.is_empty());
 }
 
+#[tokio::test]
+async fn a_body_that_is_too_large_is_answered_over_its_connection() {
+    let desk = Desk::new();
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let server = tokio::spawn(axum::serve(listener, desk.app(0)).into_future());
+    for head in ["content-length: 6000000", "transfer-encoding: chunked"] {
+        let mut stream = TcpStream::connect(address).await.unwrap();
+        let head =
+            format!("POST /v1/files HTTP/1.1\r\nhost: x\r\nconnection: close\r\n{head}\r\n\r\n");
+        stream.write_all(head.as_bytes()).await.unwrap();
+        for _ in 0..60 {
+            let piece = if head.contains("chunked") {
+                format!("186a0\r\n{}\r\n", "x".repeat(100_000))
+            } else {
+                "x".repeat(100_000)
+            };
+            stream.write_all(piece.as_bytes()).await.unwrap();
+        }
+        if head.contains("chunked") {
+            stream.write_all(b"0\r\n\r\n").await.unwrap();
+        }
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).await.unwrap();
+        assert!(answer.starts_with("HTTP/1.1 413 "), "{answer}");
+        assert!(answer.contains("too_large"), "{answer}");
+    }
+    server.abort();
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_body_that_never_ends_is_given_up() {
+    let desk = Desk::new();
+    let stalled = stream::iter([Ok::<_, Infallible>(lines(1))]).chain(stream::pending());
+    let request = Request::post("/v1/files").body(Body::from_stream(stalled)).unwrap();
+    assert_eq!(desk.raw(0, request).await.0, StatusCode::REQUEST_TIMEOUT);
+    let slow = stream::unfold((), |()| async {
+        time::sleep(Duration::from_secs(9)).await;
+        Some((Ok::<_, Infallible>(" "), ()))
+    });
+    let request = Request::post("/v1/files").body(Body::from_stream(slow)).unwrap();
+    assert_eq!(desk.raw(0, request).await.0, StatusCode::REQUEST_TIMEOUT);
+}
+
 #[tokio::test]
 async fn a_job_sent_again_is_the_same_job() {
     let desk = Desk::new();
