--- a/crates/oleander-routing/src/router/backend.rs
+++ b/crates/oleander-routing/src/router/backend.rs
@@ -41,6 +41,10 @@
     pub(super) leaving: bool,
     pub(super) online: u32,
     pub(super) batch: u32,
+    /// Own work without first output.
+    pub(super) reading: u32,
+    /// Last start of an own batch item.
+    pub(super) batch_started: Option<Time>,
     pub(super) limit: LimitController,
     pub(super) probe: Option<LeaseId>,
     /// Own online requests up to which this host may go before the next division of slots.
@@ -65,6 +69,8 @@
             leaving: false,
             online: 0,
             batch: 0,
+            batch_started: None,
+            reading: 0,
             probe: None,
             online_cap: 0,
             batch_cap: 0,
@@ -113,15 +119,20 @@
 
     /// Counts a new own request.
     pub(super) fn open(&mut self, now: Time, class: Class) {
+        self.reading += 1;
         match class {
             Class::Online => self.online += 1,
-            Class::Batch => self.batch += 1,
+            Class::Batch => {
+                self.batch += 1;
+                self.batch_started = Some(now);
+            }
         }
         self.history.record(now, self.total());
     }
 
     /// Counts the end of an own request.
-    pub(super) fn close(&mut self, now: Time, class: Class) {
+    pub(super) fn close(&mut self, now: Time, class: Class, reading: bool) {
+        self.reading -= u32::from(reading);
         match class {
             Class::Online => self.online = self.online.saturating_sub(1),
             Class::Batch => {
