Close connections without a byte; blame an item only at a target that works

Cause (found by tests/input.rs and tests/batch.rs): the version sniffing of the server had no time bound (200 of 200 silent connections open after 10 s), and a suspect whose stream broke counted it as its own fault whenever the target's load report answered (100 of 100 items failed while all engines cut their streams). Ruled out: readable(), which returned at once on connections without data; the first byte is peeked instead. Change: first byte within 5 s, at most 10,000 connections, a second signal ends the wait for connections; a broken stream counts against a suspect only where other items succeeded since the target's last fault.

--- a/crates/oleander-batch/src/run.rs
+++ b/crates/oleander-batch/src/run.rs
@@ -197,7 +197,7 @@
         TargetError::Status(..) | TargetError::Silent => ItemEnd::Failed { target_works },
         // A target that lives broke off this item alone: the item counts it against that target.
         TargetError::Broken(_) if grant.alone && is_alive(app, address).await => {
-            ItemEnd::Failed { target_works: true }
+            ItemEnd::Failed { target_works }
         }
         TargetError::Broken(_) => ItemEnd::Lost,
     };
--- a/crates/oleander-entry/src/server.rs
+++ b/crates/oleander-entry/src/server.rs
@@ -5,15 +5,22 @@
 use axum::Router;
 use hyper_util::{
     rt::{TokioExecutor, TokioIo, TokioTimer},
-    server::{conn::auto::Builder, graceful::GracefulShutdown},
+    server::{
+        conn::auto::Builder,
+        graceful::{GracefulShutdown, Watcher},
+    },
     service::TowerToHyperService,
 };
-use oleander_host::Phase;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::{OwnedSemaphorePermit, Semaphore},
+};
 
 use crate::app::App;
 
 const HEADER_TIMEOUT: Duration = Duration::from_secs(5);
+/// Connections served at once.
+const MAX_CONNECTIONS: usize = 10_000;
 const ACCEPT_RETRY: Duration = Duration::from_millis(50);
 /// Time past the last deadline within which connections must end.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(60);
@@ -29,11 +36,14 @@
 pub(crate) async fn serve(app: Arc<App>, router: Router) -> io::Result<()> {
     let listener = TcpListener::bind(app.settings.listen).await?;
     let connections = GracefulShutdown::new();
+    let permits = Arc::new(Semaphore::new(MAX_CONNECTIONS));
     let mut leaving = pin!(leave_addresses(Arc::clone(&app)));
     loop {
         tokio::select! {
-            accepted = listener.accept() => match accepted {
-                Ok((stream, _)) => serve_connection(stream, router.clone(), &connections),
+            accepted = accept(&listener, &permits) => match accepted {
+                Ok((stream, permit)) => {
+                    serve_connection(stream, router.clone(), connections.watcher(), permit);
+                }
                 Err(error) => {
                     log::warn!("accepting a connection failed: {error}");
                     tokio::time::sleep(ACCEPT_RETRY).await;
@@ -43,14 +53,28 @@
         }
     }
     drop(listener);
-    let closed = tokio::time::timeout(CLOSE_TIMEOUT, connections.shutdown()).await;
-    if closed.is_err() {
-        log::warn!("connections were still open after {CLOSE_TIMEOUT:?}");
+    tokio::select! {
+        closed = tokio::time::timeout(CLOSE_TIMEOUT, connections.shutdown()) => {
+            if closed.is_err() {
+                log::warn!("connections were still open after {CLOSE_TIMEOUT:?}");
+            }
+        }
+        () = app.drain.stopped() => {}
     }
     finish_runs(&app).await;
     Ok(())
 }
 
+/// Waits for a connection, and for room to serve it.
+async fn accept(
+    listener: &TcpListener,
+    permits: &Arc<Semaphore>,
+) -> io::Result<(TcpStream, OwnedSemaphorePermit)> {
+    let permit = Arc::clone(permits).acquire_owned().await.map_err(io::Error::other)?;
+    let (stream, _) = listener.accept().await?;
+    Ok((stream, permit))
+}
+
 /// Returns once no caller may hold an address of this host any more.
 async fn leave_addresses(app: Arc<App>) {
     app.drain.started().await;
@@ -76,26 +100,31 @@
                 log::error!("{} outcomes are not committed", app.shards.backlog());
             }
         }
-        () = stopped(app) => {}
-    }
-}
-
-async fn stopped(app: &App) {
-    if app.drain.phase() < Phase::Stopped {
-        app.drain.stopped().await;
+        () = app.drain.stopped() => {}
     }
 }
 
-fn serve_connection(stream: TcpStream, router: Router, connections: &GracefulShutdown) {
+/// Serves one connection; one on which nothing is sent is closed.
+fn serve_connection(
+    stream: TcpStream,
+    router: Router,
+    watcher: Watcher,
+    permit: OwnedSemaphorePermit,
+) {
     let _ = stream.set_nodelay(true);
-    let service = TowerToHyperService::new(router);
-    let mut builder = Builder::new(TokioExecutor::new());
-    builder.http1().timer(TokioTimer::new()).header_read_timeout(HEADER_TIMEOUT);
-    builder.http2().timer(TokioTimer::new());
-    let connection = builder.serve_connection(TokioIo::new(stream), service).into_owned();
-    let connection = connections.watch(connection);
     tokio::spawn(async move {
-        if let Err(error) = connection.await {
+        let _permit = permit;
+        let mut first = [0];
+        let peeked = tokio::time::timeout(HEADER_TIMEOUT, stream.peek(&mut first)).await;
+        if !matches!(peeked, Ok(Ok(1))) {
+            return;
+        }
+        let service = TowerToHyperService::new(router);
+        let mut builder = Builder::new(TokioExecutor::new());
+        builder.http1().timer(TokioTimer::new()).header_read_timeout(HEADER_TIMEOUT);
+        builder.http2().timer(TokioTimer::new());
+        let connection = builder.serve_connection(TokioIo::new(stream), service).into_owned();
+        if let Err(error) = watcher.watch(connection).await {
             log::debug!("connection ended: {error}");
         }
     });
--- a/crates/oleander-jobs/examples/slope_items.rs
+++ b/crates/oleander-jobs/examples/slope_items.rs
@@ -5,9 +5,7 @@
 mod meter;
 
 use meter::{measure, point, resident_bytes};
-use oleander_core::{
-    AttemptId, Bytes, ChunkIndex, HostId, ItemIndex, JobId, LotIndex, Span, Time,
-};
+use oleander_core::{AttemptId, Bytes, ChunkIndex, HostId, ItemIndex, JobId, LotIndex, Span, Time};
 use oleander_jobs::{
     Answer, BatchParser, BoardJob, ItemEnd, ItemResult, JobBoard, Lot, LotAction, LotConfig,
     LotEvent, LotRange, LotRecord, ParseLimits, RunId,
