--- a/crates/oleander-check/src/deployment.rs
+++ b/crates/oleander-check/src/deployment.rs
@@ -407,6 +407,12 @@
         &self.engine_addresses[engine]
     }
 
+    /// Operators' address of a host; entries come first, then batch runners.
+    #[must_use]
+    pub fn admin_address(&self, host: usize) -> &str {
+        &self.admin_addresses[host]
+    }
+
     /// Address of the platform stand-in.
     #[must_use]
     pub fn platform_address(&self) -> &str {
--- a/crates/oleander-check/tests/batch.rs
+++ b/crates/oleander-check/tests/batch.rs
@@ -4,13 +4,13 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use http::StatusCode;
 use oleander_check::{Answer, Deployment, Shape, chat_body, eventually};
 use serde_json::{Value, json};
-use standin::answer::expected_text;
+use standin::{answer::expected_text, record::unix_micros};
 
 const CLAIM_MS: u64 = 2_000;
 /// Longer than a claim.
@@ -19,6 +19,11 @@
 const FAULT: Duration = Duration::from_secs(12);
 const JOB_BOUND: Duration = Duration::from_secs(90);
 const BOUND: Duration = Duration::from_secs(30);
+/// Generous bound on an online call; one takes less than a second.
+const ONLINE_BOUND: Duration = Duration::from_secs(5);
+/// After this time a cancelled job sends no new item.
+const STOP_BOUND: Duration = Duration::from_secs(4);
+const LARGE_JOB: usize = 30_000;
 const POISON: &str = "poison";
 
 async fn start(name: &str, step_us: &str) -> Deployment {
@@ -304,3 +309,39 @@
         assert_own(&items, &output(&deployment, 0, &found).await);
     }
 }
+
+/// Chats through all entries one after another, each within the bound.
+async fn online_calls(deployment: &Deployment, prefix: &str) {
+    for n in 0..30 {
+        let begun = Instant::now();
+        let key = format!("{prefix}-{n}");
+        let answer = deployment.chat(n % 3, &key, &key, n % 2 == 0).await.unwrap();
+        assert_eq!(answer.status, StatusCode::OK, "{}", answer.body);
+        assert!(begun.elapsed() < ONLINE_BOUND, "{key} took {:?}", begun.elapsed());
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn online_calls_go_on_beside_a_large_job_which_stops_when_cancelled() {
+    let deployment = start("batch-large", "10000").await;
+    let items = items("large", LARGE_JOB);
+    let (submission, ()) =
+        tokio::join!(upload(&deployment, &items), online_calls(&deployment, "upload"));
+    let id = submit(&deployment, 0, "large", &submission).await;
+    progress(&deployment, &id, 10).await;
+    online_calls(&deployment, "run").await;
+    let answer = cancel(&deployment, 1, &id).await;
+    assert_eq!(answer.status, StatusCode::OK, "{}", answer.body);
+    let allowed = unix_micros() + u64::try_from(STOP_BOUND.as_micros()).unwrap();
+    tokio::time::sleep(STOP_BOUND + Duration::from_secs(2)).await;
+    for engine in 0..3 {
+        let records = deployment.engine_records(engine).await;
+        let received = records.iter().filter(|record| record["event"] == "received");
+        let late = received.filter(|record| record["at_us"].as_u64().unwrap() > allowed).count();
+        assert_eq!(late, 0, "new items at engine {engine} after the cancel");
+    }
+    let found = wait_for(&deployment, 2, &id, &["cancelled"]).await;
+    let rows = output(&deployment, 2, &found).await;
+    assert!(!rows.is_empty() && rows.len() < items.len(), "{}", rows.len());
+    assert_own(&items, &rows);
+}
--- a/crates/oleander-check/tests/config.rs
+++ b/crates/oleander-check/tests/config.rs
@@ -2,15 +2,21 @@
 
 #![allow(clippy::unwrap_used)]
 
-use std::time::Duration;
+use std::{
+    sync::atomic::{AtomicBool, Ordering},
+    time::Duration,
+};
 
 use futures_util::future::join_all;
 use http::{Method, StatusCode};
-use oleander_check::{Deployment, Shape, eventually};
+use oleander_check::{Client, Deployment, OPERATOR_KEY, Shape, eventually};
 use serde_json::{Value, json};
 
 /// An accepted document must be in force everywhere within this time.
 const IN_FORCE: Duration = Duration::from_secs(8);
+const WATCH_INTERVAL: Duration = Duration::from_millis(10);
+/// Shorter than a host stays paused.
+const WATCH_TIMEOUT: Duration = Duration::from_millis(200);
 const BOUND: Duration = Duration::from_secs(30);
 
 fn changed(deployment: &Deployment, queue: u32) -> Value {
@@ -87,6 +93,56 @@
     }
 }
 
+/// Reads the revision of each host until told to stop; returns the steps that went back.
+async fn watch_revisions(admin: Client, addresses: Vec<String>, stop: &AtomicBool) -> Vec<String> {
+    let mut highest = vec![0; addresses.len()];
+    let mut lower = Vec::new();
+    while !stop.load(Ordering::Relaxed) {
+        for (host, address) in addresses.iter().enumerate() {
+            let key = format!("Bearer {OPERATOR_KEY}");
+            let url = format!("{address}/admin/status");
+            let Ok(answer) = admin.get(&url, &[("authorization", &key)]).await else { continue };
+            let Some(revision) = answer.json()["revision"].as_u64() else { continue };
+            if revision < highest[host] {
+                lower.push(format!("host {host}: {revision} after {}", highest[host]));
+            }
+            highest[host] = revision.max(highest[host]);
+        }
+        tokio::time::sleep(WATCH_INTERVAL).await;
+    }
+    lower
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn no_host_steps_back_over_kills_pauses_and_outages() {
+    let mut deployment = Deployment::start("monotone", &Shape::new()).await;
+    let stop = AtomicBool::new(false);
+    let addresses = (0..3).map(|host| deployment.admin_address(host).to_owned()).collect();
+    let watch = watch_revisions(Client::new(WATCH_TIMEOUT), addresses, &stop);
+    let change = async {
+        for round in 0..6 {
+            let (applier, victim) = (round % 3, (round + 1) % 3);
+            let base = deployment.revision(applier).await.unwrap();
+            let body = json!({"base": base, "document": changed(&deployment, 50 + round as u32)});
+            let paused = (round + 2) % 3;
+            deployment.entries[paused].signal("STOP").await;
+            let answer = deployment.admin(applier, Method::POST, "admin/apply", &body).await;
+            let answer = answer.unwrap();
+            assert_eq!(answer.status, StatusCode::OK, "{}", answer.body);
+            let revision = answer.json()["revision"].as_u64().unwrap();
+            deployment.platform_fault(&json!({"down": round % 2 == 0})).await;
+            deployment.entries[victim].kill().await;
+            deployment.entries[victim].restart();
+            deployment.entries[paused].signal("CONT").await;
+            in_force(&deployment, revision).await;
+            deployment.platform_fault(&json!({"down": false, "watch_delay_ms": 500})).await;
+        }
+        stop.store(true, Ordering::Relaxed);
+    };
+    let (lower, ()) = tokio::join!(watch, change);
+    assert!(lower.is_empty(), "{lower:#?}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_faulty_document_is_refused_whole() {
     let deployment = Deployment::start("faulty", &Shape::new()).await;
--- a/crates/oleander-check/tests/truth.rs
+++ b/crates/oleander-check/tests/truth.rs
@@ -7,8 +7,9 @@
     time::{Duration, Instant},
 };
 
+use futures_util::future::join_all;
 use http::StatusCode;
-use oleander_check::{Deployment, Shape, eventually};
+use oleander_check::{Answer, Deployment, Shape, eventually};
 use serde_json::{Value, json};
 
 const BOUND: Duration = Duration::from_secs(30);
@@ -93,3 +94,52 @@
     }
     absent
 }
+
+/// Id of the run that a notify's answer or read came from; `None` without a whole one.
+fn run_of(answer: Result<Answer, String>) -> Option<String> {
+    let answer = answer.ok().filter(|answer| answer.status == StatusCode::OK)?;
+    answer.json()["request_id"].as_str().map(str::to_owned)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_in_an_outage_still_counts_after_a_paused_owner_resumes() {
+    let shape = Shape::new().service_args(&["--work-ms", "300"]);
+    let deployment = Deployment::start("resumes", &shape).await;
+    let impatient = deployment.caller(Duration::from_secs(1));
+    let caller = deployment.caller(BOUND);
+    let path = "v1/services/desk/notify";
+    let body = json!({"about": 1});
+    let keys: Vec<String> = (0..KEYS).map(|n| format!("n{n}")).collect();
+    let first = keys.iter().map(|key| impatient.post(0, path, key, &body));
+    let disturb = async {
+        eventually("all run", BOUND, || async {
+            (deployment.service_runs().await.len() == KEYS).then_some(())
+        })
+        .await;
+        deployment.entries[0].signal("STOP").await;
+        deployment.platform_fault(&json!({"silent": true})).await;
+    };
+    tokio::join!(join_all(first), disturb);
+    let mut answered = Vec::new();
+    for (n, key) in keys.iter().enumerate() {
+        let run = eventually("a resend is answered", BOUND, || async {
+            run_of(caller.post(1 + n % 2, path, key, &body).await)
+        });
+        answered.push(run.await);
+    }
+    deployment.entries[0].signal("CONT").await;
+    deployment.platform_fault(&json!({})).await;
+    let mut others = BTreeSet::new();
+    for (key, run) in keys.iter().zip(answered) {
+        for entry in 0..3 {
+            let read = eventually("the result is readable", BOUND, || async {
+                run_of(caller.get(entry, &format!("v1/results/{key}")).await)
+            });
+            let read = read.await;
+            if read != run {
+                others.insert(format!("{key}: answered {run}, entry {entry} reads {read}"));
+            }
+        }
+    }
+    assert!(others.is_empty(), "{others:#?}");
+}
