--- a/crates/oleander-routing/src/router/room.rs
+++ b/crates/oleander-routing/src/router/room.rs
@@ -14,6 +14,10 @@
 const LONGEST_SHARE: Span = Span::from_millis(500);
 /// Time from its first item for which a host expects all others to run batch too.
 const COLD: Span = Span::from_millis(300);
+/// Starts for which the gap between them leaves room, as a multiple of those needed.
+const STARTS_NEEDED: u64 = 4;
+/// Weight of a new hold time in the running mean, as a divisor.
+const HOLD_WEIGHT: u64 = 16;
 /// Part of the free slots that one host may take for a burst, as a divisor.
 const BURST_PART: u32 = 4;
 /// Part of the unwanted slots that is divided among all hosts, as a divisor.
@@ -37,19 +41,40 @@
         }
     }
 
-    /// Batch items that fit next to the online requests and the reserve.
+    /// Batch items that fit next to the online requests and the whole reserve.
+    ///
+    /// Batch is started up to here.
     pub(super) fn batch_room(&self, now: Time, backend: &Backend) -> u32 {
-        let unknown = backend.unknown(now, &self.config);
-        let online = backend.online_total() + unknown;
-        let reserve = match self.config.policy {
+        self.slots_left(now, backend, self.reserve(backend))
+    }
+
+    /// Batch items that may stay next to the online requests.
+    ///
+    /// Lies above [`Router::batch_room`] by a band, so that a single online request that comes
+    /// and goes costs no cancelled item.
+    pub(super) fn batch_bound(&self, now: Time, backend: &Backend) -> u32 {
+        let reserve = self.reserve(backend);
+        let band = reserve * self.config.yield_band / 100;
+        self.slots_left(now, backend, reserve.saturating_sub(band))
+    }
+
+    fn reserve(&self, backend: &Backend) -> u32 {
+        match self.config.policy {
             Policy::Managed => backend.target.reserve,
             Policy::FirstCome | Policy::Split { .. } | Policy::OnlineOnly => 0,
-        };
-        backend.limit.current().saturating_sub(reserve).saturating_sub(online)
+        }
+    }
+
+    fn slots_left(&self, now: Time, backend: &Backend, kept: u32) -> u32 {
+        let online = backend.online_total() + backend.unknown(now, &self.config);
+        backend.limit.current().saturating_sub(kept).saturating_sub(online)
     }
 
     /// Batch items that this host may start at the target now.
     pub(super) fn batch_free(&self, now: Time, backend: &Backend) -> u32 {
+        if self.start_due(backend).is_some_and(|due| due > now) {
+            return 0;
+        }
         let free = self.batch_room(now, backend).saturating_sub(backend.batch_total());
         if self.peers.len() == 0 {
             return free;
@@ -57,19 +82,55 @@
         free.min(backend.batch_cap.saturating_sub(backend.batch))
     }
 
+    /// When the next batch item may start at the target; `None` before the first one.
+    ///
+    /// The gap leaves room for several times as many starts as items of the usual length need.
+    fn start_due(&self, backend: &Backend) -> Option<Time> {
+        if self.config.policy != Policy::Managed {
+            return None;
+        }
+        let slots = if self.peers.len() == 0 { backend.limit.current() } else { backend.batch_cap };
+        let starts = u64::from(slots.max(1)) * STARTS_NEEDED;
+        let gap = self.config.start_gap.min(Span(self.batch_hold.0 / starts));
+        backend.batch_started.map(|started| started + gap)
+    }
+
+    /// When the next batch item may start at any target that had one lately.
+    pub(super) fn next_start(&self, now: Time) -> Option<Time> {
+        let due = self.backends.iter().filter_map(|backend| self.start_due(backend));
+        due.filter(|due| *due > now).min()
+    }
+
+    /// Takes into account how long a batch item ran.
+    pub(super) const fn held_batch(&mut self, took: Span) {
+        self.batch_hold = Span((self.batch_hold.0 * (HOLD_WEIGHT - 1) + took.0) / HOLD_WEIGHT);
+    }
+
     /// Online requests that this host may start at the target now; batch makes room for them.
     pub(super) fn online_free(&self, now: Time, backend: &Backend) -> u32 {
         let used = match self.config.policy {
             Policy::FirstCome => backend.total(),
             Policy::Managed | Policy::Split { .. } | Policy::OnlineOnly => backend.online_total(),
         };
-        let free = backend.limit.current().saturating_sub(used);
+        let free = self.online_limit(backend).saturating_sub(used);
         if !self.peers.run(now, Class::Online) {
             return free;
         }
         free.min(backend.online_cap.saturating_sub(backend.online))
     }
 
+    /// Slots for online requests.
+    ///
+    /// A lowered limit binds batch first, because batch may have been what slowed the target:
+    /// online requests may take the slots of batch items on top.
+    fn online_limit(&self, backend: &Backend) -> u32 {
+        let batch = match self.config.policy {
+            Policy::Managed => backend.batch_total(),
+            Policy::FirstCome | Policy::Split { .. } | Policy::OnlineOnly => 0,
+        };
+        backend.limit.current().saturating_add(batch).min(backend.target.limit)
+    }
+
     /// Divides the slots anew once all peers have been heard since the last time.
     pub(super) fn share_when_heard(&mut self, now: Time) {
         if self.peers.all_since(self.shared_at) {
@@ -104,8 +165,7 @@
     fn set_caps(&mut self, now: Time) {
         let shares = (0..self.backends.len()).map(|index| {
             let backend = &self.backends[index];
-            let limit = backend.limit.current();
-            let online = self.share(now, Class::Online, backend, limit);
+            let online = self.share(now, Class::Online, backend, self.online_limit(backend));
             let batch = self.share(now, Class::Batch, backend, self.batch_room(now, backend));
             (online, batch)
         });
@@ -122,7 +182,8 @@
     ///
     /// All hosts that run the class are raised to one level, so that hosts that fill up at the
     /// same moment fit beside each other. Slots that were free already at the last division are
-    /// not wanted by the hosts below the level; half of them is divided among all.
+    /// not wanted by the hosts below the level; half of them is divided among all, unless a host
+    /// is silent, whose use isn't known.
     fn share(&self, now: Time, class: Class, backend: &Backend, room: u32) -> Share {
         let own = backend.own_of(class);
         let others = self.sharers(now, class, backend);
@@ -134,7 +195,8 @@
         let extra =
             u32::from(own <= level && self.rank(backend, below) < room.saturating_sub(used));
         let free = room.saturating_sub(counts.iter().sum());
-        let unwanted = free.min(backend.free[class as usize]);
+        let all_heard = !self.peers.any_silent();
+        let unwanted = if all_heard { free.min(backend.free[class as usize]) } else { 0 };
         let rank = self.rank(backend, others.iter().map(|(host, _)| *host));
         let lent = unwanted.div_ceil(LENT_PART);
         let cap = own.max(level + extra) + fair_part(lent, rank, counts.len() as u32);
@@ -183,7 +245,7 @@
     }
 
     fn excess_at(&self, now: Time, backend: &Backend) -> u32 {
-        let room = self.batch_room(now, backend);
+        let room = self.batch_bound(now, backend);
         if backend.batch == 0 || backend.batch_total() <= room {
             return 0;
         }
