Let an answered outcome go before one that nobody was told of

Ruled out: loss of the interim owner's outcome. Left: an owner's create that is under way when it is paused can still come first; two outcomes that were both answered during a partition remain two until one is read back.

--- a/crates/oleander-entry/src/app.rs
+++ b/crates/oleander-entry/src/app.rs
@@ -34,7 +34,7 @@
 /// Time after the start within which the other hosts become known.
 const SETTLE_TIME: Span = Span::from_secs(1);
 /// Longest wait for one host's uncommitted outcomes.
-const GATHER_TIMEOUT: Duration = Duration::from_millis(500);
+const GATHER_TIMEOUT: Duration = Duration::from_millis(200);
 /// Targets that the fixed split leaves to batch.
 const SPLIT_TARGETS: u32 = 1;
 
@@ -55,21 +55,26 @@
         matches!(answer, Ok(PeerAnswer::Shard(_)))
     }
 
-    async fn gather(&self, shard: ShardId) -> Vec<CallRecord> {
+    async fn gather(&self, shard: ShardId) -> (Vec<CallRecord>, bool) {
         let settled = self.started + SETTLE_TIME;
         tokio::time::sleep(settled.since(clock::now()).to_duration()).await;
-        let owners = self.hosts.lock().owners(clock::now(), shard);
+        let entries = self.hosts.lock().entry_links(clock::now());
         let request = PeerRequest::Shard(shard, ShardCall::Buffered);
-        let calls = owners.into_iter().flatten().map(|link| {
+        let calls = entries.into_iter().map(|(link, is_live)| {
             let request = &request;
-            async move { self.link.call::<_, PeerAnswer>(&link, request, GATHER_TIMEOUT).await }
-        });
-        let answers = join_all(calls).await.into_iter();
-        let buffered = answers.filter_map(|answer| match answer {
-            Ok(PeerAnswer::Shard(ShardReply::Buffered(records))) => Some(records),
-            _ => None,
+            async move {
+                let answer = self.link.call::<_, PeerAnswer>(&link, request, GATHER_TIMEOUT).await;
+                (answer, is_live)
+            }
         });
-        buffered.flatten().collect()
+        let (mut gathered, mut complete) = (Vec::new(), true);
+        for (answer, is_live) in join_all(calls).await {
+            match answer {
+                Ok(PeerAnswer::Shard(ShardReply::Buffered(records))) => gathered.extend(records),
+                _ => complete &= !is_live,
+            }
+        }
+        (gathered, complete)
     }
 
     fn view(&self) -> u64 {
--- a/crates/oleander-entry/src/hosts.rs
+++ b/crates/oleander-entry/src/hosts.rs
@@ -84,6 +84,12 @@
         links
     }
 
+    /// Link addresses of all known entries, and whether each is live.
+    pub(crate) fn entry_links(&self, now: Time) -> Vec<(String, bool)> {
+        let entries = self.known.values().filter(|known| known.contact.entry);
+        entries.map(|known| (known.contact.link.clone(), Self::is_live(now, known))).collect()
+    }
+
     fn is_live(now: Time, known: &Known) -> bool {
         now.since(known.heard) <= HEARD_WITHIN && now.since(known.failed) > FAILED_FOR
     }
--- a/crates/oleander-entry/src/shards.rs
+++ b/crates/oleander-entry/src/shards.rs
@@ -23,8 +23,8 @@
     /// Returns once the second host holds the copies; false if none does.
     fn copy(&self, shard: ShardId, records: Vec<CallRecord>) -> impl Future<Output = bool> + Send;
 
-    /// Outcomes of a shard that other hosts hold uncommitted.
-    fn gather(&self, shard: ShardId) -> impl Future<Output = Vec<CallRecord>> + Send;
+    /// Outcomes of a shard that other hosts hold uncommitted, and whether all live hosts answered.
+    fn gather(&self, shard: ShardId) -> impl Future<Output = (Vec<CallRecord>, bool)> + Send;
 
     /// Number of the view of the live hosts; it changes with them.
     fn view(&self) -> u64;
@@ -232,8 +232,9 @@
     fn gather(&self) {
         let (others, events, shard) = (self.others.clone(), self.events.clone(), self.id);
         tokio::spawn(async move {
-            let records = others.gather(shard).await;
-            let _ = events.send(Input::Event(ShardEvent::Gathered(records))).await;
+            let (records, complete) = others.gather(shard).await;
+            let event = ShardEvent::Gathered(records, complete);
+            let _ = events.send(Input::Event(event)).await;
         });
     }
 
--- a/crates/oleander-ledger/src/shard.rs
+++ b/crates/oleander-ledger/src/shard.rs
@@ -82,8 +82,8 @@
     View(u64, bool),
     /// Somebody asks for the outcomes that are not committed.
     Buffered(Ticket),
-    /// What the other hosts hold uncommitted.
-    Gathered(Vec<CallRecord>),
+    /// What the other hosts hold uncommitted, and whether all live ones told it.
+    Gathered(Vec<CallRecord>, bool),
     /// Outcomes that another owner could not commit yet.
     Copies(Vec<CallRecord>),
     /// The second host holds copies of these calls.
@@ -161,6 +161,18 @@
     since: Time,
 }
 
+impl Buffered {
+    /// Whether a caller may have been told the outcome.
+    fn is_answered(&self) -> bool {
+        matches!(self.copied, Copied::Yes | Copied::Foreign)
+    }
+
+    fn record(&self, call: &CallId) -> CallRecord {
+        let (digest, outcome) = (self.digest.clone(), self.outcome.clone());
+        CallRecord::Final { call: call.clone(), digest, outcome }
+    }
+}
+
 #[derive(Debug, PartialEq, Eq)]
 enum Copied {
     No,
@@ -221,6 +233,12 @@
     view: u64,
     since: Time,
     gathering: bool,
+    /// When the other hosts were asked last.
+    asked: Time,
+    /// When they had answered.
+    gathered: Time,
+    /// Whether all live hosts have told what they hold.
+    complete: bool,
 }
 
 impl Shard {
@@ -274,8 +292,10 @@
     /// Takes one event and returns what to do, in order.
     pub fn handle(&mut self, now: Time, event: ShardEvent) -> Vec<ShardAction> {
         let mut actions = Vec::new();
+        self.log.set_paused(self.is_gathering(now));
         self.take(now, event, &mut actions);
         self.release_held(now, &mut actions);
+        self.gather_again(now, &mut actions);
         self.copy_out(now, &mut actions);
         self.append_copies(now, &mut actions);
         self.refuse_grants(now, &mut actions);
@@ -297,11 +317,8 @@
                 let reply = ShardReply::Buffered(self.uncommitted());
                 actions.push(ShardAction::Reply(ticket, reply));
             }
-            ShardEvent::Gathered(records) => {
-                self.keep_copies(now, records);
-                if let Some(owned) = &mut self.owned {
-                    owned.gathering = false;
-                }
+            ShardEvent::Gathered(records, complete) => {
+                self.gathered(now, records, complete, actions);
             }
             ShardEvent::Copies(records) => self.keep_copies(now, records),
             ShardEvent::Copied(calls) => self.copied(&calls, actions),
@@ -321,7 +338,10 @@
 
     /// Whether the end of the log must be read before a call counts as unknown.
     fn is_stale(&self, now: Time) -> bool {
-        !self.log.is_current() || now.since(self.log.read_at()) > self.config.freshness
+        let read_at = self.log.read_at();
+        // What another host committed just before it was asked is found only by a later read.
+        let gathered = self.owned.as_ref().is_some_and(|owned| read_at < owned.gathered);
+        !self.log.is_current() || gathered || now.since(read_at) > self.config.freshness
     }
 
     /// Whether other hosts may still hold outcomes that this new owner does not know.
@@ -335,26 +355,67 @@
     /// It holds if the log was read to its end since this host became the owner: later grants
     /// are its own.
     fn is_clean(&self) -> bool {
-        self.owned.as_ref().is_some_and(|owned| self.log.read_at() >= owned.since)
+        self.owned.as_ref().is_some_and(|owned| owned.complete && self.log.read_at() >= owned.since)
+    }
+
+    /// Asks the other hosts again if some did not answer.
+    fn gather_again(&mut self, now: Time, actions: &mut Vec<ShardAction>) {
+        let Some(owned) = &mut self.owned else { return };
+        if !owned.complete && now.since(owned.asked) >= self.config.gather {
+            owned.asked = now;
+            actions.push(ShardAction::Gather);
+        }
     }
 
     fn set_view(&mut self, now: Time, view: u64, owned: bool, actions: &mut Vec<ShardAction>) {
         if !owned {
             self.owned = None;
         } else if self.owned.as_ref().is_none_or(|owned| owned.view != view) {
-            self.owned = Some(Owned { view, since: now, gathering: true });
+            let (since, asked) = (now, now);
+            let gathered = Time(0);
+            self.owned =
+                Some(Owned { view, since, gathering: true, asked, gathered, complete: false });
             actions.push(ShardAction::Gather);
             self.drive(now, LogEvent::Refresh, actions);
         }
     }
 
+    /// Outcomes that were answered on the strength of a copy and are not committed.
     fn uncommitted(&self) -> Vec<CallRecord> {
-        let records = self.buffered.iter().map(|(call, buffered)| CallRecord::Final {
-            call: call.clone(),
-            digest: buffered.digest.clone(),
-            outcome: buffered.outcome.clone(),
-        });
-        records.collect()
+        let answered = self.buffered.iter().filter(|(_, buffered)| buffered.is_answered());
+        answered.map(|(call, buffered)| buffered.record(call)).collect()
+    }
+
+    /// Takes what other hosts answered; it goes before own outcomes that nobody was told of.
+    fn gathered(
+        &mut self,
+        now: Time,
+        records: Vec<CallRecord>,
+        complete: bool,
+        actions: &mut Vec<ShardAction>,
+    ) {
+        for record in &records {
+            let CallRecord::Final { call, outcome, .. } = record else { continue };
+            let Some(own) = self.buffered.get_mut(call) else { continue };
+            if own.is_answered() {
+                continue;
+            }
+            own.outcome = outcome.clone();
+            own.copied = Copied::Yes;
+            for reader in mem::take(&mut own.waiters) {
+                actions.push(reader.reply(outcome.clone(), false));
+            }
+        }
+        self.keep_copies(now, records);
+        if let Some(owned) = &mut self.owned {
+            owned.gathering = false;
+            owned.complete |= complete;
+            owned.gathered = now;
+        }
+        self.log.set_paused(false);
+        let pending = self.log.take_pending();
+        self.decide_again(now, pending, actions);
+        self.drive(now, LogEvent::Refresh, actions);
     }
 
     /// Keeps an event until what is recorded is known; false if it need not or can't wait.
@@ -370,9 +431,12 @@
 
     fn release_held(&mut self, now: Time, actions: &mut Vec<ShardAction>) {
         let waits_for_log = self.is_stale(now) && !self.is_degraded(now);
-        if self.held.is_empty() || waits_for_log || self.is_gathering(now) {
+        if self.held.is_empty() || self.is_gathering(now) {
             return;
         }
+        if waits_for_log {
+            return self.drive(now, LogEvent::Refresh, actions);
+        }
         for (_, event) in mem::take(&mut self.held) {
             self.take(now, event, actions);
         }
@@ -530,7 +594,8 @@
         if self.hold(now, ShardEvent::Lookup(ticket, call), actions) {
             return;
         }
-        let reply = match self.is_stale(now) || self.owned.is_none() {
+        let knows_all = self.owned.as_ref().is_some_and(|owned| owned.complete);
+        let reply = match self.is_stale(now) || !knows_all {
             true => ShardReply::Unavailable { clean: false },
             false => ShardReply::Absent,
         };
@@ -716,13 +781,15 @@
                     }
                 }
                 Purpose::Reclaim(ticket, claim) => self.claim(now, ticket, claim, actions),
-                Purpose::Final(call) if self.buffered.contains_key(&call) => {
-                    self.append(now, Purpose::Final(call), record, actions);
+                Purpose::Final(call) => {
+                    let buffered = self.buffered.get(&call);
+                    if let Some(record) = buffered.map(|buffered| buffered.record(&call)) {
+                        self.append(now, Purpose::Final(call), record, actions);
+                    }
                 }
                 Purpose::Withdraw(ticket) => {
                     self.append(now, Purpose::Withdraw(ticket), record, actions);
                 }
-                Purpose::Final(_) => {}
             }
         }
     }
@@ -741,11 +808,7 @@
             };
             if due {
                 buffered.copied = Copied::Asked(now);
-                records.push(CallRecord::Final {
-                    call: call.clone(),
-                    digest: buffered.digest.clone(),
-                    outcome: buffered.outcome.clone(),
-                });
+                records.push(buffered.record(call));
             }
         }
         if !records.is_empty() {
@@ -786,12 +849,10 @@
         for (call, buffered) in &mut self.buffered {
             if buffered.copied == Copied::Foreign && now.since(buffered.since) >= delay {
                 buffered.copied = Copied::Yes;
-                let (digest, outcome) = (buffered.digest.clone(), buffered.outcome.clone());
-                due.push((call.clone(), digest, outcome));
+                due.push((call.clone(), buffered.record(call)));
             }
         }
-        for (call, digest, outcome) in due {
-            let record = CallRecord::Final { call: call.clone(), digest, outcome };
+        for (call, record) in due {
             self.append(now, Purpose::Final(call), record, actions);
         }
     }
--- a/crates/oleander-ledger/tests/refused.rs
+++ b/crates/oleander-ledger/tests/refused.rs
@@ -23,7 +23,7 @@
         let (now, store, waiting) = (Time(1_000_000_000), Vec::new(), Vec::new());
         let mut run = Self { shard, now, store, silent: false, waiting, replies: Vec::new() };
         run.feed(ShardEvent::View(1, true));
-        run.feed(ShardEvent::Gathered(Vec::new()));
+        run.feed(ShardEvent::Gathered(Vec::new(), true));
         run.pass(Span::from_millis(100));
         run
     }
