--- a/crates/oleander-entry/src/app.rs
+++ b/crates/oleander-entry/src/app.rs
@@ -34,7 +34,7 @@
 /// Time after the start within which the other hosts become known.
 const SETTLE_TIME: Span = Span::from_secs(1);
 /// Longest wait for one host's uncommitted outcomes.
-const GATHER_TIMEOUT: Duration = Duration::from_millis(500);
+const GATHER_TIMEOUT: Duration = Duration::from_millis(200);
 /// Targets that the fixed split leaves to batch.
 const SPLIT_TARGETS: u32 = 1;
 
@@ -58,9 +58,9 @@
     async fn gather(&self, shard: ShardId) -> Vec<CallRecord> {
         let settled = self.started + SETTLE_TIME;
         tokio::time::sleep(settled.since(clock::now()).to_duration()).await;
-        let owners = self.hosts.lock().owners(clock::now(), shard);
+        let entries = self.hosts.lock().entry_links();
         let request = PeerRequest::Shard(shard, ShardCall::Buffered);
-        let calls = owners.into_iter().flatten().map(|link| {
+        let calls = entries.into_iter().map(|link| {
             let request = &request;
             async move { self.link.call::<_, PeerAnswer>(&link, request, GATHER_TIMEOUT).await }
         });
--- a/crates/oleander-entry/src/hosts.rs
+++ b/crates/oleander-entry/src/hosts.rs
@@ -84,6 +84,12 @@
         links
     }
 
+    /// Link addresses of all known entries, live or not.
+    pub(crate) fn entry_links(&self) -> Vec<String> {
+        let entries = self.known.values().filter(|known| known.contact.entry);
+        entries.map(|known| known.contact.link.clone()).collect()
+    }
+
     fn is_live(now: Time, known: &Known) -> bool {
         now.since(known.heard) <= HEARD_WITHIN && now.since(known.failed) > FAILED_FOR
     }
--- a/crates/oleander-ledger/examples/slope_calls.rs
+++ b/crates/oleander-ledger/examples/slope_calls.rs
@@ -60,7 +60,7 @@
                     LogEvent::Created(sequence)
                 }
                 ShardAction::Fetch(sequence) => LogEvent::Fetched(sequence, None),
-                ShardAction::Reply(..) | ShardAction::Copy(_) => continue,
+                ShardAction::Reply(..) | ShardAction::Copy(_) | ShardAction::Gather => continue,
             };
             actions.extend(self.shard.handle(self.now, ShardEvent::Log(answer)));
         }
--- a/crates/oleander-ledger/src/log.rs
+++ b/crates/oleander-ledger/src/log.rs
@@ -3,8 +3,9 @@
 //! The writer appends records; the log groups them into one segment at a time and creates the
 //! object of the next sequence number. A create that meets a foreign object applies that object
 //! first and returns the records that were not committed, so that the caller decides again. A
-//! create whose answer was lost is repeated with the very same segment until it is settled: it
-//! may still take effect, so its content must not change.
+//! create without an answer is settled by reading the object: if it is not there, its records
+//! are returned too and go into a segment of another attempt. The former create may still take
+//! effect later; the next one then meets it like a foreign object.
 
 use std::mem;
 
@@ -82,6 +83,7 @@
     asked_at: Time,
     read_at: Time,
     writes: u64,
+    paused: bool,
 }
 
 impl<R: Clone + Serialize + for<'de> Deserialize<'de>> Log<R> {
@@ -105,6 +107,7 @@
             asked_at: Time(0),
             read_at: Time(0),
             writes: 0,
+            paused: false,
         }
     }
 
@@ -155,12 +158,22 @@
             return None;
         }
         match self.phase {
-            Phase::Idle if self.pending.is_empty() => None,
+            Phase::Idle if self.pending.is_empty() || self.paused => None,
             Phase::Idle => Some(self.earliest),
             _ => self.retry_at,
         }
     }
 
+    /// Starts no new create while paused; reading goes on.
+    pub const fn set_paused(&mut self, paused: bool) {
+        self.paused = paused;
+    }
+
+    /// Takes back the appends that no create holds.
+    pub fn take_pending(&mut self) -> Vec<(Ticket, R)> {
+        mem::take(&mut self.pending)
+    }
+
     /// Takes one event and returns what to do, in order.
     pub fn handle(&mut self, now: Time, event: LogEvent<R>) -> Vec<LogAction<R>> {
         let mut actions = Vec::new();
@@ -218,6 +231,10 @@
         self.waiting = false;
         self.retry_at = Some(now + self.backoff);
         self.backoff = (self.backoff * 2).min(MAX_BACKOFF);
+        self.phase = match mem::replace(&mut self.phase, Phase::Idle) {
+            Phase::Writing { segment, tickets } => Phase::Settling { segment, tickets },
+            other => other,
+        };
     }
 
     fn on_fetched(
@@ -237,7 +254,8 @@
                 self.settle(segment, tickets, stored, actions);
             }
             (Phase::Settling { segment, tickets }, None) => {
-                self.phase = Phase::Writing { segment, tickets };
+                self.phase = Phase::Idle;
+                self.give_back(segment, tickets, actions);
             }
             (Phase::Replaying, Some(stored)) => self.commit(stored, Vec::new(), actions),
             (Phase::Replaying, None) => {
@@ -262,6 +280,16 @@
             return;
         }
         self.commit(stored, Vec::new(), actions);
+        self.give_back(own, tickets, actions);
+    }
+
+    /// Returns all appends that are not committed.
+    fn give_back(
+        &mut self,
+        own: Segment<R>,
+        tickets: Vec<Ticket>,
+        actions: &mut Vec<LogAction<R>>,
+    ) {
         let mut returned: Vec<_> = tickets.into_iter().zip(own.records).collect();
         returned.append(&mut self.pending);
         actions.push(LogAction::Return(returned));
@@ -287,7 +315,8 @@
         if self.waiting {
             return;
         }
-        if matches!(self.phase, Phase::Idle) && !self.pending.is_empty() && now >= self.earliest {
+        let may_write = !self.paused && now >= self.earliest;
+        if matches!(self.phase, Phase::Idle) && !self.pending.is_empty() && may_write {
             self.phase = self.fill_segment();
             self.retry_at = Some(now);
         }
--- a/crates/oleander-ledger/src/shard.rs
+++ b/crates/oleander-ledger/src/shard.rs
@@ -161,6 +161,18 @@
     since: Time,
 }
 
+impl Buffered {
+    /// Whether a caller may have been told the outcome.
+    fn is_answered(&self) -> bool {
+        matches!(self.copied, Copied::Yes | Copied::Foreign)
+    }
+
+    fn record(&self, call: &CallId) -> CallRecord {
+        let (digest, outcome) = (self.digest.clone(), self.outcome.clone());
+        CallRecord::Final { call: call.clone(), digest, outcome }
+    }
+}
+
 #[derive(Debug, PartialEq, Eq)]
 enum Copied {
     No,
@@ -274,6 +286,7 @@
     /// Takes one event and returns what to do, in order.
     pub fn handle(&mut self, now: Time, event: ShardEvent) -> Vec<ShardAction> {
         let mut actions = Vec::new();
+        self.log.set_paused(self.is_gathering(now));
         self.take(now, event, &mut actions);
         self.release_held(now, &mut actions);
         self.copy_out(now, &mut actions);
@@ -297,12 +310,7 @@
                 let reply = ShardReply::Buffered(self.uncommitted());
                 actions.push(ShardAction::Reply(ticket, reply));
             }
-            ShardEvent::Gathered(records) => {
-                self.keep_copies(now, records);
-                if let Some(owned) = &mut self.owned {
-                    owned.gathering = false;
-                }
-            }
+            ShardEvent::Gathered(records) => self.gathered(now, records, actions),
             ShardEvent::Copies(records) => self.keep_copies(now, records),
             ShardEvent::Copied(calls) => self.copied(&calls, actions),
             ShardEvent::Log(LogEvent::Fetched(sequence, Some(segment)))
@@ -348,13 +356,33 @@
         }
     }
 
+    /// Outcomes that were answered on the strength of a copy and are not committed.
     fn uncommitted(&self) -> Vec<CallRecord> {
-        let records = self.buffered.iter().map(|(call, buffered)| CallRecord::Final {
-            call: call.clone(),
-            digest: buffered.digest.clone(),
-            outcome: buffered.outcome.clone(),
-        });
-        records.collect()
+        let answered = self.buffered.iter().filter(|(_, buffered)| buffered.is_answered());
+        answered.map(|(call, buffered)| buffered.record(call)).collect()
+    }
+
+    /// Takes what other hosts answered; it goes before own outcomes that nobody was told of.
+    fn gathered(&mut self, now: Time, records: Vec<CallRecord>, actions: &mut Vec<ShardAction>) {
+        for record in &records {
+            let CallRecord::Final { call, outcome, .. } = record else { continue };
+            let Some(own) = self.buffered.get_mut(call) else { continue };
+            if own.is_answered() {
+                continue;
+            }
+            own.outcome = outcome.clone();
+            own.copied = Copied::Yes;
+            for reader in mem::take(&mut own.waiters) {
+                actions.push(reader.reply(outcome.clone(), false));
+            }
+        }
+        self.keep_copies(now, records);
+        if let Some(owned) = &mut self.owned {
+            owned.gathering = false;
+        }
+        self.log.set_paused(false);
+        let pending = self.log.take_pending();
+        self.decide_again(now, pending, actions);
     }
 
     /// Keeps an event until what is recorded is known; false if it need not or can't wait.
@@ -716,13 +744,15 @@
                     }
                 }
                 Purpose::Reclaim(ticket, claim) => self.claim(now, ticket, claim, actions),
-                Purpose::Final(call) if self.buffered.contains_key(&call) => {
-                    self.append(now, Purpose::Final(call), record, actions);
+                Purpose::Final(call) => {
+                    let buffered = self.buffered.get(&call);
+                    if let Some(record) = buffered.map(|buffered| buffered.record(&call)) {
+                        self.append(now, Purpose::Final(call), record, actions);
+                    }
                 }
                 Purpose::Withdraw(ticket) => {
                     self.append(now, Purpose::Withdraw(ticket), record, actions);
                 }
-                Purpose::Final(_) => {}
             }
         }
     }
@@ -741,11 +771,7 @@
             };
             if due {
                 buffered.copied = Copied::Asked(now);
-                records.push(CallRecord::Final {
-                    call: call.clone(),
-                    digest: buffered.digest.clone(),
-                    outcome: buffered.outcome.clone(),
-                });
+                records.push(buffered.record(call));
             }
         }
         if !records.is_empty() {
@@ -786,12 +812,10 @@
         for (call, buffered) in &mut self.buffered {
             if buffered.copied == Copied::Foreign && now.since(buffered.since) >= delay {
                 buffered.copied = Copied::Yes;
-                let (digest, outcome) = (buffered.digest.clone(), buffered.outcome.clone());
-                due.push((call.clone(), digest, outcome));
+                due.push((call.clone(), buffered.record(call)));
             }
         }
-        for (call, digest, outcome) in due {
-            let record = CallRecord::Final { call: call.clone(), digest, outcome };
+        for (call, record) in due {
             self.append(now, Purpose::Final(call), record, actions);
         }
     }
