Keep faults of engines from failing items or taking all of them in

Now a suspect keeps away from targets that refused it; a break while other runs there go on counts as a refusal there; and a target rests after faults in a row. New tests: one of four engines fails, freezes, breaks streams or crosses answers. A cancel is passed on to peers, and a lot that was being read when its job was stopped is given back.

--- a/crates/oleander-batch/src/app.rs
+++ b/crates/oleander-batch/src/app.rs
@@ -26,7 +26,7 @@
 use crate::{documents::Documents, jobs::Jobs, lots::Lots, peers::Peers, pool::Pools, runs::Runs};
 
 /// Longest wait for the first token of an item.
-const FIRST_TOKEN_TIMEOUT: Duration = Duration::from_secs(30);
+const FIRST_TOKEN_TIMEOUT: Duration = Duration::from_secs(10);
 /// Targets that the fixed split leaves to batch.
 const SPLIT_TARGETS: u32 = 1;
 
--- a/crates/oleander-batch/src/dispatch.rs
+++ b/crates/oleander-batch/src/dispatch.rs
@@ -13,7 +13,7 @@
 const DISPATCH_INTERVAL: Duration = Duration::from_millis(20);
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
 /// Time for which a suspect waits for a target of this host's own.
-const SUSPECT_PATIENCE: Span = Span::from_secs(5);
+const SUSPECT_PATIENCE: Span = Span::from_secs(3);
 const YIELD_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Starts the loops.
@@ -89,13 +89,13 @@
 fn start_suspect(app: &Arc<App>, cell: &Arc<LotCell>) -> bool {
     let now = clock::now();
     let since = *cell.suspect_since.lock().get_or_insert(now);
-    let foreign = if now.since(since) >= SUSPECT_PATIENCE {
-        Vec::new()
-    } else {
-        let targets = cell.pool.addresses().into_iter().map(|(target, _)| target);
+    let ready = cell.pool.ready_targets();
+    let (own, foreign): (Vec<TargetId>, Vec<TargetId>) = {
         let jobs = app.jobs.lock();
-        targets.filter(|target| !jobs.tries_suspects_at(target)).collect()
+        ready.into_iter().partition(|target| jobs.tries_suspects_at(target))
     };
+    let in_vain = own.is_empty() || now.since(since) >= SUSPECT_PATIENCE;
+    let foreign = if in_vain { Vec::new() } else { foreign };
     let started = start_item(app, cell, true, foreign);
     if started {
         *cell.suspect_since.lock() = None;
@@ -110,6 +110,7 @@
     mut exclude: Vec<TargetId>,
 ) -> bool {
     exclude.extend(app.runs.lock().reserved());
+    exclude.extend(app.health.lock().resting(clock::now()));
     loop {
         let pick = Pick::batch().exclude(exclude.clone());
         let pick = if alone { pick.alone() } else { pick };
--- a/crates/oleander-batch/src/jobs.rs
+++ b/crates/oleander-batch/src/jobs.rs
@@ -14,8 +14,9 @@
     BoardJob, Counts, FileRecord, JobBoard, JobRecord, JobState, Lot, LotConfig, LotEnd, LotEvent,
     LotPlan, key,
 };
+use oleander_peer::PeerRequest;
 use parking_lot::Mutex;
-use tokio::time;
+use tokio::{sync::mpsc, time};
 
 use crate::{app::App, lots::LotCell, runs::LotKey};
 
@@ -23,6 +24,8 @@
 const OPEN_INTERVAL: Duration = Duration::from_millis(100);
 /// Longest time after which a running lot learns that its job was cancelled.
 const CANCEL_INTERVAL: Duration = Duration::from_secs(2);
+/// Longest wait for a peer that is told of a cancel.
+const CANCEL_TIMEOUT: Duration = Duration::from_secs(1);
 const CHECK_INTERVAL: Duration = Duration::from_secs(5);
 const PUBLISH_DELAY: Duration = Duration::from_secs(1);
 /// Longest difference between the clocks of hosts, and time for a job to be committed.
@@ -198,8 +201,10 @@
     match open_cell(&app, &lot).await {
         Ok(Some(cell)) => {
             let cell = Arc::new(cell);
-            app.lots.lock().insert(lot, Arc::clone(&cell));
-            app.drive(&cell, LotEvent::Tick);
+            app.lots.lock().insert(lot.clone(), Arc::clone(&cell));
+            // The job may have been stopped while the lot was read.
+            let stopped = app.jobs.lock().get(&lot.job).is_none();
+            app.drive(&cell, if stopped { LotEvent::Release } else { LotEvent::Tick });
         }
         Ok(None) => {}
         Err(error) => {
@@ -269,6 +274,17 @@
     }
 }
 
+/// Stops jobs that were cancelled through this process, here and at all peers.
+pub(crate) async fn tell_cancels(app: Arc<App>, mut cancelled: mpsc::Receiver<JobId>) {
+    while let Some(job) = cancelled.recv().await {
+        app.stop_job(&job);
+        for link in app.peers.lock().links() {
+            let (app, request) = (Arc::clone(&app), PeerRequest::Cancelled(job.clone()));
+            tokio::spawn(async move { app.call_peer(&link, &request, CANCEL_TIMEOUT).await });
+        }
+    }
+}
+
 async fn check_loop(app: Arc<App>) {
     loop {
         time::sleep(CHECK_INTERVAL).await;
--- a/crates/oleander-batch/src/main.rs
+++ b/crates/oleander-batch/src/main.rs
@@ -25,10 +25,14 @@
 };
 use oleander_link::{Link, LinkError, LinkKey};
 
+use tokio::sync::mpsc;
+
 use app::App;
 
 /// Exit code for settings that are not valid.
 const EXIT_SETTINGS: u8 = 2;
+/// Cancelled jobs that wait to be told to peers.
+const CANCELS: usize = 64;
 /// Longest wait for lots to be given back.
 const DRAIN_LIMIT: Duration = Duration::from_secs(8);
 
@@ -75,7 +79,9 @@
         metrics,
         operator_key,
     );
-    let routes = oleander_intake::admin_router(app.platform.clone());
+    let (sender, cancelled) = mpsc::channel(CANCELS);
+    tokio::spawn(jobs::tell_cancels(Arc::clone(&app), cancelled));
+    let routes = oleander_intake::store_admin_router(app.store.clone().notify(sender));
     let _admin = admin.merge(routes).serve(app.settings.admin).await?;
     log::info!("host {} runs batch jobs", app.settings.host);
     app.drain.started().await;
--- a/crates/oleander-batch/src/pool.rs
+++ b/crates/oleander-batch/src/pool.rs
@@ -8,7 +8,7 @@
 use oleander_peer::TargetCount;
 use oleander_routing::{
     BatchExcess, Decision, LeaseId, LoadReport, Observation, PeerCount, Pick, Policy, Router,
-    RouterConfig, Target, TargetStatus,
+    RouterConfig, Target, TargetState, TargetStatus,
 };
 use parking_lot::{Mutex, RwLock};
 
@@ -122,6 +122,12 @@
         self.router.lock().batch_excess(clock::now())
     }
 
+    /// Targets that take new work.
+    pub(crate) fn ready_targets(&self) -> Vec<TargetId> {
+        let all = self.snapshot().into_iter();
+        all.filter(|row| row.state == TargetState::Ready).map(|row| row.name).collect()
+    }
+
     /// The targets as this host sees them.
     pub(crate) fn snapshot(&self) -> Vec<TargetStatus> {
         self.router.lock().snapshot()
--- a/crates/oleander-batch/src/run.rs
+++ b/crates/oleander-batch/src/run.rs
@@ -22,6 +22,8 @@
 const UNAVAILABLE: u16 = 503;
 /// Output of other items within this time shows that a silent target works.
 const ACTIVE_WITHIN: Span = Span::from_secs(1);
+/// Time within which a target that died breaks off all its runs.
+const BREAK_GRACE: Duration = Duration::from_millis(300);
 /// Longest wait for a target that broke off to show that it lives.
 const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
 const CANCEL_TRIES: u32 = 3;
@@ -123,7 +125,9 @@
                 };
                 is_first = false;
                 cell.pool.observe(*lease, seen);
-                app.health.lock().gave_output(clock::now(), target);
+                let now = clock::now();
+                app.health.lock().gave_output(now, target);
+                app.runs.lock().gave_output(now, &cell.key, grant.run);
             }
             Piece::End { finish, usage } => {
                 let body = completion(id, item.model(), &output.text, &finish, usage);
@@ -178,13 +182,19 @@
         Ending::Failed(error) => {
             let detail = format!("item {} at {target}: {error}", grant.run.item);
             app.event(EventKind::TargetFailed, &cell.key.job, detail);
-            Some(judge_failure(app, grant, now, error).await)
+            Some(judge_failure(app, cell, grant, now, error).await)
         }
     }
 }
 
-async fn judge_failure(app: &App, grant: &Grant, now: Time, error: TargetError) -> ItemEnd {
-    let Place { target, address, .. } = &grant.place;
+async fn judge_failure(
+    app: &App,
+    cell: &LotCell,
+    grant: &Grant,
+    now: Time,
+    error: TargetError,
+) -> ItemEnd {
+    let target = &grant.place.target;
     let target_works = works_apart_from(app, now, target, &error);
     let end = match error {
         TargetError::Status(TOO_MANY_REQUESTS | UNAVAILABLE, _)
@@ -195,12 +205,16 @@
             return ItemEnd::Answered(Answer { status, request, body });
         }
         TargetError::Status(..) | TargetError::Silent => ItemEnd::Failed { target_works },
-        // A target that lives broke off this item alone: the item counts it against that target.
-        TargetError::Broken(_) if grant.alone && is_alive(app, address).await => {
-            ItemEnd::Failed { target_works: true }
+        TargetError::Broken(_) => {
+            app.runs.lock().broke(&cell.key, grant.run);
+            if survived(app, grant, now).await {
+                ItemEnd::Failed { target_works: true }
+            } else {
+                ItemEnd::Lost
+            }
         }
-        TargetError::Broken(_) => ItemEnd::Lost,
     };
+    log::debug!("item {} at {target}: judged {end:?}", grant.run.item);
     app.health.lock().faulted(now, target);
     end
 }
@@ -214,6 +228,19 @@
     }
 }
 
+/// Whether the target broke off this run alone, so that the item counts it against that target.
+///
+/// A target that died breaks off all its runs within a moment. It may be back at once, so that
+/// only runs from before show that it survived.
+async fn survived(app: &App, grant: &Grant, at: Time) -> bool {
+    let Place { target, address, .. } = &grant.place;
+    if grant.alone {
+        return is_alive(app, address).await;
+    }
+    time::sleep(BREAK_GRACE).await;
+    app.runs.lock().went_on(target, at)
+}
+
 async fn is_alive(app: &App, address: &str) -> bool {
     let probe = time::timeout(PROBE_TIMEOUT, app.targets.load(address)).await;
     matches!(probe, Ok(Ok(_)))
--- a/crates/oleander-batch/src/runs.rs
+++ b/crates/oleander-batch/src/runs.rs
@@ -31,6 +31,8 @@
     target: TargetId,
     started: Time,
     alone: bool,
+    broken: bool,
+    output: Option<Time>,
     stop: Option<oneshot::Sender<Stop>>,
 }
 
@@ -51,7 +53,8 @@
         alone: bool,
     ) -> oneshot::Receiver<Stop> {
         let (stop, stopped) = oneshot::channel();
-        let entry = Entry { target, started: now, alone, stop: Some(stop) };
+        let entry =
+            Entry { target, started: now, alone, broken: false, output: None, stop: Some(stop) };
         self.entries.insert((lot.clone(), run), entry);
         stopped
     }
@@ -61,6 +64,28 @@
         self.entries.remove(&(lot.clone(), run));
     }
 
+    /// Notes output of a run.
+    pub(crate) fn gave_output(&mut self, now: Time, lot: &LotKey, run: RunId) {
+        if let Some(entry) = self.entries.get_mut(&(lot.clone(), run)) {
+            entry.output = Some(now);
+        }
+    }
+
+    /// Notes that the stream of a run broke off.
+    pub(crate) fn broke(&mut self, lot: &LotKey, run: RunId) {
+        if let Some(entry) = self.entries.get_mut(&(lot.clone(), run)) {
+            entry.broken = true;
+        }
+    }
+
+    /// Whether a run at the target that was under way at `at` has gone on since.
+    pub(crate) fn went_on(&self, target: &TargetId, at: Time) -> bool {
+        self.entries.values().any(|entry| {
+            let there = entry.target == *target && entry.started < at && !entry.broken;
+            there && entry.output.is_some_and(|output| output > at)
+        })
+    }
+
     /// Stops a run.
     pub(crate) fn stop(&mut self, lot: &LotKey, run: RunId, why: Stop) {
         if let Some(entry) = self.entries.get_mut(&(lot.clone(), run)) {
--- a/crates/oleander-batch/tests/job.rs
+++ b/crates/oleander-batch/tests/job.rs
@@ -36,6 +36,11 @@
     }
 }
 
+fn peer_link() -> Link {
+    let key = LinkKey::from_secret(LINK_SECRET.as_bytes()).unwrap();
+    Link::new("entry-1".parse().unwrap(), key, clock::now)
+}
+
 fn signal(kind: &str, pid: &str) {
     assert!(Command::new("kill").args([kind, pid]).status().unwrap().success());
 }
@@ -76,6 +81,37 @@
     assert_whole(&items, &output);
 }
 
+/// One of four engines shows a fault while a job runs.
+async fn assert_fault_fails_no_item(faults: Faults) {
+    let cluster = Cluster::start(Shape { engines: 4, ..Shape::default() }).await;
+    let items = items(150);
+    let job = cluster.submit(&items).await;
+    cluster.wait_for_runs(30, LIMIT).await;
+    cluster.engines.lock().await[1].engine.set_faults(faults);
+    cluster.wait_for(&job, "completed", LIMIT).await;
+    assert_whole(&items, &cluster.output(&job).await);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_engine_that_fails_all_requests_fails_no_item() {
+    assert_fault_fails_no_item(Faults { fail_status: 500, ..Faults::default() }).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_engine_that_freezes_fails_no_item() {
+    assert_fault_fails_no_item(Faults { freeze: true, ..Faults::default() }).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_engine_that_breaks_streams_fails_no_item() {
+    assert_fault_fails_no_item(Faults { break_after_tokens: 5, ..Faults::default() }).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_engine_that_crosses_answers_fails_no_item() {
+    assert_fault_fails_no_item(Faults { cross_ids: true, ..Faults::default() }).await;
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_killed_host_loses_and_doubles_no_item() {
     let mut cluster = Cluster::start(Shape::default()).await;
@@ -156,6 +192,28 @@
     assert_eq!(cluster.job(&job).await["status"], "cancelled");
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_cancel_that_peers_tell_stops_a_job_in_an_outage() {
+    let shape = Shape { step_base_us: 20_000, ..Shape::default() };
+    let cluster = Cluster::start(shape).await;
+    let job = cluster.submit(&items(400)).await;
+    cluster.wait_for_runs(40, LIMIT).await;
+    assert_eq!(cluster.cancel(&job).await["status"], "cancelled");
+    cluster.platform.set_faults(platform::Faults { down: true, ..Default::default() });
+    let link = peer_link();
+    for host in &cluster.hosts {
+        let request = PeerRequest::Cancelled(job.parse().unwrap());
+        let answer: PeerAnswer = link.call(&host.link.to_string(), &request, LIMIT).await.unwrap();
+        assert_eq!(answer, PeerAnswer::Done);
+    }
+    let bound = unix_micros() + 1_000_000;
+    time::sleep(Duration::from_secs(4)).await;
+    let late = cluster.runs().await.into_iter().filter(|&at| at > bound).count();
+    assert_eq!(late, 0);
+    cluster.platform.set_faults(platform::Faults::default());
+    assert_eq!(cluster.job(&job).await["status"], "cancelled");
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn items_that_give_way_are_resumed_whole() {
     let shape = Shape { hosts: 1, step_base_us: 20_000, ..Shape::default() };
@@ -163,8 +221,7 @@
     let items = items(30);
     let job = cluster.submit(&items).await;
     cluster.wait_for_runs(10, LIMIT).await;
-    let key = LinkKey::from_secret(LINK_SECRET.as_bytes()).unwrap();
-    let link = Link::new("entry-1".parse().unwrap(), key, clock::now);
+    let link = peer_link();
     let peer = cluster.hosts[0].link.to_string();
     for target in ["e0", "e1", "e2"] {
         let request = PeerRequest::Yield(target.parse().unwrap(), 3);
--- a/crates/oleander-intake/src/admin.rs
+++ b/crates/oleander-intake/src/admin.rs
@@ -38,10 +38,15 @@
 
 /// The operators' routes of jobs; the caller puts its key check before them.
 pub fn admin_router<P: Platform>(platform: P) -> Router {
+    store_admin_router(JobStore::new(platform))
+}
+
+/// The same routes over a store, such as one that notifies of cancelled jobs.
+pub fn store_admin_router<P: Platform>(store: JobStore<P>) -> Router {
     Router::new()
         .route("/admin/jobs", get(list::<P>))
         .route("/admin/jobs/{id}/cancel", post(cancel::<P>))
-        .with_state(JobStore::new(platform))
+        .with_state(store)
 }
 
 async fn list<P: Platform>(
--- a/crates/oleander-intake/src/lib.rs
+++ b/crates/oleander-intake/src/lib.rs
@@ -26,7 +26,7 @@
 use oleander_platform::Platform;
 use tokio::sync::Semaphore;
 
-pub use admin::admin_router;
+pub use admin::{admin_router, store_admin_router};
 pub use error::Refusal;
 pub use store::{Closed, JobStore, Put, StoreError};
 
@@ -50,8 +50,13 @@
 
 /// The routes of files and jobs, for requests with an `Extension` of their workspace.
 pub fn router<P: Platform, D: Documents>(platform: P, documents: D) -> Router {
+    store_router(JobStore::new(platform), documents)
+}
+
+/// The same routes over a store, such as one that notifies of cancelled jobs.
+pub fn store_router<P: Platform, D: Documents>(store: JobStore<P>, documents: D) -> Router {
     let uploads = Arc::new(Semaphore::new(MAX_UPLOADS));
-    let intake = Intake { store: JobStore::new(platform), documents, uploads };
+    let intake = Intake { store, documents, uploads };
     let upload = post(upload::upload::<P, D>).layer(DefaultBodyLimit::disable());
     let submit = post(batches::submit::<P, D>).layer(DefaultBodyLimit::max(MAX_JOB_BYTES));
     Router::new()
--- a/crates/oleander-intake/src/store.rs
+++ b/crates/oleander-intake/src/store.rs
@@ -13,7 +13,10 @@
 use oleander_ledger::Segment;
 use oleander_platform::{Created, Listing, Platform, PlatformError, Updated};
 use serde::{Serialize, de::DeserializeOwned};
-use tokio::time::{self, Instant};
+use tokio::{
+    sync::mpsc,
+    time::{self, Instant},
+};
 
 /// Time for which a call without an answer is repeated.
 const PATIENCE: Duration = Duration::from_secs(2);
@@ -25,6 +28,7 @@
 #[derive(Debug, Clone)]
 pub struct JobStore<P> {
     platform: P,
+    cancelled: Option<mpsc::Sender<JobId>>,
 }
 
 /// Outcome of a create.
@@ -65,7 +69,16 @@
     /// Access through this platform.
     #[must_use]
     pub const fn new(platform: P) -> Self {
-        Self { platform }
+        Self { platform, cancelled: None }
+    }
+
+    /// Sends each job that is cancelled through this store, so that its runners can be told.
+    ///
+    /// A notice that finds no room is dropped; runners read the record as well.
+    #[must_use]
+    pub fn notify(mut self, cancelled: mpsc::Sender<JobId>) -> Self {
+        self.cancelled = Some(cancelled);
+        self
     }
 
     /// Creates an object, with retries.
@@ -234,7 +247,13 @@
     ///
     /// Fails when the platform does not answer in time.
     pub async fn cancel(&self, job: &JobId, now: Time) -> Result<Option<JobRecord>, StoreError> {
-        self.end(job, |record| record.cancelled(now)).await
+        let ended = self.end(job, |record| record.cancelled(now)).await?;
+        let stopped = ended.as_ref().is_some_and(|record| record.state == JobState::Cancelled);
+        if let (true, Some(cancelled)) = (stopped, &self.cancelled) {
+            // Without room the runners learn it from the record.
+            let _ = cancelled.try_send(job.clone());
+        }
+        Ok(ended)
     }
 
     /// Completes a job; returns its record at its end, whichever end came first.
--- a/crates/oleander-intake/tests/intake.rs
+++ b/crates/oleander-intake/tests/intake.rs
@@ -13,7 +13,7 @@
 use futures_util::{StreamExt, stream};
 use oleander_core::{ItemIndex, JobId, LotIndex, Revision, Time};
 use oleander_document::{Document, Workspace};
-use oleander_intake::{JobStore, admin_router, router};
+use oleander_intake::{JobStore, admin_router, router, store_admin_router};
 use oleander_jobs::{Answer, Counts, ItemError, ItemResult, JobState, LotRecord, key};
 use oleander_ledger::Segment;
 use oleander_platform::{
@@ -24,6 +24,7 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
+    sync::mpsc,
     task, time,
 };
 use tower::ServiceExt;
@@ -262,6 +263,25 @@
     assert_eq!((status, &answer["status"]), (StatusCode::OK, &json!("cancelled")));
 }
 
+#[tokio::test]
+async fn a_cancel_is_notified_once_it_is_confirmed() {
+    let desk = Desk::new();
+    let (_, file) = desk.upload(&lines(3)).await;
+    let (_, job) = desk.submit(file["id"].as_str().unwrap(), "k", "1h").await;
+    let id: JobId = job["id"].as_str().unwrap().parse().unwrap();
+    let (sender, mut notices) = mpsc::channel(4);
+    let store = JobStore::new(desk.platform.clone()).notify(sender);
+    let request = post(&format!("/admin/jobs/{id}/cancel"));
+    let response = store_admin_router(store.clone()).oneshot(request).await.unwrap();
+    assert_eq!(response.status(), StatusCode::OK);
+    assert_eq!(notices.try_recv(), Ok(id));
+    let (_, job) = desk.submit(file["id"].as_str().unwrap(), "k2", "1h").await;
+    let id: JobId = job["id"].as_str().unwrap().parse().unwrap();
+    store.complete(&id, Counts { completed: 3, failed: 0 }, Time(1)).await.unwrap();
+    assert_eq!(store.cancel(&id, Time(2)).await.unwrap().unwrap().state, JobState::Completed);
+    assert!(notices.try_recv().is_err());
+}
+
 /// A platform that lets other tasks run before each call, so that calls interleave.
 #[derive(Debug, Clone)]
 struct Interleaved(MemoryPlatform);
--- a/crates/oleander-jobs/src/health.rs
+++ b/crates/oleander-jobs/src/health.rs
@@ -7,11 +7,17 @@
 /// Time for which a success shows that a target works.
 const WINDOW: Span = Span::from_secs(30);
 
+const FIRST_REST: Span = Span::from_millis(50);
+const MAX_REST: Span = Span::from_secs(5);
+const MAX_REST_STEPS: u32 = 7;
+
 #[derive(Debug, Clone, Copy, Default)]
 struct Seen {
     output: Option<Time>,
     success: Option<Time>,
     fault: Option<Time>,
+    /// Faults since the last success.
+    faults: u32,
 }
 
 /// The last successes and faults of targets.
@@ -37,12 +43,16 @@
 
     /// An item succeeded there.
     pub fn succeeded(&mut self, now: Time, target: &TargetId) {
-        self.targets.entry(target.clone()).or_default().success = Some(now);
+        let seen = self.targets.entry(target.clone()).or_default();
+        seen.success = Some(now);
+        seen.faults = 0;
     }
 
     /// The target failed an item, or could not be reached.
     pub fn faulted(&mut self, now: Time, target: &TargetId) {
-        self.targets.entry(target.clone()).or_default().fault = Some(now);
+        let seen = self.targets.entry(target.clone()).or_default();
+        seen.fault = Some(now);
+        seen.faults += 1;
     }
 
     /// Whether items have succeeded there of late, with no fault since.
@@ -59,6 +69,18 @@
         seen.and_then(|seen| seen.output).is_some_and(|at| at >= since)
     }
 
+    /// Targets that get no new items for a while after faults in a row.
+    ///
+    /// A target that fails at once would else take in all items, since it always has room.
+    #[must_use]
+    pub fn resting(&self, now: Time) -> Vec<TargetId> {
+        let resting = self.targets.iter().filter(|(_, seen)| {
+            let rest = (FIRST_REST * (1 << seen.faults.min(MAX_REST_STEPS))).min(MAX_REST);
+            seen.faults > 0 && seen.fault.is_some_and(|at| now.since(at) < rest)
+        });
+        resting.map(|(target, _)| target.clone()).collect()
+    }
+
     /// Drops what no longer matters.
     pub fn expire(&mut self, now: Time) {
         self.targets.retain(|_, seen| {
--- a/crates/oleander-jobs/src/lot.rs
+++ b/crates/oleander-jobs/src/lot.rs
@@ -154,7 +154,7 @@
     /// Whether a suspect could start now, alone.
     #[must_use]
     pub fn ready_alone(&self, now: Time) -> bool {
-        self.is_held() && self.find_suspect(now).is_some()
+        self.is_held() && self.find_suspect(now, None).is_some()
     }
 
     /// Items that run.
--- a/crates/oleander-jobs/src/lot/run.rs
+++ b/crates/oleander-jobs/src/lot/run.rs
@@ -5,7 +5,7 @@
 use super::{
     Lot,
     action::{ItemEnd, LotAction, RunId},
-    state::{State, Trial},
+    state::{Item, State, Trial},
 };
 use crate::record::{Answer, ItemError, ItemResult, LotRecord, MAX_ANSWER_BYTES};
 
@@ -53,11 +53,16 @@
         self.append(now, LotRecord::Outcome { item: self.index(position), result }, actions);
     }
 
-    pub(super) fn find_suspect(&self, now: Time) -> Option<usize> {
+    /// A suspect that may start alone, at this target or at any.
+    pub(super) fn find_suspect(&self, now: Time, target: Option<&TargetId>) -> Option<usize> {
         if self.items.iter().any(|item| item.is_running() && item.suspect) {
             return None;
         }
-        self.items.iter().position(|i| i.is_ready(now) && i.suspect && i.trial == Trial::Granted)
+        let targets = self.config.targets as usize;
+        let fits = |item: &Item| target.is_none_or(|target| item.may_run_at(target, targets));
+        self.items.iter().position(|item| {
+            item.is_ready(now) && item.suspect && item.trial == Trial::Granted && fits(item)
+        })
     }
 
     pub(super) fn find_ready(&self, now: Time, target: &TargetId) -> Option<usize> {
@@ -76,7 +81,7 @@
     ) {
         let found = match (self.is_held(), alone) {
             (false, _) => None,
-            (true, true) => self.find_suspect(now),
+            (true, true) => self.find_suspect(now, Some(&target)),
             (true, false) => self.find_ready(now, &target),
         };
         let Some(position) = found else {
