--- a/crates/oleander-routing/src/router/room.rs
+++ b/crates/oleander-routing/src/router/room.rs
@@ -19,7 +19,7 @@
 /// Weight of a new hold time in the running mean, as a divisor.
 const HOLD_WEIGHT: u64 = 16;
 /// Part of the free slots that one host may take for a burst, as a divisor.
-const BURST_PART: u32 = 4;
+const BURST_PART: u32 = 2;
 /// Part of the unwanted slots that is divided among all hosts, as a divisor.
 const LENT_PART: u32 = 2;
 
