--- a/crates/oleander-routing/examples/policy/main.rs
+++ b/crates/oleander-routing/examples/policy/main.rs
@@ -1,7 +1,7 @@
 //! Compares policies: harm to online requests against throughput of batch.
 //!
 //! An experiment on a small model of routers and engines in virtual time, not a measurement of
-//! processes. Usage: `cargo run --release -p oleander-routing --example policy -- [vpu|ht] [SEEDS] [brief]`.
+//! processes. Usage: `cargo run --release -p oleander-routing --example policy -- [vpu|ht] [SEEDS] [all|brief] [RESERVE]`.
 //! With `brief`, of the baselines only the one without batch is run. Prints a JSON line a run,
 //! then a table over all seeds; see the column names in `report.rs`.
 
@@ -86,10 +86,12 @@
     let size = args.next().unwrap_or_else(|| "vpu".to_owned());
     let seeds: u64 = args.next().and_then(|text| text.parse().ok()).unwrap_or(3);
     let brief = args.next().is_some_and(|text| text == "brief");
+    let mut base = setting(&size);
+    base.reserve = args.next().and_then(|text| text.parse().ok()).unwrap_or(base.reserve);
     let seeds: Vec<u64> = (1..=seeds).collect();
     let mut rows = Vec::new();
     for together in seeds.chunks(THREADS) {
-        rows.extend(run_seeds(&setting(&size), together, brief));
+        rows.extend(run_seeds(&base, together, brief));
     }
     let mut out = io::stdout().lock();
     for row in &rows {
