--- a/crates/oleander-routing/tests/peers.rs
+++ b/crates/oleander-routing/tests/peers.rs
@@ -279,6 +279,39 @@
     assert!((28..=30).contains(&most), "{most} at a target with room for 28 and a band of 2");
 }
 
+const TOGETHER: usize = 8;
+const ROOM: u32 = 28;
+
+/// Takes every slot that the counts show as free.
+fn naive_start(room: u32, known: u32, own: &mut u32) {
+    *own += room.saturating_sub(known + *own);
+}
+
+#[test]
+fn free_slots_by_late_counts_are_taken_many_times() {
+    let mut held = [0; TOGETHER];
+    held.iter_mut().for_each(|own| naive_start(ROOM, 0, own));
+    assert_eq!(held.iter().sum::<u32>(), TOGETHER as u32 * ROOM);
+}
+
+/// Cancels this host's part of the excess, by its share of the items it knows of.
+fn naive_cancel(room: u32, known: u32, own: &mut u32) {
+    let total = known + *own;
+    *own -= (total.saturating_sub(room) * *own).div_ceil(total);
+}
+
+#[test]
+fn a_part_of_the_excess_is_cancelled_again_while_counts_are_late() {
+    let (room, late) = (10, 10);
+    let (mut naive, mut ours) = (10, 10);
+    for _ in 0..5 {
+        naive_cancel(room, late, &mut naive);
+        ours = ours.min(fill_level(room, &[late, ours]));
+    }
+    assert_eq!(ours, 5, "half of the room for each of two hosts");
+    assert!(naive <= 1, "{naive} left");
+}
+
 const HERD_TARGETS: usize = 20;
 const HERD_HOSTS: usize = 8;
 const HERD_REQUESTS: u32 = 1_600;
