--- a/crates/oleander-routing/src/router.rs
+++ b/crates/oleander-routing/src/router.rs
@@ -190,6 +190,14 @@
         }
     }
 
+    /// Drops a peer that is known to be gone, so that its part of the slots is free at once.
+    pub fn forget_peer(&mut self, now: Time, peer: &HostId) {
+        self.tidy(now);
+        self.peers.remove(peer);
+        self.sum_peers(now);
+        self.share_anew(now);
+    }
+
     /// Own requests in flight, for the peers.
     #[must_use]
     pub fn counts(&self) -> Vec<PeerCount> {
--- a/crates/oleander-routing/src/router/peers.rs
+++ b/crates/oleander-routing/src/router/peers.rs
@@ -119,6 +119,11 @@
         changed
     }
 
+    /// Drops a peer.
+    pub(super) fn remove(&mut self, peer: &HostId) {
+        self.peers.remove(peer);
+    }
+
     /// The time at which the next message becomes too old.
     pub(super) fn next_expiry(&self, keep: Span) -> Option<Time> {
         let heard = self.peers.values().filter(|peer| !peer.silent);
--- a/crates/oleander-routing/tests/peers.rs
+++ b/crates/oleander-routing/tests/peers.rs
@@ -261,6 +261,16 @@
     }
 }
 
+#[test]
+fn slots_of_a_forgotten_peer_are_free_at_once() {
+    let mut router = router(0, 1, 32, 4);
+    let count = PeerCount { target: name(0), online: 2, batch: 13 };
+    router.peer(millis(0), &host(1), vec![count], millis(0));
+    assert_eq!(fill_batch(&mut router, millis(0)).len(), 13);
+    router.forget_peer(millis(1), &host(1));
+    assert_eq!(fill_batch(&mut router, millis(1)).len(), 15);
+}
+
 #[test]
 fn hosts_that_are_cut_off_keep_to_their_parts() {
     let lag = Span::from_millis(10);
