Leave no gap after a cancelled start, nor one shorter than a step

The batch process gives a place back when it has no item for it; that counted as a start and kept the target idle for the gap. A gap below 10 ms spreads nothing, since prompts that come within one step are read together, and would slow short items down.

--- a/crates/oleander-routing/src/router/observe.rs
+++ b/crates/oleander-routing/src/router/observe.rs
@@ -83,6 +83,9 @@
             Ending::Cancelled => {}
         }
         if let Some(backend) = self.backend_mut(&lease.target) {
+            if ending == Ending::Cancelled && backend.batch_started == Some(lease.started) {
+                backend.batch_started = None;
+            }
             backend.close(now, lease.class, lease.last_output.is_none());
             backend.probe = backend.probe.filter(|probe| *probe != id);
         }
--- a/crates/oleander-routing/src/router/room.rs
+++ b/crates/oleander-routing/src/router/room.rs
@@ -16,6 +16,8 @@
 const COLD: Span = Span::from_millis(300);
 /// Starts for which the gap between them leaves room, as a multiple of those needed.
 const STARTS_NEEDED: u64 = 4;
+/// Shortest gap between two starts.
+const LEAST_GAP: Span = Span::from_millis(10);
 /// Weight of a new hold time in the running mean, as a divisor.
 const HOLD_WEIGHT: u64 = 16;
 /// Part of the free slots that one host may take for a burst, as a divisor.
@@ -82,9 +84,10 @@
         free.min(backend.batch_cap.saturating_sub(backend.batch))
     }
 
-    /// When the next batch item may start at the target; `None` before the first one.
+    /// When the next batch item may start at the target; `None` for at once.
     ///
     /// The gap leaves room for several times as many starts as items of the usual length need.
+    /// One shorter than a step of an engine would spread nothing.
     fn start_due(&self, backend: &Backend) -> Option<Time> {
         if self.config.policy != Policy::Managed {
             return None;
@@ -92,7 +95,8 @@
         let slots = if self.peers.len() == 0 { backend.limit.current() } else { backend.batch_cap };
         let starts = u64::from(slots.max(1)) * STARTS_NEEDED;
         let gap = self.config.start_gap.min(Span(self.batch_hold.0 / starts));
-        backend.batch_started.map(|started| started + gap)
+        let started = backend.batch_started.filter(|_| gap >= LEAST_GAP);
+        started.map(|started| started + gap)
     }
 
     /// When the next batch item may start at any target that had one lately.
--- a/crates/oleander-routing/tests/router.rs
+++ b/crates/oleander-routing/tests/router.rs
@@ -234,6 +234,15 @@
     assert_eq!(fill_batch(&mut router, millis(50)).len(), 2);
 }
 
+#[test]
+fn a_cancelled_start_leaves_no_gap() {
+    let mut router = Router::new(config(0).start_gap(Span::from_millis(50)), 1);
+    router.set_targets(targets(1, 4, 0));
+    let (_, lease, _) = send(router.pick(millis(0), &Pick::batch())).unwrap();
+    router.observe(millis(0), lease, Observation::Cancelled);
+    assert!(send(router.pick(millis(0), &Pick::batch())).is_some());
+}
+
 #[test]
 fn targets_that_stay_keep_their_counts() {
     let mut router = router(0, 2, 4, 0);
