--- a/crates/oleander-routing/tests/peers.rs
+++ b/crates/oleander-routing/tests/peers.rs
@@ -261,6 +261,16 @@
     }
 }
 
+#[test]
+fn slots_of_a_forgotten_peer_are_free_at_once() {
+    let mut router = router(0, 1, 32, 4);
+    let count = PeerCount { target: name(0), online: 2, batch: 13 };
+    router.peer(millis(0), &host(1), vec![count], millis(0));
+    assert_eq!(fill_batch(&mut router, millis(0)).len(), 13);
+    router.forget_peer(millis(1), &host(1));
+    assert_eq!(fill_batch(&mut router, millis(1)).len(), 15);
+}
+
 #[test]
 fn hosts_that_are_cut_off_keep_to_their_parts() {
     let lag = Span::from_millis(10);
@@ -279,6 +289,39 @@
     assert!((28..=30).contains(&most), "{most} at a target with room for 28 and a band of 2");
 }
 
+const TOGETHER: usize = 8;
+const ROOM: u32 = 28;
+
+/// Takes every slot that the counts show as free.
+fn naive_start(room: u32, known: u32, own: &mut u32) {
+    *own += room.saturating_sub(known + *own);
+}
+
+#[test]
+fn free_slots_by_late_counts_are_taken_many_times() {
+    let mut held = [0; TOGETHER];
+    held.iter_mut().for_each(|own| naive_start(ROOM, 0, own));
+    assert_eq!(held.iter().sum::<u32>(), TOGETHER as u32 * ROOM);
+}
+
+/// Cancels this host's part of the excess, by its share of the items it knows of.
+fn naive_cancel(room: u32, known: u32, own: &mut u32) {
+    let total = known + *own;
+    *own -= (total.saturating_sub(room) * *own).div_ceil(total);
+}
+
+#[test]
+fn a_part_of_the_excess_is_cancelled_again_while_counts_are_late() {
+    let (room, late) = (10, 10);
+    let (mut naive, mut ours) = (10, 10);
+    for _ in 0..5 {
+        naive_cancel(room, late, &mut naive);
+        ours = ours.min(fill_level(room, &[late, ours]));
+    }
+    assert_eq!(ours, 5, "half of the room for each of two hosts");
+    assert!(naive <= 1, "{naive} left");
+}
+
 const HERD_TARGETS: usize = 20;
 const HERD_HOSTS: usize = 8;
 const HERD_REQUESTS: u32 = 1_600;
--- a/crates/oleander-routing/tests/router.rs
+++ b/crates/oleander-routing/tests/router.rs
@@ -234,6 +234,15 @@
     assert_eq!(fill_batch(&mut router, millis(50)).len(), 2);
 }
 
+#[test]
+fn a_cancelled_start_leaves_no_gap() {
+    let mut router = Router::new(config(0).start_gap(Span::from_millis(50)), 1);
+    router.set_targets(targets(1, 4, 0));
+    let (_, lease, _) = send(router.pick(millis(0), &Pick::batch())).unwrap();
+    router.observe(millis(0), lease, Observation::Cancelled);
+    assert!(send(router.pick(millis(0), &Pick::batch())).is_some());
+}
+
 #[test]
 fn targets_that_stay_keep_their_counts() {
     let mut router = router(0, 2, 4, 0);
@@ -271,7 +280,10 @@
     router.cache_event(&name(3), 42, true);
     let pick = |router: &mut Router| {
         let ticket = router.ticket();
-        send(router.pick(millis(0), &Pick::online(ticket).prefix(42))).unwrap().0
+        let pick = Pick::online(ticket).prefix(42);
+        let (target, lease, _) = send(router.pick(millis(0), &pick)).unwrap();
+        router.observe(millis(0), lease, Observation::FirstOutput);
+        target
     };
     for _ in 0..=15 {
         assert_eq!(pick(&mut router), name(3), "within 150 per mille of an idle target");
