--- a/scripts/slopes.sh
+++ b/scripts/slopes.sh
@@ -1,11 +1,11 @@
 #!/usr/bin/env bash
 # Measures what a deployment on loopback costs, and fits a line to each series.
 #
-# usage: scripts/slopes.sh [entries] [targets] [requests] [tokens] [items] [documents]
+# usage: scripts/slopes.sh [entries] [targets] [requests] [tokens] [items] [documents] [takeovers]
 #
 # Needs release builds (`cargo build --release --bins`) and port 7001 free. Processor time is that
-# of all threads of a process; bytes are those of its open connections, as the kernel counts them,
-# with 52 bytes of headers for each segment.
+# of a process with its ended threads; bytes are those of the connections open at both ends of the
+# measured time, as the kernel counts them, with 52 bytes of headers for each segment.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 BIN=${BIN:-target/release}
@@ -56,8 +56,9 @@
     watched+=("$1=${!pid}")
 }
 
+# Includes threads that have ended; in steps of 10 ms.
 processor_ns() { # pid
-    cat /proc/"$1"/task/*/schedstat | awk '{ sum += $1 } END { printf "%d\n", sum }'
+    awk -v tick="$(getconf CLK_TCK)" '{ printf "%d\n", ($14 + $15) / tick * 1e9 }' /proc/"$1"/stat
 }
 
 # Bytes and segments that each process sent and received, by the kind of peer.
@@ -83,6 +84,10 @@
     awk -v prefix="$1" -v x="$2" -f scripts/slopes/rates.awk "$RUN/before" "$RUN/after" | sort
 }
 
+snapshot_seconds() {
+    awk '$1 == "at" { t[++n] = $2 } END { print (t[2] - t[1]) / 1e9 }' "$RUN/before" "$RUN/after"
+}
+
 idle() { # prefix x
     snapshot "$RUN/before"
     sleep "$SECONDS_EACH"
@@ -154,7 +159,12 @@
         --data-binary "@$RUN/items-$1.jsonl" | jq -r .id)
     job=$(caller POST 127.0.0.1:7301/v1/batches -H 'content-type: application/json' \
         -d "{\"input_file_id\":\"$file\",\"endpoint\":\"/v1/chat/completions\",\"completion_window\":\"24h\"}" | jq -r .id)
-    wait_for 300 job_done "$job"
+    local tries=0
+    until job_done "$job" >/dev/null; do
+        tries=$((tries + 1))
+        [ "$tries" -lt 300 ] || return 1
+        sleep 1
+    done
 }
 
 # Totals between two snapshots, less what the idle deployment costs in that time.
@@ -167,7 +177,7 @@
         snapshot "$RUN/before"
         run_job "$n" >/dev/null
         snapshot "$RUN/after"
-        seconds=$(awk '$1 == "at" { t[++n] = $2 } END { print (t[2] - t[1]) / 1e9 }' "$RUN/before" "$RUN/after")
+        seconds=$(snapshot_seconds)
         rates items "$n" | awk -v s="$seconds" '
             NR == FNR { sub(/^idle/, "items", $1); base[$1] = $3; next }
             /_per_s/ { name = $1; sub(/_per_s/, "_total", name); printf "%s %s %.1f\n", name, $2, ($3 - base[$1]) * s }
@@ -180,7 +190,7 @@
 measure_documents() {
     echo "# documents: x = workspaces; 3 entries, 2 batch hosts; apply until in force at all"
     begin 3 3 2
-    local n start
+    local n start seconds
     for n in 500 1000 2000 3000; do
         document 3 "$n"
         snapshot "$RUN/before"
@@ -190,7 +200,44 @@
         echo "documents.in_force_ms $n $((($(date +%s%N) - start) / 1000000))"
         sleep 4
         snapshot "$RUN/after"
-        rates documents "$n" | grep -E 'resident|cpu|sent'
+        seconds=$(snapshot_seconds)
+        rates documents "$n" | awk -v s="$seconds" '
+            /link_sent|cpu/ { name = $1; sub(/_per_s/, "_total", name); printf "%s %s %.0f\n", name, $2, $3 * s }
+            /resident/ { print }'
+    done
+    stop_deployment
+}
+
+segments() { # shards
+    local total=0 after='' page
+    while page=$(curl -sf "$PLATFORM/v1/list?prefix=log/&after=$after&limit=1000"); do
+        total=$((total + $(jq '.objects | length' <<<"$page")))
+        [ "$(jq .more <<<"$page")" = true ] || break
+        after=$(jq -r '.objects[-1].key' <<<"$page")
+    done
+    echo $((total / $1))
+}
+
+probe() { # method path [curl arguments...]
+    caller "$@" -H 'idempotency-key: slope-probe' --max-time 120 -o "$RUN/probe.json" -w '%{time_total}'
+}
+
+measure_takeovers() {
+    echo "# takeovers: x = segments of a shard (mean of 8) when a new owner answers its first call"
+    echo "# y = elapsed ms of that call, which reads the result of an old one; 1 entry"
+    begin 6 1 1
+    local n
+    probe POST 127.0.0.1:7301/v1/chat/completions -H 'content-type: application/json' \
+        -d '{"model":"alarma-llm","max_tokens":4,"messages":[{"role":"user","content":"fan 3"}]}' >/dev/null
+    for n in 5 5 10 20; do
+        SECONDS_EACH=$n load 100 4
+        kill -KILL "$pid_entry_1"
+        wait "$pid_entry_1" 2>/dev/null || true
+        start entry-1 "$BIN/oleander-entry" --config "$RUN/entry-1.json"
+        wait_for 20 all_ready
+        n=$(segments 8)
+        probe GET 127.0.0.1:7301/v1/results/slope-probe | awk -v x="$n" '{ print "takeovers.first_call_ms", x, $1 * 1000 }'
+        jq -e '.choices' "$RUN/probe.json" >/dev/null || echo "# x=$n: no result: $(head -c 200 "$RUN/probe.json")"
     done
     stop_deployment
 }
@@ -205,5 +252,5 @@
     for part in "$@"; do "measure_$part"; done
 }
 
-[ $# -gt 0 ] || set -- entries targets requests tokens items documents
+[ $# -gt 0 ] || set -- entries targets requests tokens items documents takeovers
 measure "$@" | awk -f scripts/slopes/fit.awk
