--- a/crates/oleander-document/examples/slope_document.rs
+++ b/crates/oleander-document/examples/slope_document.rs
@@ -1,5 +1,7 @@
 //! Size of the document, and the cost of reading and writing it, by workspaces and targets.
 
+#![allow(clippy::print_stdout, reason = "prints its measurements")]
+
 #[path = "../../../scripts/slopes/meter.rs"]
 mod meter;
 
--- a/crates/oleander-ledger/examples/slope_calls.rs
+++ b/crates/oleander-ledger/examples/slope_calls.rs
@@ -1,6 +1,8 @@
 //! Cost of a shard of online calls: processor time a call, memory by recorded calls, bytes of
 //! segments, and replay.
 
+#![allow(clippy::print_stdout, reason = "prints its measurements")]
+
 #[path = "../../../scripts/slopes/meter.rs"]
 mod meter;
 
--- a/crates/oleander-link/examples/slope_link.rs
+++ b/crates/oleander-link/examples/slope_link.rs
@@ -2,6 +2,8 @@
 //!
 //! Both ends run in this process, so the processor time is that of caller and server together.
 
+#![allow(clippy::print_stdout, reason = "prints its measurements")]
+
 #[path = "../../../scripts/slopes/meter.rs"]
 mod meter;
 
--- a/crates/oleander-routing/examples/slope_router.rs
+++ b/crates/oleander-routing/examples/slope_router.rs
@@ -1,5 +1,7 @@
 //! Cost of one router by targets and by peers: picks, peers' counts, load reports, memory.
 
+#![allow(clippy::print_stdout, reason = "prints its measurements")]
+
 #[path = "../../../scripts/slopes/meter.rs"]
 mod meter;
 
--- a/scripts/slopes.sh
+++ b/scripts/slopes.sh
@@ -58,7 +58,7 @@
 
 # Includes threads that have ended; in steps of 10 ms.
 processor_ns() { # pid
-    awk -v tick="$(getconf CLK_TCK)" '{ printf "%d\n", ($14 + $15) / tick * 1e9 }' /proc/"$1"/stat
+    awk -v tick="$(getconf CLK_TCK)" '{ printf "%.0f\n", ($14 + $15) / tick * 1e9 }' /proc/"$1"/stat
 }
 
 # Bytes and segments that each process sent and received, by the kind of peer.
@@ -103,7 +103,7 @@
 }
 
 loaded() { # prefix x rate tokens
-    load 5 4
+    SECONDS_EACH=2 load 5 4
     snapshot "$RUN/before"
     load "$3" "$4"
     snapshot "$RUN/after"
--- a/scripts/slopes/traffic.awk
+++ b/scripts/slopes/traffic.awk
@@ -23,4 +23,4 @@
     received[key] += field("bytes_received") + 52 * field("segs_in")
 }
 
-END { for (key in sent) print key, sent[key], received[key] }
+END { for (key in sent) printf "%s %.0f %.0f\n", key, sent[key], received[key] }
