--- a/scripts/slopes.sh
+++ b/scripts/slopes.sh
@@ -13,6 +13,10 @@
 SECONDS_EACH=${SECONDS_EACH:-10}
 # shellcheck source=scripts/deployment.sh
 . scripts/deployment.sh
+# Fields of the load tool's report.
+REPORTED_RATE='.sent / (.window_us / 1e6) | round'
+TOKENS_A_CALL='.tokens / .whole * 10 | round / 10'
+
 # Processes under measurement, as name=pid.
 watched=()
 
@@ -102,13 +106,15 @@
         echo "# load tool: exit code $?" >&2
 }
 
-loaded() { # prefix x rate tokens
+loaded() { # prefix field-of-the-report rate tokens
+    local x
     SECONDS_EACH=2 load 5 4
     snapshot "$RUN/before"
     load "$3" "$4"
     snapshot "$RUN/after"
-    rates "$1" "$2"
-    jq -r --arg x "$2" '"# load at x=\($x): sent \(.sent) whole \(.whole) refused \(.refused) failed \(.failed)"' "$RUN/load.json"
+    x=$(jq -r "$2" "$RUN/load.json")
+    rates "$1" "$x"
+    jq -r --arg x "$x" '"# load at x=\($x): sent \(.sent) whole \(.whole) refused \(.refused) failed \(.failed)"' "$RUN/load.json"
 }
 
 measure_entries() {
@@ -135,15 +141,15 @@
     echo "# requests: x = streamed requests a second of 16 tokens over 2 entries; 6 targets"
     begin 6 2 1
     local n
-    for n in 10 20 40 80; do loaded requests "$n" "$n" 16; done
+    for n in 10 20 40 80; do loaded requests "$REPORTED_RATE" "$n" 16; done
     stop_deployment
 }
 
 measure_tokens() {
-    echo "# tokens: x = tokens of each of 10 requests a second over 2 entries; 6 targets"
+    echo "# tokens: x = mean tokens of 40 requests a second over 2 entries; 6 targets"
     begin 6 2 1
     local n
-    for n in 8 32 64 128; do loaded tokens "$n" 10 "$n"; done
+    for n in 4 16 32 64; do loaded tokens "$TOKENS_A_CALL" 40 "$n"; done
     stop_deployment
 }
 
