--- a/crates/oleander-jobs/examples/slope_items.rs
+++ b/crates/oleander-jobs/examples/slope_items.rs
@@ -1,6 +1,8 @@
 //! Cost of batch work by items, lots, jobs and hosts: check of a file, run of a lot, size of its
 //! records, and the board.
 
+#![allow(clippy::print_stdout, reason = "prints its measurements")]
+
 #[path = "../../../scripts/slopes/meter.rs"]
 mod meter;
 
