Read ahead when a shard is taken over; send statuses when they change

Cause: a takeover replayed its log one read at a time (2.2 ms a segment in docs/CAPACITY.md), so that after hours a call that waits for it would outlive its deadline; statuses went out each 100 ms whether changed or not (4.5 KB/s a peer); a gather after a pause counted all hosts as dead and so as heard. Change: reads double up to 64 at once, and only the first read of a batch may find the end of the log; an unchanged status goes out each 500 ms; only a refused connection counts as a host that holds nothing, and the others are asked again until they tell, at most 0.8 s. Ruled out: a shorter bound of one gather, which failed under load.

--- a/crates/oleander-console/tests/draft.rs
+++ b/crates/oleander-console/tests/draft.rs
@@ -1,8 +1,8 @@
 //! Form fields and drafts.
 
+use oleander_check::properties;
 use oleander_console::{Draft, DraftError};
 use oleander_document::Document;
-use quickcheck::quickcheck;
 
 const EXAMPLE: &str = include_str!("../../../examples/ventiladores.json");
 
@@ -64,7 +64,7 @@
     }
 }
 
-quickcheck! {
+properties! {
     fn no_field_breaks_the_console(fields: Vec<(String, String)>, steps: Vec<u8>) -> bool {
         let parts = ["$", ".zones", ".services", "[0]", "[1]", ".name", ".kind", ".online"];
         let path: String = steps.iter().map(|s| parts[usize::from(*s) % parts.len()]).collect();
--- a/crates/oleander-core/tests/units.rs
+++ b/crates/oleander-core/tests/units.rs
@@ -1,9 +1,9 @@
 //! Properties of identifiers and units.
 
+use oleander_check::properties;
 use oleander_core::{HostId, ParseIdError, Span, Time, hash};
-use quickcheck::quickcheck;
 
-quickcheck! {
+properties! {
     fn spans_print_and_parse_back(micros: u64) -> bool {
         Span(micros).to_string().parse() == Ok(Span(micros))
     }
--- a/crates/oleander-document/tests/diff.rs
+++ b/crates/oleander-document/tests/diff.rs
@@ -1,7 +1,8 @@
 //! Canonical text and differences.
 
+use oleander_check::properties;
 use oleander_document::{Document, diff, schema};
-use quickcheck::{Arbitrary, Gen, quickcheck};
+use quickcheck::{Arbitrary, Gen};
 use serde_json::{Value, json};
 
 /// Example documents.
@@ -75,7 +76,7 @@
     Value::Object(numbers.collect())
 }
 
-quickcheck! {
+properties! {
     fn canonical_text_reads_back(document: AnyDocument) -> bool {
         Document::from_json(document.0.to_json().as_bytes()) == Ok(document.0)
     }
--- a/crates/oleander-document/tests/mutations.rs
+++ b/crates/oleander-document/tests/mutations.rs
@@ -1,7 +1,7 @@
 //! Every mutation of a good document is reported at its own path.
 
+use oleander_check::properties;
 use oleander_document::{Document, path, schema};
-use quickcheck::quickcheck;
 use serde_json::{Value, json};
 
 /// Example documents.
@@ -89,7 +89,7 @@
     }
 }
 
-quickcheck! {
+properties! {
     fn a_removed_required_field_is_reported(seed: usize) -> bool {
         let (mut value, place) = pick(seed, has_required);
         let map = slot(&mut value, &place).as_object_mut().expect("an object");
--- a/crates/oleander-entry/src/app.rs
+++ b/crates/oleander-entry/src/app.rs
@@ -58,20 +58,18 @@
     async fn gather(&self, shard: ShardId) -> (Vec<CallRecord>, bool) {
         let settled = self.started + SETTLE_TIME;
         tokio::time::sleep(settled.since(clock::now()).to_duration()).await;
-        let entries = self.hosts.lock().entry_links(clock::now());
+        let entries = self.hosts.lock().entry_links();
         let request = PeerRequest::Shard(shard, ShardCall::Buffered);
-        let calls = entries.into_iter().map(|(link, is_live)| {
-            let request = &request;
-            async move {
-                let answer = self.link.call::<_, PeerAnswer>(&link, request, GATHER_TIMEOUT).await;
-                (answer, is_live)
-            }
-        });
+        let calls = entries
+            .iter()
+            .map(|link| self.link.call::<_, PeerAnswer>(link, &request, GATHER_TIMEOUT));
         let (mut gathered, mut complete) = (Vec::new(), true);
-        for (answer, is_live) in join_all(calls).await {
+        for answer in join_all(calls).await {
             match answer {
                 Ok(PeerAnswer::Shard(ShardReply::Buffered(records))) => gathered.extend(records),
-                _ => complete &= !is_live,
+                // Nothing listens there any more, so that nothing is held there.
+                Err(LinkError::Unreachable(_)) => {}
+                _ => complete = false,
             }
         }
         (gathered, complete)
--- a/crates/oleander-entry/src/exchange.rs
+++ b/crates/oleander-entry/src/exchange.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use oleander_core::{EventKind, Revision};
+use oleander_core::{EventKind, Revision, Span};
 use oleander_host::clock;
 use oleander_peer::{PeerAnswer, PeerRequest, Status};
 use oleander_platform::{HostState, Platform, Role};
@@ -11,6 +11,8 @@
 use crate::{app::App, documents::DOCUMENT_KEY};
 
 const STATUS_INTERVAL: Duration = Duration::from_millis(100);
+/// Time after which an unchanged status is sent again.
+const KEEPALIVE_INTERVAL: Span = Span::from_millis(500);
 const STATUS_TIMEOUT: Duration = Duration::from_millis(800);
 const HOSTS_INTERVAL: Duration = Duration::from_secs(1);
 const LOAD_INTERVAL: Duration = Duration::from_millis(500);
@@ -25,17 +27,30 @@
     tokio::spawn(follow_document(Arc::clone(app)));
 }
 
+/// Sends the status when it changes, and at least each [`KEEPALIVE_INTERVAL`].
 async fn exchange_statuses(app: Arc<App>) {
+    let mut last: Option<Status> = None;
     loop {
         app.shards.open_owned(app.settings.entry.shards);
-        let links = app.hosts.lock().links();
-        for link in links {
-            tokio::spawn(exchange_status(Arc::clone(&app), link));
+        let status = app.status();
+        if last.as_ref().is_none_or(|last| is_news(last, &status)) {
+            let links = app.hosts.lock().links();
+            for link in links {
+                tokio::spawn(exchange_status(Arc::clone(&app), link));
+            }
+            last = Some(status);
         }
         tokio::time::sleep(STATUS_INTERVAL).await;
     }
 }
 
+fn is_news(last: &Status, status: &Status) -> bool {
+    let same = last.revision == status.revision
+        && last.draining == status.draining
+        && last.counts == status.counts;
+    !same || status.at.since(last.at) >= KEEPALIVE_INTERVAL
+}
+
 async fn exchange_status(app: Arc<App>, link: String) {
     let request = PeerRequest::Status(app.status());
     if let Ok(PeerAnswer::Status(status)) = app.call_peer(&link, &request, STATUS_TIMEOUT).await {
--- a/crates/oleander-entry/src/hosts.rs
+++ b/crates/oleander-entry/src/hosts.rs
@@ -84,10 +84,10 @@
         links
     }
 
-    /// Link addresses of all known entries, and whether each is live.
-    pub(crate) fn entry_links(&self, now: Time) -> Vec<(String, bool)> {
+    /// Link addresses of all known entries, live or not.
+    pub(crate) fn entry_links(&self) -> Vec<String> {
         let entries = self.known.values().filter(|known| known.contact.entry);
-        entries.map(|known| (known.contact.link.clone(), Self::is_live(now, known))).collect()
+        entries.map(|known| known.contact.link.clone()).collect()
     }
 
     fn is_live(now: Time, known: &Known) -> bool {
--- a/crates/oleander-entry/src/shards.rs
+++ b/crates/oleander-entry/src/shards.rs
@@ -2,9 +2,10 @@
 //!
 //! Each shard is one task that feeds its state machine and carries out its actions.
 
-use std::{collections::HashMap, sync::Arc, time::Duration};
+use std::{collections::HashMap, ops::Range, sync::Arc, time::Duration};
 
 use bytes::Bytes;
+use futures_util::future::join_all;
 use oleander_core::{CallId, HostId, ShardId, Span};
 use oleander_host::clock;
 use oleander_ledger::{
@@ -15,6 +16,8 @@
 use parking_lot::Mutex;
 use tokio::sync::{mpsc, oneshot};
 
+/// Objects of a log that are read at once.
+const MAX_READ_AHEAD: u64 = 64;
 const QUEUE: usize = 4096;
 const IDLE_TICK: Duration = Duration::from_millis(200);
 
@@ -34,6 +37,8 @@
 }
 
 enum Input {
+    /// The log goes on up to this sequence number; what was read of it is out of date.
+    ReadAgain(u64),
     Ask(ShardCall, oneshot::Sender<ShardReply>),
     Event(ShardEvent),
 }
@@ -103,6 +108,8 @@
             replies: HashMap::new(),
             tickets: 0,
             backlog: Arc::clone(&self.backlog),
+            ahead: 0..0,
+            depth: 1,
         };
         tokio::spawn(task.run(receiver));
         inputs.insert(shard, sender.clone());
@@ -119,6 +126,10 @@
     replies: HashMap<Ticket, oneshot::Sender<ShardReply>>,
     tickets: u64,
     backlog: Arc<Mutex<HashMap<ShardId, usize>>>,
+    /// Sequence numbers that are being read and not yet delivered.
+    ahead: Range<u64>,
+    /// Number of objects read at once.
+    depth: u64,
 }
 
 impl<P: Platform, S: Others> ShardTask<P, S> {
@@ -133,9 +144,15 @@
             let event = match input {
                 Ok(Some(Input::Ask(call, reply))) => self.open_ticket(call, reply),
                 Ok(Some(Input::Event(event))) => event,
+                Ok(Some(Input::ReadAgain(sequence))) => {
+                    self.ahead = 0..0;
+                    self.fetch(sequence);
+                    continue;
+                }
                 Ok(None) => return,
                 Err(_) => ShardEvent::Log(LogEvent::Tick),
             };
+            self.delivered(&event);
             self.step(event);
         }
     }
@@ -207,28 +224,41 @@
         });
     }
 
-    fn fetch(&self, sequence: u64) {
-        let (platform, events, key) =
-            (self.platform.clone(), self.events.clone(), self.key(sequence));
+    /// Reads an object, and more and more of those after it while the log goes on.
+    ///
+    /// Only the first read of a batch may find the end of the log: the others began before they
+    /// were asked for, and would make the end look more recent than it is.
+    fn fetch(&mut self, sequence: u64) {
+        if self.ahead.contains(&sequence) {
+            return;
+        }
+        let follows = sequence == self.ahead.end && self.ahead.is_empty();
+        self.depth = if follows { (self.depth * 2).min(MAX_READ_AHEAD) } else { 1 };
+        self.ahead = sequence..sequence + self.depth;
+        let keys: Vec<(u64, String)> = self.ahead.clone().map(|n| (n, self.key(n))).collect();
+        let (platform, events) = (self.platform.clone(), self.events.clone());
         tokio::spawn(async move {
-            let event = match platform.get(&key).await {
-                Ok(None) => LogEvent::Fetched(sequence, None),
-                Ok(Some(object)) => match Segment::decode(&object.body) {
-                    Ok(segment) => LogEvent::Fetched(sequence, Some(segment)),
-                    Err(error) => {
-                        log::error!("segment {key} can't be decoded: {error}");
-                        LogEvent::Failed(sequence)
-                    }
-                },
-                Err(error) => {
-                    log::warn!("read of {key} failed: {error}");
-                    LogEvent::Failed(sequence)
+            let reads = keys.iter().map(|(sequence, key)| read(&platform, *sequence, key));
+            for (index, event) in join_all(reads).await.into_iter().enumerate() {
+                let is_object = matches!(event, LogEvent::Fetched(_, Some(_)));
+                if index > 0 && !is_object {
+                    let _ = events.send(Input::ReadAgain(keys[index].0)).await;
+                    return;
                 }
-            };
-            let _ = events.send(Input::Event(ShardEvent::Log(event))).await;
+                let _ = events.send(Input::Event(ShardEvent::Log(event))).await;
+            }
         });
     }
 
+    /// Notes that a read was delivered.
+    fn delivered(&mut self, event: &ShardEvent) {
+        if let ShardEvent::Log(LogEvent::Fetched(sequence, _) | LogEvent::Failed(sequence)) = event
+            && self.ahead.contains(sequence)
+        {
+            self.ahead.start = sequence + 1;
+        }
+    }
+
     fn gather(&self) {
         let (others, events, shard) = (self.others.clone(), self.events.clone(), self.id);
         tokio::spawn(async move {
@@ -249,6 +279,24 @@
     }
 }
 
+/// Reads one object of a log.
+async fn read<P: Platform>(platform: &P, sequence: u64, key: &str) -> LogEvent<CallRecord> {
+    match platform.get(key).await {
+        Ok(None) => LogEvent::Fetched(sequence, None),
+        Ok(Some(object)) => match Segment::decode(&object.body) {
+            Ok(segment) => LogEvent::Fetched(sequence, Some(segment)),
+            Err(error) => {
+                log::error!("segment {key} can't be decoded: {error}");
+                LogEvent::Failed(sequence)
+            }
+        },
+        Err(error) => {
+            log::warn!("read of {key} failed: {error}");
+            LogEvent::Failed(sequence)
+        }
+    }
+}
+
 /// Tunables of the shards for a commit interval.
 pub(crate) const fn shard_config(interval: Span) -> ShardConfig {
     ShardConfig::new().interval(interval)
--- a/crates/oleander-ledger/src/log.rs
+++ b/crates/oleander-ledger/src/log.rs
@@ -244,7 +244,8 @@
         segment: Option<Segment<R>>,
         actions: &mut Vec<LogAction<R>>,
     ) {
-        if sequence != self.next || !self.waiting {
+        let is_reading = matches!(self.phase, Phase::Replaying | Phase::Settling { .. });
+        if sequence != self.next || !self.waiting || !is_reading {
             return;
         }
         self.answered(now);
--- a/crates/oleander-ledger/src/shard.rs
+++ b/crates/oleander-ledger/src/shard.rs
@@ -35,6 +35,8 @@
     pub copy_delay: Span,
     /// Longest wait of a new owner for what the other hosts hold.
     pub gather: Span,
+    /// Time after which hosts that did not tell are asked again.
+    pub gather_retry: Span,
     /// Bytes of outcomes kept in memory.
     pub memory: usize,
 }
@@ -48,7 +50,8 @@
             patience: Span::from_millis(250),
             freshness: Span::from_secs(2),
             copy_delay: Span::from_secs(3),
-            gather: Span::from_secs(2),
+            gather: Span::from_millis(800),
+            gather_retry: Span::from_millis(250),
             memory: 4 << 20,
         }
     }
@@ -361,7 +364,7 @@
     /// Asks the other hosts again if some did not answer.
     fn gather_again(&mut self, now: Time, actions: &mut Vec<ShardAction>) {
         let Some(owned) = &mut self.owned else { return };
-        if !owned.complete && now.since(owned.asked) >= self.config.gather {
+        if !owned.complete && now.since(owned.asked) >= self.config.gather_retry {
             owned.asked = now;
             actions.push(ShardAction::Gather);
         }
@@ -408,11 +411,11 @@
         }
         self.keep_copies(now, records);
         if let Some(owned) = &mut self.owned {
-            owned.gathering = false;
+            owned.gathering &= !complete;
             owned.complete |= complete;
             owned.gathered = now;
         }
-        self.log.set_paused(false);
+        self.log.set_paused(self.is_gathering(now));
         let pending = self.log.take_pending();
         self.decide_again(now, pending, actions);
         self.drive(now, LogEvent::Refresh, actions);
--- a/crates/oleander-ledger/tests/shard.rs
+++ b/crates/oleander-ledger/tests/shard.rs
@@ -7,12 +7,12 @@
 
 use std::collections::{BTreeMap, HashMap, HashSet};
 
+use oleander_check::properties;
 use oleander_core::{AttemptId, CallId, DigestId, HostId, Span, Time, hash};
 use oleander_ledger::{
     CallRecord, Claim, LogEvent, Outcome, Segment, Shard, ShardAction, ShardConfig, ShardEvent,
     ShardReply, Ticket,
 };
-use quickcheck::quickcheck;
 
 const OWNERS: usize = 3;
 const CALLS: usize = 4;
@@ -242,7 +242,7 @@
     })
 }
 
-quickcheck! {
+properties! {
     fn repeatable_calls_have_one_outcome(seed: u64) -> bool {
         one_outcome(seed, true)
     }
--- a/crates/oleanderctl/tests/apply.rs
+++ b/crates/oleanderctl/tests/apply.rs
@@ -1,5 +1,6 @@
 //! Decisions of an apply against a simulated store with lost answers and racing operators.
 
+use oleander_check::properties;
 use oleander_core::{ApiError, ErrorCode, Revision};
 use oleander_document::Document;
 use oleanderctl::{
@@ -7,7 +8,7 @@
     admin::{ApplyAnswer, Current},
     apply::{Apply, Outcome, Step},
 };
-use quickcheck::{Arbitrary, Gen, quickcheck};
+use quickcheck::{Arbitrary, Gen};
 
 /// Most calls that an apply may make.
 const MAX_STEPS: usize = 50;
@@ -150,7 +151,7 @@
     before == base
 }
 
-quickcheck! {
+properties! {
     fn outcomes_are_true_and_nothing_unseen_is_replaced(first: bool, faults: Vec<Fault>) -> bool {
         let history = if first { vec![(document("first"), false)] } else { Vec::new() };
         let mut store = Store { history, rivals: 0 };
--- a/crates/standin/tests/engine.rs
+++ b/crates/standin/tests/engine.rs
@@ -6,7 +6,7 @@
 
 use common::{chat, chat_request, chunks, events, is_broken, set_faults, text, wait_until};
 use http::{Method, StatusCode};
-use quickcheck::quickcheck;
+use oleander_check::properties;
 use serde_json::{Value, json};
 use standin::{
     answer::{answer_length, expected_text, expected_tokens, value_digest},
@@ -187,7 +187,7 @@
     assert!((stored - evicted) * 16 <= 256, "stored {stored}, evicted {evicted}");
 }
 
-quickcheck! {
+properties! {
     fn answers_are_bounded(prompt: String, max: u32) -> bool {
         let body = json!({ "messages": [{ "role": "user", "content": prompt }] });
         let digest = value_digest(&body["messages"]);
--- a/crates/standin/tests/load.rs
+++ b/crates/standin/tests/load.rs
@@ -19,7 +19,7 @@
     routing::{get, post},
 };
 use common::set_faults;
-use quickcheck::quickcheck;
+use oleander_check::properties;
 use serde_json::{Value, json};
 use standin::{
     answer::expected_text,
@@ -236,7 +236,7 @@
     assert_eq!(check.unknown, ["stranger"]);
 }
 
-quickcheck! {
+properties! {
     fn plans_depend_on_the_seed_alone(seed: u64) -> bool {
         plan(&arrivals(), seed) == plan(&arrivals(), seed)
     }
