--- a/scripts/deployment.sh
+++ b/scripts/deployment.sh
@@ -69,6 +69,10 @@
 }
 
 start_deployment() {
+    if curl -s "$PLATFORM/_stats" >/dev/null; then
+        echo "another deployment runs at $PLATFORM" >&2
+        return 1
+    fi
     rm -rf "$RUN"
     mkdir -p "$RUN/keys"
     head -c 32 /dev/urandom | od -An -tx1 | tr -d ' \n' >"$RUN/keys/link.key"
