--- a/crates/oleander-batch/src/admin.rs
+++ b/crates/oleander-batch/src/admin.rs
@@ -2,7 +2,8 @@
 
 use std::sync::Arc;
 
-use oleander_host::{AdminState, HostState, HostStatus, TargetStatus};
+use oleander_host::{AdminState, HostState, HostStatus};
+use oleander_node::target_status;
 
 use crate::app::App;
 
@@ -34,14 +35,3 @@
         self.0.drain.start();
     }
 }
-
-fn target_status(target: oleander_routing::TargetStatus) -> TargetStatus {
-    let state = serde_json::to_value(target.state).ok();
-    TargetStatus {
-        name: target.name,
-        state: state.and_then(|s| s.as_str().map(str::to_owned)).unwrap_or_default(),
-        online: target.online.into(),
-        batch: target.batch.into(),
-        limit: target.limit.into(),
-    }
-}
--- a/crates/oleander-batch/src/app.rs
+++ b/crates/oleander-batch/src/app.rs
@@ -12,23 +12,21 @@
 };
 
 use oleander_core::{EventKind, JobId, hash};
-use oleander_host::{Drain, Phase, Policy, Settings, Timeline, clock};
+use oleander_host::{Drain, Phase, Settings, Timeline, clock};
 use oleander_intake::JobStore;
 use oleander_jobs::TargetHealth;
 use oleander_link::{Link, LinkError};
+use oleander_node::{Documents, routing_policy};
 use oleander_peer::{Contact, PeerAnswer, PeerRequest, Status};
 use oleander_platform::HttpPlatform;
-use oleander_routing::Policy as RoutingPolicy;
 use oleander_target::{HttpTargets, Timeouts};
 use parking_lot::Mutex;
 use tokio::sync::Notify;
 
-use crate::{documents::Documents, jobs::Jobs, lots::Lots, peers::Peers, pool::Pools, runs::Runs};
+use crate::{jobs::Jobs, lots::Lots, peers::Peers, pool::Pools, runs::Runs};
 
 /// Longest wait for the first token of an item.
 const FIRST_TOKEN_TIMEOUT: Duration = Duration::from_secs(10);
-/// Targets that the fixed split leaves to batch.
-const SPLIT_TARGETS: u32 = 1;
 
 /// The batch process.
 pub(crate) struct App {
@@ -125,12 +123,3 @@
         }
     }
 }
-
-const fn routing_policy(policy: Policy) -> RoutingPolicy {
-    match policy {
-        Policy::Managed => RoutingPolicy::Managed,
-        Policy::FirstCome => RoutingPolicy::FirstCome,
-        Policy::Split => RoutingPolicy::Split { batch_targets: SPLIT_TARGETS },
-        Policy::OnlineOnly => RoutingPolicy::OnlineOnly,
-    }
-}
--- a/crates/oleander-batch/src/follow.rs
+++ b/crates/oleander-batch/src/follow.rs
@@ -4,11 +4,12 @@
 
 use oleander_core::{EventKind, HostId, Revision};
 use oleander_host::clock;
+use oleander_node::DOCUMENT_KEY;
 use oleander_peer::{PeerAnswer, PeerRequest, Status};
 use oleander_platform::{HostState, HostView, Platform, Role};
 use oleander_routing::LoadReport;
 
-use crate::{app::App, documents::DOCUMENT_KEY, peers};
+use crate::{app::App, peers};
 
 const STATUS_INTERVAL: Duration = Duration::from_millis(200);
 const STATUS_TIMEOUT: Duration = Duration::from_millis(800);
--- a/crates/oleander-batch/src/pool.rs
+++ b/crates/oleander-batch/src/pool.rs
@@ -5,10 +5,11 @@
 use oleander_core::{HostId, ServiceId, TargetId, Time, ZoneId};
 use oleander_document::{BatchLimits, Document, Service, ServiceKind};
 use oleander_host::clock;
+use oleander_node::{peer_counts, router_targets, target_counts};
 use oleander_peer::TargetCount;
 use oleander_routing::{
-    BatchExcess, Decision, LeaseId, LoadReport, Observation, PeerCount, Pick, Policy, Router,
-    RouterConfig, Target, TargetState, TargetStatus,
+    BatchExcess, Decision, LeaseId, LoadReport, Observation, Pick, Policy, Router, RouterConfig,
+    TargetState, TargetStatus,
 };
 use parking_lot::{Mutex, RwLock};
 
@@ -49,13 +50,7 @@
     }
 
     fn set_service(&self, service: &Service) {
-        let targets = service.targets.iter().map(|target| Target {
-            name: target.name.clone(),
-            zone: target.zone.clone(),
-            limit: service.online.target_limit,
-            reserve: service.online.reserve,
-        });
-        self.router.lock().set_targets(targets.collect());
+        self.router.lock().set_targets(router_targets(service));
         *self.declared.write() = Declared::from(service);
     }
 
@@ -99,22 +94,12 @@
 
     /// Takes a peer's counts.
     pub(crate) fn peer(&self, peer: &HostId, counts: &[TargetCount], sent_at: Time) {
-        let counts = counts.iter().map(|count| PeerCount {
-            target: count.target.clone(),
-            online: count.online,
-            batch: count.batch,
-        });
-        self.router.lock().peer(clock::now(), peer, counts.collect(), sent_at);
+        self.router.lock().peer(clock::now(), peer, peer_counts(counts), sent_at);
     }
 
     /// Own work in flight.
     pub(crate) fn counts(&self) -> Vec<TargetCount> {
-        let counts = self.router.lock().counts().into_iter().map(|count| TargetCount {
-            target: count.target,
-            online: count.online,
-            batch: count.batch,
-        });
-        counts.collect()
+        target_counts(self.router.lock().counts())
     }
 
     /// Own items that targets have no room for.
--- a/crates/oleander-batch/src/run.rs
+++ b/crates/oleander-batch/src/run.rs
@@ -96,6 +96,11 @@
     app.event(kind, &cell.key.job, detail);
 }
 
+/// A checked line that can't be read back; nothing was sent.
+fn unreadable<E: std::fmt::Display>(error: E) -> TargetError {
+    TargetError::Connect(error.to_string())
+}
+
 /// Streams the answer of the target into `output`.
 async fn call(
     app: &App,
@@ -104,12 +109,11 @@
     id: &str,
     output: &mut Partial,
 ) -> Result<Answer, TargetError> {
-    let fault = |e: &dyn std::fmt::Display| TargetError::Connect(e.to_string());
     let line = &cell.lines[(grant.run.item.0 - cell.first) as usize];
-    let item = ItemLine::parse(line).map_err(|e| fault(&e))?;
-    let body = serde_json::to_vec(&item.body).map_err(|e| fault(&e))?;
+    let item = ItemLine::parse(line).map_err(unreadable)?;
+    let body = serde_json::to_vec(&item.body).map_err(unreadable)?;
     let skip = u64::from(output.tokens);
-    let body = stream_body(&body, skip).map_err(|e| fault(&e))?;
+    let body = stream_body(&body, skip).map_err(unreadable)?;
     let Place { target, address, lease } = &grant.place;
     let mut stream = app.targets.chat(address, id, body, skip).await?;
     let mut is_first = true;
--- a/crates/oleander-entry/src/admin.rs
+++ b/crates/oleander-entry/src/admin.rs
@@ -12,14 +12,13 @@
 use bytes::Bytes;
 use oleander_core::{ApiError, ErrorCode, Revision};
 use oleander_document::Document;
-use oleander_host::{
-    AdminState, HostState, HostStatus, Phase, TargetStatus, admin::error_response,
-};
+use oleander_host::{AdminState, HostState, HostStatus, Phase, admin::error_response};
+use oleander_node::{DOCUMENT_KEY, target_status};
 use oleander_platform::{Created, Object, Platform, PlatformError, Updated};
 use serde::Deserialize;
 use serde_json::{Value, json};
 
-use crate::{app::App, documents::DOCUMENT_KEY, exchange};
+use crate::{app::App, exchange};
 
 /// The entry as operators see it.
 pub(crate) struct EntryAdmin(pub(crate) Arc<App>);
@@ -50,17 +49,6 @@
     }
 }
 
-fn target_status(target: oleander_routing::TargetStatus) -> TargetStatus {
-    let state = serde_json::to_value(target.state).ok();
-    TargetStatus {
-        name: target.name,
-        state: state.and_then(|s| s.as_str().map(str::to_owned)).unwrap_or_default(),
-        online: target.online.into(),
-        batch: target.batch.into(),
-        limit: target.limit.into(),
-    }
-}
-
 /// Routes behind the operator key.
 pub(crate) fn routes(app: Arc<App>) -> Router {
     Router::new()
@@ -68,7 +56,7 @@
         .route("/admin/apply", post(apply))
         .route("/admin/hosts", get(hosts))
         .with_state(Arc::clone(&app))
-        .merge(oleander_intake::admin_router(app.platform.clone()))
+        .merge(oleander_intake::store_admin_router(app.jobs.clone()))
 }
 
 async fn hosts(State(app): State<Arc<App>>) -> Response {
--- a/crates/oleander-entry/src/app.rs
+++ b/crates/oleander-entry/src/app.rs
@@ -11,18 +11,20 @@
 };
 
 use futures_util::future::join_all;
-use oleander_core::{AttemptId, CallId, ShardId, Span, Time, hash};
-use oleander_host::{Drain, Policy, Settings, Timeline, clock};
+use oleander_core::{AttemptId, CallId, JobId, ShardId, Span, Time, hash};
+use oleander_host::{Drain, Settings, Timeline, clock};
+use oleander_intake::JobStore;
 use oleander_ledger::{CallRecord, ShardReply};
 use oleander_link::{Link, LinkError};
+use oleander_node::{Documents, routing_policy};
 use oleander_peer::{Contact, PeerAnswer, PeerRequest, ShardCall, Status};
 use oleander_platform::HttpPlatform;
-use oleander_routing::{Policy as RoutingPolicy, WorkspaceLimiter};
+use oleander_routing::WorkspaceLimiter;
 use oleander_target::{HttpTargets, Timeouts};
 use parking_lot::Mutex;
+use tokio::sync::mpsc;
 
 use crate::{
-    documents::Documents,
     flight::Flights,
     hosts::Hosts,
     pool::Pools,
@@ -35,8 +37,6 @@
 const SETTLE_TIME: Span = Span::from_secs(1);
 /// Longest wait for one host's uncommitted outcomes.
 const GATHER_TIMEOUT: Duration = Duration::from_millis(200);
-/// Targets that the fixed split leaves to batch.
-const SPLIT_TARGETS: u32 = 1;
 
 /// The other hosts, over links.
 #[derive(Clone)]
@@ -98,6 +98,7 @@
     pub(crate) flights: Flights,
     pub(crate) shards: Shards<HttpPlatform, Peers>,
     pub(crate) drain: Drain,
+    pub(crate) jobs: JobStore<HttpPlatform>,
     pub(crate) limiter: Mutex<WorkspaceLimiter>,
     incarnation: u64,
     attempts: AtomicU64,
@@ -105,7 +106,12 @@
 
 impl App {
     /// A process that knows nothing yet.
-    pub(crate) fn new(settings: Settings, link: Link, drain: Drain) -> Self {
+    pub(crate) fn new(
+        settings: Settings,
+        link: Link,
+        drain: Drain,
+        cancelled: mpsc::Sender<JobId>,
+    ) -> Self {
         let incarnation = clock::now().0;
         let platform = HttpPlatform::new(&settings.platform.to_string());
         let contact = Contact {
@@ -135,6 +141,7 @@
                 config,
             ),
             attempts: AtomicU64::new(0),
+            jobs: JobStore::new(platform.clone()).notify(cancelled),
             limiter: Mutex::new(WorkspaceLimiter::new(1)),
             settings,
             link,
@@ -223,12 +230,3 @@
         self.hosts.lock().hear(clock::now(), status);
     }
 }
-
-fn routing_policy(policy: Policy) -> RoutingPolicy {
-    match policy {
-        Policy::Managed => RoutingPolicy::Managed,
-        Policy::FirstCome => RoutingPolicy::FirstCome,
-        Policy::Split => RoutingPolicy::Split { batch_targets: SPLIT_TARGETS },
-        Policy::OnlineOnly => RoutingPolicy::OnlineOnly,
-    }
-}
--- a/crates/oleander-entry/src/callers.rs
+++ b/crates/oleander-entry/src/callers.rs
@@ -39,7 +39,7 @@
 /// The routes for callers.
 pub(crate) fn router(app: Arc<App>) -> Router {
     let documents = Arc::clone(&app);
-    let batch = oleander_intake::router(app.platform.clone(), move || {
+    let batch = oleander_intake::store_router(app.jobs.clone(), move || {
         documents.documents.current().map(|current| current.document)
     });
     let keyed = Router::new()
--- a/crates/oleander-entry/src/exchange.rs
+++ b/crates/oleander-entry/src/exchange.rs
@@ -2,25 +2,29 @@
 
 use std::{sync::Arc, time::Duration};
 
-use oleander_core::{EventKind, Revision, Span};
+use oleander_core::{EventKind, JobId, Revision, Span};
 use oleander_host::clock;
+use oleander_node::DOCUMENT_KEY;
 use oleander_peer::{PeerAnswer, PeerRequest, Status};
 use oleander_platform::{HostState, Platform, Role};
 use oleander_routing::LoadReport;
+use tokio::sync::mpsc;
 
-use crate::{app::App, documents::DOCUMENT_KEY};
+use crate::app::App;
 
 const STATUS_INTERVAL: Duration = Duration::from_millis(100);
 /// Time after which an unchanged status is sent again.
 const KEEPALIVE_INTERVAL: Span = Span::from_millis(500);
 const STATUS_TIMEOUT: Duration = Duration::from_millis(800);
+const CANCEL_TIMEOUT: Duration = Duration::from_secs(1);
 const HOSTS_INTERVAL: Duration = Duration::from_secs(1);
 const LOAD_INTERVAL: Duration = Duration::from_millis(500);
 const DOCUMENT_RETRY: Duration = Duration::from_millis(500);
 const DOCUMENT_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Starts all background tasks.
-pub(crate) fn start(app: &Arc<App>) {
+pub(crate) fn start(app: &Arc<App>, cancels: mpsc::Receiver<JobId>) {
+    tokio::spawn(tell_cancels(Arc::clone(app), cancels));
     tokio::spawn(exchange_statuses(Arc::clone(app)));
     tokio::spawn(follow_hosts(Arc::clone(app)));
     tokio::spawn(follow_loads(Arc::clone(app)));
@@ -76,17 +80,24 @@
 
 /// Puts a document in force if it is newer.
 pub(crate) fn offer(app: &App, revision: Revision, bytes: &[u8]) {
-    if !app.documents.offer(revision, bytes) {
-        return;
+    let Some(document) = app.documents.offer(revision, bytes) else { return };
+    app.pools.set_document(&document);
+    for workspace in &document.workspaces {
+        let rate = workspace.limits.rate;
+        app.limiter.lock().set_rate(clock::now(), &workspace.name, rate);
     }
-    if let Some(current) = app.documents.current() {
-        app.pools.set_document(&current.document);
-        for workspace in &current.document.workspaces {
-            let rate = workspace.limits.rate;
-            app.limiter.lock().set_rate(clock::now(), &workspace.name, rate);
+    let (subject, detail) = ("config".to_owned(), format!("revision {revision}"));
+    app.timeline.record(clock::now(), EventKind::ConfigApplied, subject, detail);
+}
+
+/// Tells the batch hosts of jobs that were cancelled through this entry.
+async fn tell_cancels(app: Arc<App>, mut cancels: mpsc::Receiver<JobId>) {
+    while let Some(job) = cancels.recv().await {
+        let links = app.hosts.lock().batch_links();
+        for link in links {
+            let (app, request) = (Arc::clone(&app), PeerRequest::Cancelled(job.clone()));
+            tokio::spawn(async move { app.call_peer(&link, &request, CANCEL_TIMEOUT).await });
         }
-        let (subject, detail) = ("config".to_owned(), format!("revision {revision}"));
-        app.timeline.record(clock::now(), EventKind::ConfigApplied, subject, detail);
     }
 }
 
--- a/crates/oleander-entry/src/hosts.rs
+++ b/crates/oleander-entry/src/hosts.rs
@@ -152,6 +152,12 @@
         counts.collect()
     }
 
+    /// Link addresses of the batch hosts.
+    pub(crate) fn batch_links(&self) -> Vec<String> {
+        let batch = self.known.values().filter(|known| !known.contact.entry);
+        batch.map(|known| known.contact.link.clone()).collect()
+    }
+
     /// Admin addresses of all known hosts.
     pub(crate) fn contacts(&self) -> Vec<Contact> {
         let mut contacts: Vec<Contact> =
--- a/crates/oleander-entry/src/main.rs
+++ b/crates/oleander-entry/src/main.rs
@@ -5,7 +5,6 @@
 mod call;
 mod callers;
 mod chat;
-mod documents;
 mod exchange;
 mod flight;
 mod hosts;
@@ -16,59 +15,29 @@
 mod server;
 mod shards;
 
-use std::{fmt, process::ExitCode, sync::Arc};
+use std::{process::ExitCode, sync::Arc};
 
-use clap::Parser;
-use oleander_core::EventKind;
-use oleander_host::{
-    AdminError, Command, Drain, KeyError, OperatorKey, Settings, SettingsError,
-    admin::admin_router,
-    clock,
-    logs::{self, LogError},
-    metrics::{Metrics, MetricsError},
-};
-use oleander_link::{Link, LinkError, LinkKey};
+use oleander_host::admin::admin_router;
+use oleander_node::{Parts, StartError, record_lifecycle};
+use tokio::sync::mpsc;
 
 use app::App;
 
-/// Exit code for settings that are not valid.
-const EXIT_SETTINGS: u8 = 2;
+/// Cancelled jobs that wait to be told to the batch hosts.
+const CANCELS: usize = 64;
 
 #[tokio::main]
 async fn main() -> ExitCode {
-    let command = Command::parse();
-    let settings = match Settings::read(&command.config) {
-        Ok(settings) => settings,
-        Err(error) => {
-            eprintln!("{}: {error}", command.config.display());
-            return ExitCode::from(EXIT_SETTINGS);
-        }
-    };
-    if command.check {
-        return ExitCode::SUCCESS;
-    }
-    match run(settings).await {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("{error}");
-            ExitCode::FAILURE
-        }
-    }
+    oleander_node::start(run).await
 }
 
-async fn run(settings: Settings) -> Result<(), StartError> {
-    logs::init(&settings.log)?;
-    let metrics = Metrics::install()?;
-    tokio::spawn(metrics.clone().upkeep());
-    let key = LinkKey::read(&settings.link_key_file)?;
-    let operator_key = OperatorKey::read(&settings.operator_key_file)?;
-    let link = Link::new(settings.host.clone(), key, clock::now);
-    let drain = Drain::new();
-    drain.listen().map_err(|e| StartError(e.to_string()))?;
-    let app = Arc::new(App::new(settings, link, drain));
-    record_lifecycle(&app, "started");
+async fn run(parts: Parts) -> Result<(), StartError> {
+    let Parts { settings, link, drain, metrics, operator_key } = parts;
+    let (cancelled, cancels) = mpsc::channel(CANCELS);
+    let app = Arc::new(App::new(settings, link, drain, cancelled));
+    record_lifecycle(&app.timeline, &app.settings, "started");
     let _peers = peers::serve(&app)?;
-    exchange::start(&app);
+    exchange::start(&app, cancels);
     orders::start(&app);
     let admin = admin_router(
         admin::EntryAdmin(Arc::clone(&app)),
@@ -80,37 +49,8 @@
     let _admin = admin.merge(routes).serve(app.settings.admin).await?;
     log::info!("host {} serves callers at {}", app.settings.host, app.settings.listen);
     let router = callers::router(Arc::clone(&app));
-    server::serve(Arc::clone(&app), router).await.map_err(|e| StartError(e.to_string()))?;
-    record_lifecycle(&app, "stopped");
+    server::serve(Arc::clone(&app), router).await?;
+    record_lifecycle(&app.timeline, &app.settings, "stopped");
     log::info!("host {} has left", app.settings.host);
     Ok(())
 }
-
-fn record_lifecycle(app: &App, detail: &str) {
-    let subject = app.settings.host.to_string();
-    app.timeline.record(clock::now(), EventKind::Lifecycle, subject, detail.to_owned());
-}
-
-/// Why the process can't start or go on.
-#[derive(Debug)]
-struct StartError(String);
-
-impl fmt::Display for StartError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(&self.0)
-    }
-}
-
-macro_rules! from_errors {
-    ($($error:ty),+) => {
-        $(
-            impl From<$error> for StartError {
-                fn from(error: $error) -> Self {
-                    Self(error.to_string())
-                }
-            }
-        )+
-    };
-}
-
-from_errors!(LogError, MetricsError, LinkError, KeyError, AdminError, SettingsError);
--- a/crates/oleander-entry/src/peers.rs
+++ b/crates/oleander-entry/src/peers.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use oleander_core::{AttemptId, CallId, Revision, Span};
+use oleander_core::{AttemptId, CallId, Span};
 use oleander_link::{LinkError, Server};
 use oleander_peer::{Followed, PeerAnswer, PeerRequest, Progress};
 
@@ -41,18 +41,13 @@
             tokio::spawn(async move { exchange::hear(&state, status).await });
             PeerAnswer::Status(app.status())
         }
-        PeerRequest::Document(known) => PeerAnswer::Document(newer_document(app, known)),
+        PeerRequest::Document(known) => PeerAnswer::Document(app.documents.newer(known)),
         PeerRequest::Yield(..) | PeerRequest::Cancelled(_) | PeerRequest::Members(_) => {
             PeerAnswer::Refused("not served by an entry".to_owned())
         }
     }
 }
 
-fn newer_document(app: &App, known: Revision) -> Option<(Revision, String)> {
-    let current = app.documents.current()?;
-    (current.revision > known).then(|| (current.revision, current.text.as_ref().clone()))
-}
-
 async fn follow(
     app: &App,
     call: &CallId,
--- a/crates/oleander-entry/src/pool.rs
+++ b/crates/oleander-entry/src/pool.rs
@@ -5,10 +5,11 @@
 use oleander_core::{HostId, ServiceId, Span, TargetId, Time, ZoneId};
 use oleander_document::{Document, OnlineLimits, Service};
 use oleander_host::clock;
+use oleander_node::{peer_counts, router_targets, target_counts};
 use oleander_peer::TargetCount;
 use oleander_routing::{
-    Decision, LeaseId, LoadReport, Observation, PeerCount, Pick, Policy, RetryBudget, Router,
-    RouterConfig, Target, TargetStatus, TicketId,
+    Decision, LeaseId, LoadReport, Observation, Pick, Policy, RetryBudget, Router, RouterConfig,
+    TargetStatus, TicketId,
 };
 use parking_lot::{Mutex, RwLock};
 use tokio::sync::Notify;
@@ -61,13 +62,7 @@
     }
 
     fn set_service(&self, service: &Service) {
-        let targets = service.targets.iter().map(|target| Target {
-            name: target.name.clone(),
-            zone: target.zone.clone(),
-            limit: service.online.target_limit,
-            reserve: service.online.reserve,
-        });
-        self.router.lock().set_targets(targets.collect());
+        self.router.lock().set_targets(router_targets(service));
         *self.declared.write() = declared(service);
         self.changed.notify_waiters();
     }
@@ -160,14 +155,9 @@
 
     /// Takes a peer's counts.
     pub(crate) fn peer(&self, host: &HostId, counts: &[TargetCount], sent: Time) {
-        let addresses = self.declared.read().addresses.clone();
-        let counts = counts.iter().filter(|count| addresses.contains_key(&count.target));
-        let counts = counts.map(|count| PeerCount {
-            target: count.target.clone(),
-            online: count.online,
-            batch: count.batch,
-        });
-        self.router.lock().peer(clock::now(), host, counts.collect(), sent);
+        let mut counts = peer_counts(counts);
+        counts.retain(|count| self.declared.read().addresses.contains_key(&count.target));
+        self.router.lock().peer(clock::now(), host, counts, sent);
         self.changed.notify_waiters();
     }
 
@@ -178,13 +168,7 @@
 
     /// This host's own in-flight work.
     pub(crate) fn counts(&self) -> Vec<TargetCount> {
-        let counts = self.router.lock().counts();
-        let counts = counts.into_iter().map(|count| TargetCount {
-            target: count.target,
-            online: count.online,
-            batch: count.batch,
-        });
-        counts.collect()
+        target_counts(self.router.lock().counts())
     }
 
     /// The targets as this host sees them.
--- /dev/null
+++ b/crates/oleander-ledger/src/shard/claims.rs
@@ -0,0 +1,206 @@
+//! Claims: who may run a call, and what a reader is told of one that runs.
+
+use oleander_core::{AttemptId, CallId, DigestId, HostId, Time};
+
+use super::{Purpose, Run, Shard, ShardAction, ShardEvent, ShardReply};
+use crate::{
+    call::{CallRecord, Claim, Outcome},
+    log::Ticket,
+    table::CallState,
+};
+
+impl Shard {
+    pub(super) fn claim(
+        &mut self,
+        now: Time,
+        ticket: Ticket,
+        claim: Claim,
+        actions: &mut Vec<ShardAction>,
+    ) {
+        if let Some(digest) = self.known_digest(&claim.call)
+            && *digest != claim.digest
+        {
+            actions.push(ShardAction::Reply(ticket, ShardReply::Mismatch));
+            return;
+        }
+        if self.answer_known(ticket, &claim.call, actions) {
+            return;
+        }
+        if let Some(CallState::Intent { runner, attempt, .. }) = self.table.state(&claim.call) {
+            let (runner, attempt) = (runner.clone(), attempt.clone());
+            self.claim_intent(now, ticket, claim, runner, attempt, actions);
+            return;
+        }
+        if let Some(run) = self.running.get(&claim.call)
+            && claim.gone.as_ref() != Some(&run.attempt)
+        {
+            let same = run.attempt == claim.attempt;
+            let reply = match same {
+                true => ShardReply::Run,
+                false => {
+                    ShardReply::Join { runner: run.runner.clone(), attempt: run.attempt.clone() }
+                }
+            };
+            // A run that may not be repeated still needs its intent.
+            if !same || run.repeatable {
+                actions.push(ShardAction::Reply(ticket, reply));
+                return;
+            }
+        }
+        if self.hold(now, ShardEvent::Claim(ticket, claim.clone()), actions) {
+            return;
+        }
+        self.grant(now, ticket, claim, actions);
+    }
+
+    /// Answers a claim of a call that has an intent and no outcome.
+    pub(super) fn claim_intent(
+        &mut self,
+        now: Time,
+        ticket: Ticket,
+        claim: Claim,
+        runner: HostId,
+        attempt: AttemptId,
+        actions: &mut Vec<ShardAction>,
+    ) {
+        if attempt == claim.attempt {
+            actions.push(ShardAction::Reply(ticket, ShardReply::Run));
+        } else if self.abandoned.contains(&attempt) {
+            let record = CallRecord::Withdrawn { call: claim.call.clone(), attempt };
+            self.append(now, Purpose::Reclaim(ticket, claim), record, actions);
+        } else if claim.gone.as_ref() == Some(&attempt) {
+            let Claim { call, digest, .. } = claim;
+            self.record(now, ticket, call, digest, Outcome::Unknown, actions);
+        } else {
+            actions.push(ShardAction::Reply(ticket, ShardReply::Join { runner, attempt }));
+        }
+    }
+
+    pub(super) fn grant(
+        &mut self,
+        now: Time,
+        ticket: Ticket,
+        claim: Claim,
+        actions: &mut Vec<ShardAction>,
+    ) {
+        if !claim.repeatable && self.is_degraded(now) {
+            let reply = ShardReply::Unavailable { clean: self.is_clean() };
+            actions.push(ShardAction::Reply(ticket, reply));
+            return;
+        }
+        let run = Run {
+            digest: claim.digest.clone(),
+            runner: claim.runner.clone(),
+            attempt: claim.attempt.clone(),
+            repeatable: claim.repeatable,
+        };
+        self.running.insert(claim.call.clone(), run);
+        if claim.repeatable {
+            actions.push(ShardAction::Reply(ticket, ShardReply::Run));
+            return;
+        }
+        let record = CallRecord::Intent {
+            call: claim.call.clone(),
+            digest: claim.digest.clone(),
+            runner: claim.runner.clone(),
+            attempt: claim.attempt.clone(),
+        };
+        self.append(now, Purpose::Grant(ticket, claim), record, actions);
+    }
+
+    pub(super) fn withdraw(
+        &mut self,
+        now: Time,
+        ticket: Ticket,
+        call: CallId,
+        attempt: AttemptId,
+        actions: &mut Vec<ShardAction>,
+    ) {
+        let repeatable = match self.running.get(&call) {
+            Some(run) if run.attempt == attempt => run.repeatable,
+            _ => false,
+        };
+        if repeatable {
+            self.running.remove(&call);
+            actions.push(ShardAction::Reply(ticket, ShardReply::Withdrawn));
+            return;
+        }
+        let record = CallRecord::Withdrawn { call, attempt };
+        self.append(now, Purpose::Withdraw(Some(ticket)), record, actions);
+    }
+
+    pub(super) fn lookup(
+        &mut self,
+        now: Time,
+        ticket: Ticket,
+        call: CallId,
+        actions: &mut Vec<ShardAction>,
+    ) {
+        if self.answer_known(ticket, &call, actions) {
+            return;
+        }
+        if let Some(CallState::Intent { runner, attempt, .. }) = self.table.state(&call) {
+            let reply = ShardReply::Join { runner: runner.clone(), attempt: attempt.clone() };
+            actions.push(ShardAction::Reply(ticket, reply));
+            return;
+        }
+        if let Some(run) = self.running.get(&call) {
+            let (runner, attempt) = (run.runner.clone(), run.attempt.clone());
+            actions.push(ShardAction::Reply(ticket, ShardReply::Join { runner, attempt }));
+            return;
+        }
+        if self.hold(now, ShardEvent::Lookup(ticket, call), actions) {
+            return;
+        }
+        let knows_all = self.owned.as_ref().is_some_and(|owned| owned.complete);
+        let reply = match self.is_stale(now) || !knows_all {
+            true => ShardReply::Unavailable { clean: false },
+            false => ShardReply::Absent,
+        };
+        actions.push(ShardAction::Reply(ticket, reply));
+    }
+
+    pub(super) fn known_digest(&self, call: &CallId) -> Option<&DigestId> {
+        match self.table.state(call) {
+            Some(CallState::Intent { digest, .. } | CallState::Final { digest, .. }) => {
+                return Some(digest);
+            }
+            None => {}
+        }
+        let buffered = self.buffered.get(call).map(|buffered| &buffered.digest);
+        buffered.or_else(|| self.running.get(call).map(|run| &run.digest))
+    }
+
+    /// Withdraws the committed intent of a grant that was refused before it was told.
+    pub(super) fn withdraw_abandoned(
+        &mut self,
+        now: Time,
+        call: CallId,
+        attempt: AttemptId,
+        actions: &mut Vec<ShardAction>,
+    ) {
+        if self.running.get(&call).is_some_and(|run| run.attempt == attempt) {
+            self.running.remove(&call);
+        }
+        let record = CallRecord::Withdrawn { call, attempt };
+        self.append(now, Purpose::Withdraw(None), record, actions);
+    }
+
+    /// Refuses grants that wait for a platform that does not answer.
+    ///
+    /// The intent may still be committed; it is withdrawn when it is.
+    pub(super) fn refuse_grants(&mut self, now: Time, actions: &mut Vec<ShardAction>) {
+        if !self.is_degraded(now) {
+            return;
+        }
+        let clean = self.is_clean();
+        for purpose in self.purposes.values_mut() {
+            if let Purpose::Grant(ticket, claim) = purpose {
+                let reply = ShardReply::Unavailable { clean };
+                actions.push(ShardAction::Reply(*ticket, reply));
+                self.abandoned.insert(claim.attempt.clone());
+                *purpose = Purpose::Abandoned(claim.call.clone(), claim.attempt.clone());
+            }
+        }
+    }
+}
--- a/crates/oleander-batch/src/documents.rs
+++ b/crates/oleander-node/src/documents.rs
@@ -1,4 +1,7 @@
-//! The document in force on this host; only a higher revision replaces it.
+//! The document in force on this host.
+//!
+//! Only a higher revision replaces what is in force; a host that starts without the platform
+//! takes the document from a peer.
 
 use std::sync::Arc;
 
@@ -7,34 +10,45 @@
 use parking_lot::RwLock;
 
 /// Key of the document at the platform.
-pub(crate) const DOCUMENT_KEY: &str = "config/document";
+pub const DOCUMENT_KEY: &str = "config/document";
 
+/// A document with its revision.
 #[derive(Debug, Clone)]
-struct InForce {
-    revision: Revision,
-    document: Arc<Document>,
+pub struct InForce {
+    /// Revision at the platform.
+    pub revision: Revision,
+    /// The document.
+    pub document: Arc<Document>,
 }
 
 /// The document in force.
 #[derive(Debug, Default)]
-pub(crate) struct Documents {
+pub struct Documents {
     current: RwLock<Option<InForce>>,
 }
 
 impl Documents {
+    /// What is in force.
+    #[must_use]
+    pub fn current(&self) -> Option<InForce> {
+        self.current.read().clone()
+    }
+
     /// Revision in force.
-    pub(crate) fn revision(&self) -> Option<Revision> {
+    #[must_use]
+    pub fn revision(&self) -> Option<Revision> {
         self.current.read().as_ref().map(|current| current.revision)
     }
 
     /// The document as JSON, if it is newer than `known`.
-    pub(crate) fn newer(&self, known: Revision) -> Option<(Revision, String)> {
-        let current = self.current.read().clone()?;
+    #[must_use]
+    pub fn newer(&self, known: Revision) -> Option<(Revision, String)> {
+        let current = self.current()?;
         (current.revision > known).then(|| (current.revision, current.document.to_json()))
     }
 
     /// Puts a document in force if its revision is higher; returns it if it was.
-    pub(crate) fn offer(&self, revision: Revision, bytes: &[u8]) -> Option<Arc<Document>> {
+    pub fn offer(&self, revision: Revision, bytes: &[u8]) -> Option<Arc<Document>> {
         if self.revision() >= Some(revision) {
             return None;
         }
