Look for free ports without listening on them

Ruled out: ports given twice (they are numbered), other deployments (none ran). Change: a port is free if a connection is refused.

--- a/crates/oleander-check/src/deployment.rs
+++ b/crates/oleander-check/src/deployment.rs
@@ -2,7 +2,7 @@
 
 use std::{
     fs,
-    net::TcpListener,
+    net::TcpStream,
     path::{Path, PathBuf},
     sync::atomic::{AtomicU16, Ordering},
     time::Duration,
@@ -160,7 +160,8 @@
     loop {
         let next = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
         let port = FIRST_PORT + (offset.wrapping_add(next)) % span;
-        if TcpListener::bind(("127.0.0.1", port)).is_ok() {
+        // A listener would be inherited by a process that another test starts at this moment.
+        if TcpStream::connect(("127.0.0.1", port)).is_err() {
             return port;
         }
     }
