Set the poison fault of test engines from their start

Cause: a whole run saw the poison item completed: a restarted engine served it in the moment before the test set its fault again (allowed: an engine without the fault answers the item). Ruled out: the runner's count of strikes.

--- a/crates/oleander-check/tests/batch.rs
+++ b/crates/oleander-check/tests/batch.rs
@@ -27,10 +27,14 @@
 const POISON: &str = "poison";
 
 async fn start(name: &str, step_us: &str) -> Deployment {
+    start_with(name, &["--step-base-us", step_us, "--step-per-seq-us", "100"]).await
+}
+
+async fn start_with(name: &str, engine_args: &[&str]) -> Deployment {
     let shape = Shape::new()
         .batches(2)
         .batch_settings(json!({"claim_ms": CLAIM_MS}))
-        .engine_args(&["--step-base-us", step_us, "--step-per-seq-us", "100"]);
+        .engine_args(engine_args);
     let deployment = Deployment::start(name, &shape).await;
     let mut document = deployment.document();
     document["services"][0]["batch"] =
@@ -217,35 +221,27 @@
     outlasts("batch-freeze", &json!({"freeze": true})).await;
 }
 
-/// Starts engines again that have ended, with the same fault.
-async fn revive(deployment: &mut Deployment, fault: &Value) {
-    for engine in 0..3 {
-        if deployment.engines[engine].has_ended() {
-            deployment.engines[engine].restart();
-            eventually("the engine listens", BOUND, || async {
-                let address = deployment.engine_address(engine);
-                tokio::net::TcpStream::connect(address).await.ok()
-            })
-            .await;
-            deployment.engine_fault(engine, fault).await;
+/// Starts engines again that have ended; the poison item may end them again at once.
+fn revive(deployment: &mut Deployment) {
+    for engine in &mut deployment.engines {
+        if engine.has_ended() {
+            engine.restart();
         }
     }
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_poison_item_ends_failed_and_the_others_complete() {
-    let mut deployment = start("batch-poison", "5000").await;
-    let fault = json!({"die_on": POISON});
-    for engine in 0..3 {
-        deployment.engine_fault(engine, &fault).await;
-    }
+    // From the start, so that a restarted engine never serves the item.
+    let args = ["--step-base-us", "5000", "--step-per-seq-us", "100", "--die-on", POISON];
+    let mut deployment = start_with("batch-poison", &args).await;
     let mut items = items("job", 60);
     items.insert(POISON.to_owned(), POISON.to_owned());
     let submission = upload(&deployment, &items).await;
     let id = submit(&deployment, 0, "job", &submission).await;
     let mut rounds = 0;
     let found = loop {
-        revive(&mut deployment, &fault).await;
+        revive(&mut deployment);
         let found = job(&deployment, 0, &id).await.unwrap_or_default();
         if found["status"] == "completed" {
             break found;
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -68,7 +68,8 @@
     /// An idle engine with these settings.
     #[must_use]
     pub fn new(options: Options) -> Self {
-        let faults = Faults { load_lag_ms: options.load_lag_ms, ..Faults::default() };
+        let (load_lag_ms, die_on) = (options.load_lag_ms, options.die_on.clone());
+        let faults = Faults { load_lag_ms, die_on, ..Faults::default() };
         let shared = Shared {
             batch: Mutex::new(Batch::new(&options, Instant::now())),
             orders: Mutex::new(Orders::new(&options)),
--- a/crates/standin/src/engine/options.rs
+++ b/crates/standin/src/engine/options.rs
@@ -23,6 +23,9 @@
     /// Lag of the load report, in milliseconds.
     #[arg(long, default_value_t = 0)]
     pub load_lag_ms: u64,
+    /// Fault from the start: a prompt that holds this text ends the engine; empty for none.
+    #[arg(long, default_value = "")]
+    pub die_on: String,
     /// Delay of cache events, in milliseconds.
     #[arg(long, default_value_t = 200)]
     pub cache_lag_ms: u64,
@@ -46,6 +49,7 @@
             step_per_seq_us: 200,
             kv_tokens: 65_536,
             load_lag_ms: 0,
+            die_on: String::new(),
             cache_lag_ms: 200,
             cache_gap: 50,
             models: Vec::new(),
--- a/crates/standin/tests/engine.rs
+++ b/crates/standin/tests/engine.rs
@@ -22,6 +22,7 @@
     step_per_seq_us: 0,
     kv_tokens: 65_536,
     load_lag_ms: 0,
+    die_on: String::new(),
     cache_lag_ms: 0,
     cache_gap: 0,
     models: Vec::new(),
