--- a/crates/oleander-ledger/src/shard.rs
+++ b/crates/oleander-ledger/src/shard.rs
@@ -59,7 +59,7 @@
     buffered: HashMap<CallId, Buffered>,
     purposes: BTreeMap<Ticket, Purpose>,
     appended: u64,
-    held: Vec<(Time, ShardEvent)>,
+    held: Vec<ShardEvent>,
     readers: BTreeMap<u64, Vec<Reader>>,
     owned: Option<Owned>,
     /// Runs that were refused before they were told, so that no target has seen them.
@@ -175,7 +175,7 @@
         if !waits_for_log && !self.is_gathering(now) {
             return false;
         }
-        self.held.push((now, event));
+        self.held.push(event);
         self.drive(now, LogEvent::Refresh, actions);
         true
     }
@@ -188,7 +188,7 @@
         if waits_for_log {
             return self.drive(now, LogEvent::Refresh, actions);
         }
-        for (_, event) in mem::take(&mut self.held) {
+        for event in mem::take(&mut self.held) {
             self.take(now, event, actions);
         }
     }
