--- a/crates/oleander-batch/src/follow.rs
+++ b/crates/oleander-batch/src/follow.rs
@@ -6,7 +6,7 @@
 use oleander_host::clock;
 use oleander_node::DOCUMENT_KEY;
 use oleander_peer::{PeerAnswer, PeerRequest, Status};
-use oleander_platform::{HostState, HostView, Platform, Role};
+use oleander_platform::{HostState, HostView, ObjectStore as _, Platform as _, Role};
 use oleander_routing::LoadReport;
 
 use crate::{app::App, peers};
--- a/crates/oleander-batch/src/lots.rs
+++ b/crates/oleander-batch/src/lots.rs
@@ -10,7 +10,7 @@
 use oleander_host::clock;
 use oleander_jobs::{Lot, LotAction, LotEnd, LotEvent, LotRecord, key};
 use oleander_ledger::{LogEvent, Segment};
-use oleander_platform::{Created, Platform};
+use oleander_platform::{Created, ObjectStore};
 use parking_lot::Mutex;
 use tokio::time::{self, Duration};
 
--- a/crates/oleander-batch/tests/cluster/mod.rs
+++ b/crates/oleander-batch/tests/cluster/mod.rs
@@ -22,7 +22,7 @@
 use http_body_util::Full;
 use hyper_util::{client::legacy::Client, rt::TokioExecutor};
 use oleander_document::Document;
-use oleander_platform::{Created, HttpPlatform, Platform as _};
+use oleander_platform::{Created, HttpPlatform, ObjectStore as _};
 use serde_json::{Value, json};
 use standin::{
     engine::{Engine, Faults, Options},
--- /dev/null
+++ b/crates/oleander-cluster/src/message.rs
@@ -0,0 +1,43 @@
+//! Calls between hosts.
+
+use oleander_core::{ServiceId, Time, value};
+use oleander_members::Message;
+use oleander_routing::PeerCount;
+use serde::{Deserialize, Serialize};
+
+value! {
+    /// One host's work in flight at the targets of one service.
+    pub struct ServiceLoad {
+        /// The service.
+        pub service: ServiceId,
+        /// Targets with work of the sender.
+        pub counts: Vec<PeerCount>,
+    }
+}
+
+/// A call from one host to another; `Q` belongs to the application.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub enum PeerCall<Q> {
+    /// Membership.
+    Member(Message),
+    /// The sender's work in flight.
+    Load {
+        /// By service.
+        services: Vec<ServiceLoad>,
+        /// When it was counted, on the sender's clock.
+        sent: Time,
+    },
+    /// A call of the application.
+    App(Q),
+}
+
+/// The answer to a call.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub enum PeerAnswer<A> {
+    /// Messages of membership to the caller.
+    Member(Vec<Message>),
+    /// Taken in.
+    Noted,
+    /// Answer of the application.
+    App(A),
+}
--- a/crates/oleander-entry/src/admin.rs
+++ b/crates/oleander-entry/src/admin.rs
@@ -14,7 +14,7 @@
 use oleander_document::Document;
 use oleander_host::{AdminState, HostState, HostStatus, Phase, admin::error_response};
 use oleander_node::{DOCUMENT_KEY, target_status};
-use oleander_platform::{Created, Object, Platform, PlatformError, Updated};
+use oleander_platform::{Created, Object, ObjectStore, PlatformError, Updated};
 use serde::Deserialize;
 use serde_json::{Value, json};
 
--- a/crates/oleander-entry/src/exchange.rs
+++ b/crates/oleander-entry/src/exchange.rs
@@ -6,7 +6,7 @@
 use oleander_host::clock;
 use oleander_node::DOCUMENT_KEY;
 use oleander_peer::{PeerAnswer, PeerRequest, Status};
-use oleander_platform::{HostState, Platform, Role};
+use oleander_platform::{HostState, ObjectStore as _, Platform as _, Role};
 use oleander_routing::LoadReport;
 use tokio::sync::mpsc;
 
--- a/crates/oleander-entry/src/orders/calls.rs
+++ b/crates/oleander-entry/src/orders/calls.rs
@@ -9,7 +9,7 @@
     Command, ORDER_PREFIX, OrderAction, OrderEvent, OrderRecord, Ordered, RecordRead, Stored,
     StoredKey, Ticket, WriteOutcome,
 };
-use oleander_platform::{Created, HttpPlatform, Listed, Object, Platform, Updated};
+use oleander_platform::{Created, HttpPlatform, Listed, Object, ObjectStore, Updated};
 use oleander_target::{HttpTargets, Order, OrderOutcome, Timeouts};
 use tokio::sync::mpsc;
 
--- a/crates/oleander-entry/src/shards.rs
+++ b/crates/oleander-entry/src/shards.rs
@@ -12,7 +12,7 @@
     CallRecord, LogEvent, Segment, Shard, ShardAction, ShardConfig, ShardEvent, ShardReply, Ticket,
 };
 use oleander_peer::ShardCall;
-use oleander_platform::{Created, Platform};
+use oleander_platform::{Created, ObjectStore};
 use parking_lot::Mutex;
 use tokio::sync::{mpsc, oneshot};
 
@@ -54,7 +54,7 @@
     backlog: Arc<Mutex<HashMap<ShardId, usize>>>,
 }
 
-impl<P: Platform, S: Others> Shards<P, S> {
+impl<P: ObjectStore, S: Others> Shards<P, S> {
     /// Shards with their log at `platform`.
     pub(crate) fn new(
         platform: P,
@@ -132,7 +132,7 @@
     depth: u64,
 }
 
-impl<P: Platform, S: Others> ShardTask<P, S> {
+impl<P: ObjectStore, S: Others> ShardTask<P, S> {
     async fn run(mut self, mut inputs: mpsc::Receiver<Input>) {
         self.step(ShardEvent::Log(LogEvent::Tick));
         loop {
@@ -280,7 +280,7 @@
 }
 
 /// Reads one object of a log.
-async fn read<P: Platform>(platform: &P, sequence: u64, key: &str) -> LogEvent<CallRecord> {
+async fn read<P: ObjectStore>(platform: &P, sequence: u64, key: &str) -> LogEvent<CallRecord> {
     match platform.get(key).await {
         Ok(None) => LogEvent::Fetched(sequence, None),
         Ok(Some(object)) => match Segment::decode(&object.body) {
--- a/crates/oleander-host/src/lib.rs
+++ b/crates/oleander-host/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod admin;
 pub mod clock;
 mod command;
+mod log_queue;
 pub mod logs;
 pub mod metrics;
 mod operator_key;
--- a/crates/oleander-host/src/logs.rs
+++ b/crates/oleander-host/src/logs.rs
@@ -13,7 +13,7 @@
     encode::{Encode, json::JsonEncoder, pattern::PatternEncoder},
 };
 
-use crate::settings::LogSettings;
+use crate::{log_queue::QueueAppender, settings::LogSettings};
 
 /// Line layout of logs for people.
 const PATTERN: &str = "{d(%Y-%m-%dT%H:%M:%S%.6f)(utc)} {l:5} {t} {m}{n}";
@@ -53,6 +53,20 @@
     log4rs::init_config(config).map(|_| ()).map_err(|e| LogError::Setup(e.to_string()))
 }
 
+/// Sets up JSON lines on standard output that never hold up whoever logs; once a process.
+///
+/// # Errors
+///
+/// Returns an error if a logger is already set.
+pub fn init_stdout(level: LevelFilter) -> Result<(), LogError> {
+    let appender: Box<dyn Append> = Box::new(QueueAppender::start(Box::new(JsonEncoder::new())));
+    let config = Config::builder()
+        .appender(Appender::builder().build("main", appender))
+        .build(Root::builder().appender("main").build(level))
+        .map_err(|e| LogError::Setup(e.to_string()))?;
+    log4rs::init_config(config).map(|_| ()).map_err(|e| LogError::Setup(e.to_string()))
+}
+
 fn open(settings: &LogSettings) -> Result<Box<dyn Append>, LogError> {
     match &settings.file {
         Some(file) => {
--- a/crates/oleander-intake/src/admin.rs
+++ b/crates/oleander-intake/src/admin.rs
@@ -8,7 +8,7 @@
 use oleander_core::JobId;
 use oleander_host::clock;
 use oleander_jobs::key;
-use oleander_platform::Platform;
+use oleander_platform::ObjectStore;
 use serde::{Deserialize, Serialize};
 
 use crate::{
@@ -37,19 +37,19 @@
 }
 
 /// The operators' routes of jobs; the caller puts its key check before them.
-pub fn admin_router<P: Platform>(platform: P) -> Router {
+pub fn admin_router<P: ObjectStore>(platform: P) -> Router {
     store_admin_router(JobStore::new(platform))
 }
 
 /// The same routes over a store, such as one that notifies of cancelled jobs.
-pub fn store_admin_router<P: Platform>(store: JobStore<P>) -> Router {
+pub fn store_admin_router<P: ObjectStore>(store: JobStore<P>) -> Router {
     Router::new()
         .route("/admin/jobs", get(list::<P>))
         .route("/admin/jobs/{id}/cancel", post(cancel::<P>))
         .with_state(store)
 }
 
-async fn list<P: Platform>(
+async fn list<P: ObjectStore>(
     State(store): State<JobStore<P>>,
     page: Result<Query<Page>, QueryRejection>,
 ) -> Result<Json<AdminJobs>, Refusal> {
@@ -67,7 +67,7 @@
     Ok(Json(AdminJobs { jobs, more: listing.more }))
 }
 
-async fn cancel<P: Platform>(
+async fn cancel<P: ObjectStore>(
     State(store): State<JobStore<P>>,
     Path(id): Path<String>,
 ) -> Result<Json<AdminJob>, Refusal> {
--- a/crates/oleander-intake/src/batches.rs
+++ b/crates/oleander-intake/src/batches.rs
@@ -12,7 +12,7 @@
 use oleander_document::{Service, ServiceKind, Workspace};
 use oleander_host::clock;
 use oleander_jobs::{Counts, FileRecord, ITEM_URL, JobRecord, JobState, LotPlan, encode, key};
-use oleander_platform::Platform;
+use oleander_platform::ObjectStore;
 use serde::{Deserialize, Serialize};
 
 use crate::{
@@ -74,7 +74,7 @@
 }
 
 /// Creates a job, or answers the one that an earlier call created.
-pub(crate) async fn submit<P: Platform, D: Documents>(
+pub(crate) async fn submit<P: ObjectStore, D: Documents>(
     State(intake): State<Intake<P, D>>,
     Extension(workspace): Extension<Workspace>,
     headers: HeaderMap,
@@ -106,7 +106,7 @@
     Ok(key::job_id(workspace, &format!("key\n{id}")))
 }
 
-async fn resent<P: Platform>(
+async fn resent<P: ObjectStore>(
     store: &JobStore<P>,
     found: JobRecord,
     submission: &Submission,
@@ -118,7 +118,7 @@
     Ok(Json(BatchView::new(found, counts)))
 }
 
-fn new_record<P: Platform, D: Documents>(
+fn new_record<P: ObjectStore, D: Documents>(
     intake: &Intake<P, D>,
     workspace: &Workspace,
     job: JobId,
@@ -159,7 +159,7 @@
 }
 
 /// Announces the job and then commits it, so that no committed job goes unannounced.
-async fn create<P: Platform>(
+async fn create<P: ObjectStore>(
     store: &JobStore<P>,
     record: JobRecord,
     submission: &Submission,
@@ -206,7 +206,7 @@
 }
 
 /// Lists the jobs of a workspace.
-pub(crate) async fn list<P: Platform, D: Documents>(
+pub(crate) async fn list<P: ObjectStore, D: Documents>(
     State(intake): State<Intake<P, D>>,
     Extension(workspace): Extension<Workspace>,
     page: Result<Query<Page>, QueryRejection>,
@@ -228,7 +228,7 @@
 }
 
 /// Reads a job.
-pub(crate) async fn read<P: Platform, D: Documents>(
+pub(crate) async fn read<P: ObjectStore, D: Documents>(
     State(intake): State<Intake<P, D>>,
     Extension(workspace): Extension<Workspace>,
     Path(id): Path<String>,
@@ -239,7 +239,7 @@
 }
 
 /// Cancels a job.
-pub(crate) async fn cancel<P: Platform, D: Documents>(
+pub(crate) async fn cancel<P: ObjectStore, D: Documents>(
     State(intake): State<Intake<P, D>>,
     Extension(workspace): Extension<Workspace>,
     Path(id): Path<String>,
@@ -251,7 +251,7 @@
 }
 
 /// Cancels a job; one that is completed stays so.
-pub(crate) async fn cancel_job<P: Platform>(
+pub(crate) async fn cancel_job<P: ObjectStore>(
     store: &JobStore<P>,
     job: &JobId,
     now: Time,
@@ -264,7 +264,7 @@
     Ok(record)
 }
 
-async fn own_job<P: Platform>(
+async fn own_job<P: ObjectStore>(
     store: &JobStore<P>,
     workspace: &Workspace,
     id: &str,
--- a/crates/oleander-intake/src/files.rs
+++ b/crates/oleander-intake/src/files.rs
@@ -11,7 +11,7 @@
 use oleander_core::FileId;
 use oleander_document::Workspace;
 use oleander_jobs::{FileRecord, JobRecord, key};
-use oleander_platform::Platform;
+use oleander_platform::ObjectStore;
 
 use crate::{Documents, Intake, JobStore, error::Refusal, output::OutputReader, view::FileView};
 
@@ -24,7 +24,7 @@
 }
 
 /// Describes a file.
-pub(crate) async fn info<P: Platform, D: Documents>(
+pub(crate) async fn info<P: ObjectStore, D: Documents>(
     State(intake): State<Intake<P, D>>,
     Extension(workspace): Extension<Workspace>,
     Path(id): Path<String>,
@@ -36,7 +36,7 @@
 }
 
 /// Streams the content of a file.
-pub(crate) async fn content<P: Platform, D: Documents>(
+pub(crate) async fn content<P: ObjectStore, D: Documents>(
     State(intake): State<Intake<P, D>>,
     Extension(workspace): Extension<Workspace>,
     Path(id): Path<String>,
@@ -52,7 +52,7 @@
     }
 }
 
-async fn find<P: Platform>(
+async fn find<P: ObjectStore>(
     store: &JobStore<P>,
     workspace: &Workspace,
     id: &str,
@@ -68,7 +68,7 @@
 }
 
 /// The chunks of an input file, one after another.
-fn chunks<P: Platform>(
+fn chunks<P: ObjectStore>(
     store: JobStore<P>,
     file: FileRecord,
 ) -> impl Stream<Item = Result<Vec<u8>, Refusal>> + Send + 'static {
--- a/crates/oleander-intake/src/lib.rs
+++ b/crates/oleander-intake/src/lib.rs
@@ -23,7 +23,7 @@
     routing::{get, post},
 };
 use oleander_document::Document;
-use oleander_platform::Platform;
+use oleander_platform::ObjectStore;
 use tokio::sync::Semaphore;
 
 pub use admin::{admin_router, store_admin_router};
@@ -49,12 +49,12 @@
 }
 
 /// The routes of files and jobs, for requests with an `Extension` of their workspace.
-pub fn router<P: Platform, D: Documents>(platform: P, documents: D) -> Router {
+pub fn router<P: ObjectStore, D: Documents>(platform: P, documents: D) -> Router {
     store_router(JobStore::new(platform), documents)
 }
 
 /// The same routes over a store, such as one that notifies of cancelled jobs.
-pub fn store_router<P: Platform, D: Documents>(store: JobStore<P>, documents: D) -> Router {
+pub fn store_router<P: ObjectStore, D: Documents>(store: JobStore<P>, documents: D) -> Router {
     let uploads = Arc::new(Semaphore::new(MAX_UPLOADS));
     let intake = Intake { store, documents, uploads };
     let upload = post(upload::upload::<P, D>).layer(DefaultBodyLimit::disable());
--- a/crates/oleander-intake/src/output.rs
+++ b/crates/oleander-intake/src/output.rs
@@ -11,7 +11,7 @@
     FileRecord, ItemLine, JobRecord, LotPlan, LotRange, LotRecord, RecordError, read_items,
 };
 use oleander_ledger::Segment;
-use oleander_platform::Platform;
+use oleander_platform::ObjectStore;
 
 use crate::{JobStore, StoreError, error::Refusal, view::OutputLine};
 
@@ -35,7 +35,7 @@
     lot: Option<Lot>,
 }
 
-impl<P: Platform> OutputReader<P> {
+impl<P: ObjectStore> OutputReader<P> {
     pub(crate) fn new(store: JobStore<P>, job: JobRecord, input: FileRecord) -> Self {
         let plan = LotPlan::new(&input.chunks, job.lot_items);
         Self { store, job, input, plan, chunk: None, next: LotIndex(0), lot: None }
--- a/crates/oleander-intake/src/store.rs
+++ b/crates/oleander-intake/src/store.rs
@@ -11,7 +11,7 @@
     Counts, FileRecord, JobRecord, JobState, LotRecord, RecordError, decode, encode, key,
 };
 use oleander_ledger::Segment;
-use oleander_platform::{Created, Listing, Platform, PlatformError, Updated};
+use oleander_platform::{Created, Listing, ObjectStore, PlatformError, Updated};
 use serde::{Serialize, de::DeserializeOwned};
 use tokio::{
     sync::mpsc,
@@ -65,7 +65,7 @@
     Missing(String),
 }
 
-impl<P: Platform> JobStore<P> {
+impl<P: ObjectStore> JobStore<P> {
     /// Access through this platform.
     #[must_use]
     pub const fn new(platform: P) -> Self {
--- a/crates/oleander-intake/src/upload.rs
+++ b/crates/oleander-intake/src/upload.rs
@@ -20,7 +20,7 @@
 use oleander_jobs::{
     BatchParser, ChunkRecord, FileRecord, ParseError, ParseLimits, ParsedChunk, ParsedFile, key,
 };
-use oleander_platform::Platform;
+use oleander_platform::ObjectStore;
 use tokio::{
     task,
     time::{self, Instant},
@@ -87,7 +87,7 @@
 }
 
 /// Takes in a file.
-pub(crate) async fn upload<P: Platform, D: Documents>(
+pub(crate) async fn upload<P: ObjectStore, D: Documents>(
     State(intake): State<Intake<P, D>>,
     Extension(workspace): Extension<Workspace>,
     request: Request,
@@ -111,7 +111,7 @@
 }
 
 /// Takes the field `file` of a form.
-async fn take_form<P: Platform, D: Documents>(
+async fn take_form<P: ObjectStore, D: Documents>(
     intake: &Intake<P, D>,
     workspace: &Workspace,
     mut form: Multipart,
@@ -138,7 +138,7 @@
     }
 }
 
-async fn take_file<P: Platform, D: Documents>(
+async fn take_file<P: ObjectStore, D: Documents>(
     intake: &Intake<P, D>,
     workspace: &Workspace,
     source: &mut Source<'_>,
@@ -176,7 +176,7 @@
     chunks: Vec<ChunkRecord>,
 }
 
-impl<'a, P: Platform> Taker<'a, P> {
+impl<'a, P: ObjectStore> Taker<'a, P> {
     fn new(store: &'a JobStore<P>, workspace: &'a Workspace) -> Self {
         let limits =
             ParseLimits { bytes: workspace.limits.file_bytes, items: workspace.limits.job_items };
--- a/crates/oleander-intake/tests/intake.rs
+++ b/crates/oleander-intake/tests/intake.rs
@@ -17,8 +17,8 @@
 use oleander_jobs::{Answer, Counts, ItemError, ItemResult, JobState, LotRecord, key};
 use oleander_ledger::Segment;
 use oleander_platform::{
-    Created, HostView, Listing, MemoryFaults, MemoryPlatform, Object, Platform, PlatformError,
-    Updated,
+    Created, HostView, Listing, MemoryFaults, MemoryPlatform, Object, ObjectStore, Platform,
+    PlatformError, Updated,
 };
 use serde_json::{Value, json};
 use tokio::{
@@ -229,7 +229,11 @@
     let desk = Desk::new();
     let (_, file) = desk.upload(&lines(3)).await;
     let file = file["id"].as_str().unwrap();
-    desk.platform.set_faults(MemoryFaults { down: false, lost_answers: 3 });
+    desk.platform.set_faults(MemoryFaults {
+        down: false,
+        lost_answers: 3,
+        ..MemoryFaults::default()
+    });
     let (a, b) = tokio::join!(desk.submit(file, "k", "1h"), desk.submit(file, "k", "1h"));
     assert_eq!((a.0, b.0), (StatusCode::OK, StatusCode::OK));
     assert_eq!(a.1["id"], b.1["id"]);
@@ -241,7 +245,11 @@
     let desk = Desk::new();
     let (_, file) = desk.upload(&lines(3)).await;
     let file = file["id"].as_str().unwrap();
-    desk.platform.set_faults(MemoryFaults { down: true, lost_answers: 0 });
+    desk.platform.set_faults(MemoryFaults {
+        down: true,
+        lost_answers: 0,
+        ..MemoryFaults::default()
+    });
     let (status, answer) = desk.submit(file, "k", "1h").await;
     assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE);
     assert_eq!(answer["error"]["ran"], "no");
@@ -254,7 +262,11 @@
     let desk = Desk::new();
     let (_, file) = desk.upload(&lines(3)).await;
     let file = file["id"].as_str().unwrap().to_owned();
-    desk.platform.set_faults(MemoryFaults { down: false, lost_answers: 1_000 });
+    desk.platform.set_faults(MemoryFaults {
+        down: false,
+        lost_answers: 1_000,
+        ..MemoryFaults::default()
+    });
     let (status, answer) = desk.submit(&file, "k", "1h").await;
     // Each create is repeated and then meets its own write.
     assert_eq!(status, StatusCode::OK, "{answer}");
@@ -286,7 +298,7 @@
 #[derive(Debug, Clone)]
 struct Interleaved(MemoryPlatform);
 
-impl Platform for Interleaved {
+impl ObjectStore for Interleaved {
     async fn get(&self, key: &str) -> Result<Option<Object>, PlatformError> {
         task::yield_now().await;
         self.0.get(key).await
@@ -307,6 +319,10 @@
         self.0.update(key, body, expected).await
     }
 
+    async fn remove(&self, key: &str, expected: Revision) -> Result<Updated, PlatformError> {
+        self.0.remove(key, expected).await
+    }
+
     async fn list(&self, prefix: &str, after: &str, n: usize) -> Result<Listing, PlatformError> {
         self.0.list(prefix, after, n).await
     }
@@ -314,7 +330,9 @@
     async fn changed(&self, prefix: &str, from: Revision) -> Result<Revision, PlatformError> {
         self.0.changed(prefix, from).await
     }
+}
 
+impl Platform for Interleaved {
     async fn hosts(&self) -> Result<HostView, PlatformError> {
         self.0.hosts().await
     }
@@ -332,7 +350,7 @@
         let counts = Counts { completed: 3, failed: 0 };
         let store = JobStore::new(Interleaved(desk.platform.clone()));
         let lost_answers = round % 3;
-        desk.platform.set_faults(MemoryFaults { down: false, lost_answers });
+        desk.platform.set_faults(MemoryFaults { lost_answers, ..MemoryFaults::default() });
         let cancel = async {
             for _ in 0..round % 5 {
                 task::yield_now().await;
--- a/crates/oleander-platform/src/client.rs
+++ b/crates/oleander-platform/src/client.rs
@@ -14,7 +14,7 @@
 
 use crate::{
     object::{Created, HostView, Listing, Object, Updated},
-    platform::{Platform, PlatformError},
+    platform::{ObjectStore, Platform, PlatformError},
 };
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -134,7 +134,7 @@
     revision.ok_or_else(|| no_answer("answer without revision"))
 }
 
-impl Platform for HttpPlatform {
+impl ObjectStore for HttpPlatform {
     async fn get(&self, key: &str) -> Result<Option<Object>, PlatformError> {
         let answer = self.call(Method::GET, &format!("objects/{key}"), None, Bytes::new()).await?;
         if answer.status == StatusCode::NOT_FOUND {
@@ -166,6 +166,17 @@
         required(answer.revision).map(Updated::Done)
     }
 
+    async fn remove(&self, key: &str, expected: Revision) -> Result<Updated, PlatformError> {
+        let condition = Some((header::IF_MATCH, expected.to_string()));
+        let path = format!("objects/{key}");
+        let answer = self.call(Method::DELETE, &path, condition, Bytes::new()).await?;
+        match answer.status {
+            StatusCode::NOT_FOUND => Ok(Updated::Stale(None)),
+            StatusCode::PRECONDITION_FAILED => Ok(Updated::Stale(answer.revision)),
+            _ => Ok(Updated::Done(answer.revision.unwrap_or(expected))),
+        }
+    }
+
     async fn list(
         &self,
         prefix: &str,
@@ -179,7 +190,9 @@
         let watch = self.watch(prefix, from);
         tokio::time::timeout(WATCH_BOUND, watch).await.unwrap_or(Ok(from))
     }
+}
 
+impl Platform for HttpPlatform {
     async fn hosts(&self) -> Result<HostView, PlatformError> {
         self.read("hosts").await
     }
--- a/crates/oleander-platform/src/lib.rs
+++ b/crates/oleander-platform/src/lib.rs
@@ -1,14 +1,20 @@
 //! The port to the platform's object store, with its adapters.
 //!
-//! [`Platform`] is the seam. [`HttpPlatform`] speaks the platform's HTTP interface;
+//! [`ObjectStore`] is the seam; [`Platform`] adds the list of hosts, where there is one. [`Follow`]
+//! keeps a copy of all objects below a prefix. [`HttpPlatform`] speaks the platform's HTTP interface;
 //! [`MemoryPlatform`] is the adapter of the tests, with faults.
 
 mod client;
+mod follow;
 mod memory;
 mod object;
 mod platform;
 
 pub use client::HttpPlatform;
+pub use follow::{Follow, Followed};
 pub use memory::{MemoryFaults, MemoryPlatform};
-pub use object::{Created, Host, HostState, HostView, Listed, Listing, Object, Role, Updated};
-pub use platform::{Platform, PlatformError};
+pub use object::{
+    Change, Changes, Created, Host, HostState, HostView, Listed, Listing, Object, Page, Role,
+    Updated,
+};
+pub use platform::{ObjectStore, Platform, PlatformError};
--- a/crates/oleander-platform/src/memory.rs
+++ b/crates/oleander-platform/src/memory.rs
@@ -7,8 +7,8 @@
 use parking_lot::Mutex;
 
 use crate::{
-    object::{Created, HostView, Listed, Listing, Object, Updated},
-    platform::{Platform, PlatformError},
+    object::{Change, Changes, Created, HostView, Listed, Listing, Object, Updated},
+    platform::{ObjectStore, Platform, PlatformError},
 };
 
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
@@ -20,12 +20,16 @@
     pub down: bool,
     /// Number of coming writes that take effect but fail.
     pub lost_answers: u32,
+    /// Watches from before this revision fail, as if the changes until then were forgotten.
+    pub kept_from: u64,
 }
 
 #[derive(Debug, Default)]
 struct State {
     revision: u64,
     objects: BTreeMap<String, Object>,
+    /// Revision at which a key was last removed.
+    removed: BTreeMap<String, Revision>,
     hosts: Option<HostView>,
     faults: MemoryFaults,
 }
@@ -62,6 +66,27 @@
         Ok(())
     }
 
+    /// Changes below `prefix` after `from`, in order.
+    fn changes(&self, prefix: &str, from: Revision) -> Result<Changes, PlatformError> {
+        self.check_up()?;
+        if from.0 < self.faults.kept_from {
+            return Err(PlatformError::HistoryGone);
+        }
+        let put = self.objects.iter().map(|(key, object)| (object.revision, key, Some(object)));
+        let gone = self.removed.iter().filter(|(key, _)| !self.objects.contains_key(*key));
+        let gone = gone.map(|(key, revision)| (*revision, key, None));
+        let mut rows: Vec<_> = put
+            .chain(gone)
+            .filter(|(revision, key, _)| *revision > from && key.starts_with(prefix))
+            .collect();
+        rows.sort_by_key(|(revision, ..)| *revision);
+        let changes = rows
+            .into_iter()
+            .map(|(_, key, object)| Change { key: key.clone(), object: object.cloned() })
+            .collect();
+        Ok(Changes { changes, revision: Revision(self.revision) })
+    }
+
     fn write(&mut self, key: &str, body: Bytes) -> Result<Revision, PlatformError> {
         self.revision += 1;
         let revision = Revision(self.revision);
@@ -74,7 +99,7 @@
     }
 }
 
-impl Platform for MemoryPlatform {
+impl ObjectStore for MemoryPlatform {
     async fn get(&self, key: &str) -> Result<Option<Object>, PlatformError> {
         let state = self.state.lock();
         state.check_up()?;
@@ -105,6 +130,20 @@
         state.write(key, body).map(Updated::Done)
     }
 
+    async fn remove(&self, key: &str, expected: Revision) -> Result<Updated, PlatformError> {
+        let mut state = self.state.lock();
+        state.check_up()?;
+        let current = state.objects.get(key).map(|object| object.revision);
+        if current != Some(expected) {
+            return Ok(Updated::Stale(current));
+        }
+        state.revision += 1;
+        let revision = Revision(state.revision);
+        state.objects.remove(key);
+        state.removed.insert(key.to_owned(), revision);
+        Ok(Updated::Done(revision))
+    }
+
     async fn list(
         &self,
         prefix: &str,
@@ -149,6 +188,24 @@
         }
     }
 
+    async fn watch(
+        &self,
+        prefix: &str,
+        from: Revision,
+        wait: Duration,
+    ) -> Result<Changes, PlatformError> {
+        let end = tokio::time::Instant::now() + wait;
+        loop {
+            let changes = self.state.lock().changes(prefix, from)?;
+            if !changes.changes.is_empty() || tokio::time::Instant::now() >= end {
+                return Ok(changes);
+            }
+            tokio::time::sleep(POLL_INTERVAL).await;
+        }
+    }
+}
+
+impl Platform for MemoryPlatform {
     async fn hosts(&self) -> Result<HostView, PlatformError> {
         let state = self.state.lock();
         state.check_up()?;
--- a/crates/oleander-platform/src/object.rs
+++ b/crates/oleander-platform/src/object.rs
@@ -33,6 +33,35 @@
     Stale(Option<Revision>),
 }
 
+/// A page of objects, ordered by key.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Page {
+    /// Keys and objects.
+    pub objects: Vec<(String, Object)>,
+    /// Revision of the store when it was made.
+    pub revision: Revision,
+    /// Whether more objects follow the last one.
+    pub more: bool,
+}
+
+/// A change of one object.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Change {
+    /// Key of the object.
+    pub key: String,
+    /// The object as it is now; `None` if it was removed.
+    pub object: Option<Object>,
+}
+
+/// What a watch saw.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Changes {
+    /// Changes in order.
+    pub changes: Vec<Change>,
+    /// Revision up to which all changes are included.
+    pub revision: Revision,
+}
+
 value! {
     /// One row of a listing.
     pub struct Listed {
--- /dev/null
+++ b/crates/oleander-relay/src/relay.rs
@@ -0,0 +1,256 @@
+//! Carries one online request from its route to the end of its answer.
+
+use std::sync::Arc;
+
+use oleander_core::{Span, Time};
+use oleander_host::clock;
+use parking_lot::RwLock;
+use tokio::time::{self, Instant};
+
+use crate::{
+    attempt::{Attempt, Ended, Patience, attempt},
+    events::EventReader,
+    pool::{Granted, Pool, Pools, online_pick},
+    port::Targets,
+    request::Request,
+    route::{Repeat, Route},
+    sink::{Refusal, Sink, Verdict},
+    table::RouteTable,
+    tries::{Step, Tries},
+};
+
+/// Time to come back while no target of the service is known.
+const NO_TARGETS_RETRY: Span = Span::from_secs(1);
+/// Most of a request's goal that it waits in the queue, as a divisor: later it is better served by
+/// coming back.
+const QUEUE_PART: u64 = 1;
+/// Shortest time for which a target's silence is put up with.
+const LEAST_PAUSE: Span = Span::from_millis(120);
+
+/// Online requests on their way.
+pub struct Relay<T> {
+    /// Routes in force; `None` until a configuration is known.
+    table: RwLock<Option<Arc<RouteTable>>>,
+    /// The targets of all services.
+    pub pools: Arc<Pools>,
+    /// Sends requests.
+    pub targets: Arc<T>,
+}
+
+/// What became of a request, for its log line.
+#[derive(Debug, Clone)]
+pub struct Summary {
+    /// Name of the route.
+    pub route: String,
+    /// Attempts at targets, with what came of each.
+    pub attempts: Vec<String>,
+    /// Time spent waiting for a target.
+    pub waited: Span,
+    /// What the caller got; `None` if the answer is complete.
+    pub refusal: Option<Refusal>,
+    /// Whether the answer was broken off after its head.
+    pub broken: bool,
+    /// Whether the caller left first.
+    pub left: bool,
+}
+
+impl<T: Targets> Relay<T> {
+    /// A relay without routes.
+    #[must_use]
+    pub fn new(pools: Arc<Pools>, targets: Arc<T>) -> Self {
+        Self { table: RwLock::new(None), pools, targets }
+    }
+
+    /// Routes in force.
+    #[must_use]
+    pub fn table(&self) -> Option<Arc<RouteTable>> {
+        self.table.read().clone()
+    }
+
+    /// Puts routes in force unless those in force are newer; tells whether it did.
+    pub fn set_table(&self, table: RouteTable) -> bool {
+        let mut current = self.table.write();
+        if current.as_ref().is_some_and(|current| current.version >= table.version) {
+            return false;
+        }
+        *current = Some(Arc::new(table));
+        true
+    }
+
+    /// Runs a request and passes its answer to `sink`.
+    ///
+    /// The sink got either the whole answer, or a head that was followed by less than the whole
+    /// body, or nothing; the summary says which.
+    pub async fn run<S: Sink>(
+        &self,
+        request: &Arc<Request>,
+        route: &Route,
+        sink: &mut S,
+    ) -> Summary {
+        let budget = request.budget.map_or(route.timeout, |budget| budget.min(route.timeout));
+        let deadline = request.received + budget;
+        let mut call = Call {
+            relay: self,
+            request,
+            route,
+            deadline,
+            tries: Tries::new(route),
+            events: route.is_stream().then(|| EventReader::after(request.resume)),
+            head_out: false,
+            summary: Summary::new(&route.name),
+        };
+        let left = deadline.since(clock::steady()).to_duration();
+        let step = time::timeout_at(Instant::now() + left, call.run(sink)).await;
+        let step = step.unwrap_or_else(|_| call.timed_out());
+        call.finish(step, sink).await
+    }
+}
+
+impl Summary {
+    fn new(route: &str) -> Self {
+        Self {
+            route: route.to_owned(),
+            attempts: Vec::new(),
+            waited: Span::ZERO,
+            refusal: None,
+            broken: false,
+            left: false,
+        }
+    }
+}
+
+/// One request under way.
+struct Call<'a, T> {
+    relay: &'a Relay<T>,
+    request: &'a Arc<Request>,
+    route: &'a Route,
+    deadline: Time,
+    tries: Tries,
+    events: Option<EventReader>,
+    head_out: bool,
+    summary: Summary,
+}
+
+impl<T: Targets> Call<'_, T> {
+    async fn run<S: Sink>(&mut self, sink: &mut S) -> Step {
+        let service = self.route.service(&self.request.id);
+        let Some(pool) = service.and_then(|service| self.relay.pools.get(service)) else {
+            return self.tries.refuse(NO_TARGETS_RETRY);
+        };
+        loop {
+            let granted = tokio::select! {
+                granted = self.acquire(&pool) => granted,
+                () = sink.closed() => return Step::Closed,
+            };
+            let mut granted = match granted {
+                Ok(granted) => granted,
+                Err(_) if self.head_out => return Step::BreakOff,
+                Err(retry_after) => return self.tries.refuse(retry_after),
+            };
+            let ran_before = self.tries.may_have_run();
+            self.tries.begin();
+            let ended = self.attempt(&mut granted, sink).await;
+            let target = granted.target.id.clone();
+            drop(granted);
+            self.note(&target.to_string(), &ended);
+            match self.tries.end(&target, ran_before, ended) {
+                Step::Again => {}
+                Step::Refuse(_) if self.head_out => return Step::BreakOff,
+                step => return step,
+            }
+        }
+    }
+
+    async fn acquire(&mut self, pool: &Arc<Pool>) -> Result<Granted, Span> {
+        let ticket = pool.ticket();
+        let asked = clock::steady();
+        let latest = asked + Span(self.route.goal.0 / QUEUE_PART);
+        let latest = if self.head_out { self.deadline } else { latest.min(self.deadline) };
+        let _place = Place { pool, ticket };
+        let pick = online_pick(ticket, latest, self.tries.tried().to_vec());
+        let mut granted = pool.acquire(&pick).await;
+        if granted.is_err() && self.head_out {
+            // Every other target is out of reach: the one that failed may be back by now.
+            granted = pool.acquire(&online_pick(ticket, latest, Vec::new())).await;
+        }
+        self.summary.waited = self.summary.waited + clock::steady().since(asked);
+        granted
+    }
+
+    async fn attempt<S: Sink>(&mut self, granted: &mut Granted, sink: &mut S) -> Ended {
+        let budget = self.deadline.since(clock::steady());
+        let patience = self.patience();
+        let collect = self.route.repeat == Repeat::Always;
+        let attempt_of = Attempt {
+            request: self.request,
+            budget: Some(budget),
+            events: self.events.as_mut(),
+            head_out: self.head_out,
+            collect,
+            patience,
+        };
+        let ended = attempt(self.relay.targets.as_ref(), granted, attempt_of, sink).await;
+        if let Ended::Broken { head_out, .. } = &ended {
+            self.head_out |= *head_out;
+        }
+        ended
+    }
+
+    /// A silent target is left only while another may go on in its place.
+    fn patience(&self) -> Patience {
+        if !self.tries.has_spare() {
+            return Patience::default();
+        }
+        let first = Span(self.route.goal.0 * 3 / 2);
+        let pause = Span(self.route.pause.0 / 2).max(LEAST_PAUSE);
+        Patience { first: Some(first), pause: self.events.is_some().then_some(pause) }
+    }
+
+    fn note(&mut self, target: &str, ended: &Ended) {
+        let text = match ended {
+            Ended::Complete => format!("{target}: complete"),
+            Ended::NotSent(reason) => format!("{target}: not sent: {reason}"),
+            Ended::NotRun(head) => format!("{target}: not run: {}", head.status.as_u16()),
+            Ended::Failed(head, _) => format!("{target}: failed: {}", head.status.as_u16()),
+            Ended::Broken { reason, .. } => format!("{target}: broken: {reason}"),
+            Ended::Closed => format!("{target}: caller left"),
+        };
+        self.summary.attempts.push(text);
+    }
+
+    fn timed_out(&self) -> Step {
+        if self.head_out {
+            return Step::BreakOff;
+        }
+        if self.tries.may_have_run() {
+            return Step::Refuse(Refusal::new(Verdict::TimedOut));
+        }
+        self.tries.refuse(NO_TARGETS_RETRY)
+    }
+
+    async fn finish<S: Sink>(mut self, step: Step, sink: &mut S) -> Summary {
+        match step {
+            Step::Done | Step::Again => {}
+            Step::Closed => self.summary.left = true,
+            Step::BreakOff => self.summary.broken = true,
+            Step::Refuse(refusal) => self.summary.refusal = Some(refusal),
+            Step::PassOn(head, body) => {
+                sink.head(head);
+                self.summary.left = sink.chunk(body).await.is_err();
+            }
+        }
+        self.summary
+    }
+}
+
+/// A place in the queue, given up when dropped.
+struct Place<'a> {
+    pool: &'a Pool,
+    ticket: oleander_routing::TicketId,
+}
+
+impl Drop for Place<'_> {
+    fn drop(&mut self) {
+        self.pool.forget(self.ticket);
+    }
+}
--- /dev/null
+++ b/crates/oleander-relay/src/table.rs
@@ -0,0 +1,45 @@
+//! Finds the route of a request.
+
+use std::{collections::HashMap, sync::Arc};
+
+use crate::route::{Route, ServiceSpec};
+
+/// All routes of one version of the configuration, found by host and longest prefix.
+///
+/// A lookup costs one hash for each slash of the path, whatever the number of routes.
+#[derive(Debug, Clone, Default)]
+pub struct RouteTable {
+    /// Version of the configuration.
+    pub version: u64,
+    /// Declared services.
+    pub services: Vec<ServiceSpec>,
+    hosts: HashMap<String, HashMap<String, Arc<Route>>>,
+}
+
+impl RouteTable {
+    /// A table of `routes`.
+    #[must_use]
+    pub fn new(version: u64, routes: Vec<Route>, services: Vec<ServiceSpec>) -> Self {
+        let mut hosts: HashMap<String, HashMap<String, Arc<Route>>> = HashMap::new();
+        for route in routes {
+            let host = route.host.to_ascii_lowercase();
+            hosts.entry(host).or_default().insert(route.prefix.clone(), Arc::new(route));
+        }
+        Self { version, services, hosts }
+    }
+
+    /// The route with the longest prefix that begins `path`, which may carry a query.
+    #[must_use]
+    pub fn find(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
+        let host = host.split_once(':').map_or(host, |(name, _)| name);
+        let routes = self.hosts.get(host).or_else(|| self.hosts.get(&host.to_ascii_lowercase()))?;
+        let path = path.split_once('?').map_or(path, |(path, _)| path);
+        let ends = path.rmatch_indices('/').map(|(at, _)| at + 1);
+        ends.into_iter().find_map(|end| routes.get(&path[..end]))
+    }
+
+    /// All routes.
+    pub fn routes(&self) -> impl Iterator<Item = &Arc<Route>> {
+        self.hosts.values().flat_map(HashMap::values)
+    }
+}
--- a/crates/oleander-routing/src/config.rs
+++ b/crates/oleander-routing/src/config.rs
@@ -2,7 +2,7 @@
 
 use oleander_core::{HostId, Span, ZoneId};
 
-use crate::{eject::EjectConfig, limit::LimitConfig};
+use crate::{choice::Chooser, eject::EjectConfig, limit::LimitConfig};
 
 /// How online and batch work share the targets.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Default)]
@@ -38,6 +38,7 @@
     pub(crate) start_gap: Span,
     pub(crate) zone_cost: u32,
     pub(crate) affinity_slack: u32,
+    pub(crate) draws: u32,
 }
 
 impl RouterConfig {
@@ -78,6 +79,7 @@
             start_gap: Self::START_GAP,
             zone_cost: Self::ZONE_COST,
             affinity_slack: Self::AFFINITY_SLACK,
+            draws: Chooser::DRAWS,
         }
     }
 
@@ -170,4 +172,11 @@
         self.affinity_slack = slack;
         self
     }
+
+    /// Sets the number of targets that are compared for a choice.
+    #[must_use]
+    pub const fn draws(mut self, draws: u32) -> Self {
+        self.draws = draws;
+        self
+    }
 }
--- a/crates/oleander-routing/src/router.rs
+++ b/crates/oleander-routing/src/router.rs
@@ -85,7 +85,7 @@
     pub fn new(config: RouterConfig, seed: u64) -> Self {
         Self {
             rng: Pcg64Mcg::seed_from_u64(seed),
-            chooser: Chooser::new(config.affinity_slack),
+            chooser: Chooser::new(config.affinity_slack).draws(config.draws),
             backends: Vec::new(),
             by_name: HashMap::new(),
             next_key: 0,
--- /dev/null
+++ b/crates/oleander-worklist/src/runner.rs
@@ -0,0 +1,188 @@
+//! Runs items at targets.
+
+use std::{collections::HashSet, sync::Arc};
+
+use bytes::Bytes;
+use http::StatusCode;
+use oleander_core::{ServiceId, Span};
+use oleander_host::clock;
+use oleander_platform::ObjectStore;
+use oleander_relay::{
+    Attempt, Ended, Granted, Head, Patience, Pool, Sink, SinkClosed, Targets, attempt, batch_pick,
+    data_of,
+};
+use tokio::{sync::watch, time};
+
+use crate::{
+    desk::{Desk, Held},
+    item::{ItemEnd, Progress},
+    job::NextItem,
+};
+
+/// Time between two looks for room while items wait.
+const LOOK_INTERVAL: std::time::Duration = std::time::Duration::from_millis(40);
+/// Silence of a target after which an item goes on at another: items aren't waited for, but a
+/// stream that is silent for this long has most likely lost its target.
+const PATIENCE: Patience =
+    Patience { first: Some(Span::from_millis(2_000)), pause: Some(Span::from_millis(600)) };
+
+/// Where the next item of a job goes.
+enum Placing {
+    /// An item was started.
+    Started,
+    /// Nothing of this job can start now.
+    Nothing,
+}
+
+impl<S: ObjectStore, T: Targets> Desk<S, T> {
+    /// Starts items whenever there is room; never ends.
+    pub async fn dispatch(self: Arc<Self>) {
+        loop {
+            if self.start_items() {
+                // Room may come from other hosts' work, which no notice tells of.
+                let _ = time::timeout(LOOK_INTERVAL, self.wake.notified()).await;
+            } else {
+                self.wake.notified().await;
+            }
+        }
+    }
+
+    /// Starts what fits, the job that is due first before all others; tells whether items wait.
+    fn start_items(self: &Arc<Self>) -> bool {
+        if self.is_draining() {
+            return false;
+        }
+        let mut jobs: Vec<Arc<Held>> = self.owned.lock().values().cloned().collect();
+        jobs.retain(|held| held.job.lock().has_unstarted());
+        jobs.sort_by_key(|held| held.job.lock().entry.due_at());
+        let mut full = HashSet::new();
+        for held in &jobs {
+            while matches!(self.place(held, &mut full), Placing::Started) {}
+        }
+        !jobs.is_empty()
+    }
+
+    fn place(self: &Arc<Self>, held: &Arc<Held>, full: &mut HashSet<ServiceId>) -> Placing {
+        let now = clock::steady();
+        let mut job = held.job.lock();
+        let Some((request, avoid)) = job.peek(now) else { return Placing::Nothing };
+        let Some(table) = self.relay.table() else { return Placing::Nothing };
+        let Some(route) = table.find(&request.host, &request.path) else {
+            let id = request.id.clone();
+            log::warn!(request:% = id, job:% = job.entry.job, version = table.version;
+                "item is given up: its route is gone");
+            job.give_up(&id);
+            held.ended.notify_one();
+            return Placing::Started;
+        };
+        let Some(service) = route.service(&request.id).filter(|service| !full.contains(service))
+        else {
+            return Placing::Nothing;
+        };
+        let Some(pool) = self.relay.pools.get(service) else { return Placing::Nothing };
+        let Some(granted) = pick(&pool, avoid.cloned().into_iter().collect()) else {
+            full.insert(service.clone());
+            return Placing::Nothing;
+        };
+        let Some(next) = job.start(now) else { return Placing::Nothing };
+        drop(job);
+        let desk = Arc::clone(self);
+        let held = Arc::clone(held);
+        tokio::spawn(async move { desk.run(held, next, granted).await });
+        Placing::Started
+    }
+
+    async fn run(self: Arc<Self>, held: Arc<Held>, next: NextItem, mut granted: Granted) {
+        let Progress { mut events, output, begun } = next.progress;
+        let resumed = events.last();
+        let mut sink = Collect { output, begun, stop: held.stop.subscribe() };
+        let attempt_of = Attempt {
+            request: &next.request,
+            budget: None,
+            events: Some(&mut events),
+            head_out: false,
+            collect: false,
+            patience: PATIENCE,
+        };
+        let began = clock::steady();
+        let ended = attempt(self.relay.targets.as_ref(), &mut granted, attempt_of, &mut sink).await;
+        let target = granted.target.id.clone();
+        drop(granted);
+        let end = judge(&ended);
+        let now = clock::steady();
+        log::info!(request:% = next.request.id, target:% = target, after:? = resumed,
+            last:? = events.last(), took_ms = now.since(began).as_millis(), outcome:? = end,
+            reason:% = reason(&ended); "item run ended");
+        metrics::counter!("item_runs_total", "outcome" => outcome(&end)).increment(1);
+        let progress = Progress { events, output: sink.output, begun: sink.begun };
+        held.job.lock().finish(now, next.index, &end, progress, target);
+        held.ended.notify_one();
+        self.wake.notify_one();
+    }
+}
+
+fn pick(pool: &Arc<Pool>, avoid: Vec<oleander_core::TargetId>) -> Option<Granted> {
+    // With a single target left, the one that interrupted the item is better than none.
+    let avoid = if pool.len() > 1 { avoid } else { Vec::new() };
+    pool.try_batch(&batch_pick(avoid))
+}
+
+/// What an attempt means for the item.
+fn judge(ended: &Ended) -> ItemEnd {
+    match ended {
+        Ended::Complete => ItemEnd::Completed,
+        Ended::Failed(head, _) if head.status == StatusCode::UNPROCESSABLE_ENTITY => {
+            ItemEnd::Impossible
+        }
+        Ended::Failed(head, _) if head.status == StatusCode::INTERNAL_SERVER_ERROR => {
+            ItemEnd::Failed
+        }
+        _ => ItemEnd::Interrupted,
+    }
+}
+
+const fn outcome(end: &ItemEnd) -> &'static str {
+    match end {
+        ItemEnd::Completed => "completed",
+        ItemEnd::Failed => "failed",
+        ItemEnd::Impossible => "impossible",
+        ItemEnd::Interrupted => "interrupted",
+    }
+}
+
+fn reason(ended: &Ended) -> String {
+    match ended {
+        Ended::Complete => "complete".to_owned(),
+        Ended::NotSent(reason) | Ended::Broken { reason, .. } => reason.clone(),
+        Ended::NotRun(head) => format!("not run, status {}", head.status.as_u16()),
+        Ended::Failed(head, _) => format!("status {}", head.status.as_u16()),
+        Ended::Closed => "stopped".to_owned(),
+    }
+}
+
+/// Collects the data of a stream's events.
+struct Collect {
+    output: Vec<u8>,
+    begun: bool,
+    stop: watch::Receiver<bool>,
+}
+
+impl Sink for Collect {
+    fn head(&mut self, _: Head) {}
+
+    async fn chunk(&mut self, bytes: Bytes) -> Result<(), SinkClosed> {
+        for data in data_of(&bytes) {
+            if std::mem::replace(&mut self.begun, true) {
+                self.output.push(b'\n');
+            }
+            self.output.extend_from_slice(&data);
+        }
+        Ok(())
+    }
+
+    async fn closed(&self) {
+        let mut stop = self.stop.clone();
+        // The sender lives as long as the job is held; its end is a stop, too.
+        let _ = stop.wait_for(|stopped| *stopped).await;
+    }
+}
--- /dev/null
+++ b/crates/oleander-worklist/src/takeover.rs
@@ -0,0 +1,224 @@
+//! Jobs that come to this host and go from it, and their results on the way to the platform.
+
+use std::{sync::Arc, time::Duration};
+
+use oleander_core::JobId;
+use oleander_host::clock;
+use oleander_platform::ObjectStore;
+use oleander_relay::Targets;
+use tokio::time;
+
+use crate::{
+    desk::{Desk, Held},
+    job::Job,
+    record::{JobEntry, JobPhase, Owner, Segment},
+    store::StoreFault,
+};
+
+/// Time between two looks for jobs without an owner.
+const LOOK_INTERVAL: Duration = Duration::from_millis(400);
+/// Time after the start before which no job is taken over: the other hosts must be known first.
+const SETTLE_TIME: Duration = Duration::from_millis(1_200);
+/// Jobs taken over at one look, so that a host that starts isn't swamped.
+const MOST_AT_ONCE: usize = 4;
+/// Time in which results gather for one segment.
+const GATHER_TIME: Duration = Duration::from_millis(250);
+/// Time between two looks at the age of an open job.
+const AGE_INTERVAL: Duration = Duration::from_secs(1);
+/// Pause before a failed access is tried again.
+const RETRY_PAUSE: Duration = Duration::from_millis(250);
+/// Time that running items get when this host is about to stop.
+const DRAIN_TIME: Duration = Duration::from_millis(4_500);
+
+impl<S: ObjectStore, T: Targets> Desk<S, T> {
+    /// Takes over jobs whose owner is gone; never ends.
+    pub async fn take_over(self: Arc<Self>) {
+        time::sleep(SETTLE_TIME).await;
+        loop {
+            time::sleep(LOOK_INTERVAL).await;
+            if !self.is_ready() || self.is_draining() {
+                continue;
+            }
+            for (revision, entry) in self.orphans() {
+                let former = entry.owner.clone();
+                let taken = JobEntry { owner: Some(self.me.clone()), ..entry };
+                match self.store.replace(&taken, revision).await {
+                    Ok(Some(at)) => {
+                        log::info!(job:% = taken.job, former:? = former, revision = at.0;
+                            "job taken over");
+                        self.take_entry(at, taken);
+                    }
+                    Ok(None) => log::debug!(job:% = taken.job; "job was taken over by another"),
+                    Err(fault) => {
+                        log::warn!(job:% = taken.job, error:% = fault; "job can't be taken over");
+                    }
+                }
+            }
+        }
+    }
+
+    fn orphans(&self) -> Vec<(oleander_core::Revision, JobEntry)> {
+        let live = self.cluster.live_entries();
+        let live: Vec<String> = live.into_iter().map(String::from).collect();
+        let index = self.index.lock();
+        let is_gone = |owner: &Owner| {
+            let presence = self.cluster.presence(&owner.host, owner.started);
+            presence == oleander_cluster::Presence::Gone
+        };
+        index.orphans(&self.me, &live, is_gone).take(MOST_AT_ONCE).cloned().collect()
+    }
+
+    /// Loads a job that this host is to run.
+    pub(crate) fn adopt(self: &Arc<Self>, entry: JobEntry) {
+        let job = entry.job.clone();
+        if self.owned.lock().contains_key(&job) || !self.coming.lock().insert(job.clone()) {
+            return;
+        }
+        let desk = Arc::clone(self);
+        tokio::spawn(async move {
+            while desk.is_mine(&job) {
+                match desk.load(entry.clone()).await {
+                    Ok(loaded) => {
+                        desk.hold(loaded);
+                        break;
+                    }
+                    Err(fault) => log::warn!(job:% = job, error:% = fault; "job can't be loaded"),
+                }
+                time::sleep(RETRY_PAUSE).await;
+            }
+            desk.coming.lock().remove(&job);
+            desk.wake.notify_one();
+        });
+    }
+
+    fn is_mine(&self, job: &JobId) -> bool {
+        let entry = self.known(job).map(|(_, entry)| entry);
+        entry.is_some_and(|entry| {
+            entry.owner.as_ref() == Some(&self.me) && entry.phase == JobPhase::Open
+        })
+    }
+
+    async fn load(&self, entry: JobEntry) -> Result<Job, StoreFault> {
+        let items = self.store.items(&entry).await?;
+        let name = entry.job.clone();
+        let mut job = Job::new(entry, items, &self.config.id_header);
+        while let Some(segment) = self.store.segment(&name, job.segments()).await? {
+            job.apply(segment);
+        }
+        Ok(job)
+    }
+
+    /// Starts to run a job.
+    pub(crate) fn hold(self: &Arc<Self>, job: Job) {
+        let name = job.entry.job.clone();
+        let held = Held::new(job);
+        self.owned.lock().insert(name.clone(), Arc::clone(&held));
+        self.wake.notify_one();
+        let desk = Arc::clone(self);
+        tokio::spawn(async move { desk.list_results(name, held).await });
+    }
+
+    /// Writes results to the log until all are listed or the job stops.
+    async fn list_results(self: Arc<Self>, name: JobId, held: Arc<Held>) {
+        let mut writes = 0_u64;
+        while !held.is_stopped() {
+            held.job.lock().expire(Self::wall());
+            if held.job.lock().is_complete() {
+                if self.close(&name).await {
+                    return;
+                }
+                time::sleep(RETRY_PAUSE).await;
+                continue;
+            }
+            if held.job.lock().offers().is_empty() {
+                // Either an item ends, or the job's age is looked at again.
+                let _ = time::timeout(AGE_INTERVAL, held.ended.notified()).await;
+                if held.job.lock().running() > 0 {
+                    time::sleep(GATHER_TIME).await;
+                }
+                continue;
+            }
+            writes += 1;
+            if let Err(fault) = self.append(&name, &held, writes).await {
+                log::warn!(job:% = name, error:% = fault; "results can't be listed");
+                time::sleep(RETRY_PAUSE).await;
+            }
+        }
+    }
+
+    async fn append(&self, name: &JobId, held: &Held, write: u64) -> Result<(), StoreFault> {
+        let (index, results) = {
+            let job = held.job.lock();
+            (job.segments(), job.offers())
+        };
+        let writer = format!("{}@{}:{write}", self.me.host, self.me.started);
+        let segment = Segment { writer, results };
+        let stored = self.store.append(name, index, &segment).await?;
+        if stored.writer != segment.writer {
+            log::info!(job:% = name, segment = index, writer:% = stored.writer;
+                "another host listed results first");
+        }
+        held.job.lock().apply(stored);
+        held.listed.notify_waiters();
+        Ok(())
+    }
+
+    /// Marks a job as done; `true` once it is, or is another's.
+    async fn close(self: &Arc<Self>, name: &JobId) -> bool {
+        let Some((revision, entry)) = self.known(name) else { return true };
+        if entry.phase != JobPhase::Open || entry.owner.as_ref() != Some(&self.me) {
+            return true;
+        }
+        let done = JobEntry { phase: JobPhase::Done, ..entry };
+        match self.store.replace(&done, revision).await {
+            Ok(Some(at)) => {
+                log::info!(job:% = name, revision = at.0; "job done");
+                self.take_entry(at, done);
+                true
+            }
+            Ok(None) => match self.store.entry(name).await {
+                Ok(Some((at, found))) => {
+                    self.take_entry(at, found);
+                    false
+                }
+                Ok(None) => true,
+                Err(_) => false,
+            },
+            Err(fault) => {
+                log::warn!(job:% = name, error:% = fault; "job can't be marked as done");
+                false
+            }
+        }
+    }
+
+    /// Lets running items end, lists what ended and gives the open jobs away.
+    pub async fn hand_over(self: &Arc<Self>) {
+        self.drain();
+        let end = clock::steady() + DRAIN_TIME.into();
+        while clock::steady() < end && self.running() > 0 {
+            time::sleep(RETRY_PAUSE).await;
+        }
+        time::sleep(GATHER_TIME + GATHER_TIME).await;
+        let names: Vec<JobId> = self.owned.lock().keys().cloned().collect();
+        for name in names {
+            let Some((revision, entry)) = self.known(&name) else { continue };
+            if entry.phase != JobPhase::Open || entry.owner.as_ref() != Some(&self.me) {
+                continue;
+            }
+            let free = JobEntry { owner: None, ..entry };
+            match self.store.replace(&free, revision).await {
+                Ok(Some(at)) => {
+                    log::info!(job:% = name, revision = at.0; "job given away");
+                    self.take_entry(at, free);
+                }
+                // Another host takes it over once this one is gone.
+                Ok(None) => log::info!(job:% = name; "job has changed; not given away"),
+                Err(fault) => log::warn!(job:% = name, error:% = fault; "job not given away"),
+            }
+        }
+    }
+
+    fn running(&self) -> usize {
+        self.owned.lock().values().map(|held| held.job.lock().running()).sum()
+    }
+}
--- a/crates/standin/tests/platform.rs
+++ b/crates/standin/tests/platform.rs
@@ -10,7 +10,7 @@
 use common::{set_faults, wait_until};
 use http::{Method, StatusCode};
 use oleander_core::Revision;
-use oleander_platform::{Created, Platform as _, PlatformError, Updated};
+use oleander_platform::{Created, ObjectStore as _, Platform as _, PlatformError, Updated};
 use serde_json::json;
 use standin::{
     client::HttpClient,
