Let batch items make room for online requests and go on elsewhere

Change: the router's yields now interrupt the youngest items, here or at the host that holds most; an item goes on from its last event.

--- a/crates/oleander-relay/src/pool.rs
+++ b/crates/oleander-relay/src/pool.rs
@@ -9,7 +9,10 @@
     TicketId,
 };
 use parking_lot::{Mutex, RwLock};
-use tokio::sync::Notify;
+use tokio::sync::{
+    Notify,
+    mpsc::{self, UnboundedReceiver, UnboundedSender},
+};
 
 use crate::{
     capacity::Capacity,
@@ -30,8 +33,20 @@
 /// Time to the first event that lowers a target's limit: only a target that hardly works.
 const FIRST_TOKEN: Span = Span::from_secs(5);
 
+/// Batch items that have to make room for an online request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct YieldRequest {
+    /// Where.
+    pub target: TargetId,
+    /// How many.
+    pub count: u32,
+    /// Other hosts with items there, those with most first.
+    pub holders: Vec<(HostId, u32)>,
+}
+
 /// The targets of one service.
 pub struct Pool {
+    yields: UnboundedSender<YieldRequest>,
     router: Mutex<Router>,
     targets: RwLock<HashMap<TargetId, TargetEntry>>,
     changed: Notify,
@@ -47,7 +62,12 @@
 }
 
 impl Pool {
-    fn new(host: &HostId, zone: &ZoneId, seed: u64) -> Self {
+    fn new(
+        host: &HostId,
+        zone: &ZoneId,
+        seed: u64,
+        yields: UnboundedSender<YieldRequest>,
+    ) -> Self {
         let config = RouterConfig::new(host.clone(), zone.clone())
             .zone_cost(ZONE_COST)
             .draws(DRAWS)
@@ -55,6 +75,7 @@
             .peer_keep(PEER_KEEP)
             .first_token(FIRST_TOKEN);
         Self {
+            yields,
             router: Mutex::new(Router::new(config, seed)),
             targets: RwLock::default(),
             changed: Notify::new(),
@@ -96,7 +117,8 @@
             changed.as_mut().enable();
             let (decision, wake) = self.decide(pick);
             match decision {
-                Decision::Send { target, lease, .. } => {
+                Decision::Send { target, lease, yields } => {
+                    self.ask_yields(&target, yields);
                     return self.grant(&target, lease).ok_or(MAX_WAIT);
                 }
                 Decision::Refuse { retry_after } => return Err(retry_after),
@@ -109,6 +131,16 @@
         }
     }
 
+    fn ask_yields(&self, target: &TargetId, count: u32) {
+        if count == 0 {
+            return;
+        }
+        let holders = self.router.lock().batch_holders(target);
+        let request = YieldRequest { target: target.clone(), count, holders };
+        // Without a receiver there are no batch items here.
+        let _ = self.yields.send(request);
+    }
+
     /// A target for a batch item, if there is room now.
     pub fn try_batch(self: &Arc<Self>, pick: &Pick) -> Option<Granted> {
         match self.decide(pick).0 {
@@ -206,14 +238,21 @@
     zone: ZoneId,
     seed: u64,
     capacity: Capacity,
+    yields: UnboundedSender<YieldRequest>,
     pools: RwLock<HashMap<ServiceId, Arc<Pool>>>,
 }
 
 impl Pools {
-    /// No pools yet.
+    /// No pools yet, and the receiver of the requests to batch to make room.
     #[must_use]
-    pub fn new(host: HostId, zone: ZoneId, seed: u64) -> Self {
-        Self { host, zone, seed, capacity: Capacity::default(), pools: RwLock::default() }
+    pub fn new(
+        host: HostId,
+        zone: ZoneId,
+        seed: u64,
+    ) -> (Self, UnboundedReceiver<YieldRequest>) {
+        let (yields, receiver) = mpsc::unbounded_channel();
+        let capacity = Capacity::default();
+        (Self { host, zone, seed, capacity, yields, pools: RwLock::default() }, receiver)
     }
 
     /// Follows the list of targets; pools that stay keep what they know.
@@ -226,13 +265,17 @@
         for service in by_service.keys() {
             pools
                 .entry(service.clone())
-                .or_insert_with(|| Arc::new(Pool::new(&self.host, &self.zone, self.seed)));
+                .or_insert_with(|| Arc::new(self.new_pool()));
         }
         for (service, pool) in pools.iter() {
             pool.set_targets(by_service.remove(service).unwrap_or_default(), self.capacity);
         }
     }
 
+    fn new_pool(&self) -> Pool {
+        Pool::new(&self.host, &self.zone, self.seed, self.yields.clone())
+    }
+
     /// The pool of a service.
     pub fn get(&self, service: &ServiceId) -> Option<Arc<Pool>> {
         self.pools.read().get(service).cloned()
--- a/crates/oleander-routing/src/config.rs
+++ b/crates/oleander-routing/src/config.rs
@@ -39,6 +39,7 @@
     pub(crate) zone_cost: u32,
     pub(crate) affinity_slack: u32,
     pub(crate) draws: u32,
+    pub(crate) forecast: bool,
 }
 
 impl RouterConfig {
@@ -80,6 +81,7 @@
             zone_cost: Self::ZONE_COST,
             affinity_slack: Self::AFFINITY_SLACK,
             draws: Chooser::DRAWS,
+            forecast: false,
         }
     }
 
@@ -179,4 +181,11 @@
         self.draws = draws;
         self
     }
+
+    /// Sets whether batch leaves room for the online peaks of the last seconds.
+    #[must_use]
+    pub const fn forecast(mut self, forecast: bool) -> Self {
+        self.forecast = forecast;
+        self
+    }
 }
--- a/crates/oleander-routing/src/lib.rs
+++ b/crates/oleander-routing/src/lib.rs
@@ -9,6 +9,7 @@
 mod choice;
 mod config;
 mod eject;
+mod forecast;
 mod hedge;
 mod history;
 mod latency;
--- a/crates/oleander-routing/src/router.rs
+++ b/crates/oleander-routing/src/router.rs
@@ -9,7 +9,7 @@
 mod peers;
 mod room;
 
-use std::collections::HashMap;
+use std::{cmp::Reverse, collections::HashMap};
 
 use oleander_core::{HostId, Span, TargetId, Time};
 use rand::SeedableRng;
@@ -24,8 +24,9 @@
     choice::Chooser,
     config::RouterConfig,
     eject::{EjectState, Ejector},
+    forecast::Forecast,
     load::{LoadReport, PeerCount},
-    pick::{LeaseId, TicketId},
+    pick::{Class, LeaseId, TicketId},
     prefix::PrefixIndex,
     queue::WaitQueue,
     target::{Target, TargetState, TargetStatus},
@@ -77,6 +78,7 @@
     batch_began: Option<Time>,
     batch_last: Option<Time>,
     latest: Time,
+    forecast: Forecast,
 }
 
 impl Router {
@@ -102,6 +104,7 @@
             batch_began: None,
             batch_last: None,
             latest: Time(0),
+            forecast: Forecast::default(),
             config,
         }
     }
@@ -210,6 +213,18 @@
         counts.collect()
     }
 
+    /// Hosts with batch items at a target, and how many, those with most first.
+    #[must_use]
+    pub fn batch_holders(&self, target: &TargetId) -> Vec<(HostId, u32)> {
+        let Some(backend) = self.by_name.get(target).map(|index| &self.backends[*index]) else {
+            return Vec::new();
+        };
+        let all = self.peers.all(Class::Batch, backend.key).filter(|(_, count)| *count > 0);
+        let mut holders: Vec<_> = all.map(|(host, count)| (host.clone(), count)).collect();
+        holders.sort_by_key(|(_, count)| Reverse(*count));
+        holders
+    }
+
     /// Takes a target's cache event into account.
     pub fn cache_event(&mut self, target: &TargetId, prefix: u64, stored: bool) {
         let Some(key) = self.by_name.get(target).map(|index| self.backends[*index].key) else {
@@ -269,6 +284,8 @@
         }
         self.share_when_due(now);
         self.recover_limits(now);
+        let online = self.backends.iter().map(Backend::online_total).sum::<u32>();
+        self.forecast.record(now, online + self.queue.len());
     }
 
     fn recover_limits(&mut self, now: Time) {
--- a/crates/oleander-routing/src/router/admit.rs
+++ b/crates/oleander-routing/src/router/admit.rs
@@ -58,6 +58,9 @@
         if self.config.policy == Policy::Managed && !self.queue.is_empty() {
             return Decision::Wait;
         }
+        if !self.leaves_peak_room(now) {
+            return Decision::Wait;
+        }
         let mut open = self.usable(now, request);
         open.retain(|index| {
             let backend = &self.backends[*index];
@@ -183,7 +186,7 @@
         usable.collect()
     }
 
-    fn eject_state(&self, now: Time, index: usize) -> EjectState {
+    pub(super) fn eject_state(&self, now: Time, index: usize) -> EjectState {
         self.ejector.state(now, &self.backends[index].target.name)
     }
 
--- a/crates/oleander-worklist/src/desk.rs
+++ b/crates/oleander-worklist/src/desk.rs
@@ -31,6 +31,7 @@
     job::{Job, take_results},
     message::{JobAnswer, JobCall, Results},
     record::{ItemResult, JobEntry, JobPhase, Owner},
+    runner::Run,
     store::{ENTRY_PREFIX, JobStore, StoreFault, decode},
     submission::{Submission, SubmitError},
 };
@@ -112,6 +113,8 @@
     pub(crate) coming: Mutex<HashSet<JobId>>,
     /// Results of jobs without a running owner, as read from the platform.
     archive: Mutex<HashMap<JobId, Vec<Arc<ItemResult>>>>,
+    /// Items under way.
+    pub(crate) runs: Mutex<Vec<Run>>,
     /// Wakes the dispatcher.
     pub(crate) wake: Notify,
     ready: AtomicBool,
@@ -138,6 +141,7 @@
             owned: Mutex::default(),
             coming: Mutex::default(),
             archive: Mutex::default(),
+            runs: Mutex::default(),
             wake: Notify::new(),
             ready: AtomicBool::new(false),
             draining: AtomicBool::new(false),
@@ -484,6 +488,10 @@
                 let results = self.read_here(&job, after, wait.min(MAX_READ_WAIT)).await;
                 results.map_or(JobAnswer::NotHere, JobAnswer::Results)
             }
+            JobCall::Yield { target, count } => {
+                self.interrupt(&target, count);
+                JobAnswer::Yielded
+            }
             JobCall::Body { job, item } => {
                 let held = self.owned.lock().get(&job).cloned();
                 held.map_or(JobAnswer::NotHere, |held| {
--- a/crates/oleander-worklist/src/message.rs
+++ b/crates/oleander-worklist/src/message.rs
@@ -1,7 +1,7 @@
 //! Calls about jobs between hosts.
 
 use bytes::Bytes;
-use oleander_core::{JobId, Span, value};
+use oleander_core::{JobId, Span, TargetId, value};
 use serde::{Deserialize, Serialize};
 
 use crate::record::ItemResult;
@@ -28,6 +28,13 @@
         /// How long to wait for one.
         wait: Span,
     },
+    /// Asks the receiver to make room for online requests.
+    Yield {
+        /// Where.
+        target: TargetId,
+        /// Items to interrupt.
+        count: u32,
+    },
     /// Body of an item.
     Body {
         /// The job.
@@ -42,6 +49,8 @@
 pub enum JobAnswer {
     /// It does not hold the job.
     NotHere,
+    /// It made room.
+    Yielded,
     /// Results.
     Results(Results),
     /// Body; `None` if the item is listed or unknown.
--- a/crates/oleander-worklist/src/runner.rs
+++ b/crates/oleander-worklist/src/runner.rs
@@ -4,28 +4,42 @@
 
 use bytes::Bytes;
 use http::StatusCode;
-use oleander_core::{ServiceId, Span};
+use oleander_core::{ServiceId, Span, TargetId};
 use oleander_host::clock;
 use oleander_platform::ObjectStore;
 use oleander_relay::{
-    Attempt, Ended, Granted, Head, Patience, Pool, Sink, SinkClosed, Targets, attempt, batch_pick,
-    data_of,
+    Attempt, Ended, Granted, Head, Patience, Pool, Sink, SinkClosed, Targets, YieldRequest,
+    attempt, batch_pick, data_of,
+};
+use tokio::{
+    sync::{Notify, mpsc::UnboundedReceiver, watch},
+    time,
 };
-use tokio::{sync::watch, time};
 
 use crate::{
     desk::{Desk, Held},
     item::{ItemEnd, Progress},
     job::NextItem,
+    message::{JobAnswer, JobCall},
 };
 
 /// Time between two looks for room while items wait.
 const LOOK_INTERVAL: std::time::Duration = std::time::Duration::from_millis(40);
+/// Longest wait for a host that is asked to make room; later there is no need.
+const YIELD_TIMEOUT: std::time::Duration = std::time::Duration::from_millis(300);
 /// Silence of a target after which an item goes on at another: items aren't waited for, but a
 /// stream that is silent for this long has most likely lost its target.
 const PATIENCE: Patience =
     Patience { first: Some(Span::from_millis(2_000)), pause: Some(Span::from_millis(600)) };
 
+/// An item under way.
+#[derive(Debug, Clone)]
+pub(crate) struct Run {
+    number: u64,
+    target: TargetId,
+    interrupt: Arc<Notify>,
+}
+
 /// Where the next item of a job goes.
 enum Placing {
     /// An item was started.
@@ -53,7 +67,7 @@
             return false;
         }
         let mut jobs: Vec<Arc<Held>> = self.owned.lock().values().cloned().collect();
-        jobs.retain(|held| held.job.lock().has_unstarted());
+        jobs.retain(|held| !held.is_stopped() && held.job.lock().has_unstarted());
         jobs.sort_by_key(|held| held.job.lock().entry.due_at());
         let mut full = HashSet::new();
         for held in &jobs {
@@ -92,10 +106,59 @@
         Placing::Started
     }
 
+    fn register(&self, target: &TargetId) -> Run {
+        let mut runs = self.runs.lock();
+        let number = runs.last().map_or(0, |run| run.number + 1);
+        let run = Run { number, target: target.clone(), interrupt: Arc::new(Notify::new()) };
+        runs.push(run.clone());
+        run
+    }
+
+    /// Interrupts the youngest items of this host at a target; returns how many there were.
+    pub(crate) fn interrupt(&self, target: &TargetId, count: u32) -> u32 {
+        let mut runs = self.runs.lock();
+        let mut interrupted = 0;
+        while interrupted < count {
+            let Some(at) = runs.iter().rposition(|run| run.target == *target) else { break };
+            runs.remove(at).interrupt.notify_one();
+            interrupted += 1;
+        }
+        if interrupted > 0 {
+            log::info!(target:% = target, asked = count, interrupted; "items made room");
+            metrics::counter!("items_interrupted_total").increment(u64::from(interrupted));
+        }
+        interrupted
+    }
+
+    /// Makes room for online requests, here first and then at the hosts that hold most; never
+    /// ends.
+    pub async fn make_room(self: Arc<Self>, mut asked: UnboundedReceiver<YieldRequest>) {
+        while let Some(YieldRequest { target, count, holders }) = asked.recv().await {
+            let mut left = count - self.interrupt(&target, count);
+            for (host, held) in holders {
+                let count = left.min(held);
+                if count == 0 {
+                    break;
+                }
+                left -= count;
+                let (desk, target) = (Arc::clone(&self), target.clone());
+                tokio::spawn(async move {
+                    let call = JobCall::Yield { target, count };
+                    let answer = desk.cluster.call(&host, call, YIELD_TIMEOUT).await;
+                    if let Err(error) = answer.map(|_: JobAnswer| ()) {
+                        log::debug!(host:% = host, error:% = error; "host was not asked to yield");
+                    }
+                });
+            }
+        }
+    }
+
     async fn run(self: Arc<Self>, held: Arc<Held>, next: NextItem, mut granted: Granted) {
         let Progress { mut events, output, begun } = next.progress;
         let resumed = events.last();
-        let mut sink = Collect { output, begun, stop: held.stop.subscribe() };
+        let run = self.register(&granted.target.id);
+        let interrupt = Arc::clone(&run.interrupt);
+        let mut sink = Collect { output, begun, stop: held.stop.subscribe(), interrupt };
         let attempt_of = Attempt {
             request: &next.request,
             budget: None,
@@ -108,6 +171,7 @@
         let ended = attempt(self.relay.targets.as_ref(), &mut granted, attempt_of, &mut sink).await;
         let target = granted.target.id.clone();
         drop(granted);
+        self.runs.lock().retain(|other| other.number != run.number);
         let end = judge(&ended);
         let now = clock::steady();
         log::info!(request:% = next.request.id, target:% = target, after:? = resumed,
@@ -121,7 +185,7 @@
     }
 }
 
-fn pick(pool: &Arc<Pool>, avoid: Vec<oleander_core::TargetId>) -> Option<Granted> {
+fn pick(pool: &Arc<Pool>, avoid: Vec<TargetId>) -> Option<Granted> {
     // With a single target left, the one that interrupted the item is better than none.
     let avoid = if pool.len() > 1 { avoid } else { Vec::new() };
     pool.try_batch(&batch_pick(avoid))
@@ -165,6 +229,7 @@
     output: Vec<u8>,
     begun: bool,
     stop: watch::Receiver<bool>,
+    interrupt: Arc<Notify>,
 }
 
 impl Sink for Collect {
@@ -183,6 +248,9 @@
     async fn closed(&self) {
         let mut stop = self.stop.clone();
         // The sender lives as long as the job is held; its end is a stop, too.
-        let _ = stop.wait_for(|stopped| *stopped).await;
+        tokio::select! {
+            _ = stop.wait_for(|stopped| *stopped) => {}
+            () = self.interrupt.notified() => {}
+        }
     }
 }
