--- a/crates/oleander-cluster/src/cluster.rs
+++ b/crates/oleander-cluster/src/cluster.rs
@@ -107,9 +107,7 @@
             let handler = Arc::clone(&handler);
             async move {
                 match call {
-                    PeerCall::Member(message) => {
-                        PeerAnswer::Member(cluster.hear(&peer, message))
-                    }
+                    PeerCall::Member(message) => PeerAnswer::Member(cluster.hear(&peer, message)),
                     PeerCall::Load { services, sent } => {
                         cluster.take_load(&peer, services, sent);
                         PeerAnswer::Noted
@@ -126,7 +124,12 @@
     /// # Errors
     ///
     /// Returns an error if there is no answer in time.
-    pub async fn call<Q, A>(&self, host: &HostId, call: Q, timeout: Duration) -> Result<A, LinkError>
+    pub async fn call<Q, A>(
+        &self,
+        host: &HostId,
+        call: Q,
+        timeout: Duration,
+    ) -> Result<A, LinkError>
     where
         Q: Serialize,
         A: DeserializeOwned,
@@ -284,9 +287,8 @@
             matches!(view.state, MemberState::Live | MemberState::Suspect | MemberState::Leaving)
         });
         let entries = live.filter(|view| view.profile.role == MemberRole::Entry);
-        let peers = entries.map(|view| {
-            (view.profile.host, view.profile.zone, view.profile.address)
-        });
+        let peers =
+            entries.map(|view| (view.profile.host, view.profile.zone, view.profile.address));
         peers.collect()
     }
 
--- a/crates/oleander-cluster/src/join.rs
+++ b/crates/oleander-cluster/src/join.rs
@@ -55,7 +55,9 @@
 ) -> Result<(LinkKey, HostRecord), JoinError> {
     let key = loop {
         match secret(store).await {
-            Ok(Some(text)) => break LinkKey::from_secret(text.as_bytes()).map_err(JoinError::Key)?,
+            Ok(Some(text)) => {
+                break LinkKey::from_secret(text.as_bytes()).map_err(JoinError::Key)?;
+            }
             Ok(None) => {}
             Err(Fault::Content(reason)) => return Err(JoinError::Content(reason)),
             Err(Fault::Platform(error)) => wait("read the shared secret", &error).await,
--- a/crates/oleander-host/src/log_queue.rs
+++ b/crates/oleander-host/src/log_queue.rs
@@ -5,14 +5,7 @@
 //! count is written as soon as there is room again. Errors and warnings may use the whole queue,
 //! other lines a part of it.
 
-use std::{
-    fmt, io,
-    io::Write,
-    mem,
-    sync::Arc,
-    thread,
-    time::Duration,
-};
+use std::{fmt, io, io::Write, mem, sync::Arc, thread, time::Duration};
 
 use log::{Level, Record};
 use log4rs::{
@@ -72,7 +65,10 @@
     let mut out = io::stdout().lock();
     out.write_all(&lines)?;
     if dropped > 0 {
-        writeln!(out, "{{\"level\":\"WARN\",\"message\":\"log lines dropped\",\"count\":{dropped}}}")?;
+        writeln!(
+            out,
+            "{{\"level\":\"WARN\",\"message\":\"log lines dropped\",\"count\":{dropped}}}"
+        )?;
     }
     out.flush()
 }
--- a/crates/oleander-relay/src/lib.rs
+++ b/crates/oleander-relay/src/lib.rs
@@ -27,7 +27,7 @@
 pub use events::{Event, EventReader, Pushed, data_of};
 pub use fleet::{Fleet, TargetEntry};
 pub use follow::{ReadTarget, follow_routes, follow_targets};
-pub use pool::{Granted, Pool, Pools, YieldRequest, batch_pick};
+pub use pool::{Granted, Pool, Pools, Seen, YieldRequest, batch_pick};
 pub use port::{BodyError, Dispatch, Reply, ReplyBody, SendError, Targets};
 pub use relay::{Relay, Summary};
 pub use request::{Head, Request};
--- a/crates/oleander-relay/src/pool.rs
+++ b/crates/oleander-relay/src/pool.rs
@@ -1,6 +1,6 @@
 //! The targets of one service, behind the router that chooses among them.
 
-use std::{collections::HashMap, sync::Arc};
+use std::{collections::HashMap, fmt, sync::Arc};
 
 use oleander_core::{HostId, ServiceId, Span, TargetId, Time, ZoneId};
 use oleander_host::clock;
@@ -59,15 +59,29 @@
     ended: bool,
     /// The target.
     pub target: TargetEntry,
+    /// Work in flight there when it was chosen, this request included.
+    pub seen: Seen,
+}
+
+/// What a choice was based on: work in flight at the chosen target, over all known hosts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Seen {
+    /// Online requests.
+    pub online: u32,
+    /// Batch items.
+    pub batch: u32,
+    /// Limit in force.
+    pub limit: u32,
+}
+
+impl fmt::Display for Seen {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "online {} batch {} of {}", self.online, self.batch, self.limit)
+    }
 }
 
 impl Pool {
-    fn new(
-        host: &HostId,
-        zone: &ZoneId,
-        seed: u64,
-        yields: UnboundedSender<YieldRequest>,
-    ) -> Self {
+    fn new(host: &HostId, zone: &ZoneId, seed: u64, yields: UnboundedSender<YieldRequest>) -> Self {
         let config = RouterConfig::new(host.clone(), zone.clone())
             .zone_cost(ZONE_COST)
             .draws(DRAWS)
@@ -167,7 +181,13 @@
             self.observe(lease, Observation::Cancelled);
             return None;
         };
-        Some(Granted { pool: Arc::clone(self), lease, ended: false, target })
+        let seen = self.router.lock().status(&target.id).map(|status| Seen {
+            online: status.online,
+            batch: status.batch,
+            limit: status.limit,
+        });
+        let seen = seen.unwrap_or_default();
+        Some(Granted { pool: Arc::clone(self), lease, ended: false, target, seen })
     }
 
     fn observe(&self, lease: LeaseId, observation: Observation) {
@@ -245,11 +265,7 @@
 impl Pools {
     /// No pools yet, and the receiver of the requests to batch to make room.
     #[must_use]
-    pub fn new(
-        host: HostId,
-        zone: ZoneId,
-        seed: u64,
-    ) -> (Self, UnboundedReceiver<YieldRequest>) {
+    pub fn new(host: HostId, zone: ZoneId, seed: u64) -> (Self, UnboundedReceiver<YieldRequest>) {
         let (yields, receiver) = mpsc::unbounded_channel();
         let capacity = Capacity::default();
         (Self { host, zone, seed, capacity, yields, pools: RwLock::default() }, receiver)
@@ -263,9 +279,7 @@
         }
         let mut pools = self.pools.write();
         for service in by_service.keys() {
-            pools
-                .entry(service.clone())
-                .or_insert_with(|| Arc::new(self.new_pool()));
+            pools.entry(service.clone()).or_insert_with(|| Arc::new(self.new_pool()));
         }
         for (service, pool) in pools.iter() {
             pool.set_targets(by_service.remove(service).unwrap_or_default(), self.capacity);
--- a/crates/oleander-relay/src/relay.rs
+++ b/crates/oleander-relay/src/relay.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use bytes::Bytes;
 use oleander_core::{Span, Time};
 use oleander_host::clock;
 use parking_lot::RwLock;
@@ -12,9 +13,9 @@
     events::EventReader,
     pool::{Granted, Pool, Pools, online_pick},
     port::Targets,
-    request::Request,
+    request::{Head, Request},
     route::{Repeat, Route},
-    sink::{Refusal, Sink, Verdict},
+    sink::{Refusal, Sink, SinkClosed, Verdict},
     table::RouteTable,
     tries::{Step, Tries},
 };
@@ -46,6 +47,8 @@
     pub attempts: Vec<String>,
     /// Time spent waiting for a target.
     pub waited: Span,
+    /// Time from the arrival to the first byte passed on.
+    pub first: Option<Span>,
     /// What the caller got; `None` if the answer is complete.
     pub refusal: Option<Refusal>,
     /// Whether the answer was broken off after its head.
@@ -112,6 +115,7 @@
             route: route.to_owned(),
             attempts: Vec::new(),
             waited: Span::ZERO,
+            first: None,
             refusal: None,
             broken: false,
             left: false,
@@ -151,8 +155,9 @@
             self.tries.begin();
             let ended = self.attempt(&mut granted, sink).await;
             let target = granted.target.id.clone();
+            let choice = format!("{target} ({})", granted.seen);
             drop(granted);
-            self.note(&target.to_string(), &ended);
+            self.note(&choice, &ended);
             match self.tries.end(&target, ran_before, ended) {
                 Step::Again => {}
                 Step::Refuse(_) if self.head_out => return Step::BreakOff,
@@ -189,7 +194,10 @@
             collect,
             patience,
         };
-        let ended = attempt(self.relay.targets.as_ref(), granted, attempt_of, sink).await;
+        let mut timed = Timed { sink, head_at: None };
+        let ended = attempt(self.relay.targets.as_ref(), granted, attempt_of, &mut timed).await;
+        let first = timed.head_at.map(|at| at.since(self.request.received));
+        self.summary.first = self.summary.first.or(first);
         if let Ended::Broken { head_out, .. } = &ended {
             self.head_out |= *head_out;
         }
@@ -206,14 +214,14 @@
         Patience { first: Some(first), pause: self.events.is_some().then_some(pause) }
     }
 
-    fn note(&mut self, target: &str, ended: &Ended) {
+    fn note(&mut self, choice: &str, ended: &Ended) {
         let text = match ended {
-            Ended::Complete => format!("{target}: complete"),
-            Ended::NotSent(reason) => format!("{target}: not sent: {reason}"),
-            Ended::NotRun(head) => format!("{target}: not run: {}", head.status.as_u16()),
-            Ended::Failed(head, _) => format!("{target}: failed: {}", head.status.as_u16()),
-            Ended::Broken { reason, .. } => format!("{target}: broken: {reason}"),
-            Ended::Closed => format!("{target}: caller left"),
+            Ended::Complete => format!("{choice}: complete"),
+            Ended::NotSent(reason) => format!("{choice}: not sent: {reason}"),
+            Ended::NotRun(head) => format!("{choice}: not run: {}", head.status.as_u16()),
+            Ended::Failed(head, _) => format!("{choice}: failed: {}", head.status.as_u16()),
+            Ended::Broken { reason, .. } => format!("{choice}: broken: {reason}"),
+            Ended::Closed => format!("{choice}: caller left"),
         };
         self.summary.attempts.push(text);
     }
@@ -243,6 +251,27 @@
     }
 }
 
+/// Notes when the head of the answer is passed on.
+struct Timed<'a, S> {
+    sink: &'a mut S,
+    head_at: Option<Time>,
+}
+
+impl<S: Sink> Sink for Timed<'_, S> {
+    fn head(&mut self, head: Head) {
+        self.head_at = Some(clock::steady());
+        self.sink.head(head);
+    }
+
+    fn chunk(&mut self, bytes: Bytes) -> impl Future<Output = Result<(), SinkClosed>> + Send {
+        self.sink.chunk(bytes)
+    }
+
+    fn closed(&self) -> impl Future<Output = ()> + Send {
+        self.sink.closed()
+    }
+}
+
 /// A place in the queue, given up when dropped.
 struct Place<'a> {
     pool: &'a Pool,
--- a/crates/oleander-routing/src/router.rs
+++ b/crates/oleander-routing/src/router.rs
@@ -241,14 +241,24 @@
     #[must_use]
     pub fn snapshot(&self) -> Vec<TargetStatus> {
         let listed = self.backends.iter().filter(|backend| backend.listed);
-        let rows = listed.map(|backend| TargetStatus {
+        listed.map(|backend| self.status_of(backend)).collect()
+    }
+
+    /// One target as this host sees it.
+    #[must_use]
+    pub fn status(&self, target: &TargetId) -> Option<TargetStatus> {
+        let index = self.by_name.get(target)?;
+        Some(self.status_of(&self.backends[*index]))
+    }
+
+    fn status_of(&self, backend: &Backend) -> TargetStatus {
+        TargetStatus {
             name: backend.target.name.clone(),
             state: self.state(backend),
             online: backend.online_total(),
             batch: backend.batch_total(),
             limit: backend.limit.current(),
-        });
-        rows.collect()
+        }
     }
 
     fn state(&self, backend: &Backend) -> TargetState {
--- a/crates/oleander-worklist/src/backlog.rs
+++ b/crates/oleander-worklist/src/backlog.rs
@@ -23,9 +23,8 @@
     /// Counts the open jobs of `route`; `done` are tokens of their items that have ended.
     #[must_use]
     pub fn of(index: &Index, route: &str, done: Tokens) -> Self {
-        let open = index.entries().filter(|entry| {
-            entry.phase == JobPhase::Open && entry.route == route
-        });
+        let open =
+            index.entries().filter(|entry| entry.phase == JobPhase::Open && entry.route == route);
         let sum: u64 = open.map(|entry| entry.tokens.0).sum();
         Self { waiting: Tokens(sum.saturating_sub(done.0)) }
     }
--- a/crates/oleander-worklist/src/desk.rs
+++ b/crates/oleander-worklist/src/desk.rs
@@ -170,10 +170,9 @@
         loop {
             match follow.next().await {
                 Followed::Snapshot(objects) => {
-                    let changes = objects.into_iter().map(|(key, object)| ObjectChange {
-                        key,
-                        object: Some(object),
-                    });
+                    let changes = objects
+                        .into_iter()
+                        .map(|(key, object)| ObjectChange { key, object: Some(object) });
                     changes.for_each(|change| self.take_change(change));
                     self.ready.store(true, Ordering::Relaxed);
                 }
@@ -324,10 +323,7 @@
     }
 
     /// Entry of a job, from memory or from the platform.
-    async fn entry(
-        self: &Arc<Self>,
-        job: &JobId,
-    ) -> Result<Option<(Revision, JobEntry)>, Unsure> {
+    async fn entry(self: &Arc<Self>, job: &JobId) -> Result<Option<(Revision, JobEntry)>, Unsure> {
         if let Some(known) = self.index.lock().get(job).cloned() {
             return Ok(Some(known));
         }
@@ -412,7 +408,8 @@
         let mut seen = HashSet::new();
         for index in 0.. {
             let Some(segment) = self.store.segment(&entry.job, index).await? else { break };
-            let fresh = segment.results.into_iter().filter(|result| seen.insert(result.item.clone()));
+            let fresh =
+                segment.results.into_iter().filter(|result| seen.insert(result.item.clone()));
             listed.extend(fresh.map(Arc::new));
         }
         self.archive.lock().insert(entry.job.clone(), listed.clone());
@@ -494,9 +491,7 @@
             }
             JobCall::Body { job, item } => {
                 let held = self.owned.lock().get(&job).cloned();
-                held.map_or(JobAnswer::NotHere, |held| {
-                    JobAnswer::Body(held.job.lock().body(&item))
-                })
+                held.map_or(JobAnswer::NotHere, |held| JobAnswer::Body(held.job.lock().body(&item)))
             }
         }
     }
--- a/crates/oleander-worklist/src/job.rs
+++ b/crates/oleander-worklist/src/job.rs
@@ -216,9 +216,10 @@
     /// Tokens of the items that have not ended, as a part of the job's tokens.
     #[must_use]
     pub fn open_share(&self) -> (u32, u32) {
-        let open = self.items.iter().filter(|item| {
-            matches!(item.standing, Standing::Waiting | Standing::Running)
-        });
+        let open = self
+            .items
+            .iter()
+            .filter(|item| matches!(item.standing, Standing::Waiting | Standing::Running));
         (open.count() as u32, self.items.len() as u32)
     }
 }
