Give each target a home among the entries of its data centre

Nine entries chose alike from counts that are 0.2 to 1 s old, while load jumps fivefold within a moment. Ruled out: the entries' own queue (waited 0 ms) and processor time (none charged). Change: the targets of a data centre are dealt among its entries; an entry sends to its own first and to others when these are full.

--- a/crates/oleander-cluster/src/cluster.rs
+++ b/crates/oleander-cluster/src/cluster.rs
@@ -280,6 +280,14 @@
         live.map(|record| record.host.clone()).collect()
     }
 
+    /// Hosts of `zone` among the [`Cluster::live_entries`].
+    pub(crate) fn live_entries_in(&self, zone: &ZoneId) -> Vec<HostId> {
+        let mut live = self.live_entries();
+        let records = self.records.read();
+        live.retain(|host| records.get(host).is_some_and(|record| record.zone == *zone));
+        live
+    }
+
     /// All hosts but this one, with their data centres and addresses.
     pub(crate) fn peers(&self) -> Vec<(HostId, ZoneId, SocketAddr)> {
         let members = self.members.lock();
--- a/crates/oleander-cluster/src/sharing.rs
+++ b/crates/oleander-cluster/src/sharing.rs
@@ -33,6 +33,7 @@
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         for round in 0_u64.. {
             ticks.tick().await;
+            self.divide_targets();
             let services = self.load();
             for (host, zone, address) in self.peers() {
                 if zone != self.me.zone && !round.is_multiple_of(FAR_EVERY) {
@@ -51,6 +52,14 @@
         }
     }
 
+    /// Divides the targets of the data centre among the entries that live there.
+    fn divide_targets(&self) {
+        let hosts = self.live_entries_in(&self.me.zone);
+        for (_, pool) in self.pools.all() {
+            pool.divide(&self.me.host, &self.me.zone, &hosts);
+        }
+    }
+
     fn load(&self) -> Vec<ServiceLoad> {
         let pools = self.pools.all().into_iter();
         pools.map(|(service, pool)| ServiceLoad { service, counts: pool.counts() }).collect()
--- a/crates/oleander-relay/src/pool.rs
+++ b/crates/oleander-relay/src/pool.rs
@@ -6,7 +6,7 @@
 use oleander_host::clock;
 use oleander_routing::{
     Class, Decision, LeaseId, LoadReport, Observation, PeerCount, Pick, Router, RouterConfig,
-    TicketId,
+    TicketId, homes,
 };
 use parking_lot::{Mutex, RwLock};
 use tokio::sync::{
@@ -24,8 +24,9 @@
 /// Cost of another data centre, in per mille of a target's slots: about two requests more there
 /// weigh as much as the bytes between data centres.
 const ZONE_COST: u32 = 250;
-/// Targets that are compared for a choice.
-const DRAWS: u32 = 6;
+/// Targets that are compared for a choice: since hosts have homes, comparing all of them does not
+/// make hosts choose alike.
+const DRAWS: u32 = 64;
 /// Age at which a target's own report no longer counts; it is renewed by each answer.
 const REPORT_KEEP: Span = Span::from_millis(400);
 /// Age at which the counts of a silent peer no longer count.
@@ -108,6 +109,14 @@
         self.changed.notify_waiters();
     }
 
+    /// Divides the targets of this host's data centre among its hosts.
+    pub fn divide(&self, host: &HostId, zone: &ZoneId, hosts: &[HostId]) {
+        let targets = self.targets.read();
+        let rows = targets.values().map(|target| (&target.id, &target.zone));
+        let homes = homes(host, hosts, zone, rows);
+        self.router.lock().set_homes(&homes);
+    }
+
     /// Takes the place of an online request in the queue.
     pub fn ticket(&self) -> TicketId {
         self.router.lock().ticket()
--- a/crates/oleander-routing/src/choice.rs
+++ b/crates/oleander-routing/src/choice.rs
@@ -50,6 +50,9 @@
     }
 
     fn draw<R: Rng>(&self, rng: &mut R, candidates: &[Candidate]) -> Option<Candidate> {
+        if self.draws as usize >= candidates.len() {
+            return least_loaded(rng, candidates);
+        }
         let mut best: Option<Candidate> = None;
         let mut last = None;
         for _ in 0..self.draws.max(1) {
@@ -64,6 +67,14 @@
     }
 }
 
+/// The least loaded of all candidates, any of them if several are.
+fn least_loaded<R: Rng>(rng: &mut R, candidates: &[Candidate]) -> Option<Candidate> {
+    let least = candidates.iter().map(|candidate| candidate.load).min()?;
+    let ties = candidates.iter().filter(|candidate| candidate.load == least);
+    let place = rng.random_range(0..ties.clone().count());
+    ties.copied().nth(place)
+}
+
 /// Draws a position below `count`, other than `last` if there is another.
 fn draw_other<R: Rng>(rng: &mut R, count: usize, last: Option<usize>) -> Option<usize> {
     match last {
--- a/crates/oleander-routing/src/config.rs
+++ b/crates/oleander-routing/src/config.rs
@@ -39,7 +39,7 @@
     pub(crate) zone_cost: u32,
     pub(crate) affinity_slack: u32,
     pub(crate) draws: u32,
-    pub(crate) forecast: bool,
+    pub(crate) home_slack: u32,
 }
 
 impl RouterConfig {
@@ -62,6 +62,10 @@
     /// Extra load for which a cached prefix makes up, in per mille of a target's limit.
     pub const AFFINITY_SLACK: u32 = 150;
 
+    /// Load by which a target of another host must be below an own one to be used first, in per
+    /// mille of a target's limit: what others may have sent there without being heard yet.
+    pub const HOME_SLACK: u32 = 400;
+
     /// Settings with defaults for `host` in `zone`.
     #[must_use]
     pub const fn new(host: HostId, zone: ZoneId) -> Self {
@@ -81,7 +85,7 @@
             zone_cost: Self::ZONE_COST,
             affinity_slack: Self::AFFINITY_SLACK,
             draws: Chooser::DRAWS,
-            forecast: false,
+            home_slack: Self::HOME_SLACK,
         }
     }
 
@@ -182,10 +186,11 @@
         self
     }
 
-    /// Sets whether batch leaves room for the online peaks of the last seconds.
+    /// Sets the load above which another host's target is used before an own one, in per mille
+    /// of a target's limit.
     #[must_use]
-    pub const fn forecast(mut self, forecast: bool) -> Self {
-        self.forecast = forecast;
+    pub const fn home_slack(mut self, slack: u32) -> Self {
+        self.home_slack = slack;
         self
     }
 }
--- a/crates/oleander-routing/src/router.rs
+++ b/crates/oleander-routing/src/router.rs
@@ -24,7 +24,6 @@
     choice::Chooser,
     config::RouterConfig,
     eject::{EjectState, Ejector},
-    forecast::Forecast,
     load::{LoadReport, PeerCount},
     pick::{Class, LeaseId, TicketId},
     prefix::PrefixIndex,
@@ -78,7 +77,6 @@
     batch_began: Option<Time>,
     batch_last: Option<Time>,
     latest: Time,
-    forecast: Forecast,
 }
 
 impl Router {
@@ -104,7 +102,6 @@
             batch_began: None,
             batch_last: None,
             latest: Time(0),
-            forecast: Forecast::default(),
             config,
         }
     }
@@ -142,6 +139,13 @@
         self.next_key += 1;
     }
 
+    /// Replaces the targets to which this host sends first.
+    pub fn set_homes(&mut self, homes: &[TargetId]) {
+        for backend in &mut self.backends {
+            backend.home = homes.contains(&backend.target.name);
+        }
+    }
+
     /// Marks a target as leaving, so that it gets no new work, or as back.
     pub fn set_leaving(&mut self, target: &TargetId, leaving: bool) {
         if let Some(backend) = self.backend_mut(target) {
@@ -294,8 +298,6 @@
         }
         self.share_when_due(now);
         self.recover_limits(now);
-        let online = self.backends.iter().map(Backend::online_total).sum::<u32>();
-        self.forecast.record(now, online + self.queue.len());
     }
 
     fn recover_limits(&mut self, now: Time) {
--- a/crates/oleander-routing/src/router/admit.rs
+++ b/crates/oleander-routing/src/router/admit.rs
@@ -58,9 +58,6 @@
         if self.config.policy == Policy::Managed && !self.queue.is_empty() {
             return Decision::Wait;
         }
-        if !self.leaves_peak_room(now) {
-            return Decision::Wait;
-        }
         let mut open = self.usable(now, request);
         open.retain(|index| {
             let backend = &self.backends[*index];
@@ -186,7 +183,7 @@
         usable.collect()
     }
 
-    pub(super) fn eject_state(&self, now: Time, index: usize) -> EjectState {
+    fn eject_state(&self, now: Time, index: usize) -> EjectState {
         self.ejector.state(now, &self.backends[index].target.name)
     }
 
@@ -215,6 +212,9 @@
         let total = backend.total() + reading + backend.unknown(now, &self.config);
         let load = total.saturating_mul(WHOLE) / backend.limit.current().max(1);
         let near = backend.target.zone == self.config.zone;
-        load.saturating_add(if near { 0 } else { self.config.zone_cost })
+        let zone_cost = if near { 0 } else { self.config.zone_cost };
+        let has_homes = self.backends.iter().any(|backend| backend.home);
+        let home_cost = if has_homes && !backend.home { self.config.home_slack } else { 0 };
+        load.saturating_add(zone_cost).saturating_add(home_cost)
     }
 }
--- a/crates/oleander-routing/src/router/backend.rs
+++ b/crates/oleander-routing/src/router/backend.rs
@@ -39,6 +39,8 @@
     pub(super) target: Target,
     pub(super) listed: bool,
     pub(super) leaving: bool,
+    /// Whether this host sends here first.
+    pub(super) home: bool,
     pub(super) online: u32,
     pub(super) batch: u32,
     /// Own work without first output.
@@ -67,6 +69,7 @@
             target,
             listed: true,
             leaving: false,
+            home: false,
             online: 0,
             batch: 0,
             batch_started: None,
--- a/crates/oleander-routing/src/router/room.rs
+++ b/crates/oleander-routing/src/router/room.rs
@@ -5,7 +5,6 @@
 use super::{Router, backend::Backend, peers::MEMORY};
 use crate::{
     config::Policy,
-    eject::EjectState,
     load::BatchExcess,
     pick::Class,
     share::{fair_part, fill_level, raise_level},
@@ -23,8 +22,6 @@
 const HOLD_WEIGHT: u64 = 16;
 /// Part of the free slots that one host may take for a burst, as a divisor.
 const BURST_PART: u32 = 2;
-/// Part of all slots that batch leaves free beside the online work to be expected, as a divisor.
-const PEAK_MARGIN: u32 = 16;
 /// Part of the unwanted slots that is divided among all hosts, as a divisor.
 const LENT_PART: u32 = 2;
 
@@ -87,21 +84,6 @@
         free.min(backend.batch_cap.saturating_sub(backend.batch))
     }
 
-    /// Whether batch would still leave room for the online work to be expected.
-    pub(super) fn leaves_peak_room(&self, now: Time) -> bool {
-        if !self.config.forecast {
-            return true;
-        }
-        let open = self.backends.iter().enumerate().filter(|(index, backend)| {
-            backend.listed
-                && !backend.leaving
-                && matches!(self.eject_state(now, *index), EjectState::In)
-        });
-        let slots: u32 = open.map(|(_, backend)| backend.limit.current()).sum();
-        let batch: u32 = self.backends.iter().map(Backend::batch_total).sum();
-        batch + self.forecast.expected() + slots / PEAK_MARGIN < slots
-    }
-
     /// When the next batch item may start at the target; `None` for at once.
     ///
     /// The gap leaves room for several times as many starts as items of the usual length need.
