Keep items in their data centre while there is time

Cause: items that an entry placed at the homes of others were known there up to a second late, and made room only after a call.

--- a/crates/oleander-relay/src/pool.rs
+++ b/crates/oleander-relay/src/pool.rs
@@ -315,8 +315,8 @@
     Pick::online(ticket).deadline(deadline).exclude(exclude)
 }
 
-/// A pick for a batch item.
+/// A pick for a batch item; `near` keeps it in this host's data centre.
 #[must_use]
-pub fn batch_pick(exclude: Vec<TargetId>) -> Pick {
-    Pick::of_class(Class::Batch).exclude(exclude)
+pub fn batch_pick(exclude: Vec<TargetId>, near: bool) -> Pick {
+    Pick::of_class(Class::Batch).exclude(exclude).near(near)
 }
--- a/crates/oleander-routing/src/pick.rs
+++ b/crates/oleander-routing/src/pick.rs
@@ -38,6 +38,8 @@
     pub exclude: Vec<TargetId>,
     /// Accepts only a target with no other batch item of this host.
     pub alone: bool,
+    /// Accepts only a target in this host's data centre, while any there is in use.
+    pub near: bool,
     /// Place in the queue, from [`Router::ticket`](crate::Router::ticket).
     pub ticket: Option<TicketId>,
     /// Latest useful time to be sent.
@@ -67,6 +69,7 @@
             prefix: None,
             exclude: Vec::new(),
             alone: false,
+            near: false,
             ticket: None,
             deadline: None,
         }
@@ -93,6 +96,13 @@
         self
     }
 
+    /// Accepts only a target in this host's data centre, while any there is in use.
+    #[must_use]
+    pub const fn near(mut self, near: bool) -> Self {
+        self.near = near;
+        self
+    }
+
     /// Sets the latest useful time to be sent.
     #[must_use]
     pub const fn deadline(mut self, deadline: Time) -> Self {
--- a/crates/oleander-routing/src/router/admit.rs
+++ b/crates/oleander-routing/src/router/admit.rs
@@ -59,6 +59,9 @@
             return Decision::Wait;
         }
         let mut open = self.usable(now, request);
+        if request.near {
+            self.keep_near(&mut open);
+        }
         open.retain(|index| {
             let backend = &self.backends[*index];
             let fits = self.batch_free(now, backend) > 0;
@@ -183,6 +186,14 @@
         usable.collect()
     }
 
+    /// Keeps the targets of this host's data centre, if there are any.
+    fn keep_near(&self, open: &mut Vec<usize>) {
+        let is_near = |index: &usize| self.backends[*index].target.zone == self.config.zone;
+        if open.iter().any(is_near) {
+            open.retain(is_near);
+        }
+    }
+
     fn eject_state(&self, now: Time, index: usize) -> EjectState {
         self.ejector.state(now, &self.backends[index].target.name)
     }
--- a/crates/oleander-worklist/src/job.rs
+++ b/crates/oleander-worklist/src/job.rs
@@ -18,6 +18,8 @@
 
 /// Pause before an item runs again after a failure or a refusal.
 const PAUSE: Span = Span::from_millis(150);
+/// Part of its time for which a job waits for room nearby, as a divisor.
+const EASE_PART: u64 = 3;
 /// Largest sum of outputs in one segment, in bytes; leaves room for their JSON in an object.
 const SEGMENT_BYTES: usize = 400 << 10;
 /// Largest sum of outputs in one answer to a reader, in bytes.
@@ -90,6 +92,15 @@
         self.items.iter().any(|item| item.standing == Standing::Waiting)
     }
 
+    /// Whether there is time to wait for room nearby.
+    ///
+    /// Items nearby make room for online requests at once, and their bytes stay in the data
+    /// centre; a job of which a third of the time has passed takes what room there is.
+    #[must_use]
+    pub fn is_at_ease(&self, wall: Time) -> bool {
+        wall < self.entry.accepted + Span(self.entry.due.0 / EASE_PART)
+    }
+
     /// Number of items under way.
     #[must_use]
     pub fn running(&self) -> usize {
--- a/crates/oleander-worklist/src/runner.rs
+++ b/crates/oleander-worklist/src/runner.rs
@@ -94,7 +94,8 @@
             return Placing::Nothing;
         };
         let Some(pool) = self.relay.pools.get(service) else { return Placing::Nothing };
-        let Some(granted) = pick(&pool, avoid.cloned().into_iter().collect()) else {
+        let near = job.is_at_ease(Self::wall());
+        let Some(granted) = pick(&pool, avoid.cloned().into_iter().collect(), near) else {
             full.insert(service.clone());
             return Placing::Nothing;
         };
@@ -185,10 +186,10 @@
     }
 }
 
-fn pick(pool: &Arc<Pool>, avoid: Vec<TargetId>) -> Option<Granted> {
+fn pick(pool: &Arc<Pool>, avoid: Vec<TargetId>, near: bool) -> Option<Granted> {
     // With a single target left, the one that interrupted the item is better than none.
     let avoid = if pool.len() > 1 { avoid } else { Vec::new() };
-    pool.try_batch(&batch_pick(avoid))
+    pool.try_batch(&batch_pick(avoid, near))
 }
 
 /// What an attempt means for the item.
