Notice the end of an outage of the store when it happens

Its next watch was accepted at 13.5 s and said nothing until the next change at 23.2 s, so that two targets whose entries were removed then counted as lapsed in the outage and were kept for 2.2 s: DRAIN broken. Ruled out: clocks, a late watch (the change was seen within 20 ms). Change: the first watch after a failure waits 10 ms.

--- a/crates/oleander-platform/src/follow.rs
+++ b/crates/oleander-platform/src/follow.rs
@@ -18,6 +18,9 @@
 /// Longest delay before a call after failures.
 const MAX_DELAY: Duration = Duration::from_millis(800);
 
+/// Wait of the first watch after a failure.
+const SHORT_WAIT: Duration = Duration::from_millis(10);
+
 /// What a follower learned.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Followed {
@@ -84,8 +87,14 @@
     }
 
     async fn watch(&mut self, from: Revision) -> Result<Followed, PlatformError> {
-        tokio::time::sleep(self.pause).await;
-        match self.store.watch(&self.prefix, from, self.wait).await {
+        // After a failure a short watch shows at once that the platform is back; a long one would
+        // say nothing until the next change.
+        let (pause, wait) = match self.delay {
+            Some(_) => (Duration::ZERO, SHORT_WAIT),
+            None => (self.pause, self.wait),
+        };
+        tokio::time::sleep(pause).await;
+        match self.store.watch(&self.prefix, from, wait).await {
             Ok(changes) => {
                 self.from = Some(changes.revision.max(from));
                 Ok(Followed::Changes(changes.changes))
