--- a/crates/oleander-cluster/src/sharing.rs
+++ b/crates/oleander-cluster/src/sharing.rs
@@ -18,7 +18,7 @@
 /// Time between two messages to hosts of the same data centre.
 const NEAR_INTERVAL: Duration = Duration::from_millis(100);
 /// Messages to near hosts for each one to all hosts.
-const FAR_EVERY: u64 = 8;
+const FAR_EVERY: u64 = 3;
 /// Longest wait for the answer.
 const TIMEOUT: Duration = Duration::from_millis(400);
 
--- a/crates/oleander-relay/src/capacity.rs
+++ b/crates/oleander-relay/src/capacity.rs
@@ -8,7 +8,7 @@
 use crate::fleet::TargetEntry;
 
 /// Part of the slots that batch leaves free, as a divisor.
-const RESERVE_PART: u32 = 4;
+const RESERVE_PART: u32 = 8;
 
 /// Bounds of the work sent to targets.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/oleander-worklist/src/job.rs
+++ b/crates/oleander-worklist/src/job.rs
@@ -19,7 +19,7 @@
 /// Pause before an item runs again after a failure or a refusal.
 const PAUSE: Span = Span::from_millis(150);
 /// Part of its time for which a job waits for room nearby, as a divisor.
-const EASE_PART: u64 = 3;
+const EASE_PART: u64 = 12;
 /// Largest sum of outputs in one segment, in bytes; leaves room for their JSON in an object.
 const SEGMENT_BYTES: usize = 400 << 10;
 /// Largest sum of outputs in one answer to a reader, in bytes.
