Close gaps around jobs whose owner changes while their entry is being written; tell late jobs

Gaps found by reading: a job that came by the watch while its create was unsettled was not loaded; a job that was given away while it was loaded was held; a stale entry of an orphan was never read again; the body of a failure had no time bound. All are closed, and a job past its time says how its items stand.

--- a/crates/oleander-relay/src/attempt.rs
+++ b/crates/oleander-relay/src/attempt.rs
@@ -18,6 +18,9 @@
 /// Largest body of a failure that is kept to be passed on, in bytes.
 const MAX_FAILURE_BYTES: usize = 64 << 10;
 
+/// Longest time to read the body of a failure.
+const FAILURE_TIME: Span = Span::from_secs(1);
+
 /// How long a target may be silent before the request goes on elsewhere.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct Patience {
@@ -129,7 +132,9 @@
     let Reply { head, not_run, mut body, .. } = reply;
     if not_run || !head.status.is_success() {
         let content = tokio::select! {
-            content = collect(&mut body, MAX_FAILURE_BYTES) => content,
+            content = bounded(Some(FAILURE_TIME), collect(&mut body, MAX_FAILURE_BYTES)) => {
+                content.unwrap_or_else(|| Err("body of a failure took too long".to_owned()))
+            }
             () = sink.closed() => return Ended::Closed,
         };
         return match content {
--- a/crates/oleander-worklist/src/desk.rs
+++ b/crates/oleander-worklist/src/desk.rs
@@ -253,6 +253,8 @@
         }
         let accepted = self.accept(submission, route).await;
         self.coming.lock().remove(&job);
+        // The entry may have come by the watch while the outcome of its create was not known.
+        self.adopt_if_mine(&job);
         self.wake.notify_one();
         accepted
     }
--- a/crates/oleander-worklist/src/job.rs
+++ b/crates/oleander-worklist/src/job.rs
@@ -101,6 +101,21 @@
         wall < self.entry.accepted + Span(self.entry.due.0 / EASE_PART)
     }
 
+    /// How many items stand where, for logs.
+    #[must_use]
+    pub fn tally(&self) -> String {
+        let count = |accept: fn(&Standing) -> bool| {
+            self.items.iter().filter(|item| accept(&item.standing)).count()
+        };
+        format!(
+            "{} waiting, {} running, {} ended, {} listed",
+            count(|standing| *standing == Standing::Waiting),
+            count(|standing| *standing == Standing::Running),
+            count(|standing| matches!(standing, Standing::Ended(_))),
+            count(|standing| *standing == Standing::Listed),
+        )
+    }
+
     /// Number of items under way.
     #[must_use]
     pub fn running(&self) -> usize {
--- a/crates/oleander-worklist/src/takeover.rs
+++ b/crates/oleander-worklist/src/takeover.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use oleander_core::JobId;
+use oleander_core::{JobId, Span, Time};
 use oleander_host::clock;
 use oleander_platform::ObjectStore;
 use oleander_relay::Targets;
@@ -25,6 +25,8 @@
 const GATHER_TIME: Duration = Duration::from_millis(250);
 /// Time between two looks at the age of an open job.
 const AGE_INTERVAL: Duration = Duration::from_secs(1);
+/// Time between two lines about a job that is late.
+const LATE_INTERVAL: Span = Span::from_secs(5);
 /// Pause before a failed access is tried again.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 /// Time that running items get when this host is about to stop.
@@ -48,7 +50,7 @@
                             "job taken over");
                         self.take_entry(at, taken);
                     }
-                    Ok(None) => log::debug!(job:% = taken.job; "job was taken over by another"),
+                    Ok(None) => self.refresh(&taken.job).await,
                     Err(fault) => {
                         log::warn!(job:% = taken.job, error:% = fault; "job can't be taken over");
                     }
@@ -57,6 +59,26 @@
         }
     }
 
+    /// Reads an entry that is not as this host believed.
+    async fn refresh(self: &Arc<Self>, job: &JobId) {
+        match self.store.entry(job).await {
+            Ok(Some((revision, entry))) => {
+                log::info!(job:% = job, owner:? = entry.owner, revision = revision.0;
+                    "job has changed meanwhile");
+                self.take_entry(revision, entry);
+            }
+            Ok(None) => log::info!(job:% = job; "job is gone"),
+            Err(fault) => log::warn!(job:% = job, error:% = fault; "entry can't be read"),
+        }
+    }
+
+    /// Loads a job that this host owns and doesn't hold.
+    pub(crate) fn adopt_if_mine(self: &Arc<Self>, job: &JobId) {
+        if let Some((_, entry)) = self.known(job).filter(|_| self.is_mine(job)) {
+            self.adopt(entry);
+        }
+    }
+
     fn orphans(&self) -> Vec<(oleander_core::Revision, JobEntry)> {
         let live = self.cluster.live_entries();
         let live: Vec<String> = live.into_iter().map(String::from).collect();
@@ -79,7 +101,9 @@
             while desk.is_mine(&job) {
                 match desk.load(entry.clone()).await {
                     Ok(loaded) => {
-                        desk.hold(loaded);
+                        if desk.is_mine(&job) {
+                            desk.hold(loaded);
+                        }
                         break;
                     }
                     Err(fault) => log::warn!(job:% = job, error:% = fault; "job can't be loaded"),
@@ -87,6 +111,7 @@
                 time::sleep(RETRY_PAUSE).await;
             }
             desk.coming.lock().remove(&job);
+            desk.adopt_if_mine(&job);
             desk.wake.notify_one();
         });
     }
@@ -121,8 +146,10 @@
     /// Writes results to the log until all are listed or the job stops.
     async fn list_results(self: Arc<Self>, name: JobId, held: Arc<Held>) {
         let mut writes = 0_u64;
+        let mut told = None;
         while !held.is_stopped() {
             held.job.lock().expire(Self::wall());
+            tell_if_late(&held.job.lock(), Self::wall(), &mut told);
             if held.job.lock().is_complete() {
                 if self.close(&name).await {
                     return;
@@ -176,14 +203,10 @@
                 self.take_entry(at, done);
                 true
             }
-            Ok(None) => match self.store.entry(name).await {
-                Ok(Some((at, found))) => {
-                    self.take_entry(at, found);
-                    false
-                }
-                Ok(None) => true,
-                Err(_) => false,
-            },
+            Ok(None) => {
+                self.refresh(name).await;
+                false
+            }
             Err(fault) => {
                 log::warn!(job:% = name, error:% = fault; "job can't be marked as done");
                 false
@@ -222,3 +245,14 @@
         self.owned.lock().values().map(|held| held.job.lock().running()).sum()
     }
 }
+
+/// Logs a job that is open past its time, at intervals.
+fn tell_if_late(job: &Job, wall: Time, told: &mut Option<Time>) {
+    let entry = &job.entry;
+    if wall < entry.due_at() || told.is_some_and(|told| wall.since(told) < LATE_INTERVAL) {
+        return;
+    }
+    *told = Some(wall);
+    log::warn!(job:% = entry.job, route:% = entry.route, accepted = entry.accepted.0,
+        due = entry.due_at().0, items:% = job.tally(); "job is late");
+}
