--- a/crates/oleander-cluster/src/cluster.rs
+++ b/crates/oleander-cluster/src/cluster.rs
@@ -22,6 +22,7 @@
 use serde::{Serialize, de::DeserializeOwned};
 
 use crate::{
+    detour::{DETOUR_TIMEOUT, Detour, Routed, StoreAnswer, StoreCall},
     directory::{Candidate, Directory},
     message::{PeerAnswer, PeerCall},
     record::{HostRecord, PREFIX},
@@ -36,6 +37,9 @@
 /// Calls of peers that are answered at once.
 const LINK_WORKERS: usize = 32;
 
+/// Hosts that are asked to make a call of the platform.
+const MOST_HELPERS: usize = 3;
+
 /// Who this process is.
 pub type Identity = HostRecord;
 
@@ -95,8 +99,13 @@
     /// # Errors
     ///
     /// Returns an error if the address can't be listened on.
-    pub fn serve<Q, A, H>(self: &Arc<Self>, handler: Arc<H>) -> Result<Server, LinkError>
+    pub fn serve<Q, A, H, S>(
+        self: &Arc<Self>,
+        handler: Arc<H>,
+        store: Routed<S, Self>,
+    ) -> Result<Server, LinkError>
     where
+        S: ObjectStore,
         Q: DeserializeOwned + Send + 'static,
         A: Serialize + Send + 'static,
         H: Handler<Q, A>,
@@ -105,6 +114,7 @@
         let answer = move |Peer(peer): Peer, call: PeerCall<Q>| {
             let cluster = Arc::clone(&cluster);
             let handler = Arc::clone(&handler);
+            let store = store.clone();
             async move {
                 match call {
                     PeerCall::Member(message) => PeerAnswer::Member(cluster.hear(&peer, message)),
@@ -112,6 +122,7 @@
                         cluster.take_load(&peer, services, sent);
                         PeerAnswer::Noted
                     }
+                    PeerCall::Store(call) => PeerAnswer::Store(store.serve(call).await),
                     PeerCall::App(call) => PeerAnswer::App(handler.handle(peer, call).await),
                 }
             }
@@ -138,12 +149,21 @@
         let address = address.ok_or_else(|| LinkError::Unreachable(format!("no host {host}")))?;
         match self.link.call(&address.to_string(), &PeerCall::App(call), timeout).await? {
             PeerAnswer::App(answer) => Ok(answer),
-            PeerAnswer::Member(_) | PeerAnswer::Noted => {
+            PeerAnswer::Member(_) | PeerAnswer::Noted | PeerAnswer::Store(_) => {
                 Err(LinkError::Codec("answer to another kind of call".to_owned()))
             }
         }
     }
 
+    /// Hosts that may reach the platform, those of this data centre first.
+    fn helpers(&self) -> Vec<SocketAddr> {
+        let mut peers = self.peers();
+        peers.sort_by_key(|(host, zone, _)| {
+            (*zone != self.me.zone, hash::hash_parts(&[self.me.host.as_str(), host.as_str()]))
+        });
+        peers.into_iter().map(|(_, _, address)| address).take(MOST_HELPERS).collect()
+    }
+
     /// Keeps the records of all hosts up to date; never ends.
     pub async fn follow<S: ObjectStore>(self: Arc<Self>, store: S) {
         let mut follow = Follow::new(store, PREFIX, WATCH_WAIT);
@@ -305,3 +325,25 @@
         record.or_else(|| self.members.lock().address(host))
     }
 }
+
+impl Detour for Cluster {
+    async fn call(&self, call: StoreCall) -> StoreAnswer {
+        let mut last = StoreAnswer::Refused("no host to go by".to_owned());
+        let call: PeerCall<()> = PeerCall::Store(call);
+        for address in self.helpers() {
+            let answer = self.link.call(&address.to_string(), &call, DETOUR_TIMEOUT).await;
+            last = match answer {
+                Ok(PeerAnswer::<()>::Store(StoreAnswer::Refused(reason))) => {
+                    StoreAnswer::Refused(reason)
+                }
+                Ok(PeerAnswer::Store(answer)) => return answer,
+                Ok(_) => StoreAnswer::Unknown("answer to another kind of call".to_owned()),
+                Err(error) if error.may_have_run() => {
+                    return StoreAnswer::Unknown(error.to_string());
+                }
+                Err(error) => StoreAnswer::Refused(error.to_string()),
+            };
+        }
+        last
+    }
+}
--- /dev/null
+++ b/crates/oleander-cluster/src/detour.rs
@@ -0,0 +1,249 @@
+//! The platform's store, by way of another host where the own path is bad.
+//!
+//! A host that is refused by the store, or cut off from it, goes on with its jobs through a host
+//! that reaches it. A read may go both ways. A write goes the second way only if the first did
+//! nothing; otherwise its caller settles it by reading, as ever. A host serves others only while
+//! its own path is good, so that an outage for all costs no calls.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use oleander_core::{Revision, Time};
+use oleander_host::clock;
+use oleander_platform::{
+    Changes, Created, Listing, Object, ObjectStore, Page, PlatformError, Updated,
+};
+use parking_lot::{Mutex, RwLock};
+use serde::{Deserialize, Serialize};
+
+use crate::breaker::Breaker;
+
+/// Longest wait for a host that makes the call: the store's own answer and the way there.
+pub(crate) const DETOUR_TIMEOUT: Duration = Duration::from_millis(2_000);
+
+/// A call of the store that another host makes.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub enum StoreCall {
+    /// Reads an object.
+    Get(String),
+    /// Creates an object unless there is one.
+    Create(String, Bytes),
+    /// Replaces an object at a revision.
+    Update(String, Bytes, Revision),
+}
+
+/// What came of it.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub enum StoreAnswer {
+    /// The object, with its revision.
+    Got(Option<(Revision, Bytes)>),
+    /// It was created at this revision, or one was there.
+    Created(Option<Revision>),
+    /// It was replaced.
+    Updated(Revision),
+    /// It has another revision, or is gone.
+    Stale(Option<Revision>),
+    /// It changed nothing: the host does not reach the store either.
+    Refused(String),
+    /// It may have taken effect.
+    Unknown(String),
+}
+
+/// Makes calls through other hosts.
+pub trait Detour: Send + Sync + 'static {
+    /// Lets another host make `call`.
+    fn call(&self, call: StoreCall) -> impl Future<Output = StoreAnswer> + Send;
+}
+
+/// A store with a second way to it.
+#[derive(Debug)]
+pub struct Routed<S, D> {
+    store: S,
+    breaker: Arc<Mutex<Breaker>>,
+    detour: Arc<RwLock<Option<Arc<D>>>>,
+}
+
+impl<S: Clone, D> Clone for Routed<S, D> {
+    fn clone(&self) -> Self {
+        let (breaker, detour) = (Arc::clone(&self.breaker), Arc::clone(&self.detour));
+        Self { store: self.store.clone(), breaker, detour }
+    }
+}
+
+impl<S: ObjectStore, D: Detour> Routed<S, D> {
+    /// A store without a second way.
+    #[must_use]
+    pub fn new(store: S) -> Self {
+        Self { store, breaker: Arc::default(), detour: Arc::default() }
+    }
+
+    /// Sets the second way.
+    pub fn set_detour(&self, detour: Arc<D>) {
+        *self.detour.write() = Some(detour);
+    }
+
+    /// Makes a call for another host, if the own path is good.
+    pub async fn serve(&self, call: StoreCall) -> StoreAnswer {
+        if self.breaker.lock().is_open() {
+            return StoreAnswer::Refused("no path to the platform here either".to_owned());
+        }
+        match call {
+            StoreCall::Get(key) => match self.watched(self.store.get(&key).await) {
+                Ok(object) => StoreAnswer::Got(object.map(|object| (object.revision, object.body))),
+                Err(error) => failure(&error),
+            },
+            StoreCall::Create(key, body) => {
+                match self.watched(self.store.create(&key, body).await) {
+                    Ok(Created::New(revision)) => StoreAnswer::Created(Some(revision)),
+                    Ok(Created::Exists) => StoreAnswer::Created(None),
+                    Err(error) => failure(&error),
+                }
+            }
+            StoreCall::Update(key, body, expected) => {
+                match self.watched(self.store.update(&key, body, expected).await) {
+                    Ok(Updated::Done(revision)) => StoreAnswer::Updated(revision),
+                    Ok(Updated::Stale(revision)) => StoreAnswer::Stale(revision),
+                    Err(error) => failure(&error),
+                }
+            }
+        }
+    }
+
+    /// Takes the outcome of a direct call into account.
+    fn watched<T>(&self, result: Result<T, PlatformError>) -> Result<T, PlatformError> {
+        let now = clock::steady();
+        let mut breaker = self.breaker.lock();
+        let was_open = breaker.is_open();
+        match &result {
+            Err(PlatformError::Rejected(_) | PlatformError::HistoryGone) | Ok(_) => {
+                breaker.succeed();
+            }
+            Err(_) => breaker.fail(now),
+        }
+        match (was_open, breaker.is_open()) {
+            (false, true) => log::warn!("path to the platform is lost"),
+            (true, false) => log::info!("path to the platform is back"),
+            _ => {}
+        }
+        result
+    }
+
+    fn allow(&self, now: Time) -> bool {
+        self.breaker.lock().allow(now)
+    }
+
+    async fn around(&self, call: StoreCall, first: PlatformError) -> StoreAnswer {
+        let detour = self.detour.read().clone();
+        match detour {
+            Some(detour) => detour.call(call).await,
+            None => failure(&first),
+        }
+    }
+}
+
+/// The error that stands for a path that is not tried.
+fn not_tried() -> PlatformError {
+    PlatformError::Busy("the path to the platform is bad".to_owned())
+}
+
+fn failure(error: &PlatformError) -> StoreAnswer {
+    if error.may_have_written() {
+        StoreAnswer::Unknown(error.to_string())
+    } else {
+        StoreAnswer::Refused(error.to_string())
+    }
+}
+
+fn error_of(answer: StoreAnswer) -> PlatformError {
+    match answer {
+        StoreAnswer::Refused(text) => PlatformError::Busy(text),
+        StoreAnswer::Unknown(text) => PlatformError::NoAnswer(text),
+        _ => PlatformError::NoAnswer("answer to another kind of call".to_owned()),
+    }
+}
+
+impl<S: ObjectStore, D: Detour> ObjectStore for Routed<S, D> {
+    async fn get(&self, key: &str) -> Result<Option<Object>, PlatformError> {
+        let first = if self.allow(clock::steady()) {
+            match self.watched(self.store.get(key).await) {
+                Ok(object) => return Ok(object),
+                Err(error) => error,
+            }
+        } else {
+            not_tried()
+        };
+        match self.around(StoreCall::Get(key.to_owned()), first).await {
+            StoreAnswer::Got(object) => {
+                Ok(object.map(|(revision, body)| Object { revision, body }))
+            }
+            other => Err(error_of(other)),
+        }
+    }
+
+    async fn create(&self, key: &str, body: Bytes) -> Result<Created, PlatformError> {
+        let first = if self.allow(clock::steady()) {
+            match self.watched(self.store.create(key, body.clone()).await) {
+                Err(error) if !error.may_have_written() => error,
+                settled => return settled,
+            }
+        } else {
+            not_tried()
+        };
+        match self.around(StoreCall::Create(key.to_owned(), body), first).await {
+            StoreAnswer::Created(Some(revision)) => Ok(Created::New(revision)),
+            StoreAnswer::Created(None) => Ok(Created::Exists),
+            other => Err(error_of(other)),
+        }
+    }
+
+    async fn update(
+        &self,
+        key: &str,
+        body: Bytes,
+        expected: Revision,
+    ) -> Result<Updated, PlatformError> {
+        let first = if self.allow(clock::steady()) {
+            match self.watched(self.store.update(key, body.clone(), expected).await) {
+                Err(error) if !error.may_have_written() => error,
+                settled => return settled,
+            }
+        } else {
+            not_tried()
+        };
+        match self.around(StoreCall::Update(key.to_owned(), body, expected), first).await {
+            StoreAnswer::Updated(revision) => Ok(Updated::Done(revision)),
+            StoreAnswer::Stale(revision) => Ok(Updated::Stale(revision)),
+            other => Err(error_of(other)),
+        }
+    }
+
+    async fn remove(&self, key: &str, expected: Revision) -> Result<Updated, PlatformError> {
+        self.watched(self.store.remove(key, expected).await)
+    }
+
+    async fn list(
+        &self,
+        prefix: &str,
+        after: &str,
+        limit: usize,
+    ) -> Result<Listing, PlatformError> {
+        self.watched(self.store.list(prefix, after, limit).await)
+    }
+
+    async fn changed(&self, prefix: &str, from: Revision) -> Result<Revision, PlatformError> {
+        self.watched(self.store.changed(prefix, from).await)
+    }
+
+    async fn scan(&self, prefix: &str, after: &str) -> Result<Page, PlatformError> {
+        self.watched(self.store.scan(prefix, after).await)
+    }
+
+    async fn watch(
+        &self,
+        prefix: &str,
+        from: Revision,
+        wait: Duration,
+    ) -> Result<Changes, PlatformError> {
+        self.watched(self.store.watch(prefix, from, wait).await)
+    }
+}
--- a/crates/oleander-cluster/src/lib.rs
+++ b/crates/oleander-cluster/src/lib.rs
@@ -2,18 +2,25 @@
 //!
 //! Each process writes one [`HostRecord`] to the platform when it starts; from there on liveness
 //! comes from `oleander-members` over authenticated links, at a cost that does not grow with the
-//! fleet and without calls of the platform. [`Directory`] decides which addresses callers get.
+//! fleet and without calls of the platform. A host whose path to the platform is bad goes by way of
+//! another ([`Routed`]). [`Directory`] decides which addresses callers get.
 
+mod breaker;
 mod cluster;
+mod detour;
 mod directory;
 mod join;
 mod message;
 mod probing;
 mod record;
+mod retirement;
 mod sharing;
 
+pub use breaker::Breaker;
 pub use cluster::{Cluster, Handler, Identity, Presence};
+pub use detour::{Detour, Routed, StoreAnswer, StoreCall};
 pub use directory::{Candidate, Directory};
 pub use join::{JoinError, join};
 pub use message::{PeerAnswer, PeerCall, ServiceLoad};
 pub use record::HostRecord;
+pub use retirement::Retire;
--- a/crates/oleander-cluster/src/message.rs
+++ b/crates/oleander-cluster/src/message.rs
@@ -5,6 +5,8 @@
 use oleander_routing::PeerCount;
 use serde::{Deserialize, Serialize};
 
+use crate::detour::{StoreAnswer, StoreCall};
+
 value! {
     /// One host's work in flight at the targets of one service.
     pub struct ServiceLoad {
@@ -27,6 +29,8 @@
         /// When it was counted, on the sender's clock.
         sent: Time,
     },
+    /// A call of the platform that the sender can't make.
+    Store(StoreCall),
     /// A call of the application.
     App(Q),
 }
@@ -38,6 +42,8 @@
     Member(Vec<Message>),
     /// Taken in.
     Noted,
+    /// What came of a call of the platform.
+    Store(StoreAnswer),
     /// Answer of the application.
     App(A),
 }
--- /dev/null
+++ b/crates/oleander-worklist/tests/job.rs
@@ -0,0 +1,187 @@
+//! Results of a job: one for each item, at positions that never change.
+
+use std::collections::BTreeMap;
+
+use bytes::Bytes;
+use http::HeaderName;
+use oleander_core::Revision;
+use oleander_core::{JobId, Span, TargetId, Time, Tokens};
+use oleander_relay::EventReader;
+use oleander_worklist::{
+    Backlog, Change, Index, ItemEnd, ItemResult, ItemState, Job, JobEntry, JobPhase, NewItem,
+    Owner, Segment,
+};
+
+const NOW: Time = Time(1_000_000_000);
+
+fn entry(job: &str, items: u32) -> JobEntry {
+    JobEntry {
+        job: job.parse::<JobId>().expect("name of a job"),
+        route: "route".to_owned(),
+        host: "a.example".to_owned(),
+        total: items,
+        tokens: Tokens(1_000),
+        parts: 1,
+        accepted: NOW,
+        due: Span::from_secs(18),
+        retention: Span::from_secs(60),
+        attempts: 3,
+        owner: None,
+        phase: JobPhase::Open,
+    }
+}
+
+fn job(items: u32) -> Job {
+    let new = (0..items).map(|number| NewItem {
+        id: format!("item-{number}"),
+        path: "/a/b".to_owned(),
+        headers: BTreeMap::new(),
+        body: Bytes::from(format!("body {number}")),
+        tokens: 100,
+    });
+    Job::new(entry("job-1", items), new.collect(), &HeaderName::from_static("x-id"))
+}
+
+fn target() -> TargetId {
+    "engine-1".parse().expect("name of a target")
+}
+
+fn run(job: &mut Job, now: Time, end: &ItemEnd) -> String {
+    let mut next = job.start(now).expect("an item waits");
+    next.progress.output.extend_from_slice(b"text");
+    let id = next.request.id.clone();
+    job.finish(now, next.index, end, next.progress, target());
+    id
+}
+
+fn result(item: &str) -> ItemResult {
+    let output = "from elsewhere".to_owned();
+    ItemResult { item: item.to_owned(), state: ItemState::Completed, output }
+}
+
+fn segment(results: Vec<ItemResult>) -> Segment {
+    Segment { writer: "writer".to_owned(), results }
+}
+
+#[test]
+fn a_foreign_result_that_came_first_stands() {
+    let mut job = job(3);
+    let mine = run(&mut job, NOW, &ItemEnd::Completed);
+    assert_eq!(job.offers().len(), 1);
+    job.apply(segment(vec![result(&mine)]));
+    assert!(job.offers().is_empty(), "the own result of the same item is dropped");
+    job.apply(segment(vec![result(&mine)]));
+    let results = job.results(0);
+    assert_eq!(results.len(), 1, "an item stands at one position");
+    assert_eq!(results[0].output, "from elsewhere");
+}
+
+#[test]
+fn a_run_that_ends_after_its_item_was_listed_changes_nothing() {
+    let mut job = job(1);
+    let next = job.start(NOW).expect("an item waits");
+    job.apply(segment(vec![result(&next.request.id)]));
+    job.finish(NOW, next.index, &ItemEnd::Interrupted, next.progress, target());
+    assert!(job.is_complete());
+    assert!(!job.has_unstarted());
+}
+
+#[test]
+fn an_item_that_fails_is_given_up_after_its_attempts() {
+    let mut job = job(1);
+    let mut now = NOW;
+    for attempt in 0..3 {
+        assert!(job.offers().is_empty(), "attempt {attempt}");
+        run(&mut job, now, &ItemEnd::Failed);
+        now = now + Span::from_secs(1);
+    }
+    assert_eq!(job.offers()[0].state, ItemState::Failed);
+    assert!(job.start(now).is_none());
+}
+
+#[test]
+fn interruptions_use_up_no_attempt_and_keep_what_was_made() {
+    let mut job = job(1);
+    let mut now = NOW;
+    for _ in 0..10 {
+        let mut next = job.start(now).expect("the item waits");
+        next.progress.events.push(b"");
+        next.progress.output.extend_from_slice(b"x");
+        job.finish(now, next.index, &ItemEnd::Interrupted, next.progress, target());
+        now = now + Span::from_secs(1);
+    }
+    let next = job.start(now).expect("the item waits");
+    assert_eq!(next.progress.output, b"xxxxxxxxxx");
+    assert_eq!(next.progress.events.last(), EventReader::default().last());
+}
+
+#[test]
+fn items_are_given_up_only_when_their_time_is_over() {
+    let mut job = job(2);
+    job.expire(NOW + Span::from_secs(59));
+    assert!(job.offers().is_empty());
+    job.expire(NOW + Span::from_secs(60));
+    assert_eq!(job.offers().len(), 2);
+}
+
+#[test]
+fn a_body_can_be_read_until_its_item_is_listed() {
+    let mut job = job(1);
+    assert_eq!(job.body("item-0").expect("not listed"), "body 0");
+    job.apply(segment(vec![result("item-0")]));
+    assert!(job.body("item-0").is_none());
+}
+
+fn owner(host: &str, started: u64) -> Owner {
+    Owner { host: host.parse().expect("name of a host"), started: Time(started) }
+}
+
+#[test]
+fn an_older_entry_never_replaces_a_newer_one() {
+    let me = owner("entry-1", 5);
+    let mut index = Index::default();
+    let mine = JobEntry { owner: Some(me.clone()), ..entry("job-1", 1) };
+    let ended = JobEntry { phase: JobPhase::Ended, ..mine.clone() };
+    assert_eq!(index.put(Revision(7), mine.clone(), &me), Change::Adopt);
+    assert_eq!(index.put(Revision(9), ended, &me), Change::Stop);
+    assert_eq!(index.put(Revision(7), mine, &me), Change::None);
+    assert_eq!(index.entries().next().map(|entry| entry.phase), Some(JobPhase::Ended));
+}
+
+#[test]
+fn one_host_takes_over_what_an_ended_process_left() {
+    let hosts: Vec<String> = (1..=4).map(|number| format!("entry-{number}")).collect();
+    let gone = owner("entry-9", 1);
+    let mut takers = 0;
+    for host in &hosts {
+        let me = owner(host, 5);
+        let mut index = Index::default();
+        let left = JobEntry { owner: Some(gone.clone()), ..entry("job-1", 1) };
+        let given = JobEntry { owner: None, ..entry("job-2", 1) };
+        let kept = JobEntry { owner: Some(owner("entry-1", 5)), ..entry("job-3", 1) };
+        let done =
+            JobEntry { owner: Some(gone.clone()), phase: JobPhase::Done, ..entry("job-4", 1) };
+        for (revision, entry) in [left, given, kept, done].into_iter().enumerate() {
+            index.put(Revision(revision as u64), entry, &me);
+        }
+        let orphans = index.orphans(&me, &hosts, |owner| *owner == gone);
+        takers += orphans.count();
+    }
+    assert_eq!(takers, 2, "each of the two jobs goes to one host");
+}
+
+#[test]
+fn a_backlog_counts_open_jobs_of_its_route_only() {
+    let me = owner("entry-1", 5);
+    let mut index = Index::default();
+    let other = JobEntry { route: "other".to_owned(), ..entry("job-2", 1) };
+    let ended = JobEntry { phase: JobPhase::Ended, ..entry("job-3", 1) };
+    for (revision, entry) in [entry("job-1", 1), other, ended].into_iter().enumerate() {
+        index.put(Revision(revision as u64), entry, &me);
+    }
+    let backlog = Backlog::of(&index, "route", Tokens(400));
+    assert_eq!(backlog.waiting, Tokens(600));
+    assert!(backlog.admit(Tokens(400), Some(Tokens(1_000))).is_ok());
+    assert!(backlog.admit(Tokens(401), Some(Tokens(1_000))).is_err());
+    assert!(backlog.admit(Tokens(u64::MAX), None).is_ok());
+}
