--- a/crates/oleander-worklist/src/desk.rs
+++ b/crates/oleander-worklist/src/desk.rs
@@ -7,7 +7,7 @@
     fmt,
     sync::{
         Arc,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     time::Duration,
 };
@@ -115,6 +115,8 @@
     archive: Mutex<HashMap<JobId, Vec<Arc<ItemResult>>>>,
     /// Items under way.
     pub(crate) runs: Mutex<Vec<Run>>,
+    /// Number of items started so far.
+    pub(crate) run_count: AtomicU64,
     /// Wakes the dispatcher.
     pub(crate) wake: Notify,
     ready: AtomicBool,
@@ -142,6 +144,7 @@
             coming: Mutex::default(),
             archive: Mutex::default(),
             runs: Mutex::default(),
+            run_count: AtomicU64::new(0),
             wake: Notify::new(),
             ready: AtomicBool::new(false),
             draining: AtomicBool::new(false),
--- a/crates/oleander-worklist/src/runner.rs
+++ b/crates/oleander-worklist/src/runner.rs
@@ -1,6 +1,9 @@
 //! Runs items at targets.
 
-use std::{collections::HashSet, sync::Arc};
+use std::{
+    collections::HashSet,
+    sync::{Arc, atomic::Ordering},
+};
 
 use bytes::Bytes;
 use http::StatusCode;
@@ -109,7 +112,7 @@
 
     fn register(&self, target: &TargetId) -> Run {
         let mut runs = self.runs.lock();
-        let number = runs.last().map_or(0, |run| run.number + 1);
+        let number = self.run_count.fetch_add(1, Ordering::Relaxed);
         let run = Run { number, target: target.clone(), interrupt: Arc::new(Notify::new()) };
         runs.push(run.clone());
         run
