End the acceptance of a job whose caller leaves meanwhile

The library drops the handler then: the entry was created, the mark 'being accepted' stayed, and so the entry that came by the watch was not loaded; the caller's next try found the entry and got its 202. Change: acceptance runs in a task of its own; a second submission waits for the first. The test fails without the task (the resend is refused as unknown and nothing runs).

--- a/crates/oleander-worklist/src/desk.rs
+++ b/crates/oleander-worklist/src/desk.rs
@@ -46,6 +46,10 @@
 const FULL_RETRY: Span = Span::from_secs(2);
 /// Time allowed to the owner beyond the wait that a reader asked for.
 const OWNER_TIMEOUT: Duration = Duration::from_millis(500);
+/// Longest wait for the outcome of the same submission by another connection.
+const OUTCOME_WAIT: Duration = Duration::from_secs(1);
+/// Time between two looks for it.
+const OUTCOME_INTERVAL: Duration = Duration::from_millis(20);
 /// Longest wait of one read.
 const MAX_READ_WAIT: Span = Span::from_secs(1);
 /// Times an end is tried against a changing entry.
@@ -252,14 +256,29 @@
             };
         }
         if !self.coming.lock().insert(job.clone()) {
-            return Err(SubmitError::Unknown);
+            return self.outcome_of(&job).await;
         }
-        let accepted = self.accept(submission, route).await;
-        self.coming.lock().remove(&job);
-        // The entry may have come by the watch while the outcome of its create was not known.
-        self.adopt_if_mine(&job);
-        self.wake.notify_one();
-        accepted
+        // A caller that leaves drops this future; what has begun is ended all the same.
+        let (desk, route) = (Arc::clone(self), route.clone());
+        let accepting = tokio::spawn(async move {
+            let accepted = desk.accept(submission, &route).await;
+            desk.coming.lock().remove(&job);
+            // The entry may have come by the watch while the outcome of its create was not known.
+            desk.adopt_if_mine(&job);
+            desk.wake.notify_one();
+            accepted
+        });
+        accepting.await.unwrap_or(Err(SubmitError::Unknown))
+    }
+
+    /// Waits for the outcome of another submission of the same job.
+    async fn outcome_of(&self, job: &JobId) -> Result<(), SubmitError> {
+        let end = time::Instant::now() + OUTCOME_WAIT;
+        while self.coming.lock().contains(job) && time::Instant::now() < end {
+            time::sleep(OUTCOME_INTERVAL).await;
+        }
+        let known = self.index.lock().get(job).is_some();
+        if known { Ok(()) } else { Err(SubmitError::Unknown) }
     }
 
     fn admit(&self, submission: &Submission, route: &Route) -> Result<(), SubmitError> {
--- /dev/null
+++ b/crates/oleander-worklist/tests/desk.rs
@@ -0,0 +1,241 @@
+//! A desk with a store in memory and targets that answer at once.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderName, StatusCode};
+use oleander_cluster::{Cluster, HostRecord};
+use oleander_core::{HostId, JobId, Revision, Span, Time, Tokens, ZoneId};
+use oleander_link::LinkKey;
+use oleander_members::MemberRole;
+use oleander_platform::{
+    Changes, Created, Listing, MemoryPlatform, Object, ObjectStore, Page, PlatformError, Updated,
+};
+use oleander_relay::{
+    BodyError, Dispatch, Fleet, Head, Pools, Relay, Repeat, Reply, ReplyBody, Route, RouteKind,
+    RouteTable, SendError, Share, TargetEntry, Targets,
+};
+use oleander_worklist::{Desk, DeskConfig, ItemState, NewItem, Submission, SubmitError};
+
+/// Time that each call of the store takes.
+const CALL_TIME: Duration = Duration::from_millis(10);
+
+/// A store whose calls take a while.
+#[derive(Debug, Clone)]
+struct Slow(MemoryPlatform);
+
+impl ObjectStore for Slow {
+    async fn get(&self, key: &str) -> Result<Option<Object>, PlatformError> {
+        tokio::time::sleep(CALL_TIME).await;
+        self.0.get(key).await
+    }
+
+    async fn create(&self, key: &str, body: Bytes) -> Result<Created, PlatformError> {
+        let created = self.0.create(key, body).await;
+        tokio::time::sleep(CALL_TIME).await;
+        created
+    }
+
+    async fn update(
+        &self,
+        key: &str,
+        body: Bytes,
+        expected: Revision,
+    ) -> Result<Updated, PlatformError> {
+        let updated = self.0.update(key, body, expected).await;
+        tokio::time::sleep(CALL_TIME).await;
+        updated
+    }
+
+    async fn remove(&self, key: &str, expected: Revision) -> Result<Updated, PlatformError> {
+        self.0.remove(key, expected).await
+    }
+
+    async fn list(&self, prefix: &str, after: &str, n: usize) -> Result<Listing, PlatformError> {
+        self.0.list(prefix, after, n).await
+    }
+
+    async fn changed(&self, prefix: &str, from: Revision) -> Result<Revision, PlatformError> {
+        self.0.changed(prefix, from).await
+    }
+
+    async fn scan(&self, prefix: &str, after: &str) -> Result<Page, PlatformError> {
+        self.0.scan(prefix, after).await
+    }
+
+    async fn watch(
+        &self,
+        prefix: &str,
+        from: Revision,
+        wait: Duration,
+    ) -> Result<Changes, PlatformError> {
+        self.0.watch(prefix, from, wait).await
+    }
+}
+
+/// Targets that answer each request with one event.
+struct Echo;
+
+struct OneEvent(Option<Bytes>);
+
+impl ReplyBody for OneEvent {
+    async fn chunk(&mut self) -> Option<Result<Bytes, BodyError>> {
+        self.0.take().map(Ok)
+    }
+}
+
+impl Targets for Echo {
+    type Body = OneEvent;
+
+    async fn send(&self, dispatch: Dispatch) -> Result<Reply<OneEvent>, SendError> {
+        let head = Head { status: StatusCode::OK, headers: HeaderMap::new() };
+        let event = format!("id: 1\ndata: done {}\n\n", dispatch.request.id);
+        let body = OneEvent(Some(Bytes::from(event)));
+        Ok(Reply { head, not_run: false, load: None, body })
+    }
+}
+
+fn route() -> Route {
+    Route {
+        name: "drafts".to_owned(),
+        host: "a.example".to_owned(),
+        prefix: "/drafts/".to_owned(),
+        kind: RouteKind::Batch {
+            backlog: Some(Tokens(1_000)),
+            due: Span::from_secs(18),
+            retention: Span::from_secs(60),
+        },
+        repeat: Repeat::Never,
+        timeout: Span::from_secs(5),
+        goal: Span::from_millis(500),
+        pause: Span::from_millis(300),
+        priority: 2,
+        attempts: 3,
+        shares: vec![Share { service: "llm".parse().expect("name of a service"), weight: 1 }],
+    }
+}
+
+fn host() -> HostId {
+    "entry-1".parse().expect("name of a host")
+}
+
+fn zone() -> ZoneId {
+    "near".parse().expect("name of a data centre")
+}
+
+/// A desk that runs on `store`.
+fn desk(store: MemoryPlatform) -> Arc<Desk<Slow, Echo>> {
+    let (pools, yields) = Pools::new(host(), zone(), 1);
+    let mut fleet = Fleet::default();
+    fleet.put(TargetEntry {
+        id: "engine-1".parse().expect("name of a target"),
+        service: "llm".parse().expect("name of a service"),
+        address: ([127, 0, 0, 1], 1).into(),
+        zone: zone(),
+        slots: 8,
+        leaving: false,
+        born: None,
+    });
+    pools.set_fleet(&fleet);
+    let pools = Arc::new(pools);
+    let relay = Arc::new(Relay::new(Arc::clone(&pools), Arc::new(Echo)));
+    relay.set_table(RouteTable::new(1, vec![route()], Vec::new()));
+    let me = HostRecord {
+        host: host(),
+        zone: zone(),
+        role: MemberRole::Entry,
+        link: ([127, 0, 0, 1], 2).into(),
+        callers: None,
+        started: Time(7),
+    };
+    let key = LinkKey::from_secret(b"a secret of the tests").expect("long enough");
+    let cluster = Cluster::new(me, key, pools);
+    let id_header = HeaderName::from_static("x-id");
+    let config = DeskConfig { id_header, object_bytes: 1 << 20, held_bytes: 1 << 20 };
+    let desk = Desk::new(config, Slow(store), relay, cluster);
+    tokio::spawn(Arc::clone(&desk).follow());
+    tokio::spawn(Arc::clone(&desk).dispatch());
+    tokio::spawn(Arc::clone(&desk).make_room(yields));
+    desk
+}
+
+async fn ready(desk: &Desk<Slow, Echo>) {
+    while !desk.is_ready() {
+        tokio::time::sleep(CALL_TIME).await;
+    }
+}
+
+fn submission(tokens: u64) -> Submission {
+    let item = |number: u32| NewItem {
+        id: format!("item-{number}"),
+        path: format!("/drafts/{number}"),
+        headers: BTreeMap::new(),
+        body: Bytes::from_static(b"body"),
+        tokens,
+    };
+    let items = (0..3).map(item).collect();
+    Submission { job: job(), host: "a.example".to_owned(), items, received: Time(0) }
+}
+
+fn job() -> JobId {
+    "job-1".parse().expect("name of a job")
+}
+
+/// Waits until all three results are listed.
+async fn results(desk: &Arc<Desk<Slow, Echo>>) -> usize {
+    let end = tokio::time::Instant::now() + Duration::from_secs(10);
+    loop {
+        let read = desk.read(&job(), 0, Span::from_secs(1)).await.expect("the store is up");
+        let listed = read.map_or(0, |read| read.results.len());
+        if listed == 3 || tokio::time::Instant::now() > end {
+            return listed;
+        }
+        tokio::time::sleep(CALL_TIME).await;
+    }
+}
+
+#[tokio::test]
+async fn a_job_is_run_and_its_results_are_listed_once() {
+    let desk = desk(MemoryPlatform::new());
+    ready(&desk).await;
+    assert_eq!(desk.submit(submission(10), &route()).await, Ok(()));
+    assert_eq!(desk.submit(submission(10), &route()).await, Ok(()), "a resend finds the job");
+    assert_eq!(results(&desk).await, 3);
+    let read = desk.read(&job(), 1, Span::ZERO).await.expect("the store is up").expect("a job");
+    assert_eq!((read.total, read.results.len()), (3, 2));
+    assert_eq!(read.results[0].state, ItemState::Completed);
+    assert!(read.results[0].output.starts_with("done item-"));
+}
+
+/// A finding: after all hosts had lost power, a caller that had given up on its connection was
+/// read all the same and left while its job was being accepted.
+#[tokio::test]
+async fn a_job_whose_caller_left_while_it_was_accepted_is_run() {
+    let store = MemoryPlatform::new();
+    let desk = desk(store.clone());
+    ready(&desk).await;
+    let leaving = CALL_TIME * 3 / 2;
+    let left = tokio::time::timeout(leaving, desk.submit(submission(10), &route())).await;
+    assert!(left.is_err(), "the caller left between the create of the entry and its answer");
+    assert_eq!(desk.submit(submission(10), &route()).await, Ok(()));
+    assert_eq!(results(&desk).await, 3);
+}
+
+#[tokio::test]
+async fn a_job_that_does_not_fit_is_refused_unless_it_stands_already() {
+    let store = MemoryPlatform::new();
+    let desk = desk(store.clone());
+    ready(&desk).await;
+    let refused = desk.submit(submission(400), &route()).await;
+    assert!(matches!(refused, Err(SubmitError::Full(_))), "{refused:?}");
+}
+
+#[tokio::test]
+async fn an_ended_job_stays_ended() {
+    let desk = desk(MemoryPlatform::new());
+    ready(&desk).await;
+    assert_eq!(desk.end(&job()).await, Ok(false), "there is no such job yet");
+    assert_eq!(desk.submit(submission(10), &route()).await, Ok(()));
+    assert_eq!(desk.end(&job()).await, Ok(true));
+    assert_eq!(desk.end(&job()).await, Ok(true), "also when it is asked again");
+}
