--- a/crates/oleander-host/src/lib.rs
+++ b/crates/oleander-host/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod logs;
 pub mod metrics;
 mod operator_key;
+pub mod reload;
 pub mod settings;
 pub mod shutdown;
 mod timeline;
