--- a/crates/oleander-relay/src/pool.rs
+++ b/crates/oleander-relay/src/pool.rs
@@ -228,6 +228,11 @@
         self.router.lock().counts()
     }
 
+    /// Number of online requests that wait.
+    pub fn waiting(&self) -> u32 {
+        self.router.lock().waiting()
+    }
+
     /// Number of targets.
     pub fn len(&self) -> usize {
         self.targets.read().len()
--- a/crates/oleander-relay/src/relay.rs
+++ b/crates/oleander-relay/src/relay.rs
@@ -43,7 +43,7 @@
 pub struct Summary {
     /// Name of the route.
     pub route: String,
-    /// Attempts at targets, with what came of each.
+    /// Attempts at targets, with what each was based on and what came of it.
     pub attempts: Vec<String>,
     /// Time spent waiting for a target.
     pub waited: Span,
@@ -149,7 +149,12 @@
             let mut granted = match granted {
                 Ok(granted) => granted,
                 Err(_) if self.head_out => return Step::BreakOff,
-                Err(retry_after) => return self.tries.refuse(retry_after),
+                Err(retry_after) => {
+                    let (waiting, targets) = (pool.waiting(), pool.len());
+                    let text = format!("no room: {waiting} wait for {targets} targets");
+                    self.summary.attempts.push(text);
+                    return self.tries.refuse(retry_after);
+                }
             };
             let ran_before = self.tries.may_have_run();
             self.tries.begin();
