--- a/crates/oleander-worklist/src/desk.rs
+++ b/crates/oleander-worklist/src/desk.rs
@@ -12,46 +12,27 @@
     time::Duration,
 };
 
-use bytes::Bytes;
 use http::HeaderName;
-use oleander_cluster::{Cluster, Handler, Presence};
-use oleander_core::{HostId, JobId, Revision, Span, Time, Tokens};
+use oleander_cluster::Cluster;
+use oleander_core::{JobId, Revision, Time};
 use oleander_host::clock;
 use oleander_platform::{Change as ObjectChange, Follow, Followed, ObjectStore};
-use oleander_relay::{Relay, Route, RouteKind, Targets};
+use oleander_relay::{Relay, Targets};
 use parking_lot::Mutex;
-use tokio::{
-    sync::{Notify, watch},
-    time,
-};
+use tokio::sync::{Notify, watch};
 
 use crate::{
-    backlog::Backlog,
     index::{Change, Index},
-    job::{Job, take_results},
-    message::{JobAnswer, JobCall, Results},
+    job::Job,
     record::{ItemResult, JobEntry, JobPhase, Owner},
     runner::Run,
     store::{ENTRY_PREFIX, JobStore, StoreFault, decode},
-    submission::{Submission, SubmitError},
 };
 
 /// Longest wait of a watch for entries.
 const WATCH_WAIT: Duration = Duration::from_secs(20);
 /// Time between two watches: one call brings the changes of several jobs.
 const WATCH_PAUSE: Duration = Duration::from_millis(200);
-/// Time to come back while the platform does not take writes.
-const BUSY_RETRY: Span = Span::from_secs(1);
-/// Time to come back when a route's backlog is full: about the time in which a job's worth ends.
-const FULL_RETRY: Span = Span::from_secs(2);
-/// Time allowed to the owner beyond the wait that a reader asked for.
-const OWNER_TIMEOUT: Duration = Duration::from_millis(500);
-/// Longest wait for the outcome of the same submission by another connection.
-const OUTCOME_WAIT: Duration = Duration::from_secs(1);
-/// Time between two looks for it.
-const OUTCOME_INTERVAL: Duration = Duration::from_millis(20);
-/// Longest wait of one read.
-const MAX_READ_WAIT: Span = Span::from_secs(1);
 /// Times an end is tried against a changing entry.
 const END_TRIES: u32 = 5;
 
@@ -116,7 +97,7 @@
     /// Jobs that are being accepted or loaded.
     pub(crate) coming: Mutex<HashSet<JobId>>,
     /// Results of jobs without a running owner, as read from the platform.
-    archive: Mutex<HashMap<JobId, Vec<Arc<ItemResult>>>>,
+    pub(crate) archive: Mutex<HashMap<JobId, Vec<Arc<ItemResult>>>>,
     /// Items under way.
     pub(crate) runs: Mutex<Vec<Run>>,
     /// Number of items started so far.
@@ -234,120 +215,11 @@
         }
     }
 
-    /// Takes a job in.
-    ///
-    /// # Errors
-    ///
-    /// The error tells whether the job may have been accepted.
-    pub async fn submit(
-        self: &Arc<Self>,
-        submission: Submission,
-        route: &Route,
-    ) -> Result<(), SubmitError> {
-        let job = submission.job.clone();
-        if self.index.lock().get(&job).is_some() {
-            return Ok(());
-        }
-        if let Err(refusal) = self.admit(&submission, route) {
-            // A job that was accepted elsewhere moments ago must not be refused.
-            return match self.store.entry(&job).await {
-                Ok(Some(_)) => Ok(()),
-                Ok(None) | Err(_) => Err(refusal),
-            };
-        }
-        if !self.coming.lock().insert(job.clone()) {
-            return self.outcome_of(&job).await;
-        }
-        // A caller that leaves drops this future; what has begun is ended all the same.
-        let (desk, route) = (Arc::clone(self), route.clone());
-        let accepting = tokio::spawn(async move {
-            let accepted = desk.accept(submission, &route).await;
-            desk.coming.lock().remove(&job);
-            // The entry may have come by the watch while the outcome of its create was not known.
-            desk.adopt_if_mine(&job);
-            desk.wake.notify_one();
-            accepted
-        });
-        accepting.await.unwrap_or(Err(SubmitError::Unknown))
-    }
-
-    /// Waits for the outcome of another submission of the same job.
-    async fn outcome_of(&self, job: &JobId) -> Result<(), SubmitError> {
-        let end = time::Instant::now() + OUTCOME_WAIT;
-        while self.coming.lock().contains(job) && time::Instant::now() < end {
-            time::sleep(OUTCOME_INTERVAL).await;
-        }
-        let known = self.index.lock().get(job).is_some();
-        if known { Ok(()) } else { Err(SubmitError::Unknown) }
-    }
-
-    fn admit(&self, submission: &Submission, route: &Route) -> Result<(), SubmitError> {
-        if !self.is_ready() {
-            return Err(SubmitError::Busy(BUSY_RETRY));
-        }
-        let held: usize = self.owned.lock().values().map(|held| held.job.lock().bytes()).sum();
-        if held + submission.bytes() > self.config.held_bytes {
-            return Err(SubmitError::Full(FULL_RETRY));
-        }
-        let RouteKind::Batch { backlog, .. } = route.kind else { return Ok(()) };
-        let waiting = Backlog::of(&self.index.lock(), &route.name, self.done_tokens(&route.name));
-        waiting.admit(submission.tokens(), backlog).map_err(|_| SubmitError::Full(FULL_RETRY))
-    }
-
-    /// Tokens of ended items in the open jobs that this host owns.
-    fn done_tokens(&self, route: &str) -> Tokens {
-        let owned: Vec<Arc<Held>> = self.owned.lock().values().cloned().collect();
-        let done = owned.iter().map(|held| {
-            let job = held.job.lock();
-            if job.entry.route != route || job.entry.phase != JobPhase::Open {
-                return 0;
-            }
-            let (open, all) = job.open_share();
-            job.entry.tokens.0 * u64::from(all - open) / u64::from(all.max(1))
-        });
-        Tokens(done.sum())
-    }
-
-    async fn accept(
-        self: &Arc<Self>,
-        submission: Submission,
-        route: &Route,
-    ) -> Result<(), SubmitError> {
-        let parts = submission.parts(self.config.object_bytes);
-        for (index, part) in parts.iter().enumerate() {
-            let put = self.store.put_part(&submission.job, index as u32, part).await;
-            if let Err(fault) = put {
-                log::warn!(job:% = submission.job, error:% = fault; "job refused: items not stored");
-                return Err(SubmitError::Busy(BUSY_RETRY));
-            }
-        }
-        let owner = (!self.is_draining()).then(|| self.me.clone());
-        let entry = submission.entry(clock::now(), route, parts.len() as u32, owner);
-        match self.store.accept(&entry).await {
-            Ok(Some(revision)) => {
-                log::info!(job:% = entry.job, route:% = entry.route, items = entry.total,
-                    tokens = entry.tokens.0, revision = revision.0; "job accepted");
-                if entry.owner.is_some() {
-                    let job = Job::new(entry.clone(), submission.items, &self.config.id_header);
-                    self.hold(job);
-                }
-                self.take_entry(revision, entry);
-                Ok(())
-            }
-            Ok(None) => Ok(()),
-            Err(StoreFault::Platform(error)) if error.may_have_written() => {
-                log::warn!(job:% = entry.job, error:% = error; "job may have been accepted");
-                Err(SubmitError::Unknown)
-            }
-            Err(fault) => {
-                log::warn!(job:% = entry.job, error:% = fault; "job refused: not stored");
-                Err(SubmitError::Busy(BUSY_RETRY))
-            }
-        }
-    }
-
     /// Entry of a job, from memory or from the platform.
-    async fn entry(self: &Arc<Self>, job: &JobId) -> Result<Option<(Revision, JobEntry)>, Unsure> {
+    pub(crate) async fn entry(
+        self: &Arc<Self>,
+        job: &JobId,
+    ) -> Result<Option<(Revision, JobEntry)>, Unsure> {
         if let Some(known) = self.index.lock().get(job).cloned() {
             return Ok(Some(known));
         }
@@ -358,116 +230,6 @@
         Ok(found)
     }
 
-    /// Results of a job from position `after` on; waits at most `wait` for one. `None` if there
-    /// is no such job.
-    ///
-    /// # Errors
-    ///
-    /// Returns [`Unsure`] if neither the owner nor the platform answers.
-    pub async fn read(
-        self: &Arc<Self>,
-        job: &JobId,
-        after: usize,
-        wait: Span,
-    ) -> Result<Option<Results>, Unsure> {
-        let wait = wait.min(MAX_READ_WAIT);
-        let Some((_, entry)) = self.entry(job).await? else { return Ok(None) };
-        if let Some(results) = self.read_here(job, after, wait).await {
-            return Ok(Some(results));
-        }
-        if let Some(owner) = self.running_owner(&entry) {
-            let call = JobCall::Read { job: job.clone(), after, wait };
-            let timeout = wait.to_duration() + OWNER_TIMEOUT;
-            match self.cluster.call(&owner, call, timeout).await {
-                Ok(JobAnswer::Results(results)) => return Ok(Some(results)),
-                Ok(_) => {}
-                Err(error) => {
-                    log::warn!(job:% = job, owner:% = owner, error:% = error;
-                        "owner does not answer a read");
-                }
-            }
-        }
-        let listed = self.stored_results(&entry).await?;
-        let results = take_results(&listed, after);
-        let results = results.iter().map(|result| ItemResult::clone(result)).collect();
-        Ok(Some(Results { total: entry.total, results }))
-    }
-
-    /// The owner of a job, if it is another process that runs.
-    fn running_owner(&self, entry: &JobEntry) -> Option<HostId> {
-        let owner = entry.owner.as_ref().filter(|owner| **owner != self.me)?;
-        let presence = self.cluster.presence(&owner.host, owner.started);
-        (presence != Presence::Gone).then(|| owner.host.clone())
-    }
-
-    async fn read_here(&self, job: &JobId, after: usize, wait: Span) -> Option<Results> {
-        let held = self.owned.lock().get(job).cloned()?;
-        let deadline = time::Instant::now() + wait.to_duration();
-        loop {
-            let listed = held.listed.notified();
-            tokio::pin!(listed);
-            listed.as_mut().enable();
-            let (total, results, open) = {
-                let job = held.job.lock();
-                let open = job.entry.phase == JobPhase::Open && !job.is_complete();
-                (job.entry.total, job.results(after), open)
-            };
-            let late = time::Instant::now() >= deadline;
-            if !results.is_empty() || !open || late {
-                let results = results.iter().map(|result| ItemResult::clone(result)).collect();
-                return Some(Results { total, results });
-            }
-            // The loop looks at the deadline itself.
-            let _ = time::timeout_at(deadline, listed).await;
-        }
-    }
-
-    /// All results at the platform, read on from what was read before.
-    async fn stored_results(&self, entry: &JobEntry) -> Result<Vec<Arc<ItemResult>>, Unsure> {
-        let known = self.archive.lock().get(&entry.job).cloned().unwrap_or_default();
-        if known.len() == entry.total as usize {
-            return Ok(known);
-        }
-        let mut listed: Vec<Arc<ItemResult>> = Vec::new();
-        let mut seen = HashSet::new();
-        for index in 0.. {
-            let Some(segment) = self.store.segment(&entry.job, index).await? else { break };
-            let fresh =
-                segment.results.into_iter().filter(|result| seen.insert(result.item.clone()));
-            listed.extend(fresh.map(Arc::new));
-        }
-        self.archive.lock().insert(entry.job.clone(), listed.clone());
-        Ok(listed)
-    }
-
-    /// Body of an item that is not listed; `None` if there is none.
-    ///
-    /// # Errors
-    ///
-    /// Returns [`Unsure`] if neither the owner nor the platform answers.
-    pub async fn body(self: &Arc<Self>, job: &JobId, item: &str) -> Result<Option<Bytes>, Unsure> {
-        let Some((_, entry)) = self.entry(job).await? else { return Ok(None) };
-        if let Some(held) = self.owned.lock().get(job).cloned() {
-            return Ok(held.job.lock().body(item));
-        }
-        if let Some(owner) = self.running_owner(&entry) {
-            let call = JobCall::Body { job: job.clone(), item: item.to_owned() };
-            match self.cluster.call(&owner, call, OWNER_TIMEOUT).await {
-                Ok(JobAnswer::Body(body)) => return Ok(body),
-                Ok(_) => {}
-                Err(error) => {
-                    log::warn!(job:% = job, owner:% = owner, error:% = error;
-                        "owner does not answer a read");
-                }
-            }
-        }
-        if self.stored_results(&entry).await?.iter().any(|result| result.item == item) {
-            return Ok(None);
-        }
-        let items = self.store.items(&entry).await?;
-        Ok(items.into_iter().find(|stored| stored.id == item).map(|stored| stored.body))
-    }
-
     /// Ends a job; `false` if there is no such job.
     ///
     /// # Errors
@@ -501,22 +263,3 @@
         clock::now()
     }
 }
-
-impl<S: ObjectStore, T: Targets> Handler<JobCall, JobAnswer> for Desk<S, T> {
-    async fn handle(&self, _: HostId, call: JobCall) -> JobAnswer {
-        match call {
-            JobCall::Read { job, after, wait } => {
-                let results = self.read_here(&job, after, wait.min(MAX_READ_WAIT)).await;
-                results.map_or(JobAnswer::NotHere, JobAnswer::Results)
-            }
-            JobCall::Yield { target, count } => {
-                self.interrupt(&target, count);
-                JobAnswer::Yielded
-            }
-            JobCall::Body { job, item } => {
-                let held = self.owned.lock().get(&job).cloned();
-                held.map_or(JobAnswer::NotHere, |held| JobAnswer::Body(held.job.lock().body(&item)))
-            }
-        }
-    }
-}
--- a/crates/oleander-worklist/src/lib.rs
+++ b/crates/oleander-worklist/src/lib.rs
@@ -11,9 +11,11 @@
 mod backlog;
 mod desk;
 mod index;
+mod intake;
 mod item;
 mod job;
 mod message;
+mod reading;
 mod record;
 mod runner;
 mod store;
