Remove ended jobs that nobody may ask for any more

Objects of the system never expired, and owners kept ended jobs until they stopped. One keeper at a time removes ended jobs after twice the time for which results must stand, entries last; owners drop what they hold. A test removes only ended jobs past their time, with all their objects.

--- a/crates/oleander-cluster/src/retirement.rs
+++ b/crates/oleander-cluster/src/retirement.rs
@@ -53,19 +53,21 @@
 
     /// Whether this host answers for `host`: it is the same, or the next of its kind.
     fn answers_for(&self, host: &HostId) -> bool {
-        if *host == self.me.host {
-            return true;
-        }
+        *host == self.me.host || self.is_next_keeper(host.as_str(), Some(host))
+    }
+
+    /// Whether this host, among those with a disk other than `except`, is the one for `task`.
+    #[must_use]
+    pub fn is_next_keeper(&self, task: &str, except: Option<&HostId>) -> bool {
         let members = self.members.lock();
         let others = members.view().filter(|view| {
             view.profile.role == MemberRole::Batch
-                && view.profile.host != *host
+                && Some(&view.profile.host) != except
                 && view.state == MemberState::Live
         });
         let mut names: Vec<String> = others.map(|view| view.profile.host.to_string()).collect();
         names.push(self.me.host.to_string());
-        hash::rendezvous(host.as_str(), names.iter())
-            .is_some_and(|next| next == self.me.host.as_str())
+        hash::rendezvous(task, names.iter()).is_some_and(|next| next == self.me.host.as_str())
     }
 }
 
--- a/crates/oleander-worklist/src/lib.rs
+++ b/crates/oleander-worklist/src/lib.rs
@@ -20,6 +20,7 @@
 mod runner;
 mod store;
 mod submission;
+mod sweep;
 mod takeover;
 
 pub use backlog::{Backlog, BacklogFull};
@@ -31,3 +32,4 @@
 pub use record::{ItemResult, ItemState, JobEntry, JobPhase, Owner, Part, Segment};
 pub use store::{JobStore, StoreFault};
 pub use submission::{Submission, SubmitError};
+pub use sweep::{sweep, sweep_once};
--- /dev/null
+++ b/crates/oleander-worklist/tests/sweep.rs
@@ -0,0 +1,62 @@
+//! Removal of jobs that nobody may ask for any more.
+
+use bytes::Bytes;
+use oleander_core::{Span, Time, Tokens};
+use oleander_platform::{MemoryPlatform, ObjectStore};
+use oleander_worklist::{JobEntry, JobPhase, JobStore, Owner, Part, Segment, sweep_once};
+
+const KEEP: Span = Span::from_secs(180);
+const NOW: Time = Time(1_000_000_000_000);
+
+fn owner() -> Owner {
+    Owner { host: "keeper-1".parse().expect("name of a host"), started: Time(1) }
+}
+
+async fn put(store: &JobStore<MemoryPlatform>, job: &str, phase: JobPhase, age: Span) {
+    let entry = JobEntry {
+        job: job.parse().expect("name of a job"),
+        route: "route".to_owned(),
+        host: "a.example".to_owned(),
+        total: 1,
+        tokens: Tokens(1),
+        parts: 1,
+        accepted: NOW - age,
+        due: Span::from_secs(18),
+        retention: Span::from_secs(60),
+        attempts: 3,
+        owner: None,
+        phase,
+    };
+    store.put_part(&entry.job, 0, &Part { items: Vec::new() }).await.expect("store is up");
+    let segment = Segment { writer: "w".to_owned(), results: Vec::new() };
+    store.append(&entry.job, 0, &segment).await.expect("store is up");
+    store.accept(&entry).await.expect("store is up").expect("a new job");
+}
+
+#[tokio::test]
+async fn only_ended_jobs_past_their_time_are_removed_with_all_their_objects() {
+    let memory = MemoryPlatform::new();
+    let store = JobStore::new(memory.clone());
+    put(&store, "old-done", JobPhase::Done, KEEP * 2).await;
+    put(&store, "old-ended", JobPhase::Ended, KEEP * 2).await;
+    put(&store, "old-open", JobPhase::Open, KEEP * 2).await;
+    put(&store, "young-done", JobPhase::Done, Span(KEEP.0 / 2)).await;
+    let other = memory.create("jobparts/other.0000", Bytes::from_static(b"{}")).await;
+    assert!(other.is_ok());
+    assert_eq!(sweep_once(&store, &owner(), NOW, KEEP).await, Ok(2));
+    let left = memory.list("job", "", 100).await.expect("store is up");
+    let left: Vec<String> = left.objects.into_iter().map(|row| row.key).collect();
+    assert_eq!(
+        left,
+        [
+            "joblist/old-open",
+            "joblist/young-done",
+            "jobparts/old-open.0000",
+            "jobparts/other.0000",
+            "jobparts/young-done.0000",
+            "jobresults/old-open.000000",
+            "jobresults/young-done.000000",
+        ]
+    );
+    assert_eq!(sweep_once(&store, &owner(), NOW, KEEP).await, Ok(0));
+}
