--- a/crates/oleander-cluster/src/directory.rs
+++ b/crates/oleander-cluster/src/directory.rs
@@ -17,6 +17,10 @@
 /// of those that are kept three times as long, well before it is stopped.
 const LONGEST_TTL: Span = Span::from_millis(1_500);
 
+/// States of the hosts that are named, the first that any host is in.
+const PREFERENCE: [&[MemberState]; 3] =
+    [&[MemberState::Live, MemberState::Candidate], &[MemberState::Suspect], &[MemberState::Failed]];
+
 /// A host that serves callers.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Candidate {
@@ -44,15 +48,11 @@
     /// known, since this host may be the one that is cut off.
     #[must_use]
     pub fn choose(candidates: &[Candidate], zone: &ZoneId, longest: Span) -> Self {
-        let is_sound = |state| matches!(state, MemberState::Live | MemberState::Candidate);
         let mut chosen: Vec<&Candidate> = Vec::new();
-        for accept in [
-            &is_sound as &dyn Fn(MemberState) -> bool,
-            &|state| state == MemberState::Suspect,
-            &|state| state == MemberState::Failed,
-        ] {
+        for states in PREFERENCE {
             if chosen.is_empty() {
-                chosen = candidates.iter().filter(|candidate| accept(candidate.state)).collect();
+                let accepted = candidates.iter().filter(|each| states.contains(&each.state));
+                chosen = accepted.collect();
             }
         }
         let near = chosen.iter().filter(|candidate| candidate.zone == *zone).count();
--- a/crates/oleander-relay/src/relay.rs
+++ b/crates/oleander-relay/src/relay.rs
@@ -22,9 +22,6 @@
 
 /// Time to come back while no target of the service is known.
 const NO_TARGETS_RETRY: Span = Span::from_secs(1);
-/// Most of a request's goal that it waits in the queue, as a divisor: later it is better served by
-/// coming back.
-const QUEUE_PART: u64 = 1;
 /// Shortest time for which a target's silence is put up with.
 const LEAST_PAUSE: Span = Span::from_millis(120);
 
@@ -174,7 +171,8 @@
     async fn acquire(&mut self, pool: &Arc<Pool>) -> Result<Granted, Span> {
         let ticket = pool.ticket();
         let asked = clock::steady();
-        let latest = asked + Span(self.route.goal.0 / QUEUE_PART);
+        // A request that waited for longer than its goal is better served by coming back.
+        let latest = asked + self.route.goal;
         let latest = if self.head_out { self.deadline } else { latest.min(self.deadline) };
         let _place = Place { pool, ticket };
         let pick = online_pick(ticket, latest, self.tries.tried().to_vec());
--- a/crates/oleander-worklist/src/desk.rs
+++ b/crates/oleander-worklist/src/desk.rs
@@ -201,6 +201,17 @@
         }
     }
 
+    /// Stops a job that is held although its entry says that it doesn't run here.
+    ///
+    /// The entry may have changed while the job was being accepted or loaded.
+    pub(crate) fn stop_unless_mine(&self, job: &JobId) {
+        let Some((_, entry)) = self.known(job) else { return };
+        let mine = entry.owner.as_ref() == Some(&self.me) && entry.phase == JobPhase::Open;
+        if !mine {
+            self.stop(&entry);
+        }
+    }
+
     /// Stops the runs of a job; keeps it for readers if it ended here.
     fn stop(&self, entry: &JobEntry) {
         let mut owned = self.owned.lock();
--- a/crates/oleander-worklist/src/takeover.rs
+++ b/crates/oleander-worklist/src/takeover.rs
@@ -138,6 +138,7 @@
         let name = job.entry.job.clone();
         let held = Held::new(job);
         self.owned.lock().insert(name.clone(), Arc::clone(&held));
+        self.stop_unless_mine(&name);
         self.wake.notify_one();
         let desk = Arc::clone(self);
         tokio::spawn(async move { desk.list_results(name, held).await });
--- a/crates/oleander-worklist/tests/desk.rs
+++ b/crates/oleander-worklist/tests/desk.rs
@@ -1,6 +1,13 @@
 //! A desk with a store in memory and targets that answer at once.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{
+    collections::BTreeMap,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, StatusCode};
@@ -20,6 +27,9 @@
 /// Time that each call of the store takes.
 const CALL_TIME: Duration = Duration::from_millis(10);
 
+/// Time until the create of an entry is answered; it takes effect at once.
+const ACCEPT_TIME: Duration = Duration::from_millis(80);
+
 /// A store whose calls take a while.
 #[derive(Debug, Clone)]
 struct Slow(MemoryPlatform);
@@ -32,7 +42,8 @@
 
     async fn create(&self, key: &str, body: Bytes) -> Result<Created, PlatformError> {
         let created = self.0.create(key, body).await;
-        tokio::time::sleep(CALL_TIME).await;
+        let late = if key.starts_with("joblist/") { ACCEPT_TIME } else { CALL_TIME };
+        tokio::time::sleep(late).await;
         created
     }
 
@@ -73,8 +84,9 @@
     }
 }
 
-/// Targets that answer each request with one event.
-struct Echo;
+/// Targets that answer each request with one event, and count requests.
+#[derive(Default)]
+struct Echo(AtomicUsize);
 
 struct OneEvent(Option<Bytes>);
 
@@ -88,6 +100,7 @@
     type Body = OneEvent;
 
     async fn send(&self, dispatch: Dispatch) -> Result<Reply<OneEvent>, SendError> {
+        self.0.fetch_add(1, Ordering::Relaxed);
         let head = Head { status: StatusCode::OK, headers: HeaderMap::new() };
         let event = format!("id: 1\ndata: done {}\n\n", dispatch.request.id);
         let body = OneEvent(Some(Bytes::from(event)));
@@ -125,6 +138,10 @@
 
 /// A desk that runs on `store`.
 fn desk(store: MemoryPlatform) -> Arc<Desk<Slow, Echo>> {
+    desk_and_targets(store).0
+}
+
+fn desk_and_targets(store: MemoryPlatform) -> (Arc<Desk<Slow, Echo>>, Arc<Echo>) {
     let (pools, yields) = Pools::new(host(), zone(), 1);
     let mut fleet = Fleet::default();
     fleet.put(TargetEntry {
@@ -138,7 +155,8 @@
     });
     pools.set_fleet(&fleet);
     let pools = Arc::new(pools);
-    let relay = Arc::new(Relay::new(Arc::clone(&pools), Arc::new(Echo)));
+    let targets = Arc::new(Echo::default());
+    let relay = Arc::new(Relay::new(Arc::clone(&pools), Arc::clone(&targets)));
     relay.set_table(RouteTable::new(1, vec![route()], Vec::new()));
     let me = HostRecord {
         host: host(),
@@ -156,7 +174,7 @@
     tokio::spawn(Arc::clone(&desk).follow());
     tokio::spawn(Arc::clone(&desk).dispatch());
     tokio::spawn(Arc::clone(&desk).make_room(yields));
-    desk
+    (desk, targets)
 }
 
 async fn ready(desk: &Desk<Slow, Echo>) {
@@ -239,3 +257,18 @@
     assert_eq!(desk.end(&job()).await, Ok(true));
     assert_eq!(desk.end(&job()).await, Ok(true), "also when it is asked again");
 }
+
+#[tokio::test]
+async fn a_job_that_is_ended_while_it_is_being_accepted_runs_nothing() {
+    let (desk, targets) = desk_and_targets(MemoryPlatform::new());
+    ready(&desk).await;
+    let accepting = tokio::spawn({
+        let desk = Arc::clone(&desk);
+        async move { desk.submit(submission(10), &route()).await }
+    });
+    tokio::time::sleep(CALL_TIME * 2).await;
+    assert_eq!(desk.end(&job()).await, Ok(true), "the entry stands already");
+    assert!(accepting.await.expect("it ends").is_ok());
+    tokio::time::sleep(ACCEPT_TIME * 3).await;
+    assert_eq!(targets.0.load(Ordering::Relaxed), 0, "no item of an ended job reaches a target");
+}
