Give up watches within the time in which their changes count

The store was silent from 3.0 to 6.5 s; it had taken frontend-pergamino-3's watch of the jobs and never answered it, its connection stayed open, and so the end of a job acknowledged at 9.8 s was not seen until another call brought it at 17.4 s. Items went on until then. Ruled out: probes of the connection (the other end answers them), the order of entries (revision 56 was taken as soon as it came). Change: watches of jobs, targets and routes wait 2 s, of hosts 4 s, with 1 s of margin.

--- a/crates/oleander-cluster/src/cluster.rs
+++ b/crates/oleander-cluster/src/cluster.rs
@@ -32,8 +32,9 @@
 const PROBE_INTERVAL: Span = Span::from_millis(300);
 /// Time after which an unanswered probe goes through other hosts.
 const ACK_TIMEOUT: Span = Span::from_millis(150);
-/// Longest wait of a watch for other hosts' records; they change at starts only.
-const WATCH_WAIT: Duration = Duration::from_secs(20);
+/// Longest wait of a watch for other hosts' records; they change at starts only, and tell which
+/// owners of jobs are gone.
+const WATCH_WAIT: Duration = Duration::from_secs(4);
 /// Calls of peers that are answered at once.
 const LINK_WORKERS: usize = 32;
 
--- a/crates/oleander-platform/src/follow.rs
+++ b/crates/oleander-platform/src/follow.rs
@@ -43,6 +43,12 @@
     delay: Option<Duration>,
 }
 
+/// Longest wait of a watch whose changes have to be acted on at once.
+///
+/// A store that is cut off may take a watch and never answer it, while its connection stays open.
+/// Ends of jobs, leaving targets and new routes must be seen within seconds of its return.
+pub const PROMPT_WAIT: Duration = Duration::from_secs(2);
+
 impl<S: ObjectStore> Follow<S> {
     /// A follower of `prefix` whose watches wait at most `wait`.
     #[must_use]
--- a/crates/oleander-platform/src/lib.rs
+++ b/crates/oleander-platform/src/lib.rs
@@ -11,7 +11,7 @@
 mod platform;
 
 pub use client::HttpPlatform;
-pub use follow::{Follow, Followed};
+pub use follow::{Follow, Followed, PROMPT_WAIT};
 pub use memory::{MemoryFaults, MemoryPlatform};
 pub use object::{
     Change, Changes, Created, Host, HostState, HostView, Listed, Listing, Object, Page, Role,
--- a/crates/oleander-relay/src/follow.rs
+++ b/crates/oleander-relay/src/follow.rs
@@ -1,10 +1,10 @@
 //! Keeps targets and routes up to date with the platform.
 
-use std::{sync::Arc, time::Duration};
+use std::sync::Arc;
 
 use oleander_core::{Span, TargetId, Time};
 use oleander_host::clock;
-use oleander_platform::{Change, Follow, Followed, ObjectStore};
+use oleander_platform::{Change, Follow, Followed, ObjectStore, PROMPT_WAIT};
 use tokio::time::{self, Instant};
 
 use crate::{
@@ -15,8 +15,6 @@
     table::RouteTable,
 };
 
-/// Longest wait of a watch; the connection's own probes notice one that is silent for good.
-const WATCH_WAIT: Duration = Duration::from_secs(20);
 /// Longest sleep while no entry is about to expire.
 const LONG_SLEEP: Span = Span::from_secs(3_600);
 
@@ -31,7 +29,7 @@
     pools: Arc<Pools>,
 ) {
     let mut fleet = Fleet::default();
-    let mut follow = Follow::new(store, prefix, WATCH_WAIT);
+    let mut follow = Follow::new(store, prefix, PROMPT_WAIT);
     loop {
         let expiry = fleet.next_expiry().map_or(LONG_SLEEP, |at| at.since(clock::steady()));
         // The sleep must not cut a call short, so the call goes on in the next round.
@@ -131,7 +129,7 @@
     T: Targets,
     R: Fn(&[u8]) -> Result<RouteTable, String>,
 {
-    let mut follow = Follow::new(store, prefix, WATCH_WAIT);
+    let mut follow = Follow::new(store, prefix, PROMPT_WAIT);
     loop {
         let objects = match follow.next().await {
             Followed::Snapshot(objects) => objects,
--- a/crates/oleander-worklist/src/desk.rs
+++ b/crates/oleander-worklist/src/desk.rs
@@ -16,7 +16,7 @@
 use oleander_cluster::Cluster;
 use oleander_core::{JobId, Revision, Time};
 use oleander_host::clock;
-use oleander_platform::{Change as ObjectChange, Follow, Followed, ObjectStore};
+use oleander_platform::{Change as ObjectChange, Follow, Followed, ObjectStore, PROMPT_WAIT};
 use oleander_relay::{Relay, Targets};
 use parking_lot::Mutex;
 use tokio::sync::{Notify, watch};
@@ -29,8 +29,6 @@
     store::{ENTRY_PREFIX, JobStore, StoreFault, decode},
 };
 
-/// Longest wait of a watch for entries.
-const WATCH_WAIT: Duration = Duration::from_secs(20);
 /// Time between two watches: one call brings the changes of several jobs.
 const WATCH_PAUSE: Duration = Duration::from_millis(200);
 /// Times an end is tried against a changing entry.
@@ -154,7 +152,7 @@
     /// Keeps the entries of all jobs up to date; never ends.
     pub async fn follow(self: Arc<Self>) {
         let store = self.store.objects().clone();
-        let mut follow = Follow::new(store, ENTRY_PREFIX, WATCH_WAIT).pause(WATCH_PAUSE);
+        let mut follow = Follow::new(store, ENTRY_PREFIX, PROMPT_WAIT).pause(WATCH_PAUSE);
         loop {
             match follow.next().await {
                 Followed::Snapshot(objects) => {
