Ask a job's owner in one place; drop what nothing uses

No change of behaviour: reads of results and of bodies share the call to the owner and its log line; Job::has_waiting and NextItem::avoid had no reader; the note on stored results said that they are read on, while they are read again.

--- a/crates/oleander-worklist/src/job.rs
+++ b/crates/oleander-worklist/src/job.rs
@@ -34,8 +34,6 @@
     pub request: Arc<Request>,
     /// What the runs before left.
     pub progress: Progress,
-    /// Target that interrupted it last.
-    pub avoid: Option<TargetId>,
 }
 
 /// An open job.
@@ -80,12 +78,6 @@
         self.listed.len() == self.items.len()
     }
 
-    /// Whether an item could start now.
-    #[must_use]
-    pub fn has_waiting(&self, now: Time) -> bool {
-        self.items.iter().any(|item| is_startable(item, now))
-    }
-
     /// Whether an item waits, for now or for the end of its pause.
     #[must_use]
     pub fn has_unstarted(&self) -> bool {
@@ -138,7 +130,6 @@
             index,
             request: Arc::clone(&item.request),
             progress: mem::take(&mut item.progress),
-            avoid: item.avoid.clone(),
         })
     }
 
--- a/crates/oleander-worklist/src/reading.rs
+++ b/crates/oleander-worklist/src/reading.rs
@@ -39,17 +39,10 @@
         if let Some(results) = self.read_here(job, after, wait).await {
             return Ok(Some(results));
         }
-        if let Some(owner) = self.running_owner(&entry) {
-            let call = JobCall::Read { job: job.clone(), after, wait };
-            let timeout = wait.to_duration() + OWNER_TIMEOUT;
-            match self.cluster.call(&owner, call, timeout).await {
-                Ok(JobAnswer::Results(results)) => return Ok(Some(results)),
-                Ok(_) => {}
-                Err(error) => {
-                    log::warn!(job:% = job, owner:% = owner, error:% = error;
-                        "owner does not answer a read");
-                }
-            }
+        let call = JobCall::Read { job: job.clone(), after, wait };
+        let timeout = wait.to_duration() + OWNER_TIMEOUT;
+        if let Some(JobAnswer::Results(results)) = self.ask_owner(&entry, call, timeout).await {
+            return Ok(Some(results));
         }
         let listed = self.stored_results(&entry).await?;
         let results = take_results(&listed, after);
@@ -64,6 +57,24 @@
         (presence != Presence::Gone).then(|| owner.host.clone())
     }
 
+    /// Answer of the owner, if it is another process that runs and answers in time.
+    async fn ask_owner(
+        &self,
+        entry: &JobEntry,
+        call: JobCall,
+        timeout: Duration,
+    ) -> Option<JobAnswer> {
+        let owner = self.running_owner(entry)?;
+        match self.cluster.call(&owner, call, timeout).await {
+            Ok(answer) => Some(answer),
+            Err(error) => {
+                log::warn!(job:% = entry.job, owner:% = owner, error:% = error;
+                    "owner does not answer a read");
+                None
+            }
+        }
+    }
+
     async fn read_here(&self, job: &JobId, after: usize, wait: Span) -> Option<Results> {
         let held = self.owned.lock().get(job).cloned()?;
         let deadline = time::Instant::now() + wait.to_duration();
@@ -86,7 +97,7 @@
         }
     }
 
-    /// All results at the platform, read on from what was read before.
+    /// All results at the platform; they are read again until all items are listed.
     async fn stored_results(&self, entry: &JobEntry) -> Result<Vec<Arc<ItemResult>>, Unsure> {
         let known = self.archive.lock().get(&entry.job).cloned().unwrap_or_default();
         if known.len() == entry.total as usize {
@@ -114,16 +125,9 @@
         if let Some(held) = self.owned.lock().get(job).cloned() {
             return Ok(held.job.lock().body(item));
         }
-        if let Some(owner) = self.running_owner(&entry) {
-            let call = JobCall::Body { job: job.clone(), item: item.to_owned() };
-            match self.cluster.call(&owner, call, OWNER_TIMEOUT).await {
-                Ok(JobAnswer::Body(body)) => return Ok(body),
-                Ok(_) => {}
-                Err(error) => {
-                    log::warn!(job:% = job, owner:% = owner, error:% = error;
-                        "owner does not answer a read");
-                }
-            }
+        let call = JobCall::Body { job: job.clone(), item: item.to_owned() };
+        if let Some(JobAnswer::Body(body)) = self.ask_owner(&entry, call, OWNER_TIMEOUT).await {
+            return Ok(body);
         }
         if self.stored_results(&entry).await?.iter().any(|result| result.item == item) {
             return Ok(None);
