Give a target that answers again work within 4 s; let reads wait for the owner

A target that refuses is away 2 s, 4 s, 8 s, up to 128 s, each time ended by one failed probe. The test restarts it about 6.3 s after the kill, which is when the second time away ends: a probe just before the restart made the third time away 8 s, longer than the 8 s that the test allows. Ruled out: the platform's list (the engine stays listed). Change: after faults the time away ends at 4 s; slow targets keep the longer bound, since a probe of one is a caller's slow request.

online.rs bad_input (503 for 404): an owner that can't tell within 250 ms (platform slow, owners just changed, not all hosts heard) answered that it can't tell, and the entry passed that on. Not seen again in 12 runs beside 12 busy loops, so which of the three it was is not known. Change: a read, which changes nothing, asks again for up to 2 s. Test: answers of the platform delayed by 400 ms; before 503, after 404.

--- a/crates/oleander-check/tests/online.rs
+++ b/crates/oleander-check/tests/online.rs
@@ -314,3 +314,19 @@
     assert_eq!(answer.json()["in_flight"], 0);
     assert_eq!(deployment.get(0, "v1/results/k1").await.unwrap().status, StatusCode::NOT_FOUND);
 }
+
+/// Longer than an owner of a shard waits for the platform before it goes on without.
+const SLOW_ANSWER_MS: u64 = 400;
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_read_waits_for_a_slow_platform_before_it_says_that_nothing_is_there() {
+    let deployment = Deployment::start("slow-read", &Shape::new()).await;
+    deployment.platform_fault(&json!({"delay_ms": SLOW_ANSWER_MS})).await;
+    for entry in 0..3 {
+        for key in 0..4 {
+            let path = format!("v1/results/none-{entry}-{key}");
+            let answer = deployment.get(entry, &path).await.unwrap();
+            assert_eq!(answer.status, StatusCode::NOT_FOUND, "{path}: {}", answer.body);
+        }
+    }
+}
--- a/crates/oleander-entry/src/callers.rs
+++ b/crates/oleander-entry/src/callers.rs
@@ -15,12 +15,13 @@
     response::{IntoResponse, Response},
     routing::{get, post},
 };
-use oleander_core::{ApiError, CallId, ErrorCode, EventKind, RequestId, Span, Time, hash};
+use oleander_core::{ApiError, CallId, ErrorCode, EventKind, RequestId, ShardId, Span, Time, hash};
 use oleander_document::Workspace;
 use oleander_host::{Phase, clock};
 use oleander_ledger::ShardReply;
 use oleander_peer::ShardCall;
 use serde_json::json;
+use tokio::time;
 
 use crate::{
     app::App,
@@ -35,6 +36,10 @@
 const MAX_DEADLINE: Span = Span::from_secs(600);
 /// When to come back if no document is in force yet.
 const START_RETRY: Span = Span::from_secs(1);
+/// Longest wait of a read for an owner that can tell; a caller's usual patience for a read.
+const LOOKUP_WAIT: Span = Span::from_secs(2);
+/// Time between two questions to the owner; a change of owners takes several times as long.
+const LOOKUP_AGAIN: Span = Span::from_millis(100);
 
 /// The routes for callers.
 pub(crate) fn router(app: Arc<App>) -> Router {
@@ -112,7 +117,7 @@
     };
     let call = CallId { workspace: workspace.name, request };
     let shard = app.shard_of(&call);
-    match app.ask_owner(shard, ShardCall::Lookup(call)).await {
+    match look_up(&app, shard, &call).await {
         Some(ShardReply::Done(outcome)) => outcome_answer(outcome),
         Some(ShardReply::Join { .. }) => {
             let body = Json(json!({"status": "running"}));
@@ -128,6 +133,22 @@
     }
 }
 
+/// Asks for what is known of a call, again while its owner can't tell, within a bound.
+///
+/// A read changes nothing, so that asking again is safe; the owner of a shard may just have
+/// changed, or may wait for the platform.
+async fn look_up(app: &App, shard: ShardId, call: &CallId) -> Option<ShardReply> {
+    let last = clock::steady() + LOOKUP_WAIT;
+    loop {
+        let reply = app.ask_owner(shard, ShardCall::Lookup(call.clone())).await;
+        let known = !matches!(reply, None | Some(ShardReply::Unavailable { .. }));
+        if known || clock::steady() + LOOKUP_AGAIN > last {
+            return reply;
+        }
+        time::sleep(LOOKUP_AGAIN.to_duration()).await;
+    }
+}
+
 /// Checks the headers of an online call and names it.
 fn call_id(app: &App, workspace: &Workspace, headers: &HeaderMap) -> Result<CallId, ApiError> {
     let request = match headers.get(KEY_HEADER) {
--- a/crates/oleander-routing/src/eject.rs
+++ b/crates/oleander-routing/src/eject.rs
@@ -2,7 +2,8 @@
 //!
 //! A target is ejected after consecutive faults, or when the median of its times to the first
 //! token is a multiple of the median over all targets. The time away doubles with each ejection
-//! in a row; afterwards single requests probe the target until one succeeds. At most a third of
+//! in a row, for faults to 4 s at most; afterwards single requests probe the target until one
+//! succeeds. At most a third of
 //! the targets is away or probing at a time, so that a fault that hits all of them ejects few.
 
 use std::collections::BTreeMap;
@@ -17,8 +18,11 @@
 const LEAST_SAMPLES: usize = 16;
 /// Part of the targets that may be ejected, as a divisor.
 const LARGEST_PART: usize = 3;
-/// Most doublings of the time away.
-const MOST_DOUBLINGS: u32 = 6;
+/// Most doublings of the time away of a slow target: a probe is a caller's slow request.
+const SLOW_DOUBLINGS: u32 = 6;
+/// Most doublings of the time away after faults: a probe costs one retry, and a target that
+/// answers again must have work within 8 s.
+const FAULT_DOUBLINGS: u32 = 1;
 
 /// Settings of an [`Ejector`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -175,7 +179,7 @@
         record.faults += 1;
         let due = record.state == EjectState::In && record.faults >= self.config.faults;
         if probing || due {
-            self.eject(now, target);
+            self.eject(now, target, FAULT_DOUBLINGS);
         }
     }
 
@@ -191,7 +195,7 @@
         }
         let Some(typical) = self.typical(target) else { return };
         if own > typical * u64::from(self.config.slow_factor) {
-            self.eject(now, target);
+            self.eject(now, target, SLOW_DOUBLINGS);
         }
     }
 
@@ -203,7 +207,7 @@
         medians.get(medians.len() / 2).copied()
     }
 
-    fn eject(&mut self, now: Time, target: &TargetId) {
+    fn eject(&mut self, now: Time, target: &TargetId, most_doublings: u32) {
         let most = self.records.len() / LARGEST_PART;
         let ejected = self.ejected();
         let away = self.config.away;
@@ -211,7 +215,7 @@
         if record.state == EjectState::In && ejected >= most {
             return;
         }
-        let doublings = record.ejections.min(MOST_DOUBLINGS);
+        let doublings = record.ejections.min(most_doublings);
         record.state = EjectState::Out(now + away * (1 << doublings));
         record.ejections += 1;
         record.faults = 0;
