Tell other data centres sums; watch jobs once a second; tell owners of ends

Change: one host of a data centre, agreed on by rendezvous, tells the others its sums; requests to make room go through it. Near hosts are told of less often the more there are. The router keeps the peers' sums instead of adding them up for each message. Entries of jobs are watched once a second, and the owner of a job is told of its end by a call; results gather 0.8 s. A host with homes reckons its queue by them, no longer by the number of peers. Not measured yet.

--- a/crates/oleander-cluster/src/cluster.rs
+++ b/crates/oleander-cluster/src/cluster.rs
@@ -26,15 +26,16 @@
     directory::{Candidate, Directory},
     message::{PeerAnswer, PeerCall},
     record::{HostRecord, PREFIX},
+    zone_load::ZoneLoad,
 };
 
 /// Time between probes; a lost host is known within a few of them.
 const PROBE_INTERVAL: Span = Span::from_millis(300);
 /// Time after which an unanswered probe goes through other hosts.
 const ACK_TIMEOUT: Span = Span::from_millis(150);
-/// Longest wait of a watch for other hosts' records; they change at starts only, and tell which
-/// owners of jobs are gone.
-const WATCH_WAIT: Duration = Duration::from_secs(4);
+/// Longest wait of a watch for other hosts' records; they change at starts only, and membership
+/// tells sooner which hosts are gone.
+const WATCH_WAIT: Duration = Duration::from_secs(10);
 /// Calls of peers that are answered at once.
 const LINK_WORKERS: usize = 32;
 
@@ -58,7 +59,7 @@
 /// Answers the application's calls from peers.
 pub trait Handler<Q, A>: Send + Sync + 'static {
     /// Answers one call.
-    fn handle(&self, peer: HostId, call: Q) -> impl Future<Output = A> + Send;
+    fn handle(self: Arc<Self>, peer: HostId, call: Q) -> impl Future<Output = A> + Send;
 }
 
 /// This host's view of all hosts, and its link to them.
@@ -68,6 +69,7 @@
     pub(crate) link: Link,
     pub(crate) pools: Arc<Pools>,
     pub(crate) members: Mutex<Members>,
+    pub(crate) zone_load: Mutex<ZoneLoad>,
     records: RwLock<BTreeMap<HostId, HostRecord>>,
     leaving: AtomicBool,
 }
@@ -88,6 +90,7 @@
         Arc::new(Self {
             link: Link::new(me.host.clone(), key, clock::now),
             members: Mutex::new(Members::new(config, profile, seed)),
+            zone_load: Mutex::default(),
             records: RwLock::default(),
             leaving: AtomicBool::new(false),
             pools,
@@ -119,8 +122,8 @@
             async move {
                 match call {
                     PeerCall::Member(message) => PeerAnswer::Member(cluster.hear(&peer, message)),
-                    PeerCall::Load { services, sent } => {
-                        cluster.take_load(&peer, services, sent);
+                    PeerCall::Load { zone, services, sent } => {
+                        cluster.take_load(&peer, zone, services, sent);
                         PeerAnswer::Noted
                     }
                     PeerCall::Store(call) => PeerAnswer::Store(store.serve(call).await),
@@ -309,6 +312,12 @@
         live
     }
 
+    /// Whether `host` is listed in this host's data centre.
+    #[must_use]
+    pub fn is_neighbour(&self, host: &HostId) -> bool {
+        self.records.read().get(host).is_some_and(|record| record.zone == self.me.zone)
+    }
+
     /// All hosts but this one, with their data centres and addresses.
     pub(crate) fn peers(&self) -> Vec<(HostId, ZoneId, SocketAddr)> {
         let members = self.members.lock();
--- a/crates/oleander-cluster/src/lib.rs
+++ b/crates/oleander-cluster/src/lib.rs
@@ -15,6 +15,7 @@
 mod record;
 mod retirement;
 mod sharing;
+mod zone_load;
 
 pub use breaker::Breaker;
 pub use cluster::{Cluster, Handler, Identity, Presence};
@@ -24,3 +25,4 @@
 pub use message::{PeerAnswer, PeerCall, ServiceLoad};
 pub use record::HostRecord;
 pub use retirement::Retire;
+pub use zone_load::{ZoneLoad, teller};
--- a/crates/oleander-cluster/src/message.rs
+++ b/crates/oleander-cluster/src/message.rs
@@ -1,6 +1,6 @@
 //! Calls between hosts.
 
-use oleander_core::{ServiceId, Time, value};
+use oleander_core::{ServiceId, Time, ZoneId, value};
 use oleander_members::Message;
 use oleander_routing::PeerCount;
 use serde::{Deserialize, Serialize};
@@ -22,8 +22,10 @@
 pub enum PeerCall<Q> {
     /// Membership.
     Member(Message),
-    /// The sender's work in flight.
+    /// Work in flight: the sender's to hosts of its data centre, that of its data centre to others.
     Load {
+        /// The sender's data centre.
+        zone: ZoneId,
         /// By service.
         services: Vec<ServiceLoad>,
         /// When it was counted, on the sender's clock.
--- a/crates/oleander-cluster/src/sharing.rs
+++ b/crates/oleander-cluster/src/sharing.rs
@@ -1,23 +1,27 @@
 //! Tells other hosts about work in flight, so that all decide with one view of each target.
 //!
-//! Hosts of the same data centre mostly share the same targets and hear of each other often; the
-//! others seldom, since bytes between data centres cost.
+//! Hosts of the same data centre mostly share the same targets and hear of each other often, the
+//! less often the more there are. The other data centres hear sums from one host
+//! ([`ZoneLoad`](crate::ZoneLoad)), and seldom, since bytes between data centres cost.
 
-use std::{sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use oleander_core::{HostId, Time};
+use oleander_core::{HostId, Time, ZoneId};
 use oleander_host::clock;
 use serde::{Serialize, de::DeserializeOwned};
-use tokio::time::{self, MissedTickBehavior};
+use tokio::time;
 
 use crate::{
     cluster::Cluster,
     message::{PeerAnswer, PeerCall, ServiceLoad},
+    zone_load::teller,
 };
 
-/// Time between two messages to hosts of the same data centre.
+/// Shortest time between two messages to a host of the same data centre.
 const NEAR_INTERVAL: Duration = Duration::from_millis(100);
-/// Messages to near hosts for each one to all hosts.
+/// Messages to near hosts in a second, which a host of a tenth of a core can make and answer.
+const NEAR_RATE: u32 = 100;
+/// Messages to near hosts for each one to the other data centres.
 const FAR_EVERY: u64 = 3;
 /// Longest wait for the answer.
 const TIMEOUT: Duration = Duration::from_millis(400);
@@ -29,34 +33,46 @@
         Q: Serialize + DeserializeOwned + Send + Sync + 'static,
         A: Serialize + DeserializeOwned + Send + 'static,
     {
-        let mut ticks = time::interval(NEAR_INTERVAL);
-        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         for round in 0_u64.. {
-            ticks.tick().await;
-            self.divide_targets();
-            let services = self.load();
-            for (host, zone, address) in self.peers() {
-                if zone != self.me.zone && !round.is_multiple_of(FAR_EVERY) {
-                    continue;
-                }
-                let call: PeerCall<Q> =
-                    PeerCall::Load { services: services.clone(), sent: clock::now() };
-                let link = self.link.clone();
-                tokio::spawn(async move {
-                    let answer = link.call(&address.to_string(), &call, TIMEOUT).await;
-                    if let Err(error) = answer.map(|_: PeerAnswer<A>| ()) {
-                        log::debug!(host:% = host, error:% = error; "work was not told");
-                    }
-                });
+            let neighbours = self.live_entries_in(&self.me.zone);
+            time::sleep(near_interval(neighbours.len())).await;
+            self.divide_targets(&neighbours);
+            let (near, far): (Vec<_>, Vec<_>) =
+                self.peers().into_iter().partition(|(_, zone, _)| *zone == self.me.zone);
+            let own = self.load();
+            self.tell::<Q, A>(near, &own);
+            if round.is_multiple_of(FAR_EVERY) && teller(&neighbours) == Some(&self.me.host) {
+                let sums = self.zone_load.lock().sums(clock::steady(), own);
+                self.tell::<Q, A>(far, &sums);
             }
         }
     }
 
+    fn tell<Q, A>(&self, hosts: Vec<(HostId, ZoneId, SocketAddr)>, services: &[ServiceLoad])
+    where
+        Q: Serialize + DeserializeOwned + Send + Sync + 'static,
+        A: Serialize + DeserializeOwned + Send + 'static,
+    {
+        for (host, _, address) in hosts {
+            let call: PeerCall<Q> = PeerCall::Load {
+                zone: self.me.zone.clone(),
+                services: services.to_vec(),
+                sent: clock::now(),
+            };
+            let link = self.link.clone();
+            tokio::spawn(async move {
+                let answer = link.call(&address.to_string(), &call, TIMEOUT).await;
+                if let Err(error) = answer.map(|_: PeerAnswer<A>| ()) {
+                    log::debug!(host:% = host, error:% = error; "work was not told");
+                }
+            });
+        }
+    }
+
     /// Divides the targets of the data centre among the entries that live there.
-    fn divide_targets(&self) {
-        let hosts = self.live_entries_in(&self.me.zone);
+    fn divide_targets(&self, hosts: &[HostId]) {
         for (_, pool) in self.pools.all() {
-            pool.divide(&self.me.host, &self.me.zone, &hosts);
+            pool.divide(&self.me.host, &self.me.zone, hosts);
         }
     }
 
@@ -65,7 +81,18 @@
         pools.map(|(service, pool)| ServiceLoad { service, counts: pool.counts() }).collect()
     }
 
-    pub(crate) fn take_load(&self, peer: &HostId, services: Vec<ServiceLoad>, sent: Time) {
+    pub(crate) fn take_load(
+        &self,
+        peer: &HostId,
+        zone: ZoneId,
+        services: Vec<ServiceLoad>,
+        sent: Time,
+    ) {
+        if zone == self.me.zone {
+            self.zone_load.lock().hear(clock::steady(), peer, services.clone());
+        } else if let Some(former) = self.zone_load.lock().told_by(zone, peer) {
+            self.pools.all().iter().for_each(|(_, pool)| pool.forget_peer(&former));
+        }
         for ServiceLoad { service, counts } in services {
             if let Some(pool) = self.pools.get(&service) {
                 pool.peer(peer, counts, sent);
@@ -73,3 +100,9 @@
         }
     }
 }
+
+/// Time between two rounds among `hosts` hosts of one data centre.
+fn near_interval(hosts: usize) -> Duration {
+    let peers = hosts.saturating_sub(1) as u32;
+    NEAR_INTERVAL.max(Duration::from_secs(1) * peers / NEAR_RATE)
+}
--- a/crates/oleander-relay/src/pool.rs
+++ b/crates/oleander-relay/src/pool.rs
@@ -158,12 +158,17 @@
         if count == 0 {
             return;
         }
-        let holders = self.router.lock().batch_holders(target);
+        let holders = self.batch_holders(target);
         let request = YieldRequest { target: target.clone(), count, holders };
         // Without a receiver there are no batch items here.
         let _ = self.yields.send(request);
     }
 
+    /// Other hosts with batch items at a target, those with most first.
+    pub fn batch_holders(&self, target: &TargetId) -> Vec<(HostId, u32)> {
+        self.router.lock().batch_holders(target)
+    }
+
     /// A target for a batch item, if there is room now.
     pub fn try_batch(self: &Arc<Self>, pick: &Pick) -> Option<Granted> {
         match self.decide(pick).0 {
--- a/crates/oleander-routing/src/router/admit.rs
+++ b/crates/oleander-routing/src/router/admit.rs
@@ -203,7 +203,10 @@
         let open = (0..self.backends.len()).filter(|index| self.accepts(*index, request));
         let all: u32 = open.map(|index| self.backends[index].limit.current()).sum();
         let own: u32 = self.backends.iter().map(|backend| backend.online).sum();
-        let even = all / (self.peers.len() as u32 + 1);
+        let homes = self.backends.iter().filter(|backend| backend.home);
+        let homes: u32 = homes.map(|backend| backend.limit.current()).sum();
+        // Without homes, all hosts are taken to have as much work as this one.
+        let even = if homes > 0 { homes } else { all / (self.peers.len() as u32 + 1) };
         own.max(even).max(1)
     }
 
--- a/crates/oleander-routing/src/router/peers.rs
+++ b/crates/oleander-routing/src/router/peers.rs
@@ -21,6 +21,14 @@
         Self { online, batch }
     }
 
+    fn plus(self, other: Self) -> Self {
+        Self::new(self.online + other.online, self.batch + other.batch)
+    }
+
+    fn minus(self, other: Self) -> Self {
+        Self::new(self.online - other.online, self.batch - other.batch)
+    }
+
     pub(super) const fn of(self, class: Class) -> u32 {
         match class {
             Class::Online => self.online,
@@ -71,6 +79,8 @@
 #[derive(Debug, Clone, Default)]
 pub(super) struct Peers {
     peers: BTreeMap<HostId, Peer>,
+    /// Sums over all peers; a message changes few of them.
+    sums: HashMap<TargetKey, Count>,
 }
 
 impl Peers {
@@ -88,6 +98,10 @@
         let known = self.peers.get(peer);
         let online = counts.values().any(|count| count.online > 0).then_some(now);
         let batch = counts.values().any(|count| count.batch > 0).then_some(now);
+        for (key, count) in &counts {
+            let sum = self.sums.entry(*key).or_default();
+            *sum = sum.plus(*count);
+        }
         let message = Peer {
             counts,
             last_online: online.or_else(|| known.and_then(|known| known.last_online)),
@@ -97,7 +111,10 @@
             silent: false,
         };
         match self.peers.insert(peer.clone(), message) {
-            Some(_) => Update::Known,
+            Some(former) => {
+                take_off(&mut self.sums, &former.counts);
+                Update::Known
+            }
             None => Update::New,
         }
     }
@@ -111,17 +128,21 @@
         for peer in self.peers.values_mut().filter(|peer| !peer.silent) {
             peer.silent = now.since(peer.received_at) >= keep;
             if peer.silent {
+                take_off(&mut self.sums, &peer.counts);
                 peer.counts.clear();
                 changed = true;
             }
         }
-        self.peers.retain(|_, peer| now.since(peer.received_at) < MEMORY);
+        // Whoever is silent that long has no counts left.
+        self.peers.retain(|_, peer| !peer.silent || now.since(peer.received_at) < MEMORY);
         changed
     }
 
     /// Drops a peer.
     pub(super) fn remove(&mut self, peer: &HostId) {
-        self.peers.remove(peer);
+        if let Some(former) = self.peers.remove(peer) {
+            take_off(&mut self.sums, &former.counts);
+        }
     }
 
     /// The time at which the next message becomes too old.
@@ -132,10 +153,7 @@
 
     /// Sum of the counts at one target.
     pub(super) fn sum(&self, key: TargetKey) -> Count {
-        let counts = self.peers.values().map(|peer| peer.count(key));
-        counts.fold(Count::default(), |sum, count| {
-            Count::new(sum.online + count.online, sum.batch + count.batch)
-        })
+        self.sums.get(&key).copied().unwrap_or_default()
     }
 
     /// Number of known peers.
@@ -174,3 +192,15 @@
         self.peers.values().all(|peer| peer.silent || peer.received_at > since)
     }
 }
+
+/// Takes what a peer counted off the sums.
+fn take_off(sums: &mut HashMap<TargetKey, Count>, counts: &HashMap<TargetKey, Count>) {
+    for (key, count) in counts {
+        let left = sums.get(key).copied().unwrap_or_default().minus(*count);
+        if left == Count::default() {
+            sums.remove(key);
+        } else {
+            sums.insert(*key, left);
+        }
+    }
+}
--- a/crates/oleander-worklist/src/desk.rs
+++ b/crates/oleander-worklist/src/desk.rs
@@ -24,13 +24,18 @@
 use crate::{
     index::{Change, Index},
     job::Job,
+    message::{JobAnswer, JobCall},
     record::{ItemResult, JobEntry, JobPhase, Owner},
     runner::Run,
     store::{ENTRY_PREFIX, JobStore, StoreFault, decode},
 };
 
-/// Time between two watches: one call brings the changes of several jobs.
-const WATCH_PAUSE: Duration = Duration::from_millis(200);
+/// Time between two watches: one call brings the changes of several jobs. The owner of a job is
+/// told of its end at once; if that fails, the pause and a watch are still well within the time
+/// in which an end has to be obeyed.
+const WATCH_PAUSE: Duration = Duration::from_millis(1_000);
+/// Longest wait for an owner that is told of an end.
+const TELL_TIMEOUT: Duration = Duration::from_millis(500);
 /// Times an end is tried against a changing entry.
 const END_TRIES: u32 = 5;
 
@@ -253,6 +258,7 @@
             let ended = JobEntry { phase: JobPhase::Ended, ..entry };
             if let Some(at) = self.store.replace(&ended, revision).await? {
                 log::info!(job:% = job, revision = at.0; "job ended by its caller");
+                self.tell_owner(&ended);
                 self.take_entry(at, ended);
                 return Ok(true);
             }
@@ -262,6 +268,20 @@
         Err(Unsure("entry keeps changing".to_owned()))
     }
 
+    /// Tells the owner of a job that it ended; a lost message only delays what the owner sees.
+    fn tell_owner(self: &Arc<Self>, entry: &JobEntry) {
+        let Some(owner) = self.running_owner(entry) else { return };
+        let (desk, job) = (Arc::clone(self), entry.job.clone());
+        tokio::spawn(async move {
+            let call = JobCall::Ended { job: job.clone() };
+            let answer = desk.cluster.call(&owner, call, TELL_TIMEOUT).await;
+            if let Err(error) = answer.map(|_: JobAnswer| ()) {
+                log::info!(job:% = job, owner:% = owner, error:% = error;
+                    "owner was not told of the end; it sees it by its watch");
+            }
+        });
+    }
+
     /// Entry and revision of a job that this host knows.
     pub(crate) fn known(&self, job: &JobId) -> Option<(Revision, JobEntry)> {
         self.index.lock().get(job).cloned()
--- a/crates/oleander-worklist/src/message.rs
+++ b/crates/oleander-worklist/src/message.rs
@@ -34,6 +34,13 @@
         target: TargetId,
         /// Items to interrupt.
         count: u32,
+        /// Whether the receiver stands for its data centre and asks its neighbours for the rest.
+        pass_on: bool,
+    },
+    /// Tells that the job's caller ended it.
+    Ended {
+        /// The job.
+        job: JobId,
     },
     /// Body of an item.
     Body {
@@ -51,6 +58,8 @@
     NotHere,
     /// It made room.
     Yielded,
+    /// It reads the job's entry again.
+    Noted,
     /// Results.
     Results(Results),
     /// Body; `None` if the item is listed or unknown.
--- a/crates/oleander-worklist/src/reading.rs
+++ b/crates/oleander-worklist/src/reading.rs
@@ -51,7 +51,7 @@
     }
 
     /// The owner of a job, if it is another process that runs.
-    fn running_owner(&self, entry: &JobEntry) -> Option<HostId> {
+    pub(crate) fn running_owner(&self, entry: &JobEntry) -> Option<HostId> {
         let owner = entry.owner.as_ref().filter(|owner| **owner != self.me)?;
         let presence = self.cluster.presence(&owner.host, owner.started);
         (presence != Presence::Gone).then(|| owner.host.clone())
@@ -138,16 +138,23 @@
 }
 
 impl<S: ObjectStore, T: Targets> Handler<JobCall, JobAnswer> for Desk<S, T> {
-    async fn handle(&self, _: HostId, call: JobCall) -> JobAnswer {
+    async fn handle(self: Arc<Self>, _: HostId, call: JobCall) -> JobAnswer {
         match call {
             JobCall::Read { job, after, wait } => {
                 let results = self.read_here(&job, after, wait.min(MAX_READ_WAIT)).await;
                 results.map_or(JobAnswer::NotHere, JobAnswer::Results)
             }
-            JobCall::Yield { target, count } => {
-                self.interrupt(&target, count);
+            JobCall::Yield { target, count, pass_on } => {
+                let left = count - self.interrupt(&target, count);
+                if pass_on && left > 0 {
+                    self.ask_neighbours(&target, left);
+                }
                 JobAnswer::Yielded
             }
+            JobCall::Ended { job } => {
+                self.refresh(&job).await;
+                JobAnswer::Noted
+            }
             JobCall::Body { job, item } => {
                 let held = self.owned.lock().get(&job).cloned();
                 held.map_or(JobAnswer::NotHere, |held| JobAnswer::Body(held.job.lock().body(&item)))
--- a/crates/oleander-worklist/src/runner.rs
+++ b/crates/oleander-worklist/src/runner.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use http::StatusCode;
-use oleander_core::{ServiceId, Span, TargetId};
+use oleander_core::{HostId, ServiceId, Span, TargetId};
 use oleander_host::clock;
 use oleander_platform::ObjectStore;
 use oleander_relay::{
@@ -138,22 +138,37 @@
     /// ends.
     pub async fn make_room(self: Arc<Self>, mut asked: UnboundedReceiver<YieldRequest>) {
         while let Some(YieldRequest { target, count, holders }) = asked.recv().await {
-            let mut left = count - self.interrupt(&target, count);
-            for (host, held) in holders {
-                let count = left.min(held);
-                if count == 0 {
-                    break;
-                }
-                left -= count;
-                let (desk, target) = (Arc::clone(&self), target.clone());
-                tokio::spawn(async move {
-                    let call = JobCall::Yield { target, count };
-                    let answer = desk.cluster.call(&host, call, YIELD_TIMEOUT).await;
-                    if let Err(error) = answer.map(|_: JobAnswer| ()) {
-                        log::debug!(host:% = host, error:% = error; "host was not asked to yield");
-                    }
-                });
+            let left = count - self.interrupt(&target, count);
+            self.ask_holders(&target, left, holders);
+        }
+    }
+
+    /// Asks the neighbours with items at a target to make room there.
+    pub(crate) fn ask_neighbours(self: &Arc<Self>, target: &TargetId, count: u32) {
+        let pools = self.relay.pools.all();
+        let mut holders: Vec<(HostId, u32)> =
+            pools.iter().flat_map(|(_, pool)| pool.batch_holders(target)).collect();
+        holders.retain(|(host, _)| self.cluster.is_neighbour(host));
+        self.ask_holders(target, count, holders);
+    }
+
+    fn ask_holders(self: &Arc<Self>, target: &TargetId, count: u32, holders: Vec<(HostId, u32)>) {
+        let mut left = count;
+        for (host, held) in holders {
+            let count = left.min(held);
+            if count == 0 {
+                break;
             }
+            left -= count;
+            let (desk, target) = (Arc::clone(self), target.clone());
+            let pass_on = !self.cluster.is_neighbour(&host);
+            tokio::spawn(async move {
+                let call = JobCall::Yield { target, count, pass_on };
+                let answer = desk.cluster.call(&host, call, YIELD_TIMEOUT).await;
+                if let Err(error) = answer.map(|_: JobAnswer| ()) {
+                    log::debug!(host:% = host, error:% = error; "host was not asked to yield");
+                }
+            });
         }
     }
 
--- a/crates/oleander-worklist/src/takeover.rs
+++ b/crates/oleander-worklist/src/takeover.rs
@@ -22,7 +22,7 @@
 /// Jobs taken over at one look, so that a host that starts isn't swamped.
 const MOST_AT_ONCE: usize = 4;
 /// Time in which results gather for one segment.
-const GATHER_TIME: Duration = Duration::from_millis(250);
+const GATHER_TIME: Duration = Duration::from_millis(800);
 /// Time between two looks at the age of an open job.
 const AGE_INTERVAL: Duration = Duration::from_secs(1);
 /// Time between two lines about a job that is late.
@@ -60,7 +60,7 @@
     }
 
     /// Reads an entry that is not as this host believed.
-    async fn refresh(self: &Arc<Self>, job: &JobId) {
+    pub(crate) async fn refresh(self: &Arc<Self>, job: &JobId) {
         match self.store.entry(job).await {
             Ok(Some((revision, entry))) => {
                 log::info!(job:% = job, owner:? = entry.owner, revision = revision.0;
