Watch the platform once for all hosts, by feeders

Change: the keeper of a data centre keeps the last changes below the watched prefixes and entries ask it by a bounded call; keepers ask the first of them, which watches the platform. A host whose feeder does not answer, or has lost its own source, watches the platform itself for 3 s. Bounds: a feeder knows within 2 s that it is cut off, a host within 1.6 s that its feeder is silent.

--- a/crates/oleander-cluster/src/cluster.rs
+++ b/crates/oleander-cluster/src/cluster.rs
@@ -16,7 +16,7 @@
 use oleander_members::{
     Listing, MemberAction, MemberEvent, MemberRole, MemberState, Members, MembersConfig, Profile,
 };
-use oleander_platform::{Change, Follow, Followed, ObjectStore};
+use oleander_platform::{Change, Changes, Follow, Followed, ObjectStore};
 use oleander_relay::Pools;
 use parking_lot::{Mutex, RwLock};
 use serde::{Serialize, de::DeserializeOwned};
@@ -24,6 +24,7 @@
 use crate::{
     detour::{DETOUR_TIMEOUT, Detour, Routed, StoreAnswer, StoreCall},
     directory::{Candidate, Directory},
+    feed::{Feeder, MOST_WAIT, feeder_of},
     message::{PeerAnswer, PeerCall},
     record::{HostRecord, PREFIX},
     zone_load::ZoneLoad,
@@ -36,8 +37,15 @@
 /// Longest wait of a watch for other hosts' records; they change at starts only, and membership
 /// tells sooner which hosts are gone.
 const WATCH_WAIT: Duration = Duration::from_secs(10);
-/// Calls of peers that are answered at once.
+/// Calls of peers that are served at once by a host that answers them at once.
 const LINK_WORKERS: usize = 32;
+/// Calls of peers that are served at once by a feeder, where most of them wait: four from each of
+/// some hundred hosts.
+const FEED_WORKERS: usize = 512;
+/// Time allowed to a feeder beyond the wait.
+const FEED_MARGIN: Duration = Duration::from_millis(400);
+/// Time for which a host watches the platform itself after a feeder failed.
+const UNFED: Span = Span::from_secs(3);
 
 /// Hosts that are asked to make a call of the platform.
 const MOST_HELPERS: usize = 3;
@@ -70,6 +78,7 @@
     pub(crate) pools: Arc<Pools>,
     pub(crate) members: Mutex<Members>,
     pub(crate) zone_load: Mutex<ZoneLoad>,
+    unfed_until: Mutex<Time>,
     records: RwLock<BTreeMap<HostId, HostRecord>>,
     leaving: AtomicBool,
 }
@@ -91,6 +100,7 @@
             link: Link::new(me.host.clone(), key, clock::now),
             members: Mutex::new(Members::new(config, profile, seed)),
             zone_load: Mutex::default(),
+            unfed_until: Mutex::new(Time(0)),
             records: RwLock::default(),
             leaving: AtomicBool::new(false),
             pools,
@@ -131,7 +141,8 @@
                 }
             }
         };
-        self.link.serve(&self.me.link.to_string(), LINK_WORKERS, answer)
+        let workers = if self.me.role == MemberRole::Batch { FEED_WORKERS } else { LINK_WORKERS };
+        self.link.serve(&self.me.link.to_string(), workers, answer)
     }
 
     /// Calls the application of another host.
@@ -159,6 +170,25 @@
         }
     }
 
+    /// The host that feeds this one, unless it failed to do so lately.
+    fn feeder(&self) -> Option<(HostId, SocketAddr)> {
+        if clock::steady() < *self.unfed_until.lock() {
+            return None;
+        }
+        let members = self.members.lock();
+        let keepers = members.view().filter(|view| {
+            view.profile.role == MemberRole::Batch && view.state == MemberState::Live
+        });
+        let keepers = keepers.map(|view| Feeder {
+            host: view.profile.host,
+            zone: view.profile.zone,
+            address: view.profile.address,
+        });
+        let is_feeder = self.me.role == MemberRole::Batch;
+        let chosen = feeder_of(&self.me.host, &self.me.zone, is_feeder, keepers)?;
+        Some((chosen.host, chosen.address))
+    }
+
     /// Hosts that may reach the platform, those of this data centre first.
     fn helpers(&self) -> Vec<SocketAddr> {
         let mut peers = self.peers();
@@ -356,4 +386,24 @@
         }
         last
     }
+
+    async fn feed(&self, prefix: &str, from: Revision, wait: Duration) -> Option<Changes> {
+        let (host, address) = self.feeder()?;
+        let wait = wait.min(MOST_WAIT);
+        let call = PeerCall::Store(StoreCall::Watch(prefix.to_owned(), from, Span::from(wait)));
+        let call: PeerCall<()> = call;
+        let answer = self.link.call(&address.to_string(), &call, wait + FEED_MARGIN).await;
+        let reason = match answer {
+            Ok(PeerAnswer::<()>::Store(StoreAnswer::Changes(changes, revision))) => {
+                let changes = changes.into_iter().map(Change::from).collect();
+                return Some(Changes { changes, revision });
+            }
+            Ok(PeerAnswer::Store(StoreAnswer::Refused(reason))) => reason,
+            Ok(_) => "answer to another kind of call".to_owned(),
+            Err(error) => error.to_string(),
+        };
+        log::info!(feeder:% = host, prefix, reason; "no feed; the platform is watched from here");
+        *self.unfed_until.lock() = clock::steady() + UNFED;
+        None
+    }
 }
--- a/crates/oleander-cluster/src/detour.rs
+++ b/crates/oleander-cluster/src/detour.rs
@@ -8,19 +8,22 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use oleander_core::{Revision, Time};
+use oleander_core::{Revision, Span, Time};
 use oleander_host::clock;
 use oleander_platform::{
-    Changes, Created, Listing, Object, ObjectStore, Page, PlatformError, Updated,
+    Change, Changes, Created, Listing, Object, ObjectStore, Page, PlatformError, Updated,
 };
 use parking_lot::{Mutex, RwLock};
 use serde::{Deserialize, Serialize};
 
-use crate::breaker::Breaker;
+use crate::{breaker::Breaker, feed::Feeds};
 
 /// Longest wait for a host that makes the call: the store's own answer and the way there.
 pub(crate) const DETOUR_TIMEOUT: Duration = Duration::from_millis(2_000);
 
+/// Shortest wait of a watch that a feeder may answer.
+const LEAST_FED: Duration = Duration::from_millis(100);
+
 /// A call of the store that another host makes.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum StoreCall {
@@ -30,6 +33,25 @@
     Create(String, Bytes),
     /// Replaces an object at a revision.
     Update(String, Bytes, Revision),
+    /// Waits for changes below a prefix after a revision; only a feeder answers.
+    Watch(String, Revision, Span),
+}
+
+/// A change on its way between hosts: the key, and the object if it stands.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct WireChange(String, Option<(Revision, Bytes)>);
+
+impl From<Change> for WireChange {
+    fn from(change: Change) -> Self {
+        Self(change.key, change.object.map(|object| (object.revision, object.body)))
+    }
+}
+
+impl From<WireChange> for Change {
+    fn from(WireChange(key, object): WireChange) -> Self {
+        let object = object.map(|(revision, body)| Object { revision, body });
+        Self { key, object }
+    }
 }
 
 /// What came of it.
@@ -43,6 +65,8 @@
     Updated(Revision),
     /// It has another revision, or is gone.
     Stale(Option<Revision>),
+    /// Changes up to a revision.
+    Changes(Vec<WireChange>, Revision),
     /// It changed nothing: the host does not reach the store either.
     Refused(String),
     /// It may have taken effect.
@@ -53,6 +77,14 @@
 pub trait Detour: Send + Sync + 'static {
     /// Lets another host make `call`.
     fn call(&self, call: StoreCall) -> impl Future<Output = StoreAnswer> + Send;
+
+    /// Lets this host's feeder answer a watch; `None` if there is none that does.
+    fn feed(
+        &self,
+        prefix: &str,
+        from: Revision,
+        wait: Duration,
+    ) -> impl Future<Output = Option<Changes>> + Send;
 }
 
 /// A store with a second way to it.
@@ -61,12 +93,13 @@
     store: S,
     breaker: Arc<Mutex<Breaker>>,
     detour: Arc<RwLock<Option<Arc<D>>>>,
+    feeds: Feeds,
 }
 
 impl<S: Clone, D> Clone for Routed<S, D> {
     fn clone(&self) -> Self {
         let (breaker, detour) = (Arc::clone(&self.breaker), Arc::clone(&self.detour));
-        Self { store: self.store.clone(), breaker, detour }
+        Self { store: self.store.clone(), breaker, detour, feeds: self.feeds.clone() }
     }
 }
 
@@ -74,7 +107,14 @@
     /// A store without a second way.
     #[must_use]
     pub fn new(store: S) -> Self {
-        Self { store, breaker: Arc::default(), detour: Arc::default() }
+        let (breaker, detour, feeds) = (Arc::default(), Arc::default(), Feeds::default());
+        Self { store, breaker, detour, feeds }
+    }
+
+    /// What this host keeps for others.
+    #[must_use]
+    pub fn feeds(&self) -> Feeds {
+        self.feeds.clone()
     }
 
     /// Sets the second way.
@@ -84,6 +124,9 @@
 
     /// Makes a call for another host, if the own path is good.
     pub async fn serve(&self, call: StoreCall) -> StoreAnswer {
+        if let StoreCall::Watch(prefix, from, wait) = call {
+            return self.feeds.watch(&prefix, from, wait.to_duration()).await;
+        }
         if self.breaker.lock().is_open() {
             return StoreAnswer::Refused("no path to the platform here either".to_owned());
         }
@@ -106,6 +149,7 @@
                     Err(error) => failure(&error),
                 }
             }
+            StoreCall::Watch(..) => StoreAnswer::Refused("watches are fed".to_owned()),
         }
     }
 
@@ -244,6 +288,13 @@
         from: Revision,
         wait: Duration,
     ) -> Result<Changes, PlatformError> {
+        let feeder = self.detour.read().clone();
+        // A watch that waits for next to nothing is to show that the platform answers.
+        if let Some(feeder) = feeder.filter(|_| wait >= LEAST_FED)
+            && let Some(changes) = feeder.feed(prefix, from, wait).await
+        {
+            return Ok(changes);
+        }
         self.watched(self.store.watch(prefix, from, wait).await)
     }
 }
--- /dev/null
+++ b/crates/oleander-cluster/src/feed.rs
@@ -0,0 +1,187 @@
+//! Changes at the platform, kept by one host of a data centre for the others there.
+//!
+//! Answers a fleet in which every host watches the platform: its calls grow with the hosts, though
+//! all of them are told the same. A feeder keeps the last changes below each prefix and the others
+//! ask it; of the feeders, one watches the platform and the others ask that one. A feeder answers only while its own questions are answered, and each question has a short
+//! bound, so that a host whose feeder is gone, paused or cut off watches the platform itself within
+//! two seconds.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
+
+use oleander_core::{HostId, Revision, ZoneId};
+use oleander_platform::{Change, Follow, Followed, ObjectStore};
+use parking_lot::Mutex;
+use tokio::{sync::Notify, time};
+
+use crate::detour::{StoreAnswer, WireChange};
+
+/// Longest wait of a feeder's own watch. With the margin of a call, it is the time after which a
+/// feeder knows that it is cut off; the others must still have time to act.
+const FEED_WAIT: Duration = Duration::from_secs(1);
+/// Time between two watches of a feeder, which lets one call bring several changes.
+const FEED_PAUSE: Duration = Duration::from_millis(250);
+/// Longest wait of one question to a feeder.
+pub(crate) const MOST_WAIT: Duration = Duration::from_millis(1_200);
+/// Changes kept of one prefix; a host that is further behind watches the platform itself.
+const MOST_CHANGES: usize = 512;
+
+/// A host that keeps changes for others.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Feeder {
+    /// Its name.
+    pub host: HostId,
+    /// Its data centre.
+    pub zone: ZoneId,
+    /// Where it is asked.
+    pub address: SocketAddr,
+}
+
+/// Which of the `live` feeders a host asks; `None` if it watches the platform itself.
+///
+/// Hosts ask one of their data centre, and feeders the first of all. A feeder asks only feeders
+/// whose names come before its own, so that none waits for what it tells itself, whatever the
+/// hosts believe of each other.
+#[must_use]
+pub fn feeder_of(
+    host: &HostId,
+    zone: &ZoneId,
+    is_feeder: bool,
+    live: impl Iterator<Item = Feeder>,
+) -> Option<Feeder> {
+    let others = live.filter(|feeder| feeder.host != *host);
+    if is_feeder {
+        let before = others.filter(|feeder| feeder.host < *host);
+        return before.min_by(|a, b| a.host.cmp(&b.host));
+    }
+    others.min_by_key(|feeder| (feeder.zone != *zone, feeder.host.clone()))
+}
+
+/// What a history holds for a host at some revision.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum News {
+    /// These changes, up to a revision.
+    Changes(Vec<Change>, Revision),
+    /// Nothing yet.
+    None,
+    /// It doesn't reach back so far, or is lost.
+    OutOfReach,
+}
+
+/// The last changes below one prefix.
+#[derive(Debug, Clone, Default)]
+pub struct History {
+    /// First and last revision between which all changes are kept.
+    span: Option<(Revision, Revision)>,
+    changes: VecDeque<(Revision, Change)>,
+}
+
+impl History {
+    /// Begins anew at a revision.
+    pub fn start(&mut self, at: Revision) {
+        self.span = Some((at, at));
+        self.changes.clear();
+    }
+
+    /// Forgets all; until the next start nothing is known.
+    pub fn lose(&mut self) {
+        self.span = None;
+        self.changes.clear();
+    }
+
+    /// Adds changes that lead up to a revision.
+    pub fn add(&mut self, changes: Vec<Change>, upto: Revision) {
+        let Some((first, _)) = self.span else { return self.start(upto) };
+        // A removal bears no revision of its own; it counts as made at the end of its batch.
+        let rows = changes.into_iter().map(|change| {
+            let at = change.object.as_ref().map_or(upto, |object| object.revision);
+            (at, change)
+        });
+        self.changes.extend(rows);
+        let mut first = first;
+        while self.changes.len() > MOST_CHANGES {
+            let dropped = self.changes.pop_front();
+            first = dropped.map_or(first, |(at, _)| first.max(at));
+        }
+        self.span = Some((first, upto));
+    }
+
+    /// What a host that knows all up to `from` has not seen.
+    #[must_use]
+    pub fn after(&self, from: Revision) -> News {
+        let Some((first, last)) = self.span else { return News::OutOfReach };
+        if from < first {
+            return News::OutOfReach;
+        }
+        let fresh = self.changes.iter().filter(|(at, _)| *at > from);
+        let fresh: Vec<Change> = fresh.map(|(_, change)| change.clone()).collect();
+        if fresh.is_empty() { News::None } else { News::Changes(fresh, last) }
+    }
+
+    /// Revision up to which all changes are known.
+    #[must_use]
+    pub fn last(&self) -> Option<Revision> {
+        self.span.map(|(_, last)| last)
+    }
+}
+
+/// Histories by prefix, and those who wait for them.
+#[derive(Debug, Clone, Default)]
+pub struct Feeds {
+    histories: Arc<Mutex<BTreeMap<String, History>>>,
+    changed: Arc<Notify>,
+}
+
+impl Feeds {
+    /// Keeps the history of `prefix`; never ends.
+    pub async fn keep<S: ObjectStore>(self, store: S, prefix: &str) {
+        let mut follow = Follow::new(store, prefix, FEED_WAIT).pause(FEED_PAUSE);
+        loop {
+            let followed = follow.next().await;
+            let at = follow.revision();
+            {
+                let mut histories = self.histories.lock();
+                let history = histories.entry(prefix.to_owned()).or_default();
+                match (followed, at) {
+                    (Followed::Changes(changes), Some(at)) => history.add(changes, at),
+                    (Followed::Snapshot(_), Some(at)) => history.start(at),
+                    (Followed::Lost(error), _) => {
+                        log::warn!(prefix, error:% = error; "feed is lost; others watch themselves");
+                        history.lose();
+                    }
+                    (_, None) => history.lose(),
+                }
+            }
+            self.changed.notify_waiters();
+        }
+    }
+
+    /// Answers a watch from the history; waits at most `wait` for a change.
+    pub(crate) async fn watch(&self, prefix: &str, from: Revision, wait: Duration) -> StoreAnswer {
+        let end = time::Instant::now() + wait.min(MOST_WAIT);
+        loop {
+            let changed = self.changed.notified();
+            tokio::pin!(changed);
+            changed.as_mut().enable();
+            let news = self.histories.lock().get(prefix).map(|history| history.after(from));
+            match news {
+                Some(News::Changes(changes, upto)) => {
+                    let changes = changes.into_iter().map(WireChange::from).collect();
+                    return StoreAnswer::Changes(changes, upto);
+                }
+                Some(News::None) => {}
+                Some(News::OutOfReach) | None => {
+                    return StoreAnswer::Refused("not fed from there".to_owned());
+                }
+            }
+            if time::timeout_at(end, changed).await.is_err() {
+                let last = self.histories.lock().get(prefix).and_then(History::last);
+                return StoreAnswer::Changes(Vec::new(), last.unwrap_or(from).max(from));
+            }
+        }
+    }
+}
--- a/crates/oleander-cluster/src/record.rs
+++ b/crates/oleander-cluster/src/record.rs
@@ -6,7 +6,7 @@
 use oleander_members::{ListedHost, MemberRole};
 
 /// Prefix of all records.
-pub(crate) const PREFIX: &str = "hosts/";
+pub const PREFIX: &str = "hosts/";
 
 value! {
     /// One process of the system; written once at its start.
--- a/crates/oleander-cluster/tests/detour.rs
+++ b/crates/oleander-cluster/tests/detour.rs
@@ -1,11 +1,12 @@
 //! The store by way of another host.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use oleander_cluster::{Detour, Routed, StoreAnswer, StoreCall};
+use oleander_core::Revision;
 use oleander_platform::{
-    Created, MemoryFaults, MemoryPlatform, ObjectStore, PlatformError, Updated,
+    Changes, Created, MemoryFaults, MemoryPlatform, ObjectStore, PlatformError, Updated,
 };
 
 /// Another host; its path may be bad, too.
@@ -15,6 +16,10 @@
     async fn call(&self, call: StoreCall) -> StoreAnswer {
         self.0.serve(call).await
     }
+
+    async fn feed(&self, _: &str, _: Revision, _: Duration) -> Option<Changes> {
+        None
+    }
 }
 
 type Store = Routed<MemoryPlatform, Helper>;
--- a/crates/oleander-platform/src/memory.rs
+++ b/crates/oleander-platform/src/memory.rs
@@ -1,6 +1,13 @@
 //! An in-memory platform for tests, with outages and lost answers.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{
+    collections::BTreeMap,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
 
 use bytes::Bytes;
 use oleander_core::Revision;
@@ -38,6 +45,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct MemoryPlatform {
     state: Arc<Mutex<State>>,
+    /// Whether this way to the store is cut off, whatever the others see.
+    cut: Arc<AtomicBool>,
 }
 
 impl MemoryPlatform {
@@ -52,6 +61,24 @@
         self.state.lock().faults = faults;
     }
 
+    /// Another way to the same store, which can be cut off by itself.
+    #[must_use]
+    pub fn other_path(&self) -> Self {
+        Self { state: Arc::clone(&self.state), cut: Arc::default() }
+    }
+
+    /// Cuts this way to the store off, or heals it.
+    pub fn set_cut(&self, cut: bool) {
+        self.cut.store(cut, Ordering::Relaxed);
+    }
+
+    fn check_path(&self) -> Result<(), PlatformError> {
+        if self.cut.load(Ordering::Relaxed) {
+            return Err(PlatformError::Unreachable("the test cut this path".to_owned()));
+        }
+        Ok(())
+    }
+
     /// Sets the list of hosts.
     pub fn set_hosts(&self, hosts: HostView) {
         self.state.lock().hosts = Some(hosts);
@@ -101,12 +128,14 @@
 
 impl ObjectStore for MemoryPlatform {
     async fn get(&self, key: &str) -> Result<Option<Object>, PlatformError> {
+        self.check_path()?;
         let state = self.state.lock();
         state.check_up()?;
         Ok(state.objects.get(key).cloned())
     }
 
     async fn create(&self, key: &str, body: Bytes) -> Result<Created, PlatformError> {
+        self.check_path()?;
         let mut state = self.state.lock();
         state.check_up()?;
         if state.objects.contains_key(key) {
@@ -121,6 +150,7 @@
         body: Bytes,
         expected: Revision,
     ) -> Result<Updated, PlatformError> {
+        self.check_path()?;
         let mut state = self.state.lock();
         state.check_up()?;
         let current = state.objects.get(key).map(|object| object.revision);
@@ -131,6 +161,7 @@
     }
 
     async fn remove(&self, key: &str, expected: Revision) -> Result<Updated, PlatformError> {
+        self.check_path()?;
         let mut state = self.state.lock();
         state.check_up()?;
         let current = state.objects.get(key).map(|object| object.revision);
@@ -150,6 +181,7 @@
         after: &str,
         limit: usize,
     ) -> Result<Listing, PlatformError> {
+        self.check_path()?;
         let state = self.state.lock();
         state.check_up()?;
         let mut objects: Vec<Listed> = state
@@ -172,6 +204,7 @@
     async fn changed(&self, prefix: &str, from: Revision) -> Result<Revision, PlatformError> {
         loop {
             {
+                self.check_path()?;
                 let state = self.state.lock();
                 state.check_up()?;
                 let newest = state
@@ -196,6 +229,7 @@
     ) -> Result<Changes, PlatformError> {
         let end = tokio::time::Instant::now() + wait;
         loop {
+            self.check_path()?;
             let changes = self.state.lock().changes(prefix, from)?;
             if !changes.changes.is_empty() || tokio::time::Instant::now() >= end {
                 return Ok(changes);
@@ -207,6 +241,7 @@
 
 impl Platform for MemoryPlatform {
     async fn hosts(&self) -> Result<HostView, PlatformError> {
+        self.check_path()?;
         let state = self.state.lock();
         state.check_up()?;
         Ok(state.hosts.clone().unwrap_or(HostView { revision: Revision(0), hosts: Vec::new() }))
--- a/crates/oleander-worklist/src/store.rs
+++ b/crates/oleander-worklist/src/store.rs
@@ -13,7 +13,7 @@
 };
 
 /// Prefix of all entries.
-pub(crate) const ENTRY_PREFIX: &str = "joblist/";
+pub const ENTRY_PREFIX: &str = "joblist/";
 /// Times a write without an answer is settled by reading before it counts as unknown.
 const SETTLE_READS: u32 = 3;
 
