Let items leave where online requests wait; fill homes first

Printed states showed 82 requests waiting at engines beside 44 items: hosts that send to one target at the same moment each ask for too little room, and once the target is full nobody asks again. The router can name such items (batch_excess); the worklist never asked it.

Test on the desk: items leave a target that others filled; before, they stayed.

--- a/crates/oleander-relay/src/pool.rs
+++ b/crates/oleander-relay/src/pool.rs
@@ -5,8 +5,8 @@
 use oleander_core::{HostId, ServiceId, Span, TargetId, Time, ZoneId};
 use oleander_host::clock;
 use oleander_routing::{
-    Class, Decision, LeaseId, LoadReport, Observation, PeerCount, Pick, Router, RouterConfig,
-    TicketId, homes,
+    BatchExcess, Class, Decision, LeaseId, LoadReport, Observation, PeerCount, Pick, Router,
+    RouterConfig, TicketId, homes,
 };
 use parking_lot::{Mutex, RwLock};
 use tokio::sync::{
@@ -164,6 +164,11 @@
         let _ = self.yields.send(request);
     }
 
+    /// Own batch items that targets have no room for.
+    pub fn batch_excess(&self) -> Vec<BatchExcess> {
+        self.router.lock().batch_excess(clock::steady())
+    }
+
     /// Other hosts with batch items at a target, those with most first.
     pub fn batch_holders(&self, target: &TargetId) -> Vec<(HostId, u32)> {
         self.router.lock().batch_holders(target)
--- a/crates/oleander-routing/src/config.rs
+++ b/crates/oleander-routing/src/config.rs
@@ -63,8 +63,9 @@
     pub const AFFINITY_SLACK: u32 = 150;
 
     /// Load by which a target of another host must be below an own one to be used first, in per
-    /// mille of a target's limit: what others may have sent there without being heard yet.
-    pub const HOME_SLACK: u32 = 400;
+    /// mille of a target's limit: more than any load, so that homes are filled first. What other
+    /// hosts sent elsewhere at the same moment is not known.
+    pub const HOME_SLACK: u32 = 1_500;
 
     /// Settings with defaults for `host` in `zone`.
     #[must_use]
@@ -89,6 +90,13 @@
         }
     }
 
+    /// Sets the time within which a peer's counts show what it was asked to cancel.
+    #[must_use]
+    pub const fn yield_grace(mut self, grace: Span) -> Self {
+        self.yield_grace = grace;
+        self
+    }
+
     /// Sets how the classes share the targets.
     #[must_use]
     pub const fn policy(mut self, policy: Policy) -> Self {
--- a/crates/oleander-routing/src/router/room.rs
+++ b/crates/oleander-routing/src/router/room.rs
@@ -174,9 +174,15 @@
             (online, batch)
         });
         let shares: Vec<(Share, Share)> = shares.collect();
+        let has_homes = self.backends.iter().any(|backend| backend.home);
         for (backend, (online, batch)) in self.backends.iter_mut().zip(shares) {
             let burst = backend.online + online.free / BURST_PART;
-            backend.online_cap = online.cap.max(burst);
+            backend.online_cap = match (has_homes, backend.home) {
+                // Most of what is at a home is this host's own work.
+                (true, true) => u32::MAX,
+                (true, false) => burst,
+                (false, _) => online.cap.max(burst),
+            };
             backend.batch_cap = batch.cap;
             backend.free = [online.free, batch.free];
         }
--- a/crates/oleander-worklist/src/lib.rs
+++ b/crates/oleander-worklist/src/lib.rs
@@ -17,6 +17,7 @@
 mod message;
 mod reading;
 mod record;
+mod room;
 mod runner;
 mod store;
 mod submission;
--- a/crates/oleander-worklist/src/runner.rs
+++ b/crates/oleander-worklist/src/runner.rs
@@ -7,15 +7,15 @@
 
 use bytes::Bytes;
 use http::StatusCode;
-use oleander_core::{HostId, ServiceId, Span, TargetId};
+use oleander_core::{ServiceId, Span, TargetId};
 use oleander_host::clock;
 use oleander_platform::ObjectStore;
 use oleander_relay::{
-    Attempt, Ended, Granted, Head, Patience, Pool, Sink, SinkClosed, Targets, YieldRequest,
-    attempt, batch_pick, data_of,
+    Attempt, Ended, Granted, Head, Patience, Pool, Sink, SinkClosed, Targets, attempt, batch_pick,
+    data_of,
 };
 use tokio::{
-    sync::{Notify, mpsc::UnboundedReceiver, watch},
+    sync::{Notify, watch},
     time,
 };
 
@@ -23,13 +23,10 @@
     desk::{Desk, Held},
     item::{ItemEnd, Progress},
     job::NextItem,
-    message::{JobAnswer, JobCall},
 };
 
 /// Time between two looks for room while items wait.
 const LOOK_INTERVAL: std::time::Duration = std::time::Duration::from_millis(40);
-/// Longest wait for a host that is asked to make room; later there is no need.
-const YIELD_TIMEOUT: std::time::Duration = std::time::Duration::from_millis(300);
 /// Silence of a target after which an item goes on at another: items aren't waited for, but a
 /// stream that is silent for this long has most likely lost its target.
 const PATIENCE: Patience =
@@ -39,8 +36,8 @@
 #[derive(Debug, Clone)]
 pub(crate) struct Run {
     number: u64,
-    target: TargetId,
-    interrupt: Arc<Notify>,
+    pub(crate) target: TargetId,
+    pub(crate) interrupt: Arc<Notify>,
 }
 
 /// Where the next item of a job goes.
@@ -52,11 +49,12 @@
 }
 
 impl<S: ObjectStore, T: Targets> Desk<S, T> {
-    /// Starts items whenever there is room; never ends.
+    /// Starts items where there is room and interrupts them where there is none; never ends.
     pub async fn dispatch(self: Arc<Self>) {
         loop {
-            if self.start_items() {
-                // Room may come from other hosts' work, which no notice tells of.
+            self.yield_excess();
+            if self.start_items() || !self.runs.lock().is_empty() {
+                // Room comes and goes with other hosts' work, which no notice tells of.
                 let _ = time::timeout(LOOK_INTERVAL, self.wake.notified()).await;
             } else {
                 self.wake.notified().await;
@@ -118,60 +116,6 @@
         run
     }
 
-    /// Interrupts the youngest items of this host at a target; returns how many there were.
-    pub(crate) fn interrupt(&self, target: &TargetId, count: u32) -> u32 {
-        let mut runs = self.runs.lock();
-        let mut interrupted = 0;
-        while interrupted < count {
-            let Some(at) = runs.iter().rposition(|run| run.target == *target) else { break };
-            runs.remove(at).interrupt.notify_one();
-            interrupted += 1;
-        }
-        if interrupted > 0 {
-            log::info!(target:% = target, asked = count, interrupted; "items made room");
-            metrics::counter!("items_interrupted_total").increment(u64::from(interrupted));
-        }
-        interrupted
-    }
-
-    /// Makes room for online requests, here first and then at the hosts that hold most; never
-    /// ends.
-    pub async fn make_room(self: Arc<Self>, mut asked: UnboundedReceiver<YieldRequest>) {
-        while let Some(YieldRequest { target, count, holders }) = asked.recv().await {
-            let left = count - self.interrupt(&target, count);
-            self.ask_holders(&target, left, holders);
-        }
-    }
-
-    /// Asks the neighbours with items at a target to make room there.
-    pub(crate) fn ask_neighbours(self: &Arc<Self>, target: &TargetId, count: u32) {
-        let pools = self.relay.pools.all();
-        let mut holders: Vec<(HostId, u32)> =
-            pools.iter().flat_map(|(_, pool)| pool.batch_holders(target)).collect();
-        holders.retain(|(host, _)| self.cluster.is_neighbour(host));
-        self.ask_holders(target, count, holders);
-    }
-
-    fn ask_holders(self: &Arc<Self>, target: &TargetId, count: u32, holders: Vec<(HostId, u32)>) {
-        let mut left = count;
-        for (host, held) in holders {
-            let count = left.min(held);
-            if count == 0 {
-                break;
-            }
-            left -= count;
-            let (desk, target) = (Arc::clone(self), target.clone());
-            let pass_on = !self.cluster.is_neighbour(&host);
-            tokio::spawn(async move {
-                let call = JobCall::Yield { target, count, pass_on };
-                let answer = desk.cluster.call(&host, call, YIELD_TIMEOUT).await;
-                if let Err(error) = answer.map(|_: JobAnswer| ()) {
-                    log::debug!(host:% = host, error:% = error; "host was not asked to yield");
-                }
-            });
-        }
-    }
-
     async fn run(self: Arc<Self>, held: Arc<Held>, next: NextItem, mut granted: Granted) {
         let Progress { mut events, output, begun } = next.progress;
         let resumed = events.last();
--- a/crates/oleander-worklist/tests/desk.rs
+++ b/crates/oleander-worklist/tests/desk.rs
@@ -4,7 +4,7 @@
     collections::BTreeMap,
     sync::{
         Arc,
-        atomic::{AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     time::Duration,
 };
@@ -22,6 +22,7 @@
     BodyError, Dispatch, Fleet, Head, Pools, Relay, Repeat, Reply, ReplyBody, Route, RouteKind,
     RouteTable, SendError, Share, TargetEntry, Targets,
 };
+use oleander_routing::PeerCount;
 use oleander_worklist::{Desk, DeskConfig, ItemState, NewItem, Submission, SubmitError};
 
 /// Time that each call of the store takes.
@@ -86,12 +87,22 @@
 
 /// Targets that answer each request with one event, and count requests.
 #[derive(Default)]
-struct Echo(AtomicUsize);
+struct Echo(AtomicUsize, AtomicBool);
 
-struct OneEvent(Option<Bytes>);
+impl Echo {
+    /// Lets answers never end from now on, or end at once.
+    fn hold(&self, held: bool) {
+        self.1.store(held, Ordering::Relaxed);
+    }
+}
+
+struct OneEvent(Option<Bytes>, bool);
 
 impl ReplyBody for OneEvent {
     async fn chunk(&mut self) -> Option<Result<Bytes, BodyError>> {
+        if self.1 {
+            std::future::pending::<()>().await;
+        }
         self.0.take().map(Ok)
     }
 }
@@ -103,7 +114,7 @@
         self.0.fetch_add(1, Ordering::Relaxed);
         let head = Head { status: StatusCode::OK, headers: HeaderMap::new() };
         let event = format!("id: 1\ndata: done {}\n\n", dispatch.request.id);
-        let body = OneEvent(Some(Bytes::from(event)));
+        let body = OneEvent(Some(Bytes::from(event)), self.1.load(Ordering::Relaxed));
         Ok(Reply { head, not_run: false, load: None, body })
     }
 }
@@ -142,6 +153,11 @@
 }
 
 fn desk_and_targets(store: MemoryPlatform) -> (Arc<Desk<Slow, Echo>>, Arc<Echo>) {
+    let (desk, targets, _) = parts(store);
+    (desk, targets)
+}
+
+fn parts(store: MemoryPlatform) -> (Arc<Desk<Slow, Echo>>, Arc<Echo>, Arc<Pools>) {
     let (pools, yields) = Pools::new(host(), zone(), 1);
     let mut fleet = Fleet::default();
     fleet.put(TargetEntry {
@@ -167,14 +183,14 @@
         started: Time(7),
     };
     let key = LinkKey::from_secret(b"a secret of the tests").expect("long enough");
-    let cluster = Cluster::new(me, key, pools);
+    let cluster = Cluster::new(me, key, Arc::clone(&pools));
     let id_header = HeaderName::from_static("x-id");
     let config = DeskConfig { id_header, object_bytes: 1 << 20, held_bytes: 1 << 20 };
     let desk = Desk::new(config, Slow(store), relay, cluster);
     tokio::spawn(Arc::clone(&desk).follow());
     tokio::spawn(Arc::clone(&desk).dispatch());
     tokio::spawn(Arc::clone(&desk).make_room(yields));
-    (desk, targets)
+    (desk, targets, pools)
 }
 
 async fn ready(desk: &Desk<Slow, Echo>) {
@@ -272,3 +288,23 @@
     tokio::time::sleep(ACCEPT_TIME * 3).await;
     assert_eq!(targets.0.load(Ordering::Relaxed), 0, "no item of an ended job reaches a target");
 }
+
+/// Answers a rush in which several hosts send to one target at the same moment: each asks for too
+/// little room, and no further request comes that would ask for more.
+#[tokio::test]
+async fn items_leave_a_target_that_other_hosts_have_filled_with_online_requests() {
+    let (desk, targets, pools) = parts(MemoryPlatform::new());
+    ready(&desk).await;
+    targets.hold(true);
+    assert_eq!(desk.submit(submission(10), &route()).await, Ok(()));
+    let pool = pools.get(&"llm".parse().expect("name of a service")).expect("a pool");
+    let batch = || pool.counts().iter().map(|count| count.batch).sum::<u32>();
+    while batch() < 3 {
+        tokio::time::sleep(CALL_TIME).await;
+    }
+    let target = "engine-1".parse().expect("name of a target");
+    let full = vec![PeerCount { target, online: 8, batch: 0 }];
+    pool.peer(&"entry-2".parse().expect("name of a host"), full, Time(1));
+    tokio::time::sleep(Duration::from_millis(150)).await;
+    assert_eq!(batch(), 0, "items still hold slots that online requests wait for");
+}
