--- a/crates/oleander-cluster/src/cluster.rs
+++ b/crates/oleander-cluster/src/cluster.rs
@@ -176,8 +176,11 @@
             return None;
         }
         let members = self.members.lock();
+        // A host that was not probed yet is asked all the same: at a start of all hosts it saves
+        // most of the calls.
         let keepers = members.view().filter(|view| {
-            view.profile.role == MemberRole::Batch && view.state == MemberState::Live
+            view.profile.role == MemberRole::Batch
+                && matches!(view.state, MemberState::Live | MemberState::Candidate)
         });
         let keepers = keepers.map(|view| Feeder {
             host: view.profile.host,
--- a/crates/oleander-cluster/src/sharing.rs
+++ b/crates/oleander-cluster/src/sharing.rs
@@ -18,11 +18,11 @@
 };
 
 /// Shortest time between two messages to a host of the same data centre.
-const NEAR_INTERVAL: Duration = Duration::from_millis(100);
+const NEAR_INTERVAL: Duration = Duration::from_millis(60);
 /// Messages to near hosts in a second, which a host of a tenth of a core can make and answer.
-const NEAR_RATE: u32 = 100;
+const NEAR_RATE: u32 = 250;
 /// Messages to near hosts for each one to the other data centres.
-const FAR_EVERY: u64 = 3;
+const FAR_EVERY: u64 = 5;
 /// Longest wait for the answer.
 const TIMEOUT: Duration = Duration::from_millis(400);
 
--- a/crates/oleander-relay/src/follow.rs
+++ b/crates/oleander-relay/src/follow.rs
@@ -1,6 +1,6 @@
 //! Keeps targets and routes up to date with the platform.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use oleander_core::{Span, TargetId, Time};
 use oleander_host::clock;
@@ -18,6 +18,10 @@
 /// Longest sleep while no entry is about to expire.
 const LONG_SLEEP: Span = Span::from_secs(3_600);
 
+/// Time between two watches of targets, which come and go many at a time; small against the time
+/// in which a leaving target must get no more work.
+const TARGETS_PAUSE: Duration = Duration::from_millis(200);
+
 /// Reads a target's entry from its name and body.
 pub type ReadTarget = fn(&str, &[u8]) -> Result<TargetEntry, String>;
 
@@ -29,7 +33,7 @@
     pools: Arc<Pools>,
 ) {
     let mut fleet = Fleet::default();
-    let mut follow = Follow::new(store, prefix, PROMPT_WAIT);
+    let mut follow = Follow::new(store, prefix, PROMPT_WAIT).pause(TARGETS_PAUSE);
     loop {
         let expiry = fleet.next_expiry().map_or(LONG_SLEEP, |at| at.since(clock::steady()));
         // The sleep must not cut a call short, so the call goes on in the next round.
--- a/crates/oleander-routing/tests/bursts.rs
+++ b/crates/oleander-routing/tests/bursts.rs
@@ -15,7 +15,7 @@
 const STEP: Span = Span::from_millis(5);
 const LENGTH: Span = Span::from_secs(21);
 /// Time between two messages of a host to each other one, and until it arrives.
-const EXCHANGE: Span = Span::from_millis(160);
+const EXCHANGE: Span = Span::from_millis(64);
 const LAG: Span = Span::from_millis(5);
 const SLOTS: usize = 7;
 /// How long an online request and a batch item occupy a slot.
@@ -257,7 +257,7 @@
 fn small_hosts_serve_a_rush_that_fits_in_time() {
     for seed in 1..=3 {
         let outcome = play(17, 18, 0.85, seed);
-        assert!(outcome.share_in_time() >= 0.9, "seed {seed}: {outcome:?}");
+        assert!(outcome.share_in_time() >= 0.95, "seed {seed}: {outcome:?}");
     }
 }
 
