--- a/crates/oleander-cluster/src/feed.rs
+++ b/crates/oleander-cluster/src/feed.rs
@@ -179,8 +179,8 @@
                 }
             }
             if time::timeout_at(end, changed).await.is_err() {
-                let last = self.histories.lock().get(prefix).and_then(History::last);
-                return StoreAnswer::Changes(Vec::new(), last.unwrap_or(from).max(from));
+                // The host goes on from where it is: what came at this moment is told next time.
+                return StoreAnswer::Changes(Vec::new(), from);
             }
         }
     }
--- a/crates/oleander-worklist/src/takeover.rs
+++ b/crates/oleander-worklist/src/takeover.rs
@@ -1,6 +1,6 @@
 //! Jobs that come to this host and go from it, and their results on the way to the platform.
 
-use std::{sync::Arc, time::Duration};
+use std::{fmt, sync::Arc, time::Duration};
 
 use oleander_core::{JobId, Span, Time};
 use oleander_host::clock;
@@ -50,7 +50,9 @@
                             "job taken over");
                         self.take_entry(at, taken);
                     }
-                    Ok(None) => self.refresh(&taken.job).await,
+                    Ok(None) => {
+                        self.refresh(&taken.job).await;
+                    }
                     Err(fault) => {
                         log::warn!(job:% = taken.job, error:% = fault; "job can't be taken over");
                     }
@@ -59,8 +61,8 @@
         }
     }
 
-    /// Reads an entry that is not as this host believed.
-    pub(crate) async fn refresh(self: &Arc<Self>, job: &JobId) {
+    /// Reads an entry that is not as this host believed; tells whether it could be read.
+    pub(crate) async fn refresh(self: &Arc<Self>, job: &JobId) -> bool {
         match self.store.entry(job).await {
             Ok(Some((revision, entry))) => {
                 log::info!(job:% = job, owner:? = entry.owner, revision = revision.0;
@@ -68,8 +70,12 @@
                 self.take_entry(revision, entry);
             }
             Ok(None) => log::info!(job:% = job; "job is gone"),
-            Err(fault) => log::warn!(job:% = job, error:% = fault; "entry can't be read"),
+            Err(fault) => {
+                log::warn!(job:% = job, error:% = fault; "entry can't be read");
+                return false;
+            }
         }
+        true
     }
 
     /// Loads a job that this host owns and doesn't hold.
@@ -123,6 +129,11 @@
         })
     }
 
+    /// Loads a job with its results and closes its log to the owner before.
+    ///
+    /// The empty segment at the end of the log is what a former owner that goes on, as it was
+    /// paused or cut off, meets with its next results; from then on it shows none that this host
+    /// doesn't know.
     async fn load(&self, entry: JobEntry) -> Result<Job, StoreFault> {
         let items = self.store.items(&entry).await?;
         let name = entry.job.clone();
@@ -130,7 +141,20 @@
         while let Some(segment) = self.store.segment(&name, job.segments()).await? {
             job.apply(segment);
         }
-        Ok(job)
+        let fence = Segment { writer: self.writer("load"), results: Vec::new() };
+        loop {
+            let stored = self.store.append(&name, job.segments(), &fence).await?;
+            let is_own = stored.writer == fence.writer;
+            job.apply(stored);
+            if is_own {
+                return Ok(job);
+            }
+        }
+    }
+
+    /// Name of a write of this process.
+    fn writer(&self, write: impl fmt::Display) -> String {
+        format!("{}@{}:{write}", self.me.host, self.me.started)
     }
 
     /// Starts to run a job.
@@ -174,19 +198,31 @@
         }
     }
 
-    async fn append(&self, name: &JobId, held: &Held, write: u64) -> Result<(), StoreFault> {
+    async fn append(
+        self: &Arc<Self>,
+        name: &JobId,
+        held: &Held,
+        write: u64,
+    ) -> Result<(), StoreFault> {
         let (index, results) = {
             let job = held.job.lock();
             (job.segments(), job.offers())
         };
-        let writer = format!("{}@{}:{write}", self.me.host, self.me.started);
-        let segment = Segment { writer, results };
+        let segment = Segment { writer: self.writer(write), results };
         let stored = self.store.append(name, index, &segment).await?;
-        if stored.writer != segment.writer {
+        let is_own = stored.writer == segment.writer;
+        if !is_own {
             log::info!(job:% = name, segment = index, writer:% = stored.writer;
-                "another host listed results first");
+                "another host wrote to the job's results first");
         }
         held.job.lock().apply(stored);
+        if !is_own {
+            // Whoever wrote there may have taken the job over; until that is known, nothing more is
+            // listed here.
+            while !self.refresh(name).await {
+                time::sleep(RETRY_PAUSE).await;
+            }
+        }
         held.listed.notify_waiters();
         Ok(())
     }
--- a/crates/oleander-worklist/tests/desk.rs
+++ b/crates/oleander-worklist/tests/desk.rs
@@ -23,7 +23,9 @@
     RouteTable, SendError, Share, TargetEntry, Targets,
 };
 use oleander_routing::PeerCount;
-use oleander_worklist::{Desk, DeskConfig, ItemState, NewItem, Submission, SubmitError};
+use oleander_worklist::{
+    Desk, DeskConfig, ItemState, JobEntry, JobStore, NewItem, Owner, Submission, SubmitError,
+};
 
 /// Time that each call of the store takes.
 const CALL_TIME: Duration = Duration::from_millis(10);
@@ -31,18 +33,27 @@
 /// Time until the create of an entry is answered; it takes effect at once.
 const ACCEPT_TIME: Duration = Duration::from_millis(80);
 
-/// A store whose calls take a while.
+/// A store whose calls take a while, and whose watches are perhaps never answered.
 #[derive(Debug, Clone)]
-struct Slow(MemoryPlatform);
+struct Slow {
+    store: MemoryPlatform,
+    deaf: Arc<AtomicBool>,
+}
+
+impl Slow {
+    fn new(store: MemoryPlatform) -> Self {
+        Self { store, deaf: Arc::default() }
+    }
+}
 
 impl ObjectStore for Slow {
     async fn get(&self, key: &str) -> Result<Option<Object>, PlatformError> {
         tokio::time::sleep(CALL_TIME).await;
-        self.0.get(key).await
+        self.store.get(key).await
     }
 
     async fn create(&self, key: &str, body: Bytes) -> Result<Created, PlatformError> {
-        let created = self.0.create(key, body).await;
+        let created = self.store.create(key, body).await;
         let late = if key.starts_with("joblist/") { ACCEPT_TIME } else { CALL_TIME };
         tokio::time::sleep(late).await;
         created
@@ -54,25 +65,25 @@
         body: Bytes,
         expected: Revision,
     ) -> Result<Updated, PlatformError> {
-        let updated = self.0.update(key, body, expected).await;
+        let updated = self.store.update(key, body, expected).await;
         tokio::time::sleep(CALL_TIME).await;
         updated
     }
 
     async fn remove(&self, key: &str, expected: Revision) -> Result<Updated, PlatformError> {
-        self.0.remove(key, expected).await
+        self.store.remove(key, expected).await
     }
 
     async fn list(&self, prefix: &str, after: &str, n: usize) -> Result<Listing, PlatformError> {
-        self.0.list(prefix, after, n).await
+        self.store.list(prefix, after, n).await
     }
 
     async fn changed(&self, prefix: &str, from: Revision) -> Result<Revision, PlatformError> {
-        self.0.changed(prefix, from).await
+        self.store.changed(prefix, from).await
     }
 
     async fn scan(&self, prefix: &str, after: &str) -> Result<Page, PlatformError> {
-        self.0.scan(prefix, after).await
+        self.store.scan(prefix, after).await
     }
 
     async fn watch(
@@ -81,29 +92,38 @@
         from: Revision,
         wait: Duration,
     ) -> Result<Changes, PlatformError> {
-        self.0.watch(prefix, from, wait).await
+        if self.deaf.load(Ordering::Relaxed) {
+            std::future::pending::<()>().await;
+        }
+        self.store.watch(prefix, from, wait).await
     }
 }
 
 /// Targets that answer each request with one event, and count requests.
 #[derive(Default)]
-struct Echo(AtomicUsize, AtomicBool);
+struct Echo {
+    requests: AtomicUsize,
+    held: Arc<AtomicBool>,
+}
 
 impl Echo {
-    /// Lets answers never end from now on, or end at once.
+    /// Holds answers back, or lets them end.
     fn hold(&self, held: bool) {
-        self.1.store(held, Ordering::Relaxed);
+        self.held.store(held, Ordering::Relaxed);
     }
 }
 
-struct OneEvent(Option<Bytes>, bool);
+struct OneEvent {
+    event: Option<Bytes>,
+    held: Arc<AtomicBool>,
+}
 
 impl ReplyBody for OneEvent {
     async fn chunk(&mut self) -> Option<Result<Bytes, BodyError>> {
-        if self.1 {
-            std::future::pending::<()>().await;
+        while self.held.load(Ordering::Relaxed) {
+            tokio::time::sleep(CALL_TIME).await;
         }
-        self.0.take().map(Ok)
+        self.event.take().map(Ok)
     }
 }
 
@@ -111,10 +131,10 @@
     type Body = OneEvent;
 
     async fn send(&self, dispatch: Dispatch) -> Result<Reply<OneEvent>, SendError> {
-        self.0.fetch_add(1, Ordering::Relaxed);
+        self.requests.fetch_add(1, Ordering::Relaxed);
         let head = Head { status: StatusCode::OK, headers: HeaderMap::new() };
         let event = format!("id: 1\ndata: done {}\n\n", dispatch.request.id);
-        let body = OneEvent(Some(Bytes::from(event)), self.1.load(Ordering::Relaxed));
+        let body = OneEvent { event: Some(Bytes::from(event)), held: Arc::clone(&self.held) };
         Ok(Reply { head, not_run: false, load: None, body })
     }
 }
@@ -139,8 +159,8 @@
     }
 }
 
-fn host() -> HostId {
-    "entry-1".parse().expect("name of a host")
+fn host(name: &str) -> HostId {
+    name.parse().expect("name of a host")
 }
 
 fn zone() -> ZoneId {
@@ -153,12 +173,12 @@
 }
 
 fn desk_and_targets(store: MemoryPlatform) -> (Arc<Desk<Slow, Echo>>, Arc<Echo>) {
-    let (desk, targets, _) = parts(store);
+    let (desk, targets, _) = parts("entry-1", Slow::new(store));
     (desk, targets)
 }
 
-fn parts(store: MemoryPlatform) -> (Arc<Desk<Slow, Echo>>, Arc<Echo>, Arc<Pools>) {
-    let (pools, yields) = Pools::new(host(), zone(), 1);
+fn parts(name: &str, store: Slow) -> (Arc<Desk<Slow, Echo>>, Arc<Echo>, Arc<Pools>) {
+    let (pools, yields) = Pools::new(host(name), zone(), 1);
     let mut fleet = Fleet::default();
     fleet.put(TargetEntry {
         id: "engine-1".parse().expect("name of a target"),
@@ -175,7 +195,7 @@
     let relay = Arc::new(Relay::new(Arc::clone(&pools), Arc::clone(&targets)));
     relay.set_table(RouteTable::new(1, vec![route()], Vec::new()));
     let me = HostRecord {
-        host: host(),
+        host: host(name),
         zone: zone(),
         role: MemberRole::Entry,
         link: ([127, 0, 0, 1], 2).into(),
@@ -186,7 +206,7 @@
     let cluster = Cluster::new(me, key, Arc::clone(&pools));
     let id_header = HeaderName::from_static("x-id");
     let config = DeskConfig { id_header, object_bytes: 1 << 20, held_bytes: 1 << 20 };
-    let desk = Desk::new(config, Slow(store), relay, cluster);
+    let desk = Desk::new(config, store, relay, cluster);
     tokio::spawn(Arc::clone(&desk).follow());
     tokio::spawn(Arc::clone(&desk).dispatch());
     tokio::spawn(Arc::clone(&desk).make_room(yields));
@@ -286,14 +306,18 @@
     assert_eq!(desk.end(&job()).await, Ok(true), "the entry stands already");
     assert!(accepting.await.expect("it ends").is_ok());
     tokio::time::sleep(ACCEPT_TIME * 3).await;
-    assert_eq!(targets.0.load(Ordering::Relaxed), 0, "no item of an ended job reaches a target");
+    assert_eq!(
+        targets.requests.load(Ordering::Relaxed),
+        0,
+        "no item of an ended job reaches a target"
+    );
 }
 
 /// Answers a rush in which several hosts send to one target at the same moment: each asks for too
 /// little room, and no further request comes that would ask for more.
 #[tokio::test]
 async fn items_leave_a_target_that_other_hosts_have_filled_with_online_requests() {
-    let (desk, targets, pools) = parts(MemoryPlatform::new());
+    let (desk, targets, pools) = parts("entry-1", Slow::new(MemoryPlatform::new()));
     ready(&desk).await;
     targets.hold(true);
     assert_eq!(desk.submit(submission(10), &route()).await, Ok(()));
@@ -308,3 +332,46 @@
     tokio::time::sleep(Duration::from_millis(150)).await;
     assert_eq!(batch(), 0, "items still hold slots that online requests wait for");
 }
+
+/// A finding (own day power, harrow-tray): a host that was paused went on with a job that another
+/// had taken over, and showed a result that the new owner did not know for seconds.
+#[tokio::test]
+async fn a_former_owner_shows_no_result_that_the_new_owner_does_not_know() {
+    let store = MemoryPlatform::new();
+    let former = Slow::new(store.clone());
+    let (first, targets, _) = parts("entry-1", former.clone());
+    let (second, stuck, _) = parts("entry-2", Slow::new(store.clone()));
+    ready(&first).await;
+    ready(&second).await;
+    targets.hold(true);
+    stuck.hold(true);
+    former.deaf.store(true, Ordering::Relaxed);
+    assert_eq!(first.submit(submission(10), &route()).await, Ok(()));
+    tokio::time::sleep(ACCEPT_TIME).await;
+    give_to(&store, "entry-2").await;
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    targets.hold(false);
+    for _ in 0..60 {
+        let shown = listed(&first).await;
+        let known = listed(&second).await;
+        assert!(known >= shown, "{shown} results were shown, and then there were {known}");
+        tokio::time::sleep(CALL_TIME).await;
+    }
+    stuck.hold(false);
+    assert_eq!(results(&second).await, 3, "the new owner goes on");
+}
+
+/// Makes another process the owner of the job, as a take-over does.
+async fn give_to(store: &MemoryPlatform, name: &str) {
+    let jobs = JobStore::new(store.clone());
+    let (revision, entry) = jobs.entry(&job()).await.expect("up").expect("accepted");
+    let owner = Some(Owner { host: host(name), started: Time(7) });
+    let taken = JobEntry { owner, ..entry };
+    assert!(jobs.replace(&taken, revision).await.expect("up").is_some());
+}
+
+/// Number of results that a desk shows now.
+async fn listed(desk: &Arc<Desk<Slow, Echo>>) -> usize {
+    let read = desk.read(&job(), 0, Span::ZERO).await.expect("the store is up");
+    read.map_or(0, |read| read.results.len())
+}
