--- a/crates/oleander-cluster/src/feed.rs
+++ b/crates/oleander-cluster/src/feed.rs
@@ -121,12 +121,6 @@
         let fresh: Vec<Change> = fresh.map(|(_, change)| change.clone()).collect();
         if fresh.is_empty() { News::None } else { News::Changes(fresh, last) }
     }
-
-    /// Revision up to which all changes are known.
-    #[must_use]
-    pub fn last(&self) -> Option<Revision> {
-        self.span.map(|(_, last)| last)
-    }
 }
 
 /// Histories by prefix, and those who wait for them.
--- a/crates/oleander-relay/src/attempt.rs
+++ b/crates/oleander-relay/src/attempt.rs
@@ -3,6 +3,7 @@
 use std::{future::pending, sync::Arc};
 
 use bytes::{Bytes, BytesMut};
+use http::StatusCode;
 use oleander_core::Span;
 use oleander_routing::{Failure, Observation};
 use tokio::time::{self, Instant};
@@ -113,9 +114,11 @@
 fn observe_end(granted: &mut Granted, ended: &Ended) {
     let observation = match ended {
         Ended::Complete => Observation::Done,
-        Ended::NotRun(head) | Ended::Failed(head, _) => {
-            Observation::Failed(Failure::Status(head.status.as_u16()))
+        Ended::NotRun(head) if head.status == StatusCode::MISDIRECTED_REQUEST => {
+            Observation::Failed(Failure::Gone)
         }
+        Ended::NotRun(_) => Observation::Failed(Failure::Full),
+        Ended::Failed(head, _) => Observation::Failed(Failure::Status(head.status.as_u16())),
         Ended::NotSent(_) => Observation::Failed(Failure::Connect),
         Ended::Broken { .. } => Observation::Failed(Failure::BrokenStream),
         Ended::Closed => Observation::Cancelled,
--- a/crates/oleander-routing/src/eject.rs
+++ b/crates/oleander-routing/src/eject.rs
@@ -1,6 +1,6 @@
 //! Temporary removal of targets that fail or are far slower than the others.
 //!
-//! A target is ejected after consecutive faults, or when the median of its times to the first
+//! A target is ejected when it can't be reached, after consecutive faults, or when the median of its times to the first
 //! token is a multiple of the median over all targets. The time away doubles with each ejection
 //! in a row, for faults to 4 s at most; afterwards single requests probe the target until one
 //! succeeds. At most a third of
@@ -183,6 +183,11 @@
         }
     }
 
+    /// Takes into account that `target` could not be reached at all.
+    pub fn absent(&mut self, now: Time, target: &TargetId) {
+        self.eject(now, target, FAULT_DOUBLINGS);
+    }
+
     /// Takes a time to the first token into account.
     pub fn first_token(&mut self, now: Time, target: &TargetId, took: Span) {
         let Some(record) = self.records.get_mut(target) else { return };
--- a/crates/oleander-routing/src/outcome.rs
+++ b/crates/oleander-routing/src/outcome.rs
@@ -33,6 +33,10 @@
 pub enum Failure {
     /// No connection.
     Connect,
+    /// Another target listens at its address.
+    Gone,
+    /// It had no room for the request.
+    Full,
     /// No answer in time.
     Timeout,
     /// The stream ended before its end marker, or was not the request's own.
@@ -47,6 +51,12 @@
     /// Whether the target, and not the request, is at fault.
     #[must_use]
     pub const fn is_target_fault(self) -> bool {
-        !matches!(self, Self::Status(400..=499))
+        !matches!(self, Self::Status(400..=499) | Self::Full)
+    }
+
+    /// Whether nobody can reach the target there for now, so that a second fault need not be seen.
+    #[must_use]
+    pub const fn is_absence(self) -> bool {
+        matches!(self, Self::Connect | Self::Gone)
     }
 }
--- a/crates/oleander-routing/src/router/observe.rs
+++ b/crates/oleander-routing/src/router/observe.rs
@@ -80,6 +80,7 @@
         match ending {
             Ending::Answered => self.ejector.success(now, &lease.target),
             Ending::Fault => self.ejector.fault(now, &lease.target),
+            Ending::Absent => self.ejector.absent(now, &lease.target),
             Ending::Cancelled => {}
         }
         if let Some(backend) = self.backend_mut(&lease.target) {
@@ -97,11 +98,17 @@
 enum Ending {
     Answered,
     Fault,
+    Absent,
     Cancelled,
 }
 
 impl From<Failure> for Ending {
     fn from(failure: Failure) -> Self {
-        if failure.is_target_fault() { Self::Fault } else { Self::Answered }
+        match failure {
+            Failure::Full => Self::Cancelled,
+            failure if failure.is_absence() => Self::Absent,
+            failure if failure.is_target_fault() => Self::Fault,
+            _ => Self::Answered,
+        }
     }
 }
--- a/crates/oleander-routing/src/router/room.rs
+++ b/crates/oleander-routing/src/router/room.rs
@@ -202,14 +202,17 @@
         let level = raise_level(room, &counts);
         let used: u32 = counts.iter().map(|count| *count.max(&level)).sum();
         let below = others.iter().filter(|(_, count)| *count <= level).map(|(host, _)| *host);
-        let extra =
-            u32::from(own <= level && self.rank(backend, below) < room.saturating_sub(used));
+        let over = room.saturating_sub(used);
+        let extra = u32::from(over > 0 && own <= level && self.rank(backend, below) < over);
         let free = room.saturating_sub(counts.iter().sum());
         let all_heard = !self.peers.any_silent();
         let unwanted = if all_heard { free.min(backend.free[class as usize]) } else { 0 };
-        let rank = self.rank(backend, others.iter().map(|(host, _)| *host));
         let lent = unwanted.div_ceil(LENT_PART);
-        let cap = own.max(level + extra) + fair_part(lent, rank, counts.len() as u32);
+        let mut cap = own.max(level + extra);
+        if lent > 0 {
+            let rank = self.rank(backend, others.iter().map(|(host, _)| *host));
+            cap += fair_part(lent, rank, counts.len() as u32);
+        }
         Share { cap, free }
     }
 
--- a/crates/oleander-routing/tests/budgets.rs
+++ b/crates/oleander-routing/tests/budgets.rs
@@ -104,6 +104,15 @@
         })
     }
 
+    fn a_target_that_is_not_there_is_ejected_at_once(count: u8) -> bool {
+        let count = usize::from(count % 20) + 3;
+        let mut ejector = Ejector::new(EjectConfig::new());
+        (0..count).for_each(|index| ejector.add(&name(index)));
+        ejector.absent(millis(0), &name(0));
+        let out = ejector.state(millis(0), &name(0)) == EjectState::Out(millis(2_000));
+        out && ejector.state(millis(2_000), &name(0)) == EjectState::Probing
+    }
+
     fn a_target_that_answers_again_is_probed_within_four_seconds(down: u16) -> bool {
         let mut ejector = Ejector::new(EjectConfig::new());
         (0..3).for_each(|index| ejector.add(&name(index)));
--- a/crates/oleander-routing/tests/router.rs
+++ b/crates/oleander-routing/tests/router.rs
@@ -330,3 +330,19 @@
     assert_eq!(room(Policy::Split { batch_targets: 1 }), (10, 30));
     assert_eq!(room(Policy::OnlineOnly), (0, 40));
 }
+
+/// Answers a rush: a target that turns requests away for lack of room is sound.
+#[test]
+fn a_full_target_is_not_ejected_and_an_absent_one_is() {
+    let mut router = router(0, 6, 8, 0);
+    let end = |router: &mut Router, failure: Failure| {
+        let (target, lease, _) = send(online(router, millis(0))).unwrap();
+        router.observe(millis(1), lease, Observation::Failed(failure));
+        target
+    };
+    (0..24).for_each(|_| drop(end(&mut router, Failure::Full)));
+    assert!(router.snapshot().iter().all(|status| status.state == TargetState::Ready));
+    let gone = end(&mut router, Failure::Gone);
+    let status = router.status(&gone).unwrap();
+    assert_eq!(status.state, TargetState::Ejected, "no second request is risked there");
+}
