Give jobs at rest away at once when a host stops

Now each job goes as soon as none of its items runs here and what ended is listed. Not measured yet.

--- a/crates/oleander-worklist/src/takeover.rs
+++ b/crates/oleander-worklist/src/takeover.rs
@@ -251,35 +251,53 @@
         }
     }
 
-    /// Lets running items end, lists what ended and gives the open jobs away.
+    /// Gives each open job away once its running items have ended and are listed, and the rest when
+    /// the time for that is over.
+    ///
+    /// A job without running items waits for nothing: its items would stand still here.
     pub async fn hand_over(self: &Arc<Self>) {
         self.drain();
         let end = clock::steady() + DRAIN_TIME.into();
-        while clock::steady() < end && self.running() > 0 {
+        while clock::steady() < end && self.jobs_at_rest(false).await {
             time::sleep(RETRY_PAUSE).await;
         }
         time::sleep(GATHER_TIME + GATHER_TIME).await;
-        let names: Vec<JobId> = self.owned.lock().keys().cloned().collect();
-        for name in names {
-            let Some((revision, entry)) = self.known(&name) else { continue };
-            if entry.phase != JobPhase::Open || entry.owner.as_ref() != Some(&self.me) {
-                continue;
-            }
-            let free = JobEntry { owner: None, ..entry };
-            match self.store.replace(&free, revision).await {
-                Ok(Some(at)) => {
-                    log::info!(job:% = name, revision = at.0; "job given away");
-                    self.take_entry(at, free);
-                }
-                // Another host takes it over once this one is gone.
-                Ok(None) => log::info!(job:% = name; "job has changed; not given away"),
-                Err(fault) => log::warn!(job:% = name, error:% = fault; "job not given away"),
+        self.jobs_at_rest(true).await;
+    }
+
+    /// Gives the jobs away that are at rest, or `all`; tells whether any is left.
+    async fn jobs_at_rest(self: &Arc<Self>, all: bool) -> bool {
+        let owned: Vec<(JobId, Arc<Held>)> =
+            self.owned.lock().iter().map(|(name, held)| (name.clone(), Arc::clone(held))).collect();
+        let mut left = false;
+        for (name, held) in owned {
+            let rests = {
+                let job = held.job.lock();
+                job.running() == 0 && job.offers().is_empty()
+            };
+            if all || rests {
+                self.give_away(&name).await;
             }
+            left |= self.is_mine(&name);
         }
+        left
     }
 
-    fn running(&self) -> usize {
-        self.owned.lock().values().map(|held| held.job.lock().running()).sum()
+    async fn give_away(self: &Arc<Self>, name: &JobId) {
+        let Some((revision, entry)) = self.known(name) else { return };
+        if entry.phase != JobPhase::Open || entry.owner.as_ref() != Some(&self.me) {
+            return;
+        }
+        let free = JobEntry { owner: None, ..entry };
+        match self.store.replace(&free, revision).await {
+            Ok(Some(at)) => {
+                log::info!(job:% = name, revision = at.0; "job given away");
+                self.take_entry(at, free);
+            }
+            // Another host takes it over once this one is gone.
+            Ok(None) => log::info!(job:% = name; "job has changed; not given away"),
+            Err(fault) => log::warn!(job:% = name, error:% = fault; "job not given away"),
+        }
     }
 }
 
--- a/crates/oleander-worklist/tests/desk.rs
+++ b/crates/oleander-worklist/tests/desk.rs
@@ -220,15 +220,20 @@
 }
 
 fn submission(tokens: u64) -> Submission {
+    submission_of("job-1", tokens)
+}
+
+fn submission_of(name: &str, tokens: u64) -> Submission {
     let item = |number: u32| NewItem {
-        id: format!("item-{number}"),
+        id: format!("{name}-item-{number}"),
         path: format!("/drafts/{number}"),
         headers: BTreeMap::new(),
         body: Bytes::from_static(b"body"),
         tokens,
     };
     let items = (0..3).map(item).collect();
-    Submission { job: job(), host: "a.example".to_owned(), items, received: Time(0) }
+    let job = name.parse().expect("name of a job");
+    Submission { job, host: "a.example".to_owned(), items, received: Time(0) }
 }
 
 fn job() -> JobId {
@@ -258,7 +263,7 @@
     let read = desk.read(&job(), 1, Span::ZERO).await.expect("the store is up").expect("a job");
     assert_eq!((read.total, read.results.len()), (3, 2));
     assert_eq!(read.results[0].state, ItemState::Completed);
-    assert!(read.results[0].output.starts_with("done item-"));
+    assert!(read.results[0].output.starts_with("done job-1-item-"));
 }
 
 /// A finding: after all hosts had lost power, a caller that had given up on its connection was
@@ -375,3 +380,33 @@
     let read = desk.read(&job(), 0, Span::ZERO).await.expect("the store is up");
     read.map_or(0, |read| read.results.len())
 }
+
+/// A finding of the recorded day of vpu: while a host was stopped as planned, jobs whose items had not
+/// been started stood still until those of other jobs had ended.
+#[tokio::test]
+async fn a_host_that_stops_gives_away_at_once_what_it_does_not_run() {
+    let store = MemoryPlatform::new();
+    let (desk, targets, pools) = parts("entry-1", Slow::new(store.clone()));
+    ready(&desk).await;
+    targets.hold(true);
+    assert_eq!(desk.submit(submission(10), &route()).await, Ok(()));
+    let target = "engine-1".parse().expect("name of a target");
+    let pool = pools.get(&"llm".parse().expect("name of a service")).expect("a pool");
+    while pool.counts().iter().map(|count| count.batch).sum::<u32>() < 3 {
+        tokio::time::sleep(CALL_TIME).await;
+    }
+    // Four online requests and three items fill what batch may use.
+    let counts = vec![PeerCount { target, online: 4, batch: 0 }];
+    pool.peer(&host("entry-2"), counts, Time(1));
+    assert_eq!(desk.submit(submission_of("job-2", 10), &route()).await, Ok(()));
+    let leaving = Arc::clone(&desk);
+    let handing = tokio::spawn(async move { leaving.hand_over().await });
+    tokio::time::sleep(Duration::from_millis(150)).await;
+    let jobs = JobStore::new(store);
+    let waiting = "job-2".parse().expect("name of a job");
+    let (_, entry) = jobs.entry(&waiting).await.expect("up").expect("accepted");
+    assert_eq!(entry.owner, None, "it waits for the items of another job");
+    let (_, entry) = jobs.entry(&job()).await.expect("up").expect("accepted");
+    assert!(entry.owner.is_some(), "its items are running and may end here");
+    handing.abort();
+}
