Tell the next owner of a job that is given away

It saw the change by its watch, up to 1.5 s later. The message that told owners of ends now tells of any change of an entry; a lost one delays what the receiver sees, as before.

--- a/crates/oleander-worklist/src/desk.rs
+++ b/crates/oleander-worklist/src/desk.rs
@@ -14,7 +14,7 @@
 
 use http::HeaderName;
 use oleander_cluster::Cluster;
-use oleander_core::{JobId, Revision, Time};
+use oleander_core::{HostId, JobId, Revision, Time};
 use oleander_host::clock;
 use oleander_platform::{Change as ObjectChange, Follow, Followed, ObjectStore, PROMPT_WAIT};
 use oleander_relay::{Relay, Targets};
@@ -34,7 +34,7 @@
 /// told of its end at once; if that fails, the pause and a watch are still well within the time
 /// in which an end has to be obeyed.
 const WATCH_PAUSE: Duration = Duration::from_millis(1_000);
-/// Longest wait for an owner that is told of an end.
+/// Longest wait for a host that is told of a change.
 const TELL_TIMEOUT: Duration = Duration::from_millis(500);
 /// Times an end is tried against a changing entry.
 const END_TRIES: u32 = 5;
@@ -258,7 +258,9 @@
             let ended = JobEntry { phase: JobPhase::Ended, ..entry };
             if let Some(at) = self.store.replace(&ended, revision).await? {
                 log::info!(job:% = job, revision = at.0; "job ended by its caller");
-                self.tell_owner(&ended);
+                if let Some(owner) = self.running_owner(&ended) {
+                    self.tell(owner, job.clone());
+                }
                 self.take_entry(at, ended);
                 return Ok(true);
             }
@@ -268,16 +270,15 @@
         Err(Unsure("entry keeps changing".to_owned()))
     }
 
-    /// Tells the owner of a job that it ended; a lost message only delays what the owner sees.
-    fn tell_owner(self: &Arc<Self>, entry: &JobEntry) {
-        let Some(owner) = self.running_owner(entry) else { return };
-        let (desk, job) = (Arc::clone(self), entry.job.clone());
+    /// Tells a host that the entry of a job changed; a lost message only delays what it sees.
+    pub(crate) fn tell(self: &Arc<Self>, host: HostId, job: JobId) {
+        let desk = Arc::clone(self);
         tokio::spawn(async move {
-            let call = JobCall::Ended { job: job.clone() };
-            let answer = desk.cluster.call(&owner, call, TELL_TIMEOUT).await;
+            let call = JobCall::Changed { job: job.clone() };
+            let answer = desk.cluster.call(&host, call, TELL_TIMEOUT).await;
             if let Err(error) = answer.map(|_: JobAnswer| ()) {
-                log::info!(job:% = job, owner:% = owner, error:% = error;
-                    "owner was not told of the end; it sees it by its watch");
+                log::info!(job:% = job, host:% = host, error:% = error;
+                    "host was not told of a change; it sees it by its watch");
             }
         });
     }
--- a/crates/oleander-worklist/src/message.rs
+++ b/crates/oleander-worklist/src/message.rs
@@ -37,8 +37,8 @@
         /// Whether the receiver stands for its data centre and asks its neighbours for the rest.
         pass_on: bool,
     },
-    /// Tells that the job's caller ended it.
-    Ended {
+    /// Tells that the job's entry changed in a way that concerns the receiver.
+    Changed {
         /// The job.
         job: JobId,
     },
--- a/crates/oleander-worklist/src/reading.rs
+++ b/crates/oleander-worklist/src/reading.rs
@@ -151,7 +151,7 @@
                 }
                 JobAnswer::Yielded
             }
-            JobCall::Ended { job } => {
+            JobCall::Changed { job } => {
                 self.refresh(&job).await;
                 JobAnswer::Noted
             }
--- a/crates/oleander-worklist/src/takeover.rs
+++ b/crates/oleander-worklist/src/takeover.rs
@@ -2,7 +2,7 @@
 
 use std::{fmt, sync::Arc, time::Duration};
 
-use oleander_core::{JobId, Span, Time};
+use oleander_core::{HostId, JobId, Span, Time, hash};
 use oleander_host::clock;
 use oleander_platform::ObjectStore;
 use oleander_relay::Targets;
@@ -283,6 +283,13 @@
         left
     }
 
+    /// The host that takes a job over, as the others see it too.
+    fn next_owner(&self, name: &JobId) -> Option<HostId> {
+        let live = self.cluster.live_entries();
+        let next = hash::rendezvous(name.as_str(), live.iter().map(HostId::as_str))?;
+        live.iter().find(|host| host.as_str() == next).cloned()
+    }
+
     async fn give_away(self: &Arc<Self>, name: &JobId) {
         let Some((revision, entry)) = self.known(name) else { return };
         if entry.phase != JobPhase::Open || entry.owner.as_ref() != Some(&self.me) {
@@ -293,6 +300,9 @@
             Ok(Some(at)) => {
                 log::info!(job:% = name, revision = at.0; "job given away");
                 self.take_entry(at, free);
+                if let Some(next) = self.next_owner(name) {
+                    self.tell(next, name.clone());
+                }
             }
             // Another host takes it over once this one is gone.
             Ok(None) => log::info!(job:% = name; "job has changed; not given away"),
