--- a/crates/oleander-routing/tests/bursts.rs
+++ b/crates/oleander-routing/tests/bursts.rs
@@ -46,6 +46,8 @@
 struct Waiting {
     ticket: TicketId,
     asked: Time,
+    /// Whether the caller was refused before.
+    again: bool,
 }
 
 /// What callers got.
@@ -54,6 +56,13 @@
     asked: u32,
     in_time: u32,
     refused: u32,
+    /// Callers that came back when they were told to, and those of them that were refused again.
+    returned: u32,
+    refused_again: u32,
+    /// Refusals within a quarter of the time in which callers want their answer.
+    refused_soon: u32,
+    /// Longest time for which a request was held and then refused.
+    held: Span,
     /// Slots that were busy with items, on the mean.
     items: f64,
 }
@@ -71,6 +80,8 @@
     routers: Vec<Router>,
     engines: Vec<VecDeque<Work>>,
     queues: Vec<Vec<Waiting>>,
+    /// Refused callers, and when and where they come back.
+    returning: Vec<(Time, usize)>,
     outcome: Outcome,
 }
 
@@ -105,6 +116,7 @@
             routers: hosts.iter().enumerate().map(router).collect(),
             queues: hosts.iter().map(|_| Vec::new()).collect(),
             engines: vec![VecDeque::new(); engines],
+            returning: Vec::new(),
             hosts,
             outcome: Outcome::default(),
         }
@@ -151,24 +163,45 @@
         for host in 0..self.routers.len() {
             let each = rate / self.routers.len() as f64 * STEP.to_duration().as_secs_f64();
             if self.rng.random_bool(each) {
-                let ticket = self.routers[host].ticket();
-                self.queues[host].push(Waiting { ticket, asked: self.now });
+                self.ask(host, false);
                 self.outcome.asked += 1;
             }
         }
+        let due = |(at, _): &mut (Time, usize)| *at <= self.now;
+        let due: Vec<(Time, usize)> = self.returning.extract_if(.., due).collect();
+        for (_, host) in due {
+            // Callers ask another host than the one that refused.
+            self.ask((host + 1) % self.routers.len(), true);
+            self.outcome.returned += 1;
+        }
+    }
+
+    fn ask(&mut self, host: usize, again: bool) {
+        let ticket = self.routers[host].ticket();
+        self.queues[host].push(Waiting { ticket, asked: self.now, again });
     }
 
     /// Starts what waits at a host, then items wherever there is room.
     fn serve(&mut self, host: usize) {
         for waiting in std::mem::take(&mut self.queues[host]) {
-            let pick = Pick::online(waiting.ticket).deadline(waiting.asked + Span::from_secs(5));
+            let pick = Pick::online(waiting.ticket).deadline(waiting.asked + AIM);
             match self.routers[host].pick(self.now, &pick) {
                 Decision::Send { target, lease, yields } => {
                     self.submit(host, &target, lease, Class::Online, waiting.asked);
                     self.make_room(&target, yields);
                 }
                 Decision::Wait => self.queues[host].push(waiting),
-                Decision::Refuse { .. } => self.outcome.refused += 1,
+                Decision::Refuse { retry_after } => {
+                    let held = self.now.since(waiting.asked);
+                    self.outcome.held = self.outcome.held.max(held);
+                    self.outcome.refused_soon += u32::from(held.0 * 4 <= AIM.0);
+                    if waiting.again {
+                        self.outcome.refused_again += 1;
+                    } else {
+                        self.outcome.refused += 1;
+                        self.returning.push((self.now + retry_after, host));
+                    }
+                }
             }
         }
         let pick = Pick::of_class(Class::Batch);
@@ -270,3 +303,18 @@
         assert!(outcome.items >= left * 0.7, "seed {seed}: {outcome:?} of {left}");
     }
 }
+
+/// More is asked in a rush than all slots can serve. What can't be served is refused soon, and
+/// whoever comes back when told to is mostly served.
+#[test]
+fn a_rush_that_does_not_fit_is_refused_soon_and_with_a_true_time_to_come_back() {
+    for seed in 1..=3 {
+        let outcome = play(17, 18, 1.3, seed);
+        assert!(outcome.refused > 0, "seed {seed}: {outcome:?}");
+        assert!(outcome.held <= AIM + STEP, "seed {seed}: {outcome:?}");
+        let refusals = f64::from(outcome.refused + outcome.refused_again);
+        assert!(f64::from(outcome.refused_soon) >= 0.7 * refusals, "seed {seed}: {outcome:?}");
+        let again = f64::from(outcome.refused_again) / f64::from(outcome.returned);
+        assert!(again <= 0.5, "seed {seed}: {outcome:?}");
+    }
+}
