--- a/crates/oleander-relay/src/lib.rs
+++ b/crates/oleander-relay/src/lib.rs
@@ -31,7 +31,7 @@
 pub use port::{BodyError, Dispatch, Reply, ReplyBody, SendError, Targets};
 pub use relay::{Relay, Summary};
 pub use request::{Head, Request};
-pub use route::{ParseRouteError, Repeat, Route, RouteKind, ServiceSpec, Share};
+pub use route::{ParseRouteError, Repeat, Route, RouteKind, Share};
 pub use sink::{ChannelSink, Refusal, Sink, SinkClosed, Verdict, channel};
 pub use table::RouteTable;
 pub use tries::{Step, Tries};
--- a/crates/oleander-relay/src/route.rs
+++ b/crates/oleander-relay/src/route.rs
@@ -69,15 +69,6 @@
     pub shares: Vec<Share>,
 }
 
-/// A service as the configuration declares it.
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
-pub struct ServiceSpec {
-    /// Name of the service.
-    pub name: ServiceId,
-    /// Most connections that a target accepts from all callers together.
-    pub connections: u32,
-}
-
 /// Why a route is not usable.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum ParseRouteError {
--- a/crates/oleander-relay/src/sink.rs
+++ b/crates/oleander-relay/src/sink.rs
@@ -14,8 +14,6 @@
 /// Why a request ends without the answer of a target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Verdict {
-    /// No route leads to a service.
-    NoRoute,
     /// It has not run and will not.
     NotRun,
     /// It may have run; its answer is lost.
@@ -50,7 +48,6 @@
 impl fmt::Display for Verdict {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
-            Self::NoRoute => "no_route",
             Self::NotRun => "not_run",
             Self::Lost => "answer_lost",
             Self::TimedOut => "timed_out",
--- a/crates/oleander-relay/src/table.rs
+++ b/crates/oleander-relay/src/table.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::HashMap, sync::Arc};
 
-use crate::route::{Route, ServiceSpec};
+use crate::route::Route;
 
 /// All routes of one version of the configuration, found by host and longest prefix.
 ///
@@ -11,21 +11,19 @@
 pub struct RouteTable {
     /// Version of the configuration.
     pub version: u64,
-    /// Declared services.
-    pub services: Vec<ServiceSpec>,
     hosts: HashMap<String, HashMap<String, Arc<Route>>>,
 }
 
 impl RouteTable {
     /// A table of `routes`.
     #[must_use]
-    pub fn new(version: u64, routes: Vec<Route>, services: Vec<ServiceSpec>) -> Self {
+    pub fn new(version: u64, routes: Vec<Route>) -> Self {
         let mut hosts: HashMap<String, HashMap<String, Arc<Route>>> = HashMap::new();
         for route in routes {
             let host = route.host.to_ascii_lowercase();
             hosts.entry(host).or_default().insert(route.prefix.clone(), Arc::new(route));
         }
-        Self { version, services, hosts }
+        Self { version, hosts }
     }
 
     /// The route with the longest prefix that begins `path`, which may carry a query.
@@ -37,9 +35,4 @@
         let ends = path.rmatch_indices('/').map(|(at, _)| at + 1);
         ends.into_iter().find_map(|end| routes.get(&path[..end]))
     }
-
-    /// All routes.
-    pub fn routes(&self) -> impl Iterator<Item = &Arc<Route>> {
-        self.hosts.values().flat_map(HashMap::values)
-    }
 }
--- a/crates/oleander-relay/tests/routes.rs
+++ b/crates/oleander-relay/tests/routes.rs
@@ -30,7 +30,7 @@
         route("short", "/a/", &[("s", 1)]),
         route("long", "/a/b/", &[("s", 1)]),
     ];
-    let table = RouteTable::new(1, routes, Vec::new());
+    let table = RouteTable::new(1, routes);
     let name = |path| table.find("a.example", path).map(|route| route.name.clone());
     assert_eq!(name("/a/b/c").as_deref(), Some("long"));
     assert_eq!(name("/a/b").as_deref(), Some("short"));
--- a/crates/oleander-worklist/tests/desk.rs
+++ b/crates/oleander-worklist/tests/desk.rs
@@ -193,7 +193,7 @@
     let pools = Arc::new(pools);
     let targets = Arc::new(Echo::default());
     let relay = Arc::new(Relay::new(Arc::clone(&pools), Arc::clone(&targets)));
-    relay.set_table(RouteTable::new(1, vec![route()], Vec::new()));
+    relay.set_table(RouteTable::new(1, vec![route()]));
     let me = HostRecord {
         host: host(name),
         zone: zone(),
