--- a/crates/oleander-cluster/src/feed.rs
+++ b/crates/oleander-cluster/src/feed.rs
@@ -20,9 +20,9 @@
 
 use crate::detour::{StoreAnswer, WireChange};
 
-/// Longest wait of a feeder's own watch. With the margin of a call, it is the time after which a
-/// feeder knows that it is cut off; the others must still have time to act.
-const FEED_WAIT: Duration = Duration::from_secs(1);
+/// Longest wait of a feeder's own watch of what the others have to act on at once. With the margin of
+/// a call, it is the time after which a feeder knows that it is cut off.
+pub const PROMPT_FEED: Duration = Duration::from_secs(1);
 /// Time between two watches of a feeder, which lets one call bring several changes.
 const FEED_PAUSE: Duration = Duration::from_millis(250);
 /// Longest wait of one question to a feeder.
@@ -131,9 +131,9 @@
 }
 
 impl Feeds {
-    /// Keeps the history of `prefix`; never ends.
-    pub async fn keep<S: ObjectStore>(self, store: S, prefix: &str) {
-        let mut follow = Follow::new(store, prefix, FEED_WAIT).pause(FEED_PAUSE);
+    /// Keeps the history of `prefix` by watches that wait at most `wait`; never ends.
+    pub async fn keep<S: ObjectStore>(self, store: S, prefix: &str, wait: Duration) {
+        let mut follow = Follow::new(store, prefix, wait).pause(FEED_PAUSE);
         loop {
             let followed = follow.next().await;
             let at = follow.revision();
--- a/crates/oleander-cluster/src/lib.rs
+++ b/crates/oleander-cluster/src/lib.rs
@@ -22,7 +22,7 @@
 pub use cluster::{Cluster, Handler, Identity, Presence};
 pub use detour::{Detour, Routed, StoreAnswer, StoreCall, WireChange};
 pub use directory::{Candidate, Directory};
-pub use feed::{Feeder, Feeds, History, News, feeder_of};
+pub use feed::{Feeder, Feeds, History, News, PROMPT_FEED, feeder_of};
 pub use join::{JoinError, join};
 pub use message::{PeerAnswer, PeerCall, ServiceLoad};
 pub use record::{HostRecord, PREFIX as HOST_PREFIX};
--- a/crates/oleander-cluster/tests/feed.rs
+++ b/crates/oleander-cluster/tests/feed.rs
@@ -5,7 +5,9 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use oleander_cluster::{Detour, Feeder, History, News, Routed, StoreAnswer, StoreCall, feeder_of};
+use oleander_cluster::{
+    Detour, Feeder, History, News, PROMPT_FEED, Routed, StoreAnswer, StoreCall, feeder_of,
+};
 use oleander_core::{HostId, Revision, Span, ZoneId};
 use oleander_platform::{
     Change, Changes, Created, Follow, Followed, MemoryPlatform, Object, ObjectStore,
@@ -128,7 +130,7 @@
     let store = MemoryPlatform::new();
     let (own, feeders) = (store.other_path(), store.other_path());
     let feeder = Routed::new(feeders.clone());
-    tokio::spawn(feeder.feeds().keep(feeder.clone(), PREFIX));
+    tokio::spawn(feeder.feeds().keep(feeder.clone(), PREFIX, PROMPT_FEED));
     let host = Routed::new(own);
     host.set_detour(Arc::new(Path(feeder)));
     (host, store, feeders)
