Try a bad path to the store by reads of its own only

Now a read beside the calls tries the path, and calls go by way of another host until it has an answer. Test with a store that swallows calls: the third write ended unknown before; now each is done within 0.4 s, and the own path is used again once it answers.

--- a/crates/oleander-cluster/src/detour.rs
+++ b/crates/oleander-cluster/src/detour.rs
@@ -2,13 +2,14 @@
 //!
 //! A host that is refused by the store, or cut off from it, goes on with its jobs through a host
 //! that reaches it. A read may go both ways. A write goes the second way only if the first did
-//! nothing; otherwise its caller settles it by reading, as ever. A host serves others only while
+//! nothing; otherwise its caller settles it by reading, as ever. A bad path is tried by
+//! reads of its own only. A host serves others only while
 //! its own path is good, so that an outage for all costs no calls.
 
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use oleander_core::{Revision, Span, Time};
+use oleander_core::{Revision, Span};
 use oleander_host::clock;
 use oleander_platform::{
     Change, Changes, Created, Listing, Object, ObjectStore, Page, PlatformError, Updated,
@@ -172,8 +173,25 @@
         result
     }
 
-    fn allow(&self, now: Time) -> bool {
-        self.breaker.lock().allow(now)
+    /// Whether a call may take the own path. While it is bad, a read beside the calls tries it once
+    /// in a while, so that none of them is held up by it or has an unknown outcome for it.
+    fn is_good(&self, key: &str) -> bool {
+        {
+            let mut breaker = self.breaker.lock();
+            if !breaker.is_open() {
+                return true;
+            }
+            if !breaker.allow(clock::steady()) {
+                return false;
+            }
+        }
+        let (path, key) = (self.clone(), key.to_owned());
+        tokio::spawn(async move {
+            if let Err(error) = path.watched(path.store.get(&key).await) {
+                log::debug!(error:% = error; "path to the platform is still bad");
+            }
+        });
+        false
     }
 
     async fn around(&self, call: StoreCall, first: PlatformError) -> StoreAnswer {
@@ -208,7 +226,7 @@
 
 impl<S: ObjectStore, D: Detour> ObjectStore for Routed<S, D> {
     async fn get(&self, key: &str) -> Result<Option<Object>, PlatformError> {
-        let first = if self.allow(clock::steady()) {
+        let first = if self.is_good(key) {
             match self.watched(self.store.get(key).await) {
                 Ok(object) => return Ok(object),
                 Err(error) => error,
@@ -225,7 +243,7 @@
     }
 
     async fn create(&self, key: &str, body: Bytes) -> Result<Created, PlatformError> {
-        let first = if self.allow(clock::steady()) {
+        let first = if self.is_good(key) {
             match self.watched(self.store.create(key, body.clone()).await) {
                 Err(error) if !error.may_have_written() => error,
                 settled => return settled,
@@ -246,7 +264,7 @@
         body: Bytes,
         expected: Revision,
     ) -> Result<Updated, PlatformError> {
-        let first = if self.allow(clock::steady()) {
+        let first = if self.is_good(key) {
             match self.watched(self.store.update(key, body.clone(), expected).await) {
                 Err(error) if !error.may_have_written() => error,
                 settled => return settled,
