--- a/crates/oleander-cluster/src/cluster.rs
+++ b/crates/oleander-cluster/src/cluster.rs
@@ -16,15 +16,14 @@
 use oleander_members::{
     Listing, MemberAction, MemberEvent, MemberRole, MemberState, Members, MembersConfig, Profile,
 };
-use oleander_platform::{Change, Changes, Follow, Followed, ObjectStore};
+use oleander_platform::{Change, Follow, Followed, ObjectStore};
 use oleander_relay::Pools;
 use parking_lot::{Mutex, RwLock};
 use serde::{Serialize, de::DeserializeOwned};
 
 use crate::{
-    detour::{DETOUR_TIMEOUT, Detour, Routed, StoreAnswer, StoreCall},
+    detour::Routed,
     directory::{Candidate, Directory},
-    feed::{Feeder, MOST_WAIT, feeder_of},
     message::{PeerAnswer, PeerCall},
     record::{HostRecord, PREFIX},
     zone_load::ZoneLoad,
@@ -42,13 +41,6 @@
 /// Calls of peers that are served at once by a feeder, where most of them wait: four from each of
 /// some hundred hosts.
 const FEED_WORKERS: usize = 512;
-/// Time allowed to a feeder beyond the wait.
-const FEED_MARGIN: Duration = Duration::from_millis(400);
-/// Time for which a host watches the platform itself after a feeder failed.
-const UNFED: Span = Span::from_secs(3);
-
-/// Hosts that are asked to make a call of the platform.
-const MOST_HELPERS: usize = 3;
 
 /// Who this process is.
 pub type Identity = HostRecord;
@@ -78,7 +70,7 @@
     pub(crate) pools: Arc<Pools>,
     pub(crate) members: Mutex<Members>,
     pub(crate) zone_load: Mutex<ZoneLoad>,
-    unfed_until: Mutex<Time>,
+    pub(crate) unfed_until: Mutex<Time>,
     records: RwLock<BTreeMap<HostId, HostRecord>>,
     leaving: AtomicBool,
 }
@@ -170,37 +162,6 @@
         }
     }
 
-    /// The host that feeds this one, unless it failed to do so lately.
-    fn feeder(&self) -> Option<(HostId, SocketAddr)> {
-        if clock::steady() < *self.unfed_until.lock() {
-            return None;
-        }
-        let members = self.members.lock();
-        // A host that was not probed yet is asked all the same: at a start of all hosts it saves
-        // most of the calls.
-        let keepers = members.view().filter(|view| {
-            view.profile.role == MemberRole::Batch
-                && matches!(view.state, MemberState::Live | MemberState::Candidate)
-        });
-        let keepers = keepers.map(|view| Feeder {
-            host: view.profile.host,
-            zone: view.profile.zone,
-            address: view.profile.address,
-        });
-        let is_feeder = self.me.role == MemberRole::Batch;
-        let chosen = feeder_of(&self.me.host, &self.me.zone, is_feeder, keepers)?;
-        Some((chosen.host, chosen.address))
-    }
-
-    /// Hosts that may reach the platform, those of this data centre first.
-    fn helpers(&self) -> Vec<SocketAddr> {
-        let mut peers = self.peers();
-        peers.sort_by_key(|(host, zone, _)| {
-            (*zone != self.me.zone, hash::hash_parts(&[self.me.host.as_str(), host.as_str()]))
-        });
-        peers.into_iter().map(|(_, _, address)| address).take(MOST_HELPERS).collect()
-    }
-
     /// Keeps the records of all hosts up to date; never ends.
     pub async fn follow<S: ObjectStore>(self: Arc<Self>, store: S) {
         let mut follow = Follow::new(store, PREFIX, WATCH_WAIT);
@@ -368,45 +329,3 @@
         record.or_else(|| self.members.lock().address(host))
     }
 }
-
-impl Detour for Cluster {
-    async fn call(&self, call: StoreCall) -> StoreAnswer {
-        let mut last = StoreAnswer::Refused("no host to go by".to_owned());
-        let call: PeerCall<()> = PeerCall::Store(call);
-        for address in self.helpers() {
-            let answer = self.link.call(&address.to_string(), &call, DETOUR_TIMEOUT).await;
-            last = match answer {
-                Ok(PeerAnswer::<()>::Store(StoreAnswer::Refused(reason))) => {
-                    StoreAnswer::Refused(reason)
-                }
-                Ok(PeerAnswer::Store(answer)) => return answer,
-                Ok(_) => StoreAnswer::Unknown("answer to another kind of call".to_owned()),
-                Err(error) if error.may_have_run() => {
-                    return StoreAnswer::Unknown(error.to_string());
-                }
-                Err(error) => StoreAnswer::Refused(error.to_string()),
-            };
-        }
-        last
-    }
-
-    async fn feed(&self, prefix: &str, from: Revision, wait: Duration) -> Option<Changes> {
-        let (host, address) = self.feeder()?;
-        let wait = wait.min(MOST_WAIT);
-        let call = PeerCall::Store(StoreCall::Watch(prefix.to_owned(), from, Span::from(wait)));
-        let call: PeerCall<()> = call;
-        let answer = self.link.call(&address.to_string(), &call, wait + FEED_MARGIN).await;
-        let reason = match answer {
-            Ok(PeerAnswer::<()>::Store(StoreAnswer::Changes(changes, revision))) => {
-                let changes = changes.into_iter().map(Change::from).collect();
-                return Some(Changes { changes, revision });
-            }
-            Ok(PeerAnswer::Store(StoreAnswer::Refused(reason))) => reason,
-            Ok(_) => "answer to another kind of call".to_owned(),
-            Err(error) => error.to_string(),
-        };
-        log::info!(feeder:% = host, prefix, reason; "no feed; the platform is watched from here");
-        *self.unfed_until.lock() = clock::steady() + UNFED;
-        None
-    }
-}
--- a/crates/oleander-cluster/src/lib.rs
+++ b/crates/oleander-cluster/src/lib.rs
@@ -16,6 +16,7 @@
 mod record;
 mod retirement;
 mod sharing;
+mod ways;
 mod zone_load;
 
 pub use breaker::Breaker;
--- a/crates/oleander-cluster/src/sharing.rs
+++ b/crates/oleander-cluster/src/sharing.rs
@@ -90,8 +90,11 @@
     ) {
         if zone == self.me.zone {
             self.zone_load.lock().hear(clock::steady(), peer, services.clone());
-        } else if let Some(former) = self.zone_load.lock().told_by(zone, peer) {
-            self.pools.all().iter().for_each(|(_, pool)| pool.forget_peer(&former));
+        } else {
+            let former = self.zone_load.lock().told_by(zone, peer);
+            if let Some(former) = former {
+                self.pools.all().iter().for_each(|(_, pool)| pool.forget_peer(&former));
+            }
         }
         for ServiceLoad { service, counts } in services {
             if let Some(pool) = self.pools.get(&service) {
