--- a/crates/oleander-check/src/deployment.rs
+++ b/crates/oleander-check/src/deployment.rs
@@ -2,9 +2,7 @@
 
 use std::{
     fs,
-    net::TcpStream,
     path::{Path, PathBuf},
-    sync::atomic::{AtomicU16, Ordering},
     time::Duration,
 };
 
@@ -13,122 +11,17 @@
 use serde_json::{Value, json};
 
 use crate::{
+    caller::{CALLER_KEY, Caller, chat_body, get, post, text},
     client::{Answer, Client, eventually},
+    ports::free_address,
     process::Process,
+    shape::Shape,
 };
 
-/// Key of the only caller.
-pub const CALLER_KEY: &str = "check-caller-key";
 /// Key of the operator.
 pub const OPERATOR_KEY: &str = "check-operator-key";
 const START_BOUND: Duration = Duration::from_secs(20);
 const CALL_TIMEOUT: Duration = Duration::from_secs(40);
-const FIRST_PORT: u16 = 10_000;
-const LAST_PORT: u16 = 32_000;
-const PORT_BLOCK: u16 = 200;
-
-static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
-
-/// How many processes of each kind, and their options.
-#[derive(Debug, Clone)]
-pub struct Shape {
-    entries: usize,
-    batches: usize,
-    engines: usize,
-    engine_args: Vec<String>,
-    service_args: Vec<String>,
-    entry: Value,
-    batch: Value,
-    platform: Option<PlatformAddresses>,
-}
-
-/// Where the platform stand-in listens, and where the hosts reach it.
-#[derive(Debug, Clone)]
-struct PlatformAddresses {
-    listen: String,
-    seen: String,
-}
-
-impl Default for Shape {
-    fn default() -> Self {
-        Self::new()
-    }
-}
-
-impl Shape {
-    /// Three entries and three engines, no batch runner.
-    #[must_use]
-    pub fn new() -> Self {
-        let args = ["--slots", "16", "--step-base-us", "3000", "--step-per-seq-us", "100"];
-        Self {
-            entries: 3,
-            batches: 0,
-            engines: 3,
-            engine_args: args.map(str::to_owned).to_vec(),
-            service_args: Vec::new(),
-            entry: json!({"keep_addresses_ms": 1000, "shards": 4}),
-            batch: json!({}),
-            platform: None,
-        }
-    }
-
-    /// Sets the number of entries.
-    #[must_use]
-    pub const fn entries(mut self, entries: usize) -> Self {
-        self.entries = entries;
-        self
-    }
-
-    /// Sets the number of batch runners.
-    #[must_use]
-    pub const fn batches(mut self, batches: usize) -> Self {
-        self.batches = batches;
-        self
-    }
-
-    /// Sets the number of engines.
-    #[must_use]
-    pub const fn engines(mut self, engines: usize) -> Self {
-        self.engines = engines;
-        self
-    }
-
-    /// Sets the options of the engine stand-ins.
-    #[must_use]
-    pub fn engine_args(mut self, args: &[&str]) -> Self {
-        self.engine_args = args.iter().map(|&arg| arg.to_owned()).collect();
-        self
-    }
-
-    /// Sets the options of the plain service stand-in.
-    #[must_use]
-    pub fn service_args(mut self, args: &[&str]) -> Self {
-        self.service_args = args.iter().map(|&arg| arg.to_owned()).collect();
-        self
-    }
-
-    /// Sets the `entry` section of the entries' settings.
-    #[must_use]
-    pub fn entry_settings(mut self, entry: Value) -> Self {
-        self.entry = entry;
-        self
-    }
-
-    /// Sets the `batch` section of the batch runners' settings.
-    #[must_use]
-    pub fn batch_settings(mut self, batch: Value) -> Self {
-        self.batch = batch;
-        self
-    }
-
-    /// Lets the platform stand-in listen at one address while the hosts are told another.
-    #[must_use]
-    pub fn platform_behind(mut self, listen: &str, seen: &str) -> Self {
-        self.platform =
-            Some(PlatformAddresses { listen: listen.to_owned(), seen: seen.to_owned() });
-        self
-    }
-}
 
 /// A running deployment; all its processes are killed when it is dropped.
 #[derive(Debug)]
@@ -153,26 +46,6 @@
     pub batches: Vec<Process>,
 }
 
-/// A free port below the range that outgoing connections use.
-fn free_port() -> u16 {
-    let span = LAST_PORT - FIRST_PORT;
-    let offset = (std::process::id() as u16).wrapping_mul(PORT_BLOCK) % span;
-    loop {
-        let next = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
-        let port = FIRST_PORT + (offset.wrapping_add(next)) % span;
-        // A listener would be inherited by a process that another test starts at this moment.
-        if TcpStream::connect(("127.0.0.1", port)).is_err() {
-            return port;
-        }
-    }
-}
-
-/// A free loopback address.
-#[must_use]
-pub fn free_address() -> String {
-    format!("127.0.0.1:{}", free_port())
-}
-
 fn write_json(path: &Path, value: &Value) {
     fs::write(path, value.to_string()).expect("a writable folder");
 }
@@ -526,66 +399,3 @@
         self.client.send(method, &url, &[], text(body)).await
     }
 }
-
-/// Calls the entries as the caller; clones share their connections.
-#[derive(Debug, Clone)]
-pub struct Caller {
-    client: Client,
-    entries: Vec<String>,
-}
-
-impl Caller {
-    /// Calls an entry with an idempotency key.
-    ///
-    /// # Errors
-    ///
-    /// Returns why there is no whole answer.
-    pub async fn post(
-        &self,
-        entry: usize,
-        path: &str,
-        key: &str,
-        body: &Value,
-    ) -> Result<Answer, String> {
-        post(&self.client, &self.entries[entry], path, key, body).await
-    }
-
-    /// Reads from an entry.
-    ///
-    /// # Errors
-    ///
-    /// Returns why there is no whole answer.
-    pub async fn get(&self, entry: usize, path: &str) -> Result<Answer, String> {
-        get(&self.client, &self.entries[entry], path).await
-    }
-}
-
-async fn post(
-    client: &Client,
-    address: &str,
-    path: &str,
-    key: &str,
-    body: &Value,
-) -> Result<Answer, String> {
-    let bearer = format!("Bearer {CALLER_KEY}");
-    let headers = [("authorization", bearer.as_str()), ("idempotency-key", key)];
-    client.send(Method::POST, &format!("{address}/{path}"), &headers, text(body)).await
-}
-
-async fn get(client: &Client, address: &str, path: &str) -> Result<Answer, String> {
-    let bearer = format!("Bearer {CALLER_KEY}");
-    client.get(&format!("{address}/{path}"), &[("authorization", &bearer)]).await
-}
-
-/// A chat/completions body with one message.
-#[must_use]
-pub fn chat_body(prompt: &str, stream: bool) -> Value {
-    json!({
-        "model": "llm", "stream": stream,
-        "messages": [{"role": "user", "content": prompt}],
-    })
-}
-
-fn text(body: &Value) -> String {
-    if body.is_null() { String::new() } else { body.to_string() }
-}
--- a/crates/oleander-check/src/lib.rs
+++ b/crates/oleander-check/src/lib.rs
@@ -5,14 +5,18 @@
 
 #![allow(clippy::expect_used, clippy::unwrap_used)]
 
+mod caller;
 mod client;
 mod deployment;
+mod ports;
 mod process;
 mod properties;
+mod shape;
 
+pub use caller::{CALLER_KEY, Caller, chat_body};
 pub use client::{Answer, Client, eventually};
-pub use deployment::{
-    CALLER_KEY, Caller, Deployment, OPERATOR_KEY, Shape, chat_body, free_address,
-};
+pub use deployment::{Deployment, OPERATOR_KEY};
+pub use ports::free_address;
 pub use process::Process;
 pub use properties::seeded;
+pub use shape::Shape;
--- /dev/null
+++ b/crates/oleander-check/src/shape.rs
@@ -0,0 +1,104 @@
+//! How large a deployment of the tests is, and with which options.
+
+use serde_json::{Value, json};
+
+/// How many processes of each kind, and their options.
+#[derive(Debug, Clone)]
+pub struct Shape {
+    pub(crate) entries: usize,
+    pub(crate) batches: usize,
+    pub(crate) engines: usize,
+    pub(crate) engine_args: Vec<String>,
+    pub(crate) service_args: Vec<String>,
+    pub(crate) entry: Value,
+    pub(crate) batch: Value,
+    pub(crate) platform: Option<PlatformAddresses>,
+}
+
+/// Where the platform stand-in listens, and where the hosts reach it.
+#[derive(Debug, Clone)]
+pub(crate) struct PlatformAddresses {
+    pub(crate) listen: String,
+    pub(crate) seen: String,
+}
+
+impl Default for Shape {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Shape {
+    /// Three entries and three engines, no batch runner.
+    #[must_use]
+    pub fn new() -> Self {
+        let args = ["--slots", "16", "--step-base-us", "3000", "--step-per-seq-us", "100"];
+        Self {
+            entries: 3,
+            batches: 0,
+            engines: 3,
+            engine_args: args.map(str::to_owned).to_vec(),
+            service_args: Vec::new(),
+            entry: json!({"keep_addresses_ms": 1000, "shards": 4}),
+            batch: json!({}),
+            platform: None,
+        }
+    }
+
+    /// Sets the number of entries.
+    #[must_use]
+    pub const fn entries(mut self, entries: usize) -> Self {
+        self.entries = entries;
+        self
+    }
+
+    /// Sets the number of batch runners.
+    #[must_use]
+    pub const fn batches(mut self, batches: usize) -> Self {
+        self.batches = batches;
+        self
+    }
+
+    /// Sets the number of engines.
+    #[must_use]
+    pub const fn engines(mut self, engines: usize) -> Self {
+        self.engines = engines;
+        self
+    }
+
+    /// Sets the options of the engine stand-ins.
+    #[must_use]
+    pub fn engine_args(mut self, args: &[&str]) -> Self {
+        self.engine_args = args.iter().map(|&arg| arg.to_owned()).collect();
+        self
+    }
+
+    /// Sets the options of the plain service stand-in.
+    #[must_use]
+    pub fn service_args(mut self, args: &[&str]) -> Self {
+        self.service_args = args.iter().map(|&arg| arg.to_owned()).collect();
+        self
+    }
+
+    /// Sets the `entry` section of the entries' settings.
+    #[must_use]
+    pub fn entry_settings(mut self, entry: Value) -> Self {
+        self.entry = entry;
+        self
+    }
+
+    /// Sets the `batch` section of the batch runners' settings.
+    #[must_use]
+    pub fn batch_settings(mut self, batch: Value) -> Self {
+        self.batch = batch;
+        self
+    }
+
+    /// Lets the platform stand-in listen at one address while the hosts are told another.
+    #[must_use]
+    pub fn platform_behind(mut self, listen: &str, seen: &str) -> Self {
+        self.platform =
+            Some(PlatformAddresses { listen: listen.to_owned(), seen: seen.to_owned() });
+        self
+    }
+}
