Tell no removal to a host that knows what came after it

Found by reading: a removal counts as made at the end of its batch, so a host that had read the platform itself in between got the removal of an entry that was made anew, and dropped a live target. Test: before, the removal was told after the object; now it is left out.

--- a/crates/oleander-cluster/src/feed.rs
+++ b/crates/oleander-cluster/src/feed.rs
@@ -96,12 +96,16 @@
     /// Adds changes that lead up to a revision.
     pub fn add(&mut self, changes: Vec<Change>, upto: Revision) {
         let Some((first, _)) = self.span else { return self.start(upto) };
-        // A removal bears no revision of its own; it counts as made at the end of its batch.
-        let rows = changes.into_iter().map(|change| {
+        for (index, change) in changes.iter().enumerate() {
+            let later = &changes[index + 1..];
+            // A removal bears no revision of its own and counts as made at the end of its batch; one
+            // that was made good within the batch would come after the object that replaced it.
+            if change.object.is_none() && later.iter().any(|other| other.key == change.key) {
+                continue;
+            }
             let at = change.object.as_ref().map_or(upto, |object| object.revision);
-            (at, change)
-        });
-        self.changes.extend(rows);
+            self.changes.push_back((at, change.clone()));
+        }
         let mut first = first;
         while self.changes.len() > MOST_CHANGES {
             let dropped = self.changes.pop_front();
--- a/crates/oleander-cluster/tests/feed.rs
+++ b/crates/oleander-cluster/tests/feed.rs
@@ -50,6 +50,16 @@
     assert_eq!(history.after(Revision(2)), News::Changes(vec![gone], Revision(3)));
 }
 
+#[test]
+fn a_removal_is_not_told_to_whoever_knows_what_came_after_it() {
+    let mut history = History::default();
+    history.start(Revision(1));
+    let gone = Change { key: "a".to_owned(), object: None };
+    history.add(vec![gone, put("a", 4), put("b", 6)], Revision(6));
+    assert_eq!(keys(history.after(Revision(4))), (vec!["b".to_owned()], 6));
+    assert_eq!(keys(history.after(Revision(1))), (vec!["a".to_owned(), "b".to_owned()], 6));
+}
+
 #[test]
 fn a_long_history_drops_its_oldest_changes_and_says_so() {
     let mut history = History::default();
