Merge what the change wrote twice; drop what it left over

Found on re-reading the whole change; what the programs do stays as it was.

More than needed: probes and counts carried the application's message types though they send none; changes between hosts had a form of their own beside the port's (the bytes on the wire are the same); an arm that could not be reached; a setter that only a trial used. Done again and again: targets were divided among the hosts each 60 ms; now when either changed. A comment gave a third where the constant says a twelfth; `jobs_at_rest` is `give_jobs_away`.

The tests keep their assertions; two name the changed shape of a message.

--- a/crates/oleander-cluster/src/cluster.rs
+++ b/crates/oleander-cluster/src/cluster.rs
@@ -169,9 +169,7 @@
             let changed = match follow.next().await {
                 Followed::Snapshot(objects) => {
                     self.records.write().clear();
-                    let changes = objects.into_iter();
-                    let changes = changes.map(|(key, object)| Change { key, object: Some(object) });
-                    self.take_records(changes)
+                    self.take_records(objects.into_iter().map(Change::from))
                 }
                 Followed::Changes(changes) => self.take_records(changes.into_iter()),
                 Followed::Lost(error) => {
--- a/crates/oleander-cluster/src/detour.rs
+++ b/crates/oleander-cluster/src/detour.rs
@@ -3,8 +3,8 @@
 //! A host that is refused by the store, or cut off from it, goes on with its jobs through a host
 //! that reaches it. A read may go both ways. A write goes the second way only if the first did
 //! nothing; otherwise its caller settles it by reading, as ever. A bad path is tried by
-//! reads of its own only. A host serves others only while
-//! its own path is good, so that an outage for all costs no calls.
+//! reads of its own only. A host serves others only while its own path is good, so that an outage for
+//! all costs no calls.
 
 use std::{sync::Arc, time::Duration};
 
@@ -12,7 +12,7 @@
 use oleander_core::{Revision, Span};
 use oleander_host::clock;
 use oleander_platform::{
-    Change, Changes, Created, Listing, Object, ObjectStore, Page, PlatformError, Updated,
+    Changes, Created, Listing, Object, ObjectStore, Page, PlatformError, Updated,
 };
 use parking_lot::{Mutex, RwLock};
 use serde::{Deserialize, Serialize};
@@ -38,28 +38,11 @@
     Watch(String, Revision, Span),
 }
 
-/// A change on its way between hosts: the key, and the object if it stands.
-#[derive(Debug, Clone, Serialize, Deserialize)]
-pub struct WireChange(String, Option<(Revision, Bytes)>);
-
-impl From<Change> for WireChange {
-    fn from(change: Change) -> Self {
-        Self(change.key, change.object.map(|object| (object.revision, object.body)))
-    }
-}
-
-impl From<WireChange> for Change {
-    fn from(WireChange(key, object): WireChange) -> Self {
-        let object = object.map(|(revision, body)| Object { revision, body });
-        Self { key, object }
-    }
-}
-
 /// What came of it.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum StoreAnswer {
-    /// The object, with its revision.
-    Got(Option<(Revision, Bytes)>),
+    /// The object, if there is one.
+    Got(Option<Object>),
     /// It was created at this revision, or one was there.
     Created(Option<Revision>),
     /// It was replaced.
@@ -67,7 +50,7 @@
     /// It has another revision, or is gone.
     Stale(Option<Revision>),
     /// Changes up to a revision.
-    Changes(Vec<WireChange>, Revision),
+    Changes(Changes),
     /// It changed nothing: the host does not reach the store either.
     Refused(String),
     /// It may have taken effect.
@@ -125,15 +108,15 @@
 
     /// Makes a call for another host, if the own path is good.
     pub async fn serve(&self, call: StoreCall) -> StoreAnswer {
-        if let StoreCall::Watch(prefix, from, wait) = call {
-            return self.feeds.watch(&prefix, from, wait.to_duration()).await;
-        }
-        if self.breaker.lock().is_open() {
-            return StoreAnswer::Refused("no path to the platform here either".to_owned());
-        }
         match call {
+            StoreCall::Watch(prefix, from, wait) => {
+                self.feeds.watch(&prefix, from, wait.to_duration()).await
+            }
+            _ if self.breaker.lock().is_open() => {
+                StoreAnswer::Refused("no path to the platform here either".to_owned())
+            }
             StoreCall::Get(key) => match self.watched(self.store.get(&key).await) {
-                Ok(object) => StoreAnswer::Got(object.map(|object| (object.revision, object.body))),
+                Ok(object) => StoreAnswer::Got(object),
                 Err(error) => failure(&error),
             },
             StoreCall::Create(key, body) => {
@@ -150,7 +133,6 @@
                     Err(error) => failure(&error),
                 }
             }
-            StoreCall::Watch(..) => StoreAnswer::Refused("watches are fed".to_owned()),
         }
     }
 
@@ -194,6 +176,18 @@
         false
     }
 
+    /// Makes a call on the own path if that is good.
+    async fn direct<T>(
+        &self,
+        key: &str,
+        call: impl Future<Output = Result<T, PlatformError>>,
+    ) -> Result<T, PlatformError> {
+        if !self.is_good(key) {
+            return Err(PlatformError::Busy("the path to the platform is bad".to_owned()));
+        }
+        self.watched(call.await)
+    }
+
     async fn around(&self, call: StoreCall, first: PlatformError) -> StoreAnswer {
         let detour = self.detour.read().clone();
         match detour {
@@ -203,11 +197,6 @@
     }
 }
 
-/// The error that stands for a path that is not tried.
-fn not_tried() -> PlatformError {
-    PlatformError::Busy("the path to the platform is bad".to_owned())
-}
-
 fn failure(error: &PlatformError) -> StoreAnswer {
     if error.may_have_written() {
         StoreAnswer::Unknown(error.to_string())
@@ -226,30 +215,20 @@
 
 impl<S: ObjectStore, D: Detour> ObjectStore for Routed<S, D> {
     async fn get(&self, key: &str) -> Result<Option<Object>, PlatformError> {
-        let first = if self.is_good(key) {
-            match self.watched(self.store.get(key).await) {
-                Ok(object) => return Ok(object),
-                Err(error) => error,
-            }
-        } else {
-            not_tried()
+        let first = match self.direct(key, self.store.get(key)).await {
+            Ok(object) => return Ok(object),
+            Err(error) => error,
         };
         match self.around(StoreCall::Get(key.to_owned()), first).await {
-            StoreAnswer::Got(object) => {
-                Ok(object.map(|(revision, body)| Object { revision, body }))
-            }
+            StoreAnswer::Got(object) => Ok(object),
             other => Err(error_of(other)),
         }
     }
 
     async fn create(&self, key: &str, body: Bytes) -> Result<Created, PlatformError> {
-        let first = if self.is_good(key) {
-            match self.watched(self.store.create(key, body.clone()).await) {
-                Err(error) if !error.may_have_written() => error,
-                settled => return settled,
-            }
-        } else {
-            not_tried()
+        let first = match self.direct(key, self.store.create(key, body.clone())).await {
+            Err(error) if !error.may_have_written() => error,
+            settled => return settled,
         };
         match self.around(StoreCall::Create(key.to_owned(), body), first).await {
             StoreAnswer::Created(Some(revision)) => Ok(Created::New(revision)),
@@ -264,13 +243,9 @@
         body: Bytes,
         expected: Revision,
     ) -> Result<Updated, PlatformError> {
-        let first = if self.is_good(key) {
-            match self.watched(self.store.update(key, body.clone(), expected).await) {
-                Err(error) if !error.may_have_written() => error,
-                settled => return settled,
-            }
-        } else {
-            not_tried()
+        let first = match self.direct(key, self.store.update(key, body.clone(), expected)).await {
+            Err(error) if !error.may_have_written() => error,
+            settled => return settled,
         };
         match self.around(StoreCall::Update(key.to_owned(), body, expected), first).await {
             StoreAnswer::Updated(revision) => Ok(Updated::Done(revision)),
--- a/crates/oleander-cluster/src/feed.rs
+++ b/crates/oleander-cluster/src/feed.rs
@@ -14,11 +14,11 @@
 };
 
 use oleander_core::{HostId, Revision, ZoneId};
-use oleander_platform::{Change, Follow, Followed, ObjectStore};
+use oleander_platform::{Change, Changes, Follow, Followed, ObjectStore};
 use parking_lot::Mutex;
 use tokio::{sync::Notify, time};
 
-use crate::detour::{StoreAnswer, WireChange};
+use crate::detour::StoreAnswer;
 
 /// Longest wait of a feeder's own watch of what the others have to act on at once. With the margin of
 /// a call, it is the time after which a feeder knows that it is cut off.
@@ -64,8 +64,8 @@
 /// What a history holds for a host at some revision.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum News {
-    /// These changes, up to a revision.
-    Changes(Vec<Change>, Revision),
+    /// These changes.
+    Changes(Changes),
     /// Nothing yet.
     None,
     /// It doesn't reach back so far, or is lost.
@@ -123,7 +123,10 @@
         }
         let fresh = self.changes.iter().filter(|(at, _)| *at > from);
         let fresh: Vec<Change> = fresh.map(|(_, change)| change.clone()).collect();
-        if fresh.is_empty() { News::None } else { News::Changes(fresh, last) }
+        if fresh.is_empty() {
+            return News::None;
+        }
+        News::Changes(Changes { changes: fresh, revision: last })
     }
 }
 
@@ -167,10 +170,7 @@
             changed.as_mut().enable();
             let news = self.histories.lock().get(prefix).map(|history| history.after(from));
             match news {
-                Some(News::Changes(changes, upto)) => {
-                    let changes = changes.into_iter().map(WireChange::from).collect();
-                    return StoreAnswer::Changes(changes, upto);
-                }
+                Some(News::Changes(changes)) => return StoreAnswer::Changes(changes),
                 Some(News::None) => {}
                 Some(News::OutOfReach) | None => {
                     return StoreAnswer::Refused("not fed from there".to_owned());
@@ -178,7 +178,7 @@
             }
             if time::timeout_at(end, changed).await.is_err() {
                 // The host goes on from where it is: what came at this moment is told next time.
-                return StoreAnswer::Changes(Vec::new(), from);
+                return StoreAnswer::Changes(Changes { changes: Vec::new(), revision: from });
             }
         }
     }
--- a/crates/oleander-cluster/src/join.rs
+++ b/crates/oleander-cluster/src/join.rs
@@ -2,10 +2,11 @@
 
 use std::{fmt, time::Duration};
 
-use bytes::Bytes;
 use oleander_core::{Time, value};
 use oleander_link::{LinkError, LinkKey};
-use oleander_platform::{Created, ObjectStore, PlatformError, Updated};
+use oleander_platform::{
+    Created, ObjectStore, PlatformError, StoreFault, Updated, decode_value, encode_value,
+};
 
 use crate::record::HostRecord;
 
@@ -59,66 +60,46 @@
                 break LinkKey::from_secret(text.as_bytes()).map_err(JoinError::Key)?;
             }
             Ok(None) => {}
-            Err(Fault::Content(reason)) => return Err(JoinError::Content(reason)),
-            Err(Fault::Platform(error)) => wait("read the shared secret", &error).await,
+            Err(StoreFault::Content(reason)) => return Err(JoinError::Content(reason)),
+            Err(StoreFault::Platform(error)) => wait("read the shared secret", &error).await,
         }
     };
     loop {
         match register(store, &mut record).await {
             Ok(true) => return Ok((key, record)),
             Ok(false) => {}
-            Err(Fault::Content(reason)) => return Err(JoinError::Content(reason)),
-            Err(Fault::Platform(error)) => wait("write the host's record", &error).await,
+            Err(StoreFault::Content(reason)) => return Err(JoinError::Content(reason)),
+            Err(StoreFault::Platform(error)) => wait("write the host's record", &error).await,
         }
     }
 }
 
-enum Fault {
-    Platform(PlatformError),
-    Content(String),
-}
-
-impl From<PlatformError> for Fault {
-    fn from(error: PlatformError) -> Self {
-        Self::Platform(error)
-    }
-}
-
 async fn wait(step: &str, error: &PlatformError) {
     log::warn!(error:% = error; "can't {step}; trying again");
     tokio::time::sleep(PAUSE).await;
 }
 
 /// The secret; `None` if it was not there and another try has to read it.
-async fn secret<S: ObjectStore>(store: &S) -> Result<Option<String>, Fault> {
+async fn secret<S: ObjectStore>(store: &S) -> Result<Option<String>, StoreFault> {
     if let Some(object) = store.get(SECRET_KEY).await? {
-        let secret: Secret = decode(&object.body)?;
+        let secret: Secret = decode_value(&object.body)?;
         return Ok(Some(secret.text));
     }
     let text = format!("{:032x}{:032x}", rand::random::<u128>(), rand::random::<u128>());
-    let body = encode(&Secret { text: text.clone() })?;
+    let body = encode_value(&Secret { text: text.clone() })?;
     let created = store.create(SECRET_KEY, body).await?;
     Ok(matches!(created, Created::New(_)).then_some(text))
 }
 
 /// Writes the record; `false` if it changed meanwhile and another try is due.
-async fn register<S: ObjectStore>(store: &S, record: &mut HostRecord) -> Result<bool, Fault> {
+async fn register<S: ObjectStore>(store: &S, record: &mut HostRecord) -> Result<bool, StoreFault> {
     let key = HostRecord::key(&record.host);
     let Some(former) = store.get(&key).await? else {
-        let created = store.create(&key, encode(record)?).await?;
+        let created = store.create(&key, encode_value(record)?).await?;
         return Ok(matches!(created, Created::New(_)));
     };
-    let last: HostRecord = decode(&former.body)?;
+    let last: HostRecord = decode_value(&former.body)?;
     record.started = record.started.max(Time(last.started.0 + 1));
-    let updated = store.update(&key, encode(record)?, former.revision).await?;
+    let updated = store.update(&key, encode_value(record)?, former.revision).await?;
     Ok(matches!(updated, Updated::Done(_)))
 }
-
-fn encode<T: serde::Serialize>(value: &T) -> Result<Bytes, Fault> {
-    let bytes = serde_json::to_vec(value).map_err(|e| Fault::Content(e.to_string()))?;
-    Ok(Bytes::from(bytes))
-}
-
-fn decode<T: for<'de> serde::Deserialize<'de>>(body: &[u8]) -> Result<T, Fault> {
-    serde_json::from_slice(body).map_err(|e| Fault::Content(e.to_string()))
-}
--- a/crates/oleander-cluster/src/lib.rs
+++ b/crates/oleander-cluster/src/lib.rs
@@ -21,7 +21,7 @@
 
 pub use breaker::Breaker;
 pub use cluster::{Cluster, Handler, Identity, Presence};
-pub use detour::{Detour, Routed, StoreAnswer, StoreCall, WireChange};
+pub use detour::{Detour, Routed, StoreAnswer, StoreCall};
 pub use directory::{Candidate, Directory};
 pub use feed::{Feeder, Feeds, History, News, PROMPT_FEED, feeder_of};
 pub use join::{JoinError, join};
--- a/crates/oleander-cluster/src/probing.rs
+++ b/crates/oleander-cluster/src/probing.rs
@@ -5,7 +5,6 @@
 use oleander_core::HostId;
 use oleander_host::clock;
 use oleander_members::{Kind, MemberAction, MemberEvent, Message};
-use serde::{Serialize, de::DeserializeOwned};
 use tokio::time::{self, MissedTickBehavior};
 
 use crate::{
@@ -20,11 +19,7 @@
 
 impl Cluster {
     /// Probes other hosts; never ends.
-    pub async fn probe<Q, A>(self: Arc<Self>)
-    where
-        Q: Serialize + DeserializeOwned + Send + Sync + 'static,
-        A: Serialize + DeserializeOwned + Send + 'static,
-    {
+    pub async fn probe(self: Arc<Self>) {
         let mut ticks = time::interval(TICK);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut told = false;
@@ -36,7 +31,7 @@
                 told = true;
                 actions.extend(self.members.lock().handle(now, MemberEvent::Leave));
             }
-            self.carry_out::<Q, A>(actions);
+            self.carry_out(actions);
         }
     }
 
@@ -56,34 +51,26 @@
         answers.collect()
     }
 
-    fn carry_out<Q, A>(self: &Arc<Self>, actions: Vec<MemberAction>)
-    where
-        Q: Serialize + DeserializeOwned + Send + Sync + 'static,
-        A: Serialize + DeserializeOwned + Send + 'static,
-    {
+    fn carry_out(self: &Arc<Self>, actions: Vec<MemberAction>) {
         self.note(&actions);
         for action in actions {
             let MemberAction::Send { to, message } = action else { continue };
             let cluster = Arc::clone(self);
-            tokio::spawn(async move { cluster.send::<Q, A>(to, message).await });
+            tokio::spawn(async move { cluster.send(to, message).await });
         }
     }
 
-    async fn send<Q, A>(self: Arc<Self>, to: HostId, message: Message)
-    where
-        Q: Serialize + DeserializeOwned + Send + Sync + 'static,
-        A: Serialize + DeserializeOwned + Send + 'static,
-    {
+    async fn send(self: Arc<Self>, to: HostId, message: Message) {
         let Some(address) = self.members.lock().address(&to) else { return };
         let is_probe = matches!(message.kind, Kind::Probe { .. });
-        let call: PeerCall<Q> = PeerCall::Member(message);
+        let call: PeerCall<()> = PeerCall::Member(message);
         let answer = self.link.call(&address.to_string(), &call, PROBE_TIMEOUT).await;
         match answer {
-            Ok(PeerAnswer::<A>::Member(messages)) => {
+            Ok(PeerAnswer::<()>::Member(messages)) => {
                 for message in messages {
                     let event = MemberEvent::Received { from: to.clone(), message };
                     let actions = self.members.lock().handle(clock::steady(), event);
-                    self.carry_out::<Q, A>(actions);
+                    self.carry_out(actions);
                 }
             }
             Ok(_) => log::warn!(host:% = to; "answer to another kind of call"),
--- a/crates/oleander-cluster/src/retirement.rs
+++ b/crates/oleander-cluster/src/retirement.rs
@@ -65,9 +65,9 @@
                 && Some(&view.profile.host) != except
                 && view.state == MemberState::Live
         });
-        let mut names: Vec<String> = others.map(|view| view.profile.host.to_string()).collect();
-        names.push(self.me.host.to_string());
-        hash::rendezvous(task, names.iter()).is_some_and(|next| next == self.me.host.as_str())
+        let mut keepers: Vec<HostId> = others.map(|view| view.profile.host).collect();
+        keepers.push(self.me.host.clone());
+        hash::rendezvous(task, &keepers) == Some(&self.me.host)
     }
 }
 
--- a/crates/oleander-cluster/src/sharing.rs
+++ b/crates/oleander-cluster/src/sharing.rs
@@ -8,7 +8,6 @@
 
 use oleander_core::{HostId, Time, ZoneId};
 use oleander_host::clock;
-use serde::{Serialize, de::DeserializeOwned};
 use tokio::time;
 
 use crate::{
@@ -28,11 +27,7 @@
 
 impl Cluster {
     /// Tells others about this host's work; never ends.
-    pub async fn share_load<Q, A>(self: Arc<Self>)
-    where
-        Q: Serialize + DeserializeOwned + Send + Sync + 'static,
-        A: Serialize + DeserializeOwned + Send + 'static,
-    {
+    pub async fn share_load(self: Arc<Self>) {
         for round in 0_u64.. {
             let neighbours = self.live_entries_in(&self.me.zone);
             time::sleep(near_interval(neighbours.len())).await;
@@ -40,21 +35,17 @@
             let (near, far): (Vec<_>, Vec<_>) =
                 self.peers().into_iter().partition(|(_, zone, _)| *zone == self.me.zone);
             let own = self.load();
-            self.tell::<Q, A>(near, &own);
+            self.tell(near, &own);
             if round.is_multiple_of(FAR_EVERY) && teller(&neighbours) == Some(&self.me.host) {
                 let sums = self.zone_load.lock().sums(clock::steady(), own);
-                self.tell::<Q, A>(far, &sums);
+                self.tell(far, &sums);
             }
         }
     }
 
-    fn tell<Q, A>(&self, hosts: Vec<(HostId, ZoneId, SocketAddr)>, services: &[ServiceLoad])
-    where
-        Q: Serialize + DeserializeOwned + Send + Sync + 'static,
-        A: Serialize + DeserializeOwned + Send + 'static,
-    {
+    fn tell(&self, hosts: Vec<(HostId, ZoneId, SocketAddr)>, services: &[ServiceLoad]) {
         for (host, _, address) in hosts {
-            let call: PeerCall<Q> = PeerCall::Load {
+            let call: PeerCall<()> = PeerCall::Load {
                 zone: self.me.zone.clone(),
                 services: services.to_vec(),
                 sent: clock::now(),
@@ -62,7 +53,7 @@
             let link = self.link.clone();
             tokio::spawn(async move {
                 let answer = link.call(&address.to_string(), &call, TIMEOUT).await;
-                if let Err(error) = answer.map(|_: PeerAnswer<A>| ()) {
+                if let Err(error) = answer.map(|_: PeerAnswer<()>| ()) {
                     log::debug!(host:% = host, error:% = error; "work was not told");
                 }
             });
--- a/crates/oleander-cluster/src/ways.rs
+++ b/crates/oleander-cluster/src/ways.rs
@@ -5,7 +5,7 @@
 use oleander_core::{HostId, Revision, Span, hash};
 use oleander_host::clock;
 use oleander_members::{MemberRole, MemberState};
-use oleander_platform::{Change, Changes};
+use oleander_platform::Changes;
 
 use crate::{
     cluster::Cluster,
@@ -82,10 +82,7 @@
         let call: PeerCall<()> = call;
         let answer = self.link.call(&address.to_string(), &call, wait + FEED_MARGIN).await;
         let reason = match answer {
-            Ok(PeerAnswer::<()>::Store(StoreAnswer::Changes(changes, revision))) => {
-                let changes = changes.into_iter().map(Change::from).collect();
-                return Some(Changes { changes, revision });
-            }
+            Ok(PeerAnswer::<()>::Store(StoreAnswer::Changes(changes))) => return Some(changes),
             Ok(PeerAnswer::Store(StoreAnswer::Refused(reason))) => reason,
             Ok(_) => "answer to another kind of call".to_owned(),
             Err(error) => error.to_string(),
--- a/crates/oleander-cluster/src/zone_load.rs
+++ b/crates/oleander-cluster/src/zone_load.rs
@@ -65,6 +65,5 @@
 /// The host that tells for a data centre, given its live hosts.
 #[must_use]
 pub fn teller(hosts: &[HostId]) -> Option<&HostId> {
-    let name = hash::rendezvous(TELLER_KEY, hosts.iter().map(HostId::as_str))?;
-    hosts.iter().find(|host| host.as_str() == name)
+    hash::rendezvous(TELLER_KEY, hosts)
 }
--- a/crates/oleander-cluster/tests/feed.rs
+++ b/crates/oleander-cluster/tests/feed.rs
@@ -24,8 +24,8 @@
 }
 
 fn keys(news: News) -> (Vec<String>, u64) {
-    let News::Changes(changes, upto) = news else { panic!("{news:?}") };
-    (changes.into_iter().map(|change| change.key).collect(), upto.0)
+    let News::Changes(Changes { changes, revision }) = news else { panic!("{news:?}") };
+    (changes.into_iter().map(|change| change.key).collect(), revision.0)
 }
 
 #[test]
@@ -47,7 +47,10 @@
     history.start(Revision(1));
     let gone = Change { key: "a".to_owned(), object: None };
     history.add(vec![put("a", 2), gone.clone()], Revision(3));
-    assert_eq!(history.after(Revision(2)), News::Changes(vec![gone], Revision(3)));
+    assert_eq!(
+        history.after(Revision(2)),
+        News::Changes(Changes { changes: vec![gone], revision: Revision(3) })
+    );
 }
 
 #[test]
@@ -126,10 +129,7 @@
     async fn feed(&self, prefix: &str, from: Revision, wait: Duration) -> Option<Changes> {
         let call = StoreCall::Watch(prefix.to_owned(), from, Span::from(wait));
         match self.0.serve(call).await {
-            StoreAnswer::Changes(changes, revision) => {
-                let changes = changes.into_iter().map(Change::from).collect();
-                Some(Changes { changes, revision })
-            }
+            StoreAnswer::Changes(changes) => Some(changes),
             _ => None,
         }
     }
--- a/crates/oleander-core/src/macros.rs
+++ b/crates/oleander-core/src/macros.rs
@@ -70,6 +70,12 @@
                 }
             }
 
+            impl AsRef<str> for $name {
+                fn as_ref(&self) -> &str {
+                    &self.0
+                }
+            }
+
             impl std::fmt::Display for $name {
                 fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
                     f.write_str(&self.0)
--- a/crates/oleander-platform/src/lib.rs
+++ b/crates/oleander-platform/src/lib.rs
@@ -9,6 +9,7 @@
 mod memory;
 mod object;
 mod platform;
+mod value;
 
 pub use client::HttpPlatform;
 pub use follow::{Follow, Followed, PROMPT_WAIT};
@@ -18,3 +19,4 @@
     Updated,
 };
 pub use platform::{ObjectStore, Platform, PlatformError};
+pub use value::{StoreFault, decode_value, encode_value};
--- a/crates/oleander-platform/src/object.rs
+++ b/crates/oleander-platform/src/object.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 /// A stored object.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Object {
     /// Revision of its last change.
     pub revision: Revision,
@@ -45,7 +45,7 @@
 }
 
 /// A change of one object.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Change {
     /// Key of the object.
     pub key: String,
@@ -53,8 +53,14 @@
     pub object: Option<Object>,
 }
 
+impl From<(String, Object)> for Change {
+    fn from((key, object): (String, Object)) -> Self {
+        Self { key, object: Some(object) }
+    }
+}
+
 /// What a watch saw.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Changes {
     /// Changes in order.
     pub changes: Vec<Change>,
--- a/crates/oleander-relay/src/pool.rs
+++ b/crates/oleander-relay/src/pool.rs
@@ -50,6 +50,8 @@
     yields: UnboundedSender<YieldRequest>,
     router: Mutex<Router>,
     targets: RwLock<HashMap<TargetId, TargetEntry>>,
+    /// Hosts among which the targets are divided; `None` since the targets changed.
+    divided: Mutex<Option<Vec<HostId>>>,
     changed: Notify,
 }
 
@@ -93,6 +95,7 @@
             yields,
             router: Mutex::new(Router::new(config, seed)),
             targets: RwLock::default(),
+            divided: Mutex::default(),
             changed: Notify::new(),
         }
     }
@@ -106,15 +109,21 @@
         drop(router);
         let entries = entries.into_iter().map(|entry| (entry.id.clone(), entry));
         *self.targets.write() = entries.collect();
+        *self.divided.lock() = None;
         self.changed.notify_waiters();
     }
 
-    /// Divides the targets of this host's data centre among its hosts.
+    /// Divides the targets of this host's data centre among its hosts, if either changed.
     pub fn divide(&self, host: &HostId, zone: &ZoneId, hosts: &[HostId]) {
+        let mut divided = self.divided.lock();
+        if divided.as_deref() == Some(hosts) {
+            return;
+        }
         let targets = self.targets.read();
         let rows = targets.values().map(|target| (&target.id, &target.zone));
         let homes = homes(host, hosts, zone, rows);
         self.router.lock().set_homes(&homes);
+        *divided = Some(hosts.to_vec());
     }
 
     /// Takes the place of an online request in the queue.
--- a/crates/oleander-routing/src/config.rs
+++ b/crates/oleander-routing/src/config.rs
@@ -90,13 +90,6 @@
         }
     }
 
-    /// Sets the time within which a peer's counts show what it was asked to cancel.
-    #[must_use]
-    pub const fn yield_grace(mut self, grace: Span) -> Self {
-        self.yield_grace = grace;
-        self
-    }
-
     /// Sets how the classes share the targets.
     #[must_use]
     pub const fn policy(mut self, policy: Policy) -> Self {
--- a/crates/oleander-worklist/src/desk.rs
+++ b/crates/oleander-worklist/src/desk.rs
@@ -16,7 +16,9 @@
 use oleander_cluster::Cluster;
 use oleander_core::{HostId, JobId, Revision, Time};
 use oleander_host::clock;
-use oleander_platform::{Change as ObjectChange, Follow, Followed, ObjectStore, PROMPT_WAIT};
+use oleander_platform::{
+    Change as ObjectChange, Follow, Followed, ObjectStore, PROMPT_WAIT, StoreFault, decode_value,
+};
 use oleander_relay::{Relay, Targets};
 use parking_lot::Mutex;
 use tokio::sync::{Notify, watch};
@@ -27,7 +29,7 @@
     message::{JobAnswer, JobCall},
     record::{ItemResult, JobEntry, JobPhase, Owner},
     runner::Run,
-    store::{ENTRY_PREFIX, JobStore, StoreFault, decode},
+    store::{ENTRY_PREFIX, JobStore},
 };
 
 /// Time between two watches: one call brings the changes of several jobs. The owner of a job is
@@ -161,9 +163,7 @@
         loop {
             match follow.next().await {
                 Followed::Snapshot(objects) => {
-                    let changes = objects
-                        .into_iter()
-                        .map(|(key, object)| ObjectChange { key, object: Some(object) });
+                    let changes = objects.into_iter().map(ObjectChange::from);
                     changes.for_each(|change| self.take_change(change));
                     self.ready.store(true, Ordering::Relaxed);
                 }
@@ -188,7 +188,7 @@
             self.archive.lock().remove(&job);
             return;
         };
-        match decode::<JobEntry>(&object.body) {
+        match decode_value::<JobEntry>(&object.body) {
             Ok(entry) => self.take_entry(object.revision, entry),
             Err(fault) => log::warn!(job:% = job, error:% = fault; "entry of a job is ignored"),
         }
--- a/crates/oleander-worklist/src/index.rs
+++ b/crates/oleander-worklist/src/index.rs
@@ -17,6 +17,12 @@
     Stop,
 }
 
+/// The host among `live` that takes a job over.
+#[must_use]
+pub(crate) fn next_owner<'a, T: AsRef<str>>(job: &JobId, live: &'a [T]) -> Option<&'a T> {
+    hash::rendezvous(job.as_str(), live)
+}
+
 /// Entries of all jobs.
 #[derive(Debug, Clone, Default)]
 pub struct Index {
@@ -61,17 +67,17 @@
     ///
     /// Hosts that see the same `live` hosts agree on the next owner; if they don't, the
     /// conditional update of the entry decides.
-    pub fn orphans<'a>(
+    pub fn orphans<'a, T: AsRef<str>>(
         &'a self,
         me: &'a Owner,
-        live: &'a [String],
+        live: &'a [T],
         is_gone: impl Fn(&Owner) -> bool + 'a,
     ) -> impl Iterator<Item = &'a (Revision, JobEntry)> {
         self.entries.values().filter(move |(_, entry)| {
             entry.phase == JobPhase::Open
                 && entry.owner.as_ref().is_none_or(&is_gone)
-                && hash::rendezvous(entry.job.as_str(), live.iter())
-                    .is_some_and(|next| next == me.host.as_str())
+                && next_owner(&entry.job, live)
+                    .is_some_and(|next| next.as_ref() == me.host.as_str())
         })
     }
 
--- a/crates/oleander-worklist/src/intake.rs
+++ b/crates/oleander-worklist/src/intake.rs
@@ -4,7 +4,7 @@
 
 use oleander_core::{JobId, Span, Tokens};
 use oleander_host::clock;
-use oleander_platform::ObjectStore;
+use oleander_platform::{ObjectStore, StoreFault};
 use oleander_relay::{Route, RouteKind, Targets};
 use tokio::time;
 
@@ -13,7 +13,6 @@
     desk::{Desk, Held},
     job::Job,
     record::JobPhase,
-    store::StoreFault,
     submission::{Submission, SubmitError},
 };
 
--- a/crates/oleander-worklist/src/job.rs
+++ b/crates/oleander-worklist/src/job.rs
@@ -87,7 +87,7 @@
     /// Whether there is time to wait for room nearby.
     ///
     /// Items nearby make room for online requests at once, and their bytes stay in the data
-    /// centre; a job of which a third of the time has passed takes what room there is.
+    /// centre; a job of which a twelfth of the time has passed takes what room there is.
     #[must_use]
     pub fn is_at_ease(&self, wall: Time) -> bool {
         wall < self.entry.accepted + Span(self.entry.due.0 / EASE_PART)
--- a/crates/oleander-worklist/src/lib.rs
+++ b/crates/oleander-worklist/src/lib.rs
@@ -31,6 +31,6 @@
 pub use job::{Job, NextItem};
 pub use message::{JobAnswer, JobCall, Results};
 pub use record::{ItemResult, ItemState, JobEntry, JobPhase, Owner, Part, Segment};
-pub use store::{ENTRY_PREFIX, JobStore, StoreFault};
+pub use store::{ENTRY_PREFIX, JobStore};
 pub use submission::{Submission, SubmitError};
 pub use sweep::{sweep, sweep_once};
--- a/crates/oleander-worklist/src/store.rs
+++ b/crates/oleander-worklist/src/store.rs
@@ -1,11 +1,9 @@
 //! Jobs at the platform.
 
-use std::fmt;
-
-use bytes::Bytes;
 use oleander_core::{JobId, Revision};
-use oleander_platform::{Created, ObjectStore, PlatformError, Updated};
-use serde::{Serialize, de::DeserializeOwned};
+use oleander_platform::{
+    Created, ObjectStore, PlatformError, StoreFault, Updated, decode_value, encode_value,
+};
 
 use crate::{
     item::NewItem,
@@ -17,32 +15,6 @@
 /// Times a write without an answer is settled by reading before it counts as unknown.
 const SETTLE_READS: u32 = 3;
 
-/// Why an access failed.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum StoreFault {
-    /// The platform gave no answer.
-    Platform(PlatformError),
-    /// What stands there can't be read.
-    Content(String),
-}
-
-impl fmt::Display for StoreFault {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::Platform(error) => error.fmt(f),
-            Self::Content(reason) => write!(f, "stored job can't be read: {reason}"),
-        }
-    }
-}
-
-impl std::error::Error for StoreFault {}
-
-impl From<PlatformError> for StoreFault {
-    fn from(error: PlatformError) -> Self {
-        Self::Platform(error)
-    }
-}
-
 /// Access to the jobs at the platform.
 #[derive(Debug, Clone)]
 pub struct JobStore<S> {
@@ -68,7 +40,7 @@
     /// Returns an error if it can't be told whether there is one.
     pub async fn entry(&self, job: &JobId) -> Result<Option<(Revision, JobEntry)>, StoreFault> {
         let Some(object) = self.store.get(&entry_key(job)).await? else { return Ok(None) };
-        Ok(Some((object.revision, decode(&object.body)?)))
+        Ok(Some((object.revision, decode_value(&object.body)?)))
     }
 
     /// Accepts a job; `Ok(None)` if one with its name stands already.
@@ -77,7 +49,7 @@
     ///
     /// The error tells whether the job may have been, or may yet be, accepted.
     pub async fn accept(&self, entry: &JobEntry) -> Result<Option<Revision>, StoreFault> {
-        let body = encode(entry)?;
+        let body = encode_value(entry)?;
         match self.store.create(&entry_key(&entry.job), body).await {
             Ok(Created::New(revision)) => Ok(Some(revision)),
             Ok(Created::Exists) => Ok(None),
@@ -103,7 +75,7 @@
         entry: &JobEntry,
         expected: Revision,
     ) -> Result<Option<Revision>, StoreFault> {
-        let body = encode(entry)?;
+        let body = encode_value(entry)?;
         match self.store.update(&entry_key(&entry.job), body, expected).await {
             Ok(Updated::Done(revision)) => Ok(Some(revision)),
             Ok(Updated::Stale(_)) => Ok(None),
@@ -122,7 +94,7 @@
     ///
     /// Returns an error if the part may be missing.
     pub async fn put_part(&self, job: &JobId, index: u32, part: &Part) -> Result<(), StoreFault> {
-        self.store.create(&part_key(job, index), encode(part)?).await?;
+        self.store.create(&part_key(job, index), encode_value(part)?).await?;
         Ok(())
     }
 
@@ -136,7 +108,7 @@
         for index in 0..entry.parts {
             let object = self.store.get(&part_key(&entry.job, index)).await?;
             let object = object.ok_or_else(|| StoreFault::Content("part is missing".to_owned()))?;
-            let part: Part = decode(&object.body)?;
+            let part: Part = decode_value(&object.body)?;
             for record in part.items {
                 let item = NewItem::try_from(record);
                 items.push(item.map_err(|e| StoreFault::Content(e.to_string()))?);
@@ -154,7 +126,7 @@
         let Some(object) = self.store.get(&segment_key(job, index)).await? else {
             return Ok(None);
         };
-        Ok(Some(decode(&object.body)?))
+        Ok(Some(decode_value(&object.body)?))
     }
 
     /// Creates a segment and returns the one that stands, which may be another's.
@@ -168,7 +140,7 @@
         index: u64,
         segment: &Segment,
     ) -> Result<Segment, StoreFault> {
-        match self.store.create(&segment_key(job, index), encode(segment)?).await {
+        match self.store.create(&segment_key(job, index), encode_value(segment)?).await {
             Ok(Created::New(_)) => return Ok(segment.clone()),
             Ok(Created::Exists) => {}
             Err(error) if error.may_have_written() => {}
@@ -214,13 +186,3 @@
 fn segment_key(job: &JobId, index: u64) -> String {
     format!("jobresults/{job}.{index:06}")
 }
-
-fn encode<T: Serialize>(value: &T) -> Result<Bytes, StoreFault> {
-    let bytes = serde_json::to_vec(value).map_err(|e| StoreFault::Content(e.to_string()))?;
-    Ok(Bytes::from(bytes))
-}
-
-/// Reads a stored value.
-pub(crate) fn decode<T: DeserializeOwned>(body: &[u8]) -> Result<T, StoreFault> {
-    serde_json::from_slice(body).map_err(|e| StoreFault::Content(e.to_string()))
-}
--- a/crates/oleander-worklist/src/sweep.rs
+++ b/crates/oleander-worklist/src/sweep.rs
@@ -8,13 +8,13 @@
 
 use oleander_core::{Span, Time};
 use oleander_host::clock;
-use oleander_platform::ObjectStore;
+use oleander_platform::{ObjectStore, StoreFault, decode_value};
 use tokio::time;
 
 use crate::{
     index::Index,
     record::{JobEntry, Owner},
-    store::{ENTRY_PREFIX, JobStore, StoreFault, decode},
+    store::{ENTRY_PREFIX, JobStore},
 };
 
 /// Time between two looks; removal is in no hurry.
@@ -53,7 +53,7 @@
     loop {
         let page = store.objects().scan(ENTRY_PREFIX, &after).await?;
         for (key, object) in page.objects {
-            match decode::<JobEntry>(&object.body) {
+            match decode_value::<JobEntry>(&object.body) {
                 Ok(entry) => drop(index.put(object.revision, entry, me)),
                 Err(fault) => log::warn!(key:% = key, error:% = fault; "entry is left"),
             }
--- a/crates/oleander-worklist/src/takeover.rs
+++ b/crates/oleander-worklist/src/takeover.rs
@@ -2,17 +2,17 @@
 
 use std::{fmt, sync::Arc, time::Duration};
 
-use oleander_core::{HostId, JobId, Span, Time, hash};
+use oleander_core::{JobId, Revision, Span, Time};
 use oleander_host::clock;
-use oleander_platform::ObjectStore;
+use oleander_platform::{ObjectStore, StoreFault};
 use oleander_relay::Targets;
 use tokio::time;
 
 use crate::{
     desk::{Desk, Held},
+    index::next_owner,
     job::Job,
     record::{JobEntry, JobPhase, Owner, Segment},
-    store::StoreFault,
 };
 
 /// Time between two looks for jobs without an owner.
@@ -85,9 +85,8 @@
         }
     }
 
-    fn orphans(&self) -> Vec<(oleander_core::Revision, JobEntry)> {
+    fn orphans(&self) -> Vec<(Revision, JobEntry)> {
         let live = self.cluster.live_entries();
-        let live: Vec<String> = live.into_iter().map(String::from).collect();
         let index = self.index.lock();
         let is_gone = |owner: &Owner| {
             let presence = self.cluster.presence(&owner.host, owner.started);
@@ -258,15 +257,15 @@
     pub async fn hand_over(self: &Arc<Self>) {
         self.drain();
         let end = clock::steady() + DRAIN_TIME.into();
-        while clock::steady() < end && self.jobs_at_rest(false).await {
+        while clock::steady() < end && self.give_jobs_away(false).await {
             time::sleep(RETRY_PAUSE).await;
         }
         time::sleep(GATHER_TIME + GATHER_TIME).await;
-        self.jobs_at_rest(true).await;
+        self.give_jobs_away(true).await;
     }
 
     /// Gives the jobs away that are at rest, or `all`; tells whether any is left.
-    async fn jobs_at_rest(self: &Arc<Self>, all: bool) -> bool {
+    async fn give_jobs_away(self: &Arc<Self>, all: bool) -> bool {
         let owned: Vec<(JobId, Arc<Held>)> =
             self.owned.lock().iter().map(|(name, held)| (name.clone(), Arc::clone(held))).collect();
         let mut left = false;
@@ -283,13 +282,6 @@
         left
     }
 
-    /// The host that takes a job over, as the others see it too.
-    fn next_owner(&self, name: &JobId) -> Option<HostId> {
-        let live = self.cluster.live_entries();
-        let next = hash::rendezvous(name.as_str(), live.iter().map(HostId::as_str))?;
-        live.iter().find(|host| host.as_str() == next).cloned()
-    }
-
     async fn give_away(self: &Arc<Self>, name: &JobId) {
         let Some((revision, entry)) = self.known(name) else { return };
         if entry.phase != JobPhase::Open || entry.owner.as_ref() != Some(&self.me) {
@@ -300,8 +292,8 @@
             Ok(Some(at)) => {
                 log::info!(job:% = name, revision = at.0; "job given away");
                 self.take_entry(at, free);
-                if let Some(next) = self.next_owner(name) {
-                    self.tell(next, name.clone());
+                if let Some(next) = next_owner(name, &self.cluster.live_entries()) {
+                    self.tell(next.clone(), name.clone());
                 }
             }
             // Another host takes it over once this one is gone.
