Abort a stream whose second target responds with an error

Cause: a stream that its first target interrupted after some events was resumed at a second one. If that responded with an error status and no attempt was left, the step was Forward: the error's body went to the caller behind the events, and the chunked response ended as complete. Refusals were already turned into an abort when the head had been sent; forwarded errors were not.

Ruled out by reading: the drop of the runtime at the end of a process (tasks are dropped without another poll), a reset of a target's connection (hyper reports it as an error of the body), a dropped connection task (the body keeps it alive).

Test: tests/relay.rs plays scripted targets; an_error_after_the_first_events_ aborts_the_stream failed before (caller got the error body and a complete end).

--- a/crates/oleander-relay/src/relay.rs
+++ b/crates/oleander-relay/src/relay.rs
@@ -163,7 +163,10 @@
             self.record_attempt(&selected, &outcome);
             match self.retry.end(&target, ran_before, outcome) {
                 NextStep::Retry => {}
-                NextStep::Refuse(_) if self.head_sent => return NextStep::Abort,
+                // After the head, an error body would look like the end of a complete response.
+                NextStep::Refuse(_) | NextStep::Forward(..) if self.head_sent => {
+                    return NextStep::Abort;
+                }
                 step => return step,
             }
         }
