Let batch take every slot of a target on the users' platform

Cause: with one of eight slots kept free for online requests, an eighth of the fleet stood idle between waves while items waited, and the yield margin (70 % of one slot, rounded down) was zero, so an item yielded whenever an online request took that slot.

Hypothesis: an item that yields leaves its slot within a step and goes on where it stopped, and a first event takes 60 ms of the 300 due, so the reserve buys online little and costs batch an eighth. Expected: half of the late items.

Change: Capacity and its divisor are gone; a listed target has no reserve.

--- a/crates/oleander-relay/src/lib.rs
+++ b/crates/oleander-relay/src/lib.rs
@@ -10,7 +10,6 @@
 //! service behind a router, shared by online requests and batch items.
 
 mod attempt;
-mod capacity;
 mod events;
 mod follow;
 mod pool;
@@ -24,7 +23,6 @@
 mod transport;
 
 pub use attempt::{Attempt, AttemptOutcome, AttemptTimeouts, run_attempt};
-pub use capacity::Capacity;
 pub use events::{Event, EventReader, ParsedEvents, event_data};
 pub use follow::{ParseTarget, follow_routes, follow_targets};
 pub use pool::{Pool, Pools, TargetLease, TargetLoad, YieldRequest, batch_pick};
--- a/crates/oleander-relay/src/pool.rs
+++ b/crates/oleander-relay/src/pool.rs
@@ -6,7 +6,7 @@
 use oleander_host::clock;
 use oleander_routing::{
     BatchExcess, Class, Decision, LeaseId, LoadReport, Observation, PeerCount, Pick, Router,
-    RouterConfig, TicketId, preferred_targets,
+    RouterConfig, Target, TicketId, preferred_targets,
 };
 use parking_lot::{Mutex, RwLock};
 use tokio::sync::{
@@ -14,10 +14,7 @@
     mpsc::{self, UnboundedReceiver, UnboundedSender},
 };
 
-use crate::{
-    capacity::Capacity,
-    target_list::{TargetEntry, TargetList},
-};
+use crate::target_list::{TargetEntry, TargetList};
 
 /// Maximum wait before the router is asked again.
 const MAX_WAIT: Span = Span::from_millis(500);
@@ -101,9 +98,9 @@
         }
     }
 
-    fn set_targets(&self, entries: Vec<TargetEntry>, capacity: Capacity) {
+    fn set_targets(&self, entries: Vec<TargetEntry>) {
         let mut router = self.router.lock();
-        router.set_targets(entries.iter().map(|entry| capacity.limits(entry)).collect());
+        router.set_targets(entries.iter().map(limits).collect());
         for entry in &entries {
             router.set_leaving(&entry.id, entry.leaving);
         }
@@ -292,7 +289,6 @@
     host: HostId,
     zone: ZoneId,
     seed: u64,
-    capacity: Capacity,
     yields: UnboundedSender<YieldRequest>,
     pools: RwLock<HashMap<ServiceId, Arc<Pool>>>,
 }
@@ -302,8 +298,7 @@
     #[must_use]
     pub fn new(host: HostId, zone: ZoneId, seed: u64) -> (Self, UnboundedReceiver<YieldRequest>) {
         let (yields, receiver) = mpsc::unbounded_channel();
-        let capacity = Capacity::default();
-        (Self { host, zone, seed, capacity, yields, pools: RwLock::default() }, receiver)
+        (Self { host, zone, seed, yields, pools: RwLock::default() }, receiver)
     }
 
     /// Updates the targets of all pools; existing pools keep their state.
@@ -317,7 +312,7 @@
             pools.entry(service.clone()).or_insert_with(|| Arc::new(self.new_pool()));
         }
         for (service, pool) in pools.iter() {
-            pool.set_targets(by_service.remove(service).unwrap_or_default(), self.capacity);
+            pool.set_targets(by_service.remove(service).unwrap_or_default());
         }
     }
 
@@ -336,6 +331,16 @@
     }
 }
 
+/// Router settings of a listed target.
+///
+/// Engines admit requests in order of arrival, so requests that queue there can't be reordered; no
+/// more are sent than run at once. Batch items may take every slot: an item that yields leaves its
+/// slot within a step of the engine, and goes on elsewhere where it stopped.
+fn limits(entry: &TargetEntry) -> Target {
+    let (name, zone) = (entry.id.clone(), entry.zone.clone());
+    Target { name, zone, limit: entry.slots.max(1), reserve: 0 }
+}
+
 /// Creates the pick of an online request with a queue ticket.
 pub(crate) fn online_pick(ticket: TicketId, deadline: Time, exclude: Vec<TargetId>) -> Pick {
     Pick::online(ticket).deadline(deadline).exclude(exclude)
