Keep online requests that can still be served, late ones behind the others

Load: a rush of online requests beyond all slots, for some seconds.

The queue serves those that can still be in time first, in order of arrival; those past their goal come after them.

--- a/crates/oleander-relay/src/pool.rs
+++ b/crates/oleander-relay/src/pool.rs
@@ -28,6 +28,8 @@
 const REPORT_TTL: Span = Span::from_millis(400);
 /// Time for which the counts of a peer are valid.
 const PEER_TTL: Span = Span::from_millis(1_500);
+/// Requests wait until their own deadlines.
+const MAX_QUEUE_TIME: Span = Span(u64::MAX);
 /// Time to the first event above which a target's limit is lowered; only a target that barely
 /// responds is slower.
 const FIRST_TOKEN_LIMIT: Span = Span::from_secs(5);
@@ -88,6 +90,7 @@
             .draws(DRAWS)
             .report_ttl(REPORT_TTL)
             .peer_ttl(PEER_TTL)
+            .max_wait(MAX_QUEUE_TIME)
             .first_token(FIRST_TOKEN_LIMIT);
         Self {
             yields,
@@ -246,6 +249,11 @@
         self.router.lock().counts()
     }
 
+    /// Expected time that an online request holds its slot.
+    pub fn service_time(&self) -> Span {
+        self.router.lock().service_time()
+    }
+
     /// Number of waiting online requests.
     pub fn waiting(&self) -> u32 {
         self.router.lock().waiting()
@@ -341,11 +349,6 @@
     Target { name, zone, limit: entry.slots.max(1), reserve: 0 }
 }
 
-/// Creates the pick of an online request with a queue ticket.
-pub(crate) fn online_pick(ticket: TicketId, deadline: Time, exclude: Vec<TargetId>) -> Pick {
-    Pick::online(ticket).deadline(deadline).exclude(exclude)
-}
-
 /// Creates the pick of a batch item; `same_zone` keeps it in this host's data centre.
 #[must_use]
 pub fn batch_pick(exclude: Vec<TargetId>, same_zone: bool) -> Pick {
--- a/crates/oleander-relay/src/relay.rs
+++ b/crates/oleander-relay/src/relay.rs
@@ -5,13 +5,14 @@
 use bytes::Bytes;
 use oleander_core::{Span, Time};
 use oleander_host::clock;
+use oleander_routing::{Pick, TicketId};
 use parking_lot::RwLock;
 use tokio::time::{self, Instant};
 
 use crate::{
     attempt::{Attempt, AttemptOutcome, AttemptTimeouts, run_attempt},
     events::EventReader,
-    pool::{Pool, Pools, TargetLease, online_pick},
+    pool::{Pool, Pools, TargetLease},
     request::{Request, ResponseHead},
     retry::{NextStep, RetryState},
     route::{RetryPolicy, Route},
@@ -175,21 +176,35 @@
     async fn acquire(&mut self, pool: &Arc<Pool>) -> Result<TargetLease, Span> {
         let ticket = pool.ticket();
         let started = clock::steady();
-        // A request that has waited for longer than its latency goal is refused, since a later
-        // retry serves it sooner.
-        let latest = started + self.route.latency_goal;
-        let latest = if self.head_sent { self.deadline } else { latest.min(self.deadline) };
         let _guard = TicketGuard { pool, ticket };
-        let pick = online_pick(ticket, latest, self.retry.failed_targets().to_vec());
-        let mut lease = pool.acquire(&pick).await;
+        let pick = self.pick(started, ticket, pool.service_time());
+        let excluding = pick.clone().exclude(self.retry.failed_targets().to_vec());
+        let mut lease = pool.acquire(&excluding).await;
         if lease.is_err() && self.head_sent {
             // No other target is available; the one that failed may have recovered.
-            lease = pool.acquire(&online_pick(ticket, latest, Vec::new())).await;
+            lease = pool.acquire(&pick).await;
         }
         self.summary.waited = self.summary.waited + clock::steady().since(started);
         lease
     }
 
+    /// The pick of this request, which may wait for as long as it can still be served.
+    ///
+    /// A stream whose head has been sent has no latency goal any more, and may be short.
+    fn pick(&self, now: Time, ticket: TicketId, service_time: Span) -> Pick {
+        let pick = Pick::online(ticket);
+        if self.head_sent {
+            return pick.deadline(self.deadline);
+        }
+        let (received, goal) = (self.request.received, self.route.latency_goal);
+        let mut latest = self.deadline - service_time;
+        if let Some(timeout) = self.route.caller_timeout {
+            // The first event may take as long as the goal.
+            latest = latest.min((received + timeout) - goal);
+        }
+        pick.goal(received + goal).deadline(latest.max(now + goal).min(self.deadline))
+    }
+
     async fn attempt<S: ResponseSink>(
         &mut self,
         lease: &mut TargetLease,
@@ -291,7 +306,7 @@
 /// Releases a queue ticket when dropped.
 struct TicketGuard<'a> {
     pool: &'a Pool,
-    ticket: oleander_routing::TicketId,
+    ticket: TicketId,
 }
 
 impl Drop for TicketGuard<'_> {
--- a/crates/oleander-relay/src/route.rs
+++ b/crates/oleander-relay/src/route.rs
@@ -61,6 +61,9 @@
     pub latency_goal: Span,
     /// Longest pause between events that a caller does not notice.
     pub max_pause: Span,
+    /// Time without an event after which callers abandon a stream; `None` if they wait until their
+    /// deadline.
+    pub caller_timeout: Option<Span>,
     /// Priority; zero is the most urgent.
     pub priority: u32,
     /// Maximum number of targets to which one request is sent.
--- a/crates/oleander-relay/tests/retry.rs
+++ b/crates/oleander-relay/tests/retry.rs
@@ -18,6 +18,7 @@
         timeout: Span::from_secs(5),
         latency_goal: Span::from_millis(300),
         max_pause: Span::from_millis(300),
+        caller_timeout: None,
         priority: 0,
         max_attempts: attempts,
         shares: Vec::new(),
--- a/crates/oleander-relay/tests/routes.rs
+++ b/crates/oleander-relay/tests/routes.rs
@@ -17,6 +17,7 @@
         timeout: Span::from_secs(5),
         latency_goal: Span::from_millis(300),
         max_pause: Span::from_millis(300),
+        caller_timeout: None,
         priority: 0,
         max_attempts: 2,
         shares: shares.collect(),
--- a/crates/oleander-routing/src/pick.rs
+++ b/crates/oleander-routing/src/pick.rs
@@ -42,6 +42,10 @@
     pub same_zone: bool,
     /// Place in the queue, from [`Router::ticket`](crate::Router::ticket).
     pub ticket: Option<TicketId>,
+    /// Time from which the request is late when it is sent; `None` if it never is.
+    ///
+    /// Late requests are queued behind all others.
+    pub goal: Option<Time>,
     /// Latest time at which the request may be sent.
     pub deadline: Option<Time>,
 }
@@ -71,6 +75,7 @@
             alone: false,
             same_zone: false,
             ticket: None,
+            goal: None,
             deadline: None,
         }
     }
@@ -104,6 +109,13 @@
         self
     }
 
+    /// Sets the time from which the request is late when it is sent.
+    #[must_use]
+    pub const fn goal(mut self, goal: Time) -> Self {
+        self.goal = Some(goal);
+        self
+    }
+
     /// Sets the latest time at which the request may be sent.
     #[must_use]
     pub const fn deadline(mut self, deadline: Time) -> Self {
--- a/crates/oleander-routing/src/queue.rs
+++ b/crates/oleander-routing/src/queue.rs
@@ -1,4 +1,9 @@
 //! Queue of online requests that wait for a free slot.
+//!
+//! Requests leave the queue in order of arrival as long as they can be in time. One that has waited
+//! past its goal is late whenever it is sent, so it comes after all that can still be in time. When
+//! more arrives than the slots can serve, order of arrival alone would make every request late;
+//! this order keeps most in time and serves the others when the load falls, before their deadlines.
 
 use std::collections::BTreeMap;
 
@@ -11,11 +16,28 @@
 /// Divisor that gives the weight of a new service time in the running mean.
 const SERVICE_TIME_WEIGHT: u64 = 16;
 
-/// Queued online requests with their deadlines, in order of arrival.
+/// Times of one queued request.
+#[derive(Debug, Clone, Copy)]
+struct Waiting {
+    goal: Option<Time>,
+    deadline: Time,
+}
+
+impl Waiting {
+    fn is_late(self, now: Time) -> bool {
+        is_late(self.goal, now)
+    }
+}
+
+fn is_late(goal: Option<Time>, now: Time) -> bool {
+    goal.is_some_and(|goal| goal <= now)
+}
+
+/// Queued online requests.
 #[derive(Debug, Clone)]
 pub struct WaitQueue {
     limit: u32,
-    waiting: BTreeMap<TicketId, Time>,
+    waiting: BTreeMap<TicketId, Waiting>,
     /// Running mean of the time that a request holds its slot.
     service_time: Span,
 }
@@ -36,10 +58,18 @@
             Span((self.service_time.0 * (SERVICE_TIME_WEIGHT - 1) + took.0) / SERVICE_TIME_WEIGHT);
     }
 
-    /// Number of queued requests ahead of `ticket`.
+    /// Running mean of the time that a request holds its slot.
+    #[must_use]
+    pub const fn service_time(&self) -> Span {
+        self.service_time
+    }
+
+    /// Number of queued requests ahead of the one with `ticket` and `goal`.
     #[must_use]
-    pub fn ahead(&self, ticket: TicketId) -> u32 {
-        self.waiting.range(..ticket).count() as u32
+    pub fn ahead(&self, now: Time, ticket: TicketId, goal: Option<Time>) -> u32 {
+        let place = (is_late(goal, now), ticket);
+        let places = self.waiting.iter().map(|(ticket, waiting)| (waiting.is_late(now), *ticket));
+        places.filter(|other| *other < place).count() as u32
     }
 
     /// Number of queued requests.
@@ -66,9 +96,9 @@
         self.len() >= self.limit
     }
 
-    /// Queues the request with `ticket` until `deadline`.
-    pub fn insert(&mut self, ticket: TicketId, deadline: Time) {
-        self.waiting.insert(ticket, deadline);
+    /// Queues the request with `ticket` until `deadline`; it is late from `goal` on.
+    pub fn insert(&mut self, ticket: TicketId, goal: Option<Time>, deadline: Time) {
+        self.waiting.insert(ticket, Waiting { goal, deadline });
     }
 
     /// Removes the request with `ticket`, if it is queued.
@@ -79,18 +109,18 @@
     /// Whether the request with `ticket` is queued and its deadline has passed.
     #[must_use]
     pub fn is_expired(&self, now: Time, ticket: TicketId) -> bool {
-        self.waiting.get(&ticket).is_some_and(|deadline| *deadline <= now)
+        self.waiting.get(&ticket).is_some_and(|waiting| waiting.deadline <= now)
     }
 
     /// Drops requests that were abandoned without being removed.
     pub fn expire(&mut self, now: Time) {
-        self.waiting.retain(|_, deadline| *deadline + EXPIRY_GRACE > now);
+        self.waiting.retain(|_, waiting| waiting.deadline + EXPIRY_GRACE > now);
     }
 
     /// The earliest deadline after `now`.
     #[must_use]
     pub fn next_deadline(&self, now: Time) -> Option<Time> {
-        self.waiting.values().filter(|deadline| **deadline > now).min().copied()
+        self.waiting.values().map(|waiting| waiting.deadline).filter(|at| *at > now).min()
     }
 
     /// Expected queueing time behind `ahead` requests, if `slots` slots serve this queue.
--- a/crates/oleander-routing/src/router.rs
+++ b/crates/oleander-routing/src/router.rs
@@ -171,6 +171,12 @@
         self.queue.remove(ticket);
     }
 
+    /// Expected time that an online request holds its slot.
+    #[must_use]
+    pub const fn service_time(&self) -> Span {
+        self.queue.service_time()
+    }
+
     /// Number of queued online requests.
     #[must_use]
     pub fn waiting(&self) -> u32 {
--- a/crates/oleander-routing/src/router/admit.rs
+++ b/crates/oleander-routing/src/router/admit.rs
@@ -39,16 +39,16 @@
         let usable = self.usable(now, request);
         let free: u32 =
             usable.iter().map(|index| self.free_online_slots(now, &self.backends[*index])).sum();
-        let ahead = self.queue.ahead(ticket);
+        let ahead = self.queue.ahead(now, ticket, request.goal);
         if free <= ahead {
-            return self.wait_or_refuse(now, request, ticket, ahead);
+            return self.wait_or_refuse(now, request, ticket);
         }
         let available = usable
             .into_iter()
             .filter(|index| self.free_online_slots(now, &self.backends[*index]) > 0);
         let candidates = self.candidates(now, request, available.collect());
         let Some(chosen) = self.chooser.choose(&mut self.rng, &candidates) else {
-            return self.wait_or_refuse(now, request, ticket, ahead);
+            return self.wait_or_refuse(now, request, ticket);
         };
         self.queue.remove(ticket);
         self.send(now, request, chosen.index)
@@ -106,13 +106,7 @@
         backend.unyielded_batch(now, &self.config).saturating_sub(capacity)
     }
 
-    fn wait_or_refuse(
-        &mut self,
-        now: Time,
-        request: &Pick,
-        ticket: TicketId,
-        ahead: u32,
-    ) -> Decision {
+    fn wait_or_refuse(&mut self, now: Time, request: &Pick, ticket: TicketId) -> Decision {
         let latest = now + self.config.max_wait;
         let deadline = request.deadline.map_or(latest, |deadline| deadline.min(latest));
         if !self.has_target(request) {
@@ -125,12 +119,13 @@
         if self.queue.contains(ticket) {
             return Decision::Wait;
         }
-        let wait = self.predict_wait(request, ahead);
+        // All that are queued come first once this request is late.
+        let wait = self.predict_wait(request, self.queue.len());
         if self.queue.is_full() || now + wait > deadline {
             return self.refuse(ticket, wait);
         }
         if request.ticket.is_some() {
-            self.queue.insert(ticket, deadline);
+            self.queue.insert(ticket, request.goal, deadline);
         }
         Decision::Wait
     }
--- a/crates/oleander-worklist/tests/manager.rs
+++ b/crates/oleander-worklist/tests/manager.rs
@@ -155,6 +155,7 @@
         timeout: Span::from_secs(5),
         latency_goal: Span::from_millis(500),
         max_pause: Span::from_millis(300),
+        caller_timeout: None,
         priority: 2,
         max_attempts: 3,
         shares: vec![TrafficShare {
