Read each segment of a job's results from the platform once

Change: the cache keeps how many segments it holds, and the next read goes on there.

Test: manager.rs, results_at_the_platform_are_read_once (12 reads before, 6 now).

--- a/crates/oleander-worklist/src/manager.rs
+++ b/crates/oleander-worklist/src/manager.rs
@@ -28,7 +28,8 @@
     index::{JobAction, JobIndex},
     job::Job,
     message::{JobRequest, JobResponse},
-    record::{ItemResult, JobPhase, JobRecord, Owner},
+    reads::StoredResults,
+    record::{JobPhase, JobRecord, Owner},
     runner::Run,
     store::{JOB_PREFIX, JobStore},
 };
@@ -109,7 +110,7 @@
     /// Jobs that are being accepted or loaded.
     pub(crate) starting: Mutex<HashSet<JobId>>,
     /// Results of jobs without a running owner, as read from the platform.
-    pub(crate) result_cache: Mutex<HashMap<JobId, Vec<Arc<ItemResult>>>>,
+    pub(crate) result_cache: Mutex<HashMap<JobId, StoredResults>>,
     /// Items that are running, in order of their start.
     pub(crate) runs: Mutex<Vec<Run>>,
     /// Number of items started so far.
--- a/crates/oleander-worklist/src/reads.rs
+++ b/crates/oleander-worklist/src/reads.rs
@@ -1,6 +1,6 @@
 //! Reads of results and request bodies: from memory, from the owner or from the platform.
 
-use std::{collections::HashSet, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use oleander_cluster::{Handler, Liveness};
@@ -13,7 +13,7 @@
     job::result_page,
     manager::{JobManager, StateUnknown},
     message::{JobRequest, JobResponse, Results},
-    record::{ItemResult, JobPhase, JobRecord},
+    record::{ItemResult, JobPhase, JobRecord, Segment},
 };
 
 /// Timeout for a call to the owner, on top of the wait that a reader asked for.
@@ -21,6 +21,27 @@
 /// Maximum wait of one read.
 const MAX_READ_WAIT: Span = Span::from_secs(1);
 
+/// The part of a job's log that was read from the platform.
+///
+/// Segments never change, so the next read continues after the last one.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct StoredResults {
+    segments: u64,
+    results: Vec<Arc<ItemResult>>,
+}
+
+impl StoredResults {
+    /// Adds the next segment; the first result of each item counts.
+    fn apply(&mut self, segment: Segment) {
+        self.segments += 1;
+        for result in segment.results {
+            if !self.results.iter().any(|known| known.item == result.item) {
+                self.results.push(Arc::new(result));
+            }
+        }
+    }
+}
+
 impl<S: ObjectStore, T: TargetTransport> JobManager<S, T> {
     /// Reads a page of results from position `after` on, and waits up to `wait` if there are none
     /// yet; `None` if there is no such job.
@@ -99,25 +120,21 @@
         }
     }
 
-    /// All results at the platform, cached; read again as long as any item has no result.
+    /// All results at the platform; those read before are cached.
     async fn stored_results(
         &self,
         record: &JobRecord,
     ) -> Result<Vec<Arc<ItemResult>>, StateUnknown> {
-        let cached = self.result_cache.lock().get(&record.job).cloned().unwrap_or_default();
-        if cached.len() == record.total as usize {
-            return Ok(cached);
-        }
-        let mut committed: Vec<Arc<ItemResult>> = Vec::new();
-        let mut seen = HashSet::new();
-        for index in 0.. {
-            let Some(segment) = self.store.segment(&record.job, index).await? else { break };
-            let first =
-                segment.results.into_iter().filter(|result| seen.insert(result.item.clone()));
-            committed.extend(first.map(Arc::new));
+        let cached = self.result_cache.lock().get(&record.job).cloned();
+        let mut stored = cached.unwrap_or_default();
+        while stored.results.len() < record.total as usize {
+            let Some(segment) = self.store.segment(&record.job, stored.segments).await? else {
+                break;
+            };
+            stored.apply(segment);
         }
-        self.result_cache.lock().insert(record.job.clone(), committed.clone());
-        Ok(committed)
+        self.result_cache.lock().insert(record.job.clone(), stored.clone());
+        Ok(stored.results)
     }
 
     /// Reads the request body of an item; `None` if its result is committed, or if there is no such
--- a/crates/oleander-worklist/tests/manager.rs
+++ b/crates/oleander-worklist/tests/manager.rs
@@ -24,8 +24,8 @@
 };
 use oleander_routing::PeerCount;
 use oleander_worklist::{
-    ItemOutcome, JobManager, JobManagerConfig, JobRecord, JobStore, NewItem, Owner, Submission,
-    SubmitError,
+    ItemOutcome, ItemResult, JobManager, JobManagerConfig, JobRecord, JobStore, NewItem, Owner,
+    Segment, Submission, SubmitError,
 };
 
 /// Latency of each call to the store.
@@ -39,16 +39,21 @@
 struct SlowStore {
     store: MemoryPlatform,
     watch_blocked: Arc<AtomicBool>,
+    /// Reads of segments of results.
+    segment_reads: Arc<AtomicUsize>,
 }
 
 impl SlowStore {
     fn new(store: MemoryPlatform) -> Self {
-        Self { store, watch_blocked: Arc::default() }
+        Self { store, watch_blocked: Arc::default(), segment_reads: Arc::default() }
     }
 }
 
 impl ObjectStore for SlowStore {
     async fn get(&self, key: &str) -> Result<Option<Object>, PlatformError> {
+        if key.starts_with("jobresults/") {
+            self.segment_reads.fetch_add(1, Ordering::Relaxed);
+        }
         tokio::time::sleep(CALL_LATENCY).await;
         self.store.get(key).await
     }
@@ -390,6 +395,32 @@
     assert!(jobs.replace(&taken, revision).await.expect("up").is_some());
 }
 
+/// Guards against a flood of reads at the platform while jobs have no running owner, as after a
+/// restart of all hosts: callers poll, and each poll read the whole log of results again.
+#[tokio::test]
+async fn results_at_the_platform_are_read_once() {
+    let store = SlowStore::new(MemoryPlatform::new());
+    let (manager, _, _) = start_manager("entry-1", store.clone());
+    wait_until_ready(&manager).await;
+    let jobs = JobStore::new(store.store.clone());
+    let record = submission(10).record(Time(1), &route(), 0, None);
+    jobs.accept(&record).await.expect("up").expect("a new job");
+    for index in 0..2 {
+        let result = ItemResult {
+            item: format!("job-1-item-{index}"),
+            state: ItemOutcome::Completed,
+            output: "done".to_owned(),
+        };
+        let segment = Segment { writer: format!("w{index}"), results: vec![result] };
+        jobs.append(&job(), index, &segment).await.expect("up");
+    }
+    for _ in 0..4 {
+        assert_eq!(committed_count(&manager).await, 2);
+    }
+    let reads = store.segment_reads.load(Ordering::Relaxed);
+    assert_eq!(reads, 2 + 4, "each segment once, and the next one with each read");
+}
+
 /// Number of results that a manager returns to a reader now.
 async fn committed_count(manager: &Arc<JobManager<SlowStore, EchoTargets>>) -> usize {
     let read = manager.read_results(&job(), 0, Span::ZERO).await.expect("the store is up");
