Keep a draining entry's listener open until callers have renewed their addresses

Cause of the known red all_entries_are_replaced_one_after_another_under_load: a caller that is in a call when its list of addresses expires renews the list after the call, at one of the old addresses.

Ruled out: responses without Connection: close (close_when_draining sets it). Tried first and dropped: idle connections kept a second longer, listener closed as before; the test failed again with a refused connection.

Change: the listener stays open for twice keep_addresses_ms. Test: a_draining_entry_still_answers_when_its_address_has_just_expired fails without it (connection refused).

--- a/crates/oleander-check/tests/shutdown.rs
+++ b/crates/oleander-check/tests/shutdown.rs
@@ -189,3 +189,16 @@
         assert_eq!(runs, 1, "{id}");
     }
 }
+
+/// Guards against callers without any address: a call that outlasts the caller's list of addresses is
+/// followed by a renewal at an old address, whose entry had just closed its listener.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_draining_entry_still_answers_when_its_address_has_just_expired() {
+    let deployment = Deployment::start("expired", &options().await).await;
+    let url = format!("{}/v1/addresses", deployment.entry_address(0));
+    deployment.entries[0].signal("TERM").await;
+    tokio::time::sleep(Duration::from_millis(KEEP_ADDRESSES_MS + 300)).await;
+    let response = Client::new(TIMEOUT).get(&url, &[]).await.expect("a response");
+    assert_eq!(response.status, StatusCode::OK);
+    assert_eq!(response.headers["connection"], "close");
+}
--- a/crates/oleander-entry/src/server.rs
+++ b/crates/oleander-entry/src/server.rs
@@ -77,13 +77,16 @@
 
 /// Waits for the drain to start, stops handing out this host's address, and returns when the
 /// address has expired at all callers.
+///
+/// A caller that is in a call when its list of addresses expires renews the list after the call, at
+/// one of the old addresses; it has as long again for that.
 async fn retire_address(app: Arc<App>) {
     app.shutdown.started().await;
     app.hosts.lock().set_draining();
     log::info!("draining: address no longer handed out");
     let ttl = app.settings.entry.address_ttl.to_duration();
     tokio::select! {
-        () = tokio::time::sleep(ttl) => {}
+        () = tokio::time::sleep(ttl * 2) => {}
         () = app.shutdown.stopped() => {}
     }
 }
