Leave a target that sends bytes but no events

Cause: each chunk of a stream restarted the idle timeout, whether or not it completed an event. A target that dripped a byte now and then held an online stream until its deadline although another target could have gone on, and a batch item, which has no deadline, for good.

Change: the timeout counts from the last complete event.

--- a/crates/oleander-relay/src/attempt.rs
+++ b/crates/oleander-relay/src/attempt.rs
@@ -27,7 +27,7 @@
 pub struct AttemptTimeouts {
     /// Until the response head; `None` for no limit.
     pub first_byte: Option<Span>,
-    /// Between chunks of a stream; `None` for no limit.
+    /// Between events of a stream; `None` for no limit.
     pub idle: Option<Span>,
 }
 
@@ -177,13 +177,17 @@
         events: &mut EventReader,
         idle: Option<Span>,
     ) -> AttemptOutcome {
+        // Bytes that complete no event are no progress: a target that only drips is left.
+        let mut progress = Instant::now();
         loop {
+            let left =
+                idle.map(|idle| idle.to_duration().saturating_sub(progress.elapsed()).into());
             let chunk = tokio::select! {
-                chunk = with_limit(idle, body.next_chunk()) => chunk,
+                chunk = with_limit(left, body.next_chunk()) => chunk,
                 () = self.sink.closed() => return AttemptOutcome::Cancelled,
             };
             let bytes = match chunk {
-                None => return self.interrupted("no data in time"),
+                None => return self.interrupted("no event in time"),
                 Some(None) if events.at_boundary() => {
                     self.send_head();
                     return AttemptOutcome::Complete;
@@ -199,6 +203,7 @@
                 if self.sink.chunk(complete).await.is_err() {
                     return AttemptOutcome::Cancelled;
                 }
+                progress = Instant::now();
             }
             if !parsed.valid {
                 return self.interrupted("event out of sequence or too long");
--- a/crates/oleander-relay/tests/relay.rs
+++ b/crates/oleander-relay/tests/relay.rs
@@ -22,11 +22,16 @@
 };
 use parking_lot::Mutex;
 
+/// Time between two bytes of a body that drips.
+const DRIP_INTERVAL: Duration = Duration::from_millis(30);
+
 /// What a target does with one request.
 #[derive(Debug, Clone)]
 enum Step {
     /// It responds with this status and these chunks, and then ends or breaks the body.
     Respond { status: u16, chunks: Vec<&'static str>, broken: bool },
+    /// It responds with these chunks, and then with a byte now and then that completes no event.
+    Drip(Vec<&'static str>),
     /// It states that it has not run the request.
     NotRun,
 }
@@ -55,15 +60,29 @@
 #[derive(Debug)]
 struct ScriptBody {
     chunks: VecDeque<&'static str>,
-    broken: bool,
+    end: BodyEnd,
+}
+
+/// What follows the chunks of a body.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum BodyEnd {
+    Complete,
+    Broken,
+    Drip,
 }
 
 impl ResponseBody for ScriptBody {
     async fn next_chunk(&mut self) -> Option<Result<Bytes, BodyError>> {
         match self.chunks.pop_front() {
             Some(chunk) => Some(Ok(Bytes::from_static(chunk.as_bytes()))),
-            None if self.broken => Some(Err(BodyError("connection reset".to_owned()))),
-            None => None,
+            None => match self.end {
+                BodyEnd::Complete => None,
+                BodyEnd::Broken => Some(Err(BodyError("connection reset".to_owned()))),
+                BodyEnd::Drip => {
+                    tokio::time::sleep(DRIP_INTERVAL).await;
+                    Some(Ok(Bytes::from_static(b"x")))
+                }
+            },
         }
     }
 }
@@ -74,13 +93,16 @@
     async fn send(&self, dispatch: Dispatch) -> Result<TargetResponse<ScriptBody>, SendError> {
         self.dispatches.lock().push(dispatch);
         let step = self.steps.lock().pop_front().expect("a step for each request");
-        let (status, chunks, broken, not_run) = match step {
-            Step::Respond { status, chunks, broken } => (status, chunks, broken, false),
-            Step::NotRun => (503, Vec::new(), false, true),
+        let not_run = matches!(step, Step::NotRun);
+        let (status, chunks, end) = match step {
+            Step::Respond { status, chunks, broken: false } => (status, chunks, BodyEnd::Complete),
+            Step::Respond { status, chunks, broken: true } => (status, chunks, BodyEnd::Broken),
+            Step::Drip(chunks) => (200, chunks, BodyEnd::Drip),
+            Step::NotRun => (503, Vec::new(), BodyEnd::Complete),
         };
         let status = StatusCode::from_u16(status).expect("status");
         let head = ResponseHead { status, headers: HeaderMap::new() };
-        let body = ScriptBody { chunks: chunks.into(), broken };
+        let body = ScriptBody { chunks: chunks.into(), end };
         Ok(TargetResponse { head, not_run, load: None, body })
     }
 }
@@ -188,6 +210,18 @@
     assert_ne!(dispatches[0].target.id, dispatches[1].target.id);
 }
 
+/// Guards against a target that holds a stream by a byte now and then: only complete events count as
+/// progress.
+#[tokio::test]
+async fn a_stream_that_drips_without_events_continues_at_another_target() {
+    let steps = vec![Step::Drip(vec![FIRST]), Step::complete(&[SECOND])];
+    let started = Instant::now();
+    let (summary, caller, _) = forward(route(RetryPolicy::Resume, 2), steps).await;
+    assert!(!summary.interrupted, "{summary:?}");
+    assert_eq!(caller.text, format!("{FIRST}{SECOND}"));
+    assert!(started.elapsed() < Duration::from_secs(1), "after {:?}", started.elapsed());
+}
+
 /// Without the check, the caller received the first event, then the error body, and the end of a
 /// complete response.
 #[tokio::test]
