--- a/crates/oleander-intake/tests/intake.rs
+++ b/crates/oleander-intake/tests/intake/main.rs
@@ -2,24 +2,22 @@
 
 #![allow(clippy::unwrap_used)]
 
-use std::{convert::Infallible, sync::Arc, time::Duration};
+mod api;
+mod interleaved;
+
+use std::{convert::Infallible, time::Duration};
 
 use axum::{
-    Extension, Router,
     body::{Body, to_bytes},
     http::{Request, StatusCode},
 };
 use bytes::Bytes;
 use futures_util::{StreamExt, stream};
-use oleander_core::{ItemIndex, JobId, LotIndex, Revision, Time};
-use oleander_document::{Document, Workspace};
-use oleander_intake::{JobStore, admin_router, admin_router_with_store, router};
+use oleander_core::{ItemIndex, JobId, LotIndex, Time};
+use oleander_intake::{JobStore, admin_router, admin_router_with_store};
 use oleander_jobs::{Counts, ItemError, ItemResult, JobState, LotRecord, Response, key};
 use oleander_ledger::Segment;
-use oleander_platform::{
-    Created, HostListing, Listing, MemoryFaults, MemoryPlatform, Object, ObjectStore, Platform,
-    PlatformError, Updated,
-};
+use oleander_platform::{MemoryFaults, ObjectStore};
 use serde_json::{Value, json};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -29,87 +27,8 @@
 };
 use tower::ServiceExt;
 
-const MAX_BODY_BYTES: usize = 64 << 20;
-
-/// The interface, served from a document with two workspaces: 0 is the caller's, 1 is another.
-struct TestApi {
-    platform: MemoryPlatform,
-    document: Arc<Document>,
-}
-
-fn document() -> Document {
-    let digest = |c: &str| c.repeat(64);
-    let workspace = |name: &str, c: &str| {
-        json!({"name": name, "key_digest": digest(c), "services": ["alarma-llm"],
-            "limits": {"file_bytes": 3_000_000, "job_items": 5000}})
-    };
-    let text = json!({
-        "zones": ["pergamino"],
-        "services": [{"name": "alarma-llm", "kind": "engine", "model": "alarma-7b",
-            "targets": [{"name": "e1", "zone": "pergamino", "address": "127.0.0.1:9"}],
-            "batch": {"lot_items": 2}}],
-        "workspaces": [workspace("pampeanos", "a"), workspace("other", "b")],
-    });
-    Document::from_json(text.to_string().as_bytes()).unwrap()
-}
-
-fn item(id: &str) -> String {
-    json!({"custom_id": id, "method": "POST", "url": "/v1/chat/completions",
-        "body": {"model": "alarma-llm", "messages": [{"role": "user", "content": "fan 3 stopped"}]}})
-    .to_string()
-}
-
-fn lines(count: usize) -> String {
-    (0..count).map(|i| item(&format!("shed-{i}")) + "\n").collect()
-}
-
-impl TestApi {
-    fn new() -> Self {
-        Self { platform: MemoryPlatform::new(), document: Arc::new(document()) }
-    }
-
-    fn app(&self, workspace: usize) -> Router {
-        let document = Arc::clone(&self.document);
-        let workspace: Workspace = self.document.workspaces[workspace].clone();
-        router(self.platform.clone(), move || Some(Arc::clone(&document)))
-            .layer(Extension(workspace))
-    }
-
-    async fn send_as(&self, workspace: usize, request: Request<Body>) -> (StatusCode, Bytes) {
-        let response = self.app(workspace).oneshot(request).await.unwrap();
-        let status = response.status();
-        (status, to_bytes(response.into_body(), MAX_BODY_BYTES).await.unwrap())
-    }
-
-    async fn send(&self, request: Request<Body>) -> (StatusCode, Value) {
-        let (status, body) = self.send_as(0, request).await;
-        (status, serde_json::from_slice(&body).unwrap())
-    }
-
-    async fn upload(&self, text: &str) -> (StatusCode, Value) {
-        self.send(Request::post("/v1/files").body(Body::from(text.to_owned())).unwrap()).await
-    }
-
-    async fn submit(&self, file: &str, key: &str, window: &str) -> (StatusCode, Value) {
-        let body = json!({"input_file_id": file, "endpoint": "/v1/chat/completions",
-            "completion_window": window, "metadata": {"shift": "night"}});
-        let request = Request::post("/v1/batches").header("idempotency-key", key);
-        self.send(request.body(Body::from(body.to_string())).unwrap()).await
-    }
-
-    async fn keys(&self, prefix: &str) -> Vec<String> {
-        let listing = self.platform.list(prefix, "", 1000).await.unwrap();
-        listing.objects.into_iter().map(|object| object.key).collect()
-    }
-}
-
-fn get(path: &str) -> Request<Body> {
-    Request::get(path).body(Body::empty()).unwrap()
-}
-
-fn post(path: &str) -> Request<Body> {
-    Request::post(path).body(Body::empty()).unwrap()
-}
+use api::{MAX_BODY_BYTES, TestApi, get, item, lines, post};
+use interleaved::Interleaved;
 
 #[tokio::test]
 async fn a_repeated_upload_returns_the_same_file() {
@@ -295,51 +214,6 @@
     assert!(cancelled.try_recv().is_err());
 }
 
-/// Platform that yields to other tasks before each read, create and update, so that concurrent
-/// requests interleave.
-#[derive(Debug, Clone)]
-struct Interleaved(MemoryPlatform);
-
-impl ObjectStore for Interleaved {
-    async fn get(&self, key: &str) -> Result<Option<Object>, PlatformError> {
-        task::yield_now().await;
-        self.0.get(key).await
-    }
-
-    async fn create(&self, key: &str, body: Bytes) -> Result<Created, PlatformError> {
-        task::yield_now().await;
-        self.0.create(key, body).await
-    }
-
-    async fn update(
-        &self,
-        key: &str,
-        body: Bytes,
-        expected: Revision,
-    ) -> Result<Updated, PlatformError> {
-        task::yield_now().await;
-        self.0.update(key, body, expected).await
-    }
-
-    async fn remove(&self, key: &str, expected: Revision) -> Result<Updated, PlatformError> {
-        self.0.remove(key, expected).await
-    }
-
-    async fn list(&self, prefix: &str, after: &str, n: usize) -> Result<Listing, PlatformError> {
-        self.0.list(prefix, after, n).await
-    }
-
-    async fn changed(&self, prefix: &str, from: Revision) -> Result<Revision, PlatformError> {
-        self.0.changed(prefix, from).await
-    }
-}
-
-impl Platform for Interleaved {
-    async fn hosts(&self) -> Result<HostListing, PlatformError> {
-        self.0.hosts().await
-    }
-}
-
 #[tokio::test]
 async fn concurrent_cancel_and_completion_agree_on_the_outcome() {
     let api = TestApi::new();
--- a/crates/oleander-jobs/tests/lot.rs
+++ b/crates/oleander-jobs/tests/lot/simulation.rs
@@ -1,9 +1,4 @@
-//! [`Lot`] state machines of several hosts that run one lot, against a simulated platform.
-//!
-//! Guards against duplicate, missing or wrong results when requests to the platform and their
-//! responses are lost, hosts claim the lot concurrently, hosts restart, and targets or items fail.
-
-#![allow(clippy::unwrap_used)]
+//! Hosts with a [`Lot`] each, their targets, and the platform that holds the log.
 
 use std::collections::{BTreeMap, HashMap};
 
@@ -13,20 +8,20 @@
     LotRecord, Response, RunId, RunOutcome,
 };
 use oleander_ledger::{LogEvent, Segment};
-use quickcheck::{Arbitrary, Gen, QuickCheck};
+use quickcheck::{Arbitrary, Gen};
 
-const SEED: u64 = 1;
-const HOSTS: usize = 3;
-const ITEMS: u32 = 8;
-const TARGETS: u32 = 3;
-const MAX_TRIES: u32 = 3;
-const TICK: Span = Span::from_millis(200);
-const MAX_SETTLE_STEPS: usize = 4_000;
-const DEADLINE: Time = Time(3_600_000_000);
+pub(crate) const SEED: u64 = 1;
+pub(crate) const HOSTS: usize = 3;
+pub(crate) const ITEMS: u32 = 8;
+pub(crate) const TARGETS: u32 = 3;
+pub(crate) const MAX_TRIES: u32 = 3;
+pub(crate) const TICK: Span = Span::from_millis(200);
+pub(crate) const MAX_SETTLE_STEPS: usize = 4_000;
+pub(crate) const DEADLINE: Time = Time(3_600_000_000);
 
 /// What targets do with an item.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum ItemKind {
+pub(crate) enum ItemKind {
     /// The response has status 200.
     Valid,
     /// The response has status 400.
@@ -53,7 +48,7 @@
 
 /// One step of the simulation; the `usize` is the index of the host.
 #[derive(Debug, Clone, Copy)]
-enum Step {
+pub(crate) enum Step {
     /// Carries out calls that the host made to the platform.
     Call(usize, u8),
     /// Carries out a call and loses its response.
@@ -93,44 +88,44 @@
 
 /// Call to the platform.
 #[derive(Debug)]
-enum Call {
+pub(crate) enum Call {
     Create(u64, Segment<LotRecord>),
     Fetch(u64),
 }
 
-struct Run {
-    id: RunId,
-    target: TargetId,
-    alone: bool,
+pub(crate) struct Run {
+    pub(crate) id: RunId,
+    pub(crate) target: TargetId,
+    pub(crate) alone: bool,
 }
 
-struct Host {
-    lot: Lot,
+pub(crate) struct Host {
+    pub(crate) lot: Lot,
     /// Calls without a response, oldest first.
-    calls: Vec<Call>,
+    pub(crate) calls: Vec<Call>,
     /// Runs under way, oldest first.
-    runs: Vec<Run>,
+    pub(crate) runs: Vec<Run>,
     /// Ids of all runs so far.
-    started: Vec<RunId>,
-    ends: Vec<LotEnd>,
+    pub(crate) started: Vec<RunId>,
+    pub(crate) ends: Vec<LotEnd>,
 }
 
-struct Simulation {
-    now: Time,
-    kinds: Vec<ItemKind>,
+pub(crate) struct Simulation {
+    pub(crate) now: Time,
+    pub(crate) kinds: Vec<ItemKind>,
     /// The lot's log at the platform.
-    segments: BTreeMap<u64, Segment<LotRecord>>,
-    hosts: Vec<Host>,
-    incarnation: u64,
+    pub(crate) segments: BTreeMap<u64, Segment<LotRecord>>,
+    pub(crate) hosts: Vec<Host>,
+    pub(crate) incarnation: u64,
     /// Number of targets that each item crashed.
-    crashes: HashMap<ItemIndex, u32>,
+    pub(crate) crashes: HashMap<ItemIndex, u32>,
 }
 
-fn target(host: usize, number: u32) -> TargetId {
+pub(crate) fn target(host: usize, number: u32) -> TargetId {
     format!("t{host}-{number}").parse().unwrap()
 }
 
-fn host(number: usize, incarnation: u64, now: Time) -> Host {
+pub(crate) fn host(number: usize, incarnation: u64, now: Time) -> Host {
     let id: HostId = format!("batch-{number}").parse().unwrap();
     let range = LotRange { chunk: ChunkIndex(0), offset: 0, first: ItemIndex(100), count: ITEMS };
     let config = LotConfig {
@@ -145,7 +140,7 @@
 }
 
 impl Simulation {
-    fn new(kinds: Vec<ItemKind>) -> Self {
+    pub(crate) fn new(kinds: Vec<ItemKind>) -> Self {
         let now = Time(1_000_000);
         let hosts = (0..HOSTS).map(|h| host(h, h as u64, now)).collect();
         Self {
@@ -158,11 +153,11 @@
         }
     }
 
-    fn kind(&self, item: ItemIndex) -> ItemKind {
+    pub(crate) fn kind(&self, item: ItemIndex) -> ItemKind {
         self.kinds[(item.0 - 100) as usize]
     }
 
-    fn send(&mut self, h: usize, event: LotEvent) {
+    pub(crate) fn send(&mut self, h: usize, event: LotEvent) {
         let host = &mut self.hosts[h];
         for action in host.lot.handle(self.now, event) {
             match action {
@@ -182,7 +177,7 @@
     }
 
     /// Completes the host's oldest call; the platform may not execute it or not respond.
-    fn call(&mut self, h: usize, executes: bool, responds: bool) {
+    pub(crate) fn call(&mut self, h: usize, executes: bool, responds: bool) {
         if self.hosts[h].calls.is_empty() {
             return;
         }
@@ -207,7 +202,7 @@
     }
 
     /// Offers a slot at a target; it is for a suspect if one is ready and the target is unused.
-    fn offer_slot(&mut self, h: usize, number: u32) {
+    pub(crate) fn offer_slot(&mut self, h: usize, number: u32) {
         let target = target(h, number % TARGETS);
         let runs: Vec<&Run> =
             self.hosts[h].runs.iter().filter(|run| run.target == target).collect();
@@ -219,7 +214,7 @@
     }
 
     /// Ends the host's oldest run with the outcome that its item leads to.
-    fn finish_run(&mut self, h: usize) {
+    pub(crate) fn finish_run(&mut self, h: usize) {
         if self.hosts[h].runs.is_empty() {
             return;
         }
@@ -234,7 +229,7 @@
     }
 
     /// Crashes the target of the run; all its runs are lost.
-    fn crash_target(&mut self, h: usize, run: Run) {
+    pub(crate) fn crash_target(&mut self, h: usize, run: Run) {
         *self.crashes.entry(run.id.item).or_default() += 1;
         let runs = std::mem::take(&mut self.hosts[h].runs);
         let (mut lost, kept): (Vec<Run>, Vec<Run>) =
@@ -247,7 +242,7 @@
     }
 
     /// Ends the host's oldest run with the given outcome.
-    fn finish_oldest(&mut self, h: usize, outcome: RunOutcome) {
+    pub(crate) fn finish_oldest(&mut self, h: usize, outcome: RunOutcome) {
         if self.hosts[h].runs.is_empty() {
             return;
         }
@@ -256,7 +251,7 @@
     }
 
     /// Reports another outcome of a run that has ended; the lot must ignore it.
-    fn repeat_outcome(&mut self, h: usize) {
+    pub(crate) fn repeat_outcome(&mut self, h: usize) {
         let host = &self.hosts[h];
         let ended = |id: &&RunId| !host.runs.iter().any(|run| run.id == **id);
         let Some(&run) = host.started.iter().find(ended) else { return };
@@ -266,19 +261,19 @@
         );
     }
 
-    fn restart(&mut self, h: usize) {
+    pub(crate) fn restart(&mut self, h: usize) {
         self.incarnation += 1;
         self.hosts[h] = host(h, self.incarnation, self.now);
     }
 
-    fn wait(&mut self, steps: u64) {
+    pub(crate) fn wait(&mut self, steps: u64) {
         self.now = self.now + TICK * steps;
         for h in 0..HOSTS {
             self.send(h, LotEvent::Tick);
         }
     }
 
-    fn step(&mut self, step: Step) {
+    pub(crate) fn step(&mut self, step: Step) {
         match step {
             Step::Call(h, count) => (0..count % 12).for_each(|_| self.call(h, true, true)),
             Step::LoseResponse(h) => self.call(h, true, false),
@@ -294,7 +289,7 @@
         }
     }
 
-    fn closed(&self) -> Option<Counts> {
+    pub(crate) fn closed(&self) -> Option<Counts> {
         let records = self.segments.values().flat_map(|segment| &segment.records);
         records.into_iter().find_map(|record| match record {
             LotRecord::Closed { counts } => Some(*counts),
@@ -303,7 +298,7 @@
     }
 
     /// Steps without lost calls until the lot is closed; hosts that are done open the lot again.
-    fn settle(&mut self) {
+    pub(crate) fn settle(&mut self) {
         for step in 0..MAX_SETTLE_STEPS {
             if self.closed().is_some() {
                 return;
@@ -321,7 +316,7 @@
     }
 
     /// All committed results of each item.
-    fn outcomes(&self) -> Vec<Vec<&ItemResult>> {
+    pub(crate) fn outcomes(&self) -> Vec<Vec<&ItemResult>> {
         let mut outcomes = vec![Vec::new(); ITEMS as usize];
         for record in self.segments.values().flat_map(|segment| &segment.records) {
             if let LotRecord::Outcome { item, result } = record {
@@ -332,18 +327,18 @@
     }
 }
 
-fn response(status: u16, run: RunId) -> Response {
+pub(crate) fn response(status: u16, run: RunId) -> Response {
     Response { status, request: format!("{}", run.number), body: format!("{}", run.item) }
 }
 
 /// Extends generated kinds to the number of items.
-fn pad_kinds(kinds: &[ItemKind]) -> Vec<ItemKind> {
+pub(crate) fn pad_kinds(kinds: &[ItemKind]) -> Vec<ItemKind> {
     let mut kinds = kinds.to_vec();
     kinds.resize(ITEMS as usize, ItemKind::Valid);
     kinds
 }
 
-fn is_expected(kind: ItemKind, result: &ItemResult) -> bool {
+pub(crate) fn is_expected(kind: ItemKind, result: &ItemResult) -> bool {
     match (kind, result) {
         (ItemKind::Valid, ItemResult::Response(response)) => response.status == 200,
         (ItemKind::Rejected, ItemResult::Response(response)) => response.status == 400,
@@ -354,119 +349,3 @@
         _ => false,
     }
 }
-
-#[test]
-fn each_item_has_one_fitting_outcome() {
-    fn property(kinds: Vec<ItemKind>, steps: Vec<Step>) -> bool {
-        let kinds = pad_kinds(&kinds);
-        let mut sim = Simulation::new(kinds.clone());
-        steps.into_iter().for_each(|step| sim.step(step));
-        sim.settle();
-        let Some(counts) = sim.closed() else { return false };
-        let outcomes = sim.outcomes();
-        let are_expected = outcomes.iter().zip(&kinds).all(|(results, &kind)| {
-            results.len() == 1 && results.iter().all(|result| is_expected(kind, result))
-        });
-        let valid = kinds.iter().filter(|&&kind| kind == ItemKind::Valid).count() as u32;
-        are_expected && counts == Counts { completed: valid, failed: ITEMS - valid }
-    }
-    QuickCheck::new()
-        .rng(Gen::from_size_and_seed(300, SEED))
-        .tests(400)
-        .quickcheck(property as fn(Vec<ItemKind>, Vec<Step>) -> bool);
-}
-
-#[test]
-fn an_item_that_kills_its_target_fails_within_the_bound() {
-    let mut kinds = vec![ItemKind::Valid; ITEMS as usize];
-    kinds[3] = ItemKind::Crashing;
-    let mut sim = Simulation::new(kinds);
-    sim.settle();
-    assert_eq!(sim.closed(), Some(Counts { completed: ITEMS - 1, failed: 1 }));
-    assert_eq!(sim.crashes.get(&ItemIndex(103)), Some(&(MAX_TRIES + 1)));
-}
-
-#[test]
-fn faults_of_targets_use_up_no_try() {
-    let mut sim = Simulation::new(vec![ItemKind::Valid; ITEMS as usize]);
-    for step in 0..600 {
-        sim.wait(10);
-        for h in 0..HOSTS {
-            sim.call(h, true, true);
-            sim.offer_slot(h, step);
-            sim.finish_oldest(h, RunOutcome::NotRun);
-            sim.offer_slot(h, step + 1);
-            sim.finish_oldest(h, RunOutcome::Failed { target_healthy: false });
-        }
-    }
-    assert_eq!(sim.closed(), None);
-    sim.settle();
-    assert_eq!(sim.closed(), Some(Counts { completed: ITEMS, failed: 0 }));
-}
-
-#[test]
-fn remaining_items_fail_at_the_deadline() {
-    let mut sim = Simulation::new(vec![ItemKind::Valid; ITEMS as usize]);
-    sim.now = DEADLINE;
-    sim.settle();
-    let expected = ItemResult::failed(ItemError::DeadlineExceeded, 0);
-    assert_eq!(sim.closed(), Some(Counts { completed: 0, failed: ITEMS }));
-    assert!(sim.outcomes().iter().all(|results| results == &[&expected]));
-}
-
-#[test]
-fn a_paused_holder_writes_nothing_after_its_successor() {
-    let mut sim = Simulation::new(vec![ItemKind::Valid; ITEMS as usize]);
-    for _ in 0..10 {
-        sim.wait(1);
-        sim.call(0, true, true);
-    }
-    assert!(sim.hosts[0].lot.is_held());
-    sim.offer_slot(0, 0);
-    let paused = std::mem::replace(&mut sim.hosts[0], host(9, 99, sim.now));
-    sim.settle();
-    let segments = sim.segments.len();
-    sim.hosts[0] = paused;
-    sim.finish_run(0);
-    sim.wait(50);
-    for _ in 0..10 {
-        sim.call(0, true, true);
-    }
-    assert_eq!(sim.segments.len(), segments);
-    assert!(sim.outcomes().iter().all(|results| results.len() == 1));
-    assert_eq!(sim.hosts[0].ends, [LotEnd::Superseded]);
-}
-
-#[test]
-fn an_outage_takes_no_lot_from_its_holder() {
-    let mut sim = Simulation::new(vec![ItemKind::Valid; ITEMS as usize]);
-    for _ in 0..10 {
-        sim.wait(1);
-        sim.call(0, true, true);
-    }
-    assert!(sim.hosts[0].lot.is_held());
-    for _ in 0..10 {
-        sim.wait(1);
-        sim.call(1, true, true);
-    }
-    sim.offer_slot(0, 0);
-    sim.finish_run(0);
-    sim.offer_slot(0, 1);
-    // The platform fails all calls for 60 s, which is longer than the claim timeout.
-    for _ in 0..300 {
-        sim.wait(1);
-        (0..2).for_each(|h| sim.call(h, false, false));
-    }
-    // After the outage only the other host has a path to the platform for 3 s.
-    for _ in 0..15 {
-        sim.wait(1);
-        (0..4).for_each(|_| sim.call(1, true, true));
-    }
-    for _ in 0..20 {
-        sim.wait(1);
-        (0..2).for_each(|h| sim.call(h, true, true));
-    }
-    assert!(sim.hosts[0].lot.is_held());
-    assert_eq!(sim.hosts[0].ends, []);
-    assert_eq!(sim.outcomes().iter().map(Vec::len).sum::<usize>(), 1);
-}
--- a/crates/oleander-routing/examples/policy/main.rs
+++ b/crates/oleander-routing/examples/policy/main.rs
@@ -13,6 +13,7 @@
 mod engine;
 mod load;
 mod report;
+mod settings;
 mod simulation;
 
 use std::{
@@ -27,7 +28,8 @@
 
 use engine::EngineConfig;
 use report::Row;
-use simulation::{Outcome, Settings, Simulation};
+use settings::{Outcome, Settings};
+use simulation::Simulation;
 
 /// Number of seeds that run in parallel.
 const THREADS: usize = 3;
--- a/crates/oleander-routing/examples/policy/report.rs
+++ b/crates/oleander-routing/examples/policy/report.rs
@@ -5,7 +5,7 @@
 use hdrhistogram::Histogram;
 use serde_json::{Value, json};
 
-use crate::simulation::Outcome;
+use crate::settings::Outcome;
 
 /// Result of one run.
 pub(crate) struct Row {
--- a/crates/oleander-routing/examples/policy/simulation.rs
+++ b/crates/oleander-routing/examples/policy/simulation.rs
@@ -1,5 +1,9 @@
 //! Discrete-event simulation of routers and engines.
 
+mod batch;
+mod exchange;
+mod state;
+
 use std::{
     cmp::Reverse,
     collections::{BTreeMap, BinaryHeap, HashMap},
@@ -8,17 +12,19 @@
 use hdrhistogram::Histogram;
 use oleander_core::{HostId, Span, TargetId, Time, Tokens, ZoneId};
 use oleander_routing::{
-    Class, Decision, LeaseId, LoadReport, Observation, PeerCount, Pick, Policy, Router,
-    RouterConfig, Target, TicketId,
+    Class, Decision, LeaseId, Observation, Pick, Router, RouterConfig, Target, TicketId,
 };
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
 use crate::{
-    engine::{Engine, EngineConfig, Sequence, StepOutput},
-    load::{Arrival, PROMPT_LENGTH, random_length},
+    engine::{Engine, Sequence, StepOutput},
+    load::Arrival,
+    settings::{Outcome, Settings},
 };
 
+use state::{Call, Event, Host, Run, Work};
+
 /// Interval at which a host sends its in-flight counts to its peers.
 const EXCHANGE_INTERVAL: Span = Span::from_millis(100);
 /// Interval at which an engine measures its load.
@@ -32,107 +38,6 @@
 /// Maximum time from the arrival of an online request to its start.
 const MAX_QUEUEING: Span = Span::from_millis(1_000);
 
-/// Settings of one run.
-#[derive(Debug, Clone)]
-pub(crate) struct Settings {
-    pub(crate) entries: usize,
-    pub(crate) batch_hosts: usize,
-    pub(crate) targets: usize,
-    pub(crate) zones: usize,
-    /// One-way delay between a caller and an entry.
-    pub(crate) caller_delay: Span,
-    /// One-way delay between two data centres.
-    pub(crate) zone_delay: Span,
-    pub(crate) limit: u32,
-    pub(crate) reserve: u32,
-    pub(crate) engine: EngineConfig,
-    /// Delay of the engines' load reports.
-    pub(crate) report_delay: Span,
-    pub(crate) policy: Policy,
-    /// Whether there is batch work.
-    pub(crate) batch: bool,
-    /// Mean length of a batch item, in tokens.
-    pub(crate) item_length: u32,
-    pub(crate) warm_up: Time,
-    pub(crate) end: Time,
-    pub(crate) seed: u64,
-    /// Whether the first engine stops responding in the middle of the run.
-    pub(crate) freeze: bool,
-    /// Whether the hosts lose contact with each other in the middle of the run.
-    pub(crate) partition: bool,
-}
-
-/// Measurements of one run.
-pub(crate) struct Outcome {
-    /// Times to first token.
-    pub(crate) first_token: Histogram<u64>,
-    /// Times to the complete response.
-    pub(crate) response: Histogram<u64>,
-    /// Times from the start of a burst until batch has made room.
-    pub(crate) yield_time: Histogram<u64>,
-    pub(crate) online_tokens: u64,
-    pub(crate) batch_tokens: u64,
-    /// Tokens of completed online responses.
-    pub(crate) completed_tokens: u64,
-    pub(crate) arrived: u64,
-    pub(crate) refused: u64,
-    pub(crate) cancels: u64,
-    pub(crate) items: u64,
-    /// Maximum number of sequences at an engine.
-    pub(crate) max_at_engine: usize,
-}
-
-enum Event {
-    Arrive { call: usize },
-    Submit { target: usize, sequence: Sequence },
-    Cancel { target: usize, run: u64 },
-    FinishStep { target: usize },
-    Output { output: StepOutput },
-    SendCounts { host: usize },
-    Counts { to: usize, from: usize, counts: Vec<PeerCount>, sent: Time },
-    MeasureLoad { target: usize },
-    LoadReport { target: usize, load: LoadReport },
-    Wake { host: usize },
-    Freeze { target: usize, frozen: bool },
-}
-
-struct Call {
-    arrival: Arrival,
-    /// When the caller sent the request, or sent it again after a refusal.
-    sent_at: Time,
-    retries: u32,
-}
-
-struct Item {
-    prompt: u32,
-    length: u32,
-    produced: u32,
-}
-
-enum Work {
-    Call(usize),
-    Item(Item),
-}
-
-struct Run {
-    host: usize,
-    target: usize,
-    lease: LeaseId,
-    /// Output tokens observed so far.
-    observed: u32,
-    work: Work,
-}
-
-struct Host {
-    name: HostId,
-    zone: usize,
-    router: Router,
-    /// Waiting calls, in order of arrival.
-    waiting: BTreeMap<TicketId, usize>,
-    /// Cancelled items to be resumed.
-    resumable: Vec<Item>,
-}
-
 pub(crate) struct Simulation {
     settings: Settings,
     now: Time,
@@ -447,70 +352,6 @@
         }
     }
 
-    fn send_counts(&mut self, from: usize) {
-        for to in (0..self.hosts.len()).filter(|to| *to != from) {
-            self.send_counts_to(from, to);
-        }
-    }
-
-    fn send_counts_to_batch_hosts(&mut self, from: usize) {
-        for to in self.settings.entries..self.hosts.len() {
-            self.send_counts_to(from, to);
-        }
-    }
-
-    fn send_counts_to(&mut self, from: usize, to: usize) {
-        let middle = Time(self.settings.end.0 / 2);
-        if self.settings.partition && self.now >= middle {
-            return;
-        }
-        let counts = self.hosts[from].router.counts();
-        let delay = self.link_delay(self.hosts[from].zone, self.hosts[to].zone);
-        let sent = self.now;
-        self.schedule_after(delay, Event::Counts { to, from, counts, sent });
-    }
-
-    fn receive_counts(&mut self, to: usize, from: usize, counts: Vec<PeerCount>, sent: Time) {
-        let name = self.hosts[from].name.clone();
-        self.hosts[to].router.update_peer(self.now, &name, counts, sent);
-        self.yield_batch(to);
-        self.retry_waiting(to);
-    }
-
-    /// Cancels the batch items that have no room, to be resumed later.
-    fn yield_batch(&mut self, host: usize) {
-        if host < self.settings.entries {
-            return;
-        }
-        for excess in self.hosts[host].router.batch_excess(self.now) {
-            let target = self.target_indexes[&excess.target];
-            let local = self.runs.iter().filter(|(_, r)| r.host == host && r.target == target);
-            let runs: Vec<u64> = local.map(|(run, _)| *run).rev().collect();
-            for run in runs.into_iter().take(excess.count as usize) {
-                self.cancel(run);
-            }
-        }
-    }
-
-    fn cancel(&mut self, id: u64) {
-        let Some(run) = self.runs.remove(&id) else { return };
-        self.outcome.cancels += u64::from(self.is_measured());
-        let host = &mut self.hosts[run.host];
-        host.router.observe(self.now, run.lease, Observation::Cancelled);
-        if let Work::Item(item) = run.work {
-            host.resumable.push(Item { produced: run.observed, ..item });
-        }
-        let delay = self.link_delay(self.hosts[run.host].zone, run.target);
-        self.schedule_after(delay, Event::Cancel { target: run.target, run: id });
-    }
-
-    fn measure_load(&mut self, target: usize) {
-        let (running, waiting) = self.engines[target].load();
-        let load = LoadReport { running, waiting, measured_at: self.now };
-        self.schedule_after(self.settings.report_delay, Event::LoadReport { target, load });
-        self.schedule_after(REPORT_INTERVAL, Event::MeasureLoad { target });
-    }
-
     /// Retries all calls that wait at a host, so that late ones are refused.
     fn retry_all(&mut self, host: usize) {
         let waiting = self.hosts[host].waiting.clone();
@@ -534,22 +375,6 @@
         }
     }
 
-    /// Starts batch items until the router has no room for more.
-    fn start_batch(&mut self, host: usize) {
-        while let Decision::Send { target, lease, .. } =
-            self.hosts[host].router.pick(self.now, &Pick::batch())
-        {
-            let item = self.hosts[host].resumable.pop().unwrap_or_else(|| Item {
-                prompt: random_length(&mut self.rng, PROMPT_LENGTH),
-                length: random_length(&mut self.rng, self.settings.item_length),
-                produced: 0,
-            });
-            self.outcome.items += 1;
-            let (prompt, length, produced) = (item.prompt, item.length, item.produced);
-            self.dispatch(host, &target, lease, Work::Item(item), prompt, length, produced);
-        }
-    }
-
     /// Ends the measurement of a burst once batch fits beside online at every engine.
     fn check_burst(&mut self) {
         let Some(start) = self.burst_start else { return };
--- a/crates/oleander-routing/tests/bursts.rs
+++ b/crates/oleander-routing/tests/bursts/simulation.rs
@@ -1,7 +1,4 @@
-//! Simulation of many hosts that share targets with a few slots each, while online load bursts
-//! every few seconds and batch uses the remaining slots. The users' large sites have such a load.
-
-#![allow(clippy::unwrap_used)]
+//! Virtual time, engines with a few slots, and hosts that exchange their counts late.
 
 use std::collections::VecDeque;
 
@@ -14,24 +11,24 @@
 use rand_pcg::Pcg64Mcg;
 
 /// Time step and total time of the simulation.
-const STEP: Span = Span::from_millis(5);
+pub(crate) const STEP: Span = Span::from_millis(5);
 const DURATION: Span = Span::from_secs(21);
 /// Interval at which hosts send their counts to each other, and time until these arrive.
 const EXCHANGE_INTERVAL: Span = Span::from_millis(64);
 const EXCHANGE_LAG: Span = Span::from_millis(5);
 /// Slots of each engine.
-const SLOTS: usize = 8;
+pub(crate) const SLOTS: usize = 8;
 /// Service times of an online request and a batch item.
 const ONLINE_TIME: Span = Span::from_millis(700);
 const ITEM_TIME: Span = Span::from_millis(4_800);
 /// Time in a slot before the first output, and the objective for the time from arrival until then.
 const FIRST_OUTPUT_TIME: Span = Span::from_millis(60);
-const FIRST_OUTPUT_OBJECTIVE: Span = Span::from_millis(300);
+pub(crate) const FIRST_OUTPUT_OBJECTIVE: Span = Span::from_millis(300);
 /// Time from the request to yield until an item has left its slot.
 const YIELD_TIME: Span = Span::from_millis(10);
 /// Lengths of the two phases of each period, with their load factors.
 const BASELINE: (Span, f64) = (Span::from_millis(3_000), 0.378);
-const BURST: (Span, f64) = (Span::from_millis(2_200), 1.85);
+pub(crate) const BURST: (Span, f64) = (Span::from_millis(2_200), 1.85);
 
 /// A request or item at an engine.
 #[derive(Debug, Clone)]
@@ -56,28 +53,28 @@
 
 /// A load, and how long its requests may wait.
 #[derive(Debug, Clone, Copy)]
-struct Load {
-    hosts: usize,
-    engines: usize,
+pub(crate) struct Load {
+    pub(crate) hosts: usize,
+    pub(crate) engines: usize,
     /// Share of all slots that online requests need during bursts.
-    utilisation: f64,
+    pub(crate) utilisation: f64,
     /// Slots of each engine that batch leaves free.
-    reserve: u32,
+    pub(crate) reserve: u32,
     /// Longest wait of a request.
-    patience: Span,
+    pub(crate) patience: Span,
     /// Whether requests past their objective come after all others.
-    late_last: bool,
+    pub(crate) late_last: bool,
 }
 
 impl Load {
     /// A load that needs the share `utilisation` of all slots during bursts; its requests are
     /// refused after [`FIRST_OUTPUT_OBJECTIVE`].
-    const fn new(hosts: usize, engines: usize, utilisation: f64) -> Self {
+    pub(crate) const fn new(hosts: usize, engines: usize, utilisation: f64) -> Self {
         let (reserve, patience) = (0, FIRST_OUTPUT_OBJECTIVE);
         Self { hosts, engines, utilisation, reserve, patience, late_last: true }
     }
 
-    fn run(self, seed: u64) -> Outcome {
+    pub(crate) fn run(self, seed: u64) -> Outcome {
         let slots = (self.engines * SLOTS) as f64;
         let rate = slots * self.utilisation / ONLINE_TIME.to_duration().as_secs_f64() / BURST.1;
         Simulation::new(self, seed).run(rate)
@@ -86,27 +83,27 @@
 
 /// Results for the callers, and the use of slots by batch.
 #[derive(Debug, Default)]
-struct Outcome {
+pub(crate) struct Outcome {
     /// New requests, without retries.
-    requests: u32,
+    pub(crate) requests: u32,
     /// New requests with their first output within [`FIRST_OUTPUT_OBJECTIVE`].
-    within_objective: u32,
-    refused: u32,
+    pub(crate) within_objective: u32,
+    pub(crate) refused: u32,
     /// Requests that were sent to an engine, in time or late.
-    served: u32,
+    pub(crate) served: u32,
     /// Retries after the given time, and how many of them were refused.
-    retries: u32,
-    retries_refused: u32,
+    pub(crate) retries: u32,
+    pub(crate) retries_refused: u32,
     /// Refusals within a quarter of [`FIRST_OUTPUT_OBJECTIVE`].
-    refused_early: u32,
+    pub(crate) refused_early: u32,
     /// Longest wait of a request that was then refused.
-    max_refused_wait: Span,
+    pub(crate) max_refused_wait: Span,
     /// Mean number of slots in use by batch items.
-    batch_slots: f64,
+    pub(crate) batch_slots: f64,
 }
 
 impl Outcome {
-    fn share_within_objective(&self) -> f64 {
+    pub(crate) fn share_within_objective(&self) -> f64 {
         f64::from(self.within_objective) / f64::from(self.requests)
     }
 }
@@ -334,92 +331,3 @@
     let period = BASELINE.0 + BURST.0;
     if after.0 % period.0 < BASELINE.0.0 { BASELINE.1 } else { BURST.1 }
 }
-
-#[test]
-fn a_burst_within_the_capacity_is_served_in_time() {
-    for seed in 1..=3 {
-        let outcome = Load::new(17, 18, 0.85).run(seed);
-        assert!(outcome.share_within_objective() >= 0.95, "seed {seed}: {outcome:?}");
-    }
-}
-
-#[test]
-fn batch_uses_most_of_the_remaining_slots() {
-    for seed in 1..=3 {
-        let outcome = Load::new(17, 18, 0.85).run(seed);
-        let slots = (18 * SLOTS) as f64;
-        let remaining = slots * (1.0 - 0.85 / BURST.1);
-        assert!(outcome.batch_slots >= remaining * 0.7, "seed {seed}: {outcome:?} of {remaining}");
-    }
-}
-
-/// The slots that a reserve keeps free stand idle in and between bursts; online requests are in time
-/// without it, since items yield to them at once.
-#[test]
-fn batch_without_a_reserve_uses_the_slots_that_online_leaves() {
-    for seed in 1..=3 {
-        let load = Load::new(9, 18, 0.85);
-        let reserved = Load { reserve: 1, ..load }.run(seed);
-        let outcome = load.run(seed);
-        assert!(outcome.share_within_objective() >= 0.95, "seed {seed}: {outcome:?}");
-        let gained = outcome.batch_slots - reserved.batch_slots;
-        assert!(gained >= 0.7 * 18.0, "seed {seed}: {outcome:?}, with a reserve {reserved:?}");
-    }
-}
-
-/// The bursts exceed the capacity of all slots. Requests that can't be served are refused early,
-/// and most callers that retry after the given time are served.
-#[test]
-fn a_burst_beyond_the_capacity_is_refused_early_with_a_valid_retry_time() {
-    for seed in 1..=3 {
-        let outcome = Load::new(17, 18, 1.3).run(seed);
-        assert!(outcome.refused > 0, "seed {seed}: {outcome:?}");
-        assert!(
-            outcome.max_refused_wait <= FIRST_OUTPUT_OBJECTIVE + STEP,
-            "seed {seed}: {outcome:?}"
-        );
-        let refusals = f64::from(outcome.refused + outcome.retries_refused);
-        assert!(f64::from(outcome.refused_early) >= 0.7 * refusals, "seed {seed}: {outcome:?}");
-        let refused_again = f64::from(outcome.retries_refused) / f64::from(outcome.retries);
-        assert!(refused_again <= 0.5, "seed {seed}: {outcome:?}");
-    }
-}
-
-/// The bursts exceed the capacity of all slots, and callers wait for longer than the objective.
-/// Nearly all are served, most of them in time: those that are late wait until the burst is over,
-/// so that they don't make the ones behind them late too.
-#[test]
-fn a_burst_beyond_the_capacity_is_served_late_rather_than_refused() {
-    for seed in 1..=3 {
-        let load = Load { patience: Span::from_millis(2_900), ..Load::new(9, 18, 1.3) };
-        let outcome = load.run(seed);
-        // The last ones still wait when the simulation ends.
-        let served = f64::from(outcome.served) / f64::from(outcome.requests);
-        let refused = f64::from(outcome.refused) / f64::from(outcome.requests);
-        assert!(served >= 0.95 && refused <= 0.01, "seed {seed}: {outcome:?}");
-        let refusing = Load::new(9, 18, 1.3).run(seed);
-        let share = outcome.share_within_objective();
-        assert!(
-            share >= refusing.share_within_objective() - 0.05,
-            "seed {seed}: {outcome:?}, with refusals {refusing:?}"
-        );
-        let in_order = Load { late_last: false, ..load }.run(seed);
-        assert!(
-            share >= in_order.share_within_objective() + 0.05,
-            "seed {seed}: {outcome:?}, in order of arrival {in_order:?}"
-        );
-    }
-}
-
-/// Callers can't wait for as long as a queue that grows without end would take. Those that can't be
-/// served are refused when they arrive, not when their time is over.
-#[test]
-fn requests_that_can_not_be_served_are_refused_at_once() {
-    for seed in 1..=3 {
-        let load = Load { patience: Span::from_millis(1_000), ..Load::new(9, 18, 4.0) };
-        let outcome = load.run(seed);
-        let refusals = f64::from(outcome.refused + outcome.retries_refused);
-        assert!(outcome.refused > 0, "seed {seed}: {outcome:?}");
-        assert!(f64::from(outcome.refused_early) >= 0.7 * refusals, "seed {seed}: {outcome:?}");
-    }
-}
--- /dev/null
+++ b/crates/oleander-worklist/tests/manager/fixture.rs
@@ -0,0 +1,267 @@
+//! Managers on a store with latency, and targets that answer with one event.
+
+use std::{
+    collections::BTreeMap,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderName, StatusCode};
+use oleander_cluster::{Cluster, HostRecord};
+use oleander_core::{HostId, JobId, Revision, Span, Time, Tokens, ZoneId};
+use oleander_link::LinkKey;
+use oleander_members::MemberRole;
+use oleander_platform::{
+    Changes, Created, Listing, MemoryPlatform, Object, ObjectStore, Page, PlatformError, Updated,
+};
+use oleander_relay::{
+    BodyError, Dispatch, Pools, Relay, ResponseBody, ResponseHead, RetryPolicy, Route, RouteKind,
+    RouteTable, SendError, TargetEntry, TargetList, TargetResponse, TargetTransport, TrafficShare,
+};
+use oleander_worklist::{JobManager, JobManagerConfig, NewItem, Submission};
+
+/// Latency of each call to the store.
+pub(crate) const CALL_LATENCY: Duration = Duration::from_millis(10);
+
+/// Latency of the response to the create of a job record; the create takes effect immediately.
+pub(crate) const CREATE_LATENCY: Duration = Duration::from_millis(80);
+
+/// A store with latency, whose watches can be blocked.
+#[derive(Debug, Clone)]
+pub(crate) struct SlowStore {
+    pub(crate) store: MemoryPlatform,
+    pub(crate) watch_blocked: Arc<AtomicBool>,
+    /// Reads of segments of results.
+    pub(crate) segment_reads: Arc<AtomicUsize>,
+}
+
+impl SlowStore {
+    pub(crate) fn new(store: MemoryPlatform) -> Self {
+        Self { store, watch_blocked: Arc::default(), segment_reads: Arc::default() }
+    }
+}
+
+impl ObjectStore for SlowStore {
+    async fn get(&self, key: &str) -> Result<Option<Object>, PlatformError> {
+        if key.starts_with("jobresults/") {
+            self.segment_reads.fetch_add(1, Ordering::Relaxed);
+        }
+        tokio::time::sleep(CALL_LATENCY).await;
+        self.store.get(key).await
+    }
+
+    async fn create(&self, key: &str, body: Bytes) -> Result<Created, PlatformError> {
+        let created = self.store.create(key, body).await;
+        let latency = if key.starts_with("joblist/") { CREATE_LATENCY } else { CALL_LATENCY };
+        tokio::time::sleep(latency).await;
+        created
+    }
+
+    async fn update(
+        &self,
+        key: &str,
+        body: Bytes,
+        expected: Revision,
+    ) -> Result<Updated, PlatformError> {
+        let updated = self.store.update(key, body, expected).await;
+        tokio::time::sleep(CALL_LATENCY).await;
+        updated
+    }
+
+    async fn remove(&self, key: &str, expected: Revision) -> Result<Updated, PlatformError> {
+        self.store.remove(key, expected).await
+    }
+
+    async fn list(&self, prefix: &str, after: &str, n: usize) -> Result<Listing, PlatformError> {
+        self.store.list(prefix, after, n).await
+    }
+
+    async fn changed(&self, prefix: &str, from: Revision) -> Result<Revision, PlatformError> {
+        self.store.changed(prefix, from).await
+    }
+
+    async fn scan(&self, prefix: &str, after: &str) -> Result<Page, PlatformError> {
+        self.store.scan(prefix, after).await
+    }
+
+    async fn watch(
+        &self,
+        prefix: &str,
+        from: Revision,
+        wait: Duration,
+    ) -> Result<Changes, PlatformError> {
+        if self.watch_blocked.load(Ordering::Relaxed) {
+            std::future::pending::<()>().await;
+        }
+        self.store.watch(prefix, from, wait).await
+    }
+}
+
+/// Targets that answer each request with one event, and count the requests.
+#[derive(Default)]
+pub(crate) struct EchoTargets {
+    pub(crate) requests: AtomicUsize,
+    paused: Arc<AtomicBool>,
+}
+
+impl EchoTargets {
+    /// Holds back the bodies of responses, or releases them.
+    pub(crate) fn pause(&self, paused: bool) {
+        self.paused.store(paused, Ordering::Relaxed);
+    }
+}
+
+pub(crate) struct OneEventBody {
+    event: Option<Bytes>,
+    paused: Arc<AtomicBool>,
+}
+
+impl ResponseBody for OneEventBody {
+    async fn next_chunk(&mut self) -> Option<Result<Bytes, BodyError>> {
+        while self.paused.load(Ordering::Relaxed) {
+            tokio::time::sleep(CALL_LATENCY).await;
+        }
+        self.event.take().map(Ok)
+    }
+}
+
+impl TargetTransport for EchoTargets {
+    type Body = OneEventBody;
+
+    async fn send(&self, dispatch: Dispatch) -> Result<TargetResponse<OneEventBody>, SendError> {
+        self.requests.fetch_add(1, Ordering::Relaxed);
+        let head = ResponseHead { status: StatusCode::OK, headers: HeaderMap::new() };
+        let event = format!("id: 1\ndata: done {}\n\n", dispatch.request.id);
+        let body =
+            OneEventBody { event: Some(Bytes::from(event)), paused: Arc::clone(&self.paused) };
+        Ok(TargetResponse { head, not_run: false, load: None, body })
+    }
+}
+
+pub(crate) fn route() -> Route {
+    Route {
+        name: "drafts".to_owned(),
+        host: "a.example".to_owned(),
+        prefix: "/drafts/".to_owned(),
+        kind: RouteKind::Batch {
+            backlog: Some(Tokens(1_000)),
+            due: Span::from_secs(18),
+            retention: Span::from_secs(60),
+        },
+        retry: RetryPolicy::Never,
+        timeout: Span::from_secs(5),
+        latency_goal: Span::from_millis(500),
+        max_pause: Span::from_millis(300),
+        caller_timeout: None,
+        priority: 2,
+        max_attempts: 3,
+        shares: vec![TrafficShare {
+            service: "llm".parse().expect("name of a service"),
+            weight: 1,
+        }],
+    }
+}
+
+pub(crate) fn host(name: &str) -> HostId {
+    name.parse().expect("name of a host")
+}
+
+pub(crate) fn zone() -> ZoneId {
+    "near".parse().expect("name of a data centre")
+}
+
+/// A running manager on `store`.
+pub(crate) fn manager(store: MemoryPlatform) -> Arc<JobManager<SlowStore, EchoTargets>> {
+    manager_and_targets(store).0
+}
+
+pub(crate) fn manager_and_targets(
+    store: MemoryPlatform,
+) -> (Arc<JobManager<SlowStore, EchoTargets>>, Arc<EchoTargets>) {
+    let (manager, targets, _) = start_manager("entry-1", SlowStore::new(store));
+    (manager, targets)
+}
+
+pub(crate) fn start_manager(
+    name: &str,
+    store: SlowStore,
+) -> (Arc<JobManager<SlowStore, EchoTargets>>, Arc<EchoTargets>, Arc<Pools>) {
+    let (pools, yields) = Pools::new(host(name), zone(), 1);
+    let mut targets = TargetList::default();
+    targets.upsert(TargetEntry {
+        id: "engine-1".parse().expect("name of a target"),
+        service: "llm".parse().expect("name of a service"),
+        address: ([127, 0, 0, 1], 1).into(),
+        zone: zone(),
+        slots: 8,
+        leaving: false,
+        started_at: None,
+    });
+    pools.update_targets(&targets);
+    let pools = Arc::new(pools);
+    let targets = Arc::new(EchoTargets::default());
+    let relay = Arc::new(Relay::new(Arc::clone(&pools), Arc::clone(&targets)));
+    relay.set_table(RouteTable::new(1, vec![route()]));
+    let local = HostRecord {
+        host: host(name),
+        zone: zone(),
+        role: MemberRole::Entry,
+        link: ([127, 0, 0, 1], 2).into(),
+        callers: None,
+        started: Time(7),
+    };
+    let key = LinkKey::from_secret(b"a secret of the tests").expect("long enough");
+    let cluster = Cluster::new(local, key, Arc::clone(&pools));
+    let id_header = HeaderName::from_static("x-id");
+    let config = JobManagerConfig { id_header, object_bytes: 1 << 20, loaded_bytes: 1 << 20 };
+    let manager = JobManager::new(config, store, relay, cluster);
+    tokio::spawn(Arc::clone(&manager).follow_jobs());
+    tokio::spawn(Arc::clone(&manager).dispatch());
+    tokio::spawn(Arc::clone(&manager).handle_yields(yields));
+    (manager, targets, pools)
+}
+
+pub(crate) async fn wait_until_ready(manager: &JobManager<SlowStore, EchoTargets>) {
+    while !manager.is_ready() {
+        tokio::time::sleep(CALL_LATENCY).await;
+    }
+}
+
+pub(crate) fn submission(tokens: u64) -> Submission {
+    submission_of("job-1", tokens)
+}
+
+pub(crate) fn submission_of(name: &str, tokens: u64) -> Submission {
+    let item = |number: u32| NewItem {
+        id: format!("{name}-item-{number}"),
+        path: format!("/drafts/{number}"),
+        headers: BTreeMap::new(),
+        body: Bytes::from_static(b"body"),
+        tokens,
+    };
+    let items = (0..3).map(item).collect();
+    let job = name.parse().expect("name of a job");
+    Submission { job, host: "a.example".to_owned(), items, received: Time(0) }
+}
+
+pub(crate) fn job() -> JobId {
+    "job-1".parse().expect("name of a job")
+}
+
+/// Waits up to 10 s until all three results are committed; returns the number of results.
+pub(crate) async fn wait_for_results(manager: &Arc<JobManager<SlowStore, EchoTargets>>) -> usize {
+    let deadline = tokio::time::Instant::now() + Duration::from_secs(10);
+    loop {
+        let read =
+            manager.read_results(&job(), 0, Span::from_secs(1)).await.expect("the store is up");
+        let committed = read.map_or(0, |read| read.results.len());
+        if committed == 3 || tokio::time::Instant::now() > deadline {
+            return committed;
+        }
+        tokio::time::sleep(CALL_LATENCY).await;
+    }
+}
