--- a/crates/oleander-relay/src/attempt.rs
+++ b/crates/oleander-relay/src/attempt.rs
@@ -84,6 +84,7 @@
         budget: attempt.budget,
         resume_after: attempt.events.as_ref().and_then(|events| events.last_id()),
     };
+    let sent_at = Instant::now();
     let sent = tokio::select! {
         sent = with_limit(attempt.timeouts.first_byte, transport.send(dispatch)) => sent,
         () = sink.closed() => return AttemptOutcome::Cancelled,
@@ -100,7 +101,7 @@
         }
         None => {
             lease.observe(Observation::Failed(Failure::Timeout));
-            let reason = "no response in time".to_owned();
+            let reason = format!("no response in time, {}", silence(sent_at));
             return AttemptOutcome::Interrupted { reason, head_sent: attempt.head_sent };
         }
     };
@@ -187,7 +188,10 @@
                 () = self.sink.closed() => return AttemptOutcome::Cancelled,
             };
             let bytes = match chunk {
-                None => return self.interrupted("no event in time"),
+                None => {
+                    let reason = format!("no event in time, {}", silence(progress));
+                    return self.interrupted(&reason);
+                }
                 Some(None) if events.at_boundary() => {
                     self.send_head();
                     return AttemptOutcome::Complete;
@@ -252,6 +256,11 @@
     }
 }
 
+/// How long a target has been silent, for logs; more than its timeout if this process paused.
+fn silence(since: Instant) -> String {
+    format!("silent for {} ms", since.elapsed().as_millis())
+}
+
 /// Waits at most `limit`; `None` if the time ran out.
 async fn with_limit<F: Future>(limit: Option<Span>, future: F) -> Option<F::Output> {
     let elapsed = async {
--- a/crates/oleander-relay/src/relay.rs
+++ b/crates/oleander-relay/src/relay.rs
@@ -146,12 +146,14 @@
             };
             let mut lease = match lease {
                 Ok(lease) => lease,
-                Err(_) if self.head_sent => return NextStep::Abort,
                 Err(retry_after) => {
                     let (waiting, targets) = (pool.waiting(), pool.len());
                     let text =
                         format!("no capacity: {waiting} requests wait for {targets} targets");
                     self.summary.attempts.push(text);
+                    if self.head_sent {
+                        return NextStep::Abort;
+                    }
                     return self.retry.refuse(retry_after);
                 }
             };
