--- a/crates/oleander-relay/tests/relay.rs
+++ b/crates/oleander-relay/tests/relay.rs
@@ -5,200 +5,14 @@
 //! follows the events, or an end without the last events, would reach the caller as a complete
 //! response.
 
-use std::{
-    collections::VecDeque,
-    sync::Arc,
-    time::{Duration, Instant},
-};
+mod support;
 
-use bytes::Bytes;
-use http::{HeaderMap, Method, StatusCode};
-use oleander_core::{ServiceId, Span};
-use oleander_host::clock;
-use oleander_relay::{
-    BodyError, Dispatch, Pools, Relay, Request, RequestSummary, ResponseBody, ResponseHead,
-    ResponseSink, RetryPolicy, Route, RouteKind, SendError, SinkClosed, TargetEntry, TargetList,
-    TargetResponse, TargetTransport, TrafficShare, batch_pick,
-};
-use parking_lot::Mutex;
+use std::time::{Duration, Instant};
 
-/// Time between two bytes of a body that drips.
-const DRIP_INTERVAL: Duration = Duration::from_millis(30);
+use http::StatusCode;
+use oleander_relay::{RetryPolicy, batch_pick};
 
-/// What a target does with one request.
-#[derive(Debug, Clone)]
-enum Step {
-    /// It responds with this status and these chunks, and then ends or breaks the body.
-    Respond { status: u16, chunks: Vec<&'static str>, broken: bool },
-    /// It responds with these chunks, and then with a byte now and then that completes no event.
-    Drip(Vec<&'static str>),
-    /// It states that it has not run the request.
-    NotRun,
-}
-
-impl Step {
-    fn broken(chunks: &[&'static str]) -> Self {
-        Self::Respond { status: 200, chunks: chunks.to_vec(), broken: true }
-    }
-
-    fn complete(chunks: &[&'static str]) -> Self {
-        Self::Respond { status: 200, chunks: chunks.to_vec(), broken: false }
-    }
-
-    fn error(status: u16, body: &'static str) -> Self {
-        Self::Respond { status, chunks: vec![body], broken: false }
-    }
-}
-
-/// Targets that take one step for each request, in the order in which these arrive.
-#[derive(Debug, Default)]
-struct Script {
-    steps: Mutex<VecDeque<Step>>,
-    dispatches: Mutex<Vec<Dispatch>>,
-}
-
-#[derive(Debug)]
-struct ScriptBody {
-    chunks: VecDeque<&'static str>,
-    end: BodyEnd,
-}
-
-/// What follows the chunks of a body.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum BodyEnd {
-    Complete,
-    Broken,
-    Drip,
-}
-
-impl ResponseBody for ScriptBody {
-    async fn next_chunk(&mut self) -> Option<Result<Bytes, BodyError>> {
-        match self.chunks.pop_front() {
-            Some(chunk) => Some(Ok(Bytes::from_static(chunk.as_bytes()))),
-            None => match self.end {
-                BodyEnd::Complete => None,
-                BodyEnd::Broken => Some(Err(BodyError("connection reset".to_owned()))),
-                BodyEnd::Drip => {
-                    tokio::time::sleep(DRIP_INTERVAL).await;
-                    Some(Ok(Bytes::from_static(b"x")))
-                }
-            },
-        }
-    }
-}
-
-impl TargetTransport for Script {
-    type Body = ScriptBody;
-
-    async fn send(&self, dispatch: Dispatch) -> Result<TargetResponse<ScriptBody>, SendError> {
-        self.dispatches.lock().push(dispatch);
-        let step = self.steps.lock().pop_front().expect("a step for each request");
-        let not_run = matches!(step, Step::NotRun);
-        let (status, chunks, end) = match step {
-            Step::Respond { status, chunks, broken: false } => (status, chunks, BodyEnd::Complete),
-            Step::Respond { status, chunks, broken: true } => (status, chunks, BodyEnd::Broken),
-            Step::Drip(chunks) => (200, chunks, BodyEnd::Drip),
-            Step::NotRun => (503, Vec::new(), BodyEnd::Complete),
-        };
-        let status = StatusCode::from_u16(status).expect("status");
-        let head = ResponseHead { status, headers: HeaderMap::new() };
-        let body = ScriptBody { chunks: chunks.into(), end };
-        Ok(TargetResponse { head, not_run, load: None, body })
-    }
-}
-
-/// What reaches the caller.
-#[derive(Debug, Default)]
-struct Caller {
-    status: Option<StatusCode>,
-    text: String,
-}
-
-impl ResponseSink for Caller {
-    fn head(&mut self, head: ResponseHead) {
-        self.status.get_or_insert(head.status);
-    }
-
-    async fn chunk(&mut self, bytes: Bytes) -> Result<(), SinkClosed> {
-        self.text.push_str(std::str::from_utf8(&bytes).expect("text"));
-        Ok(())
-    }
-
-    async fn closed(&self) {
-        std::future::pending::<()>().await;
-    }
-}
-
-fn service() -> ServiceId {
-    "model".parse().expect("service")
-}
-
-fn route(retry: RetryPolicy, max_attempts: u32) -> Route {
-    Route {
-        name: "r".to_owned(),
-        host: "a.example".to_owned(),
-        prefix: "/".to_owned(),
-        kind: RouteKind::Stream,
-        retry,
-        timeout: Span::from_secs(5),
-        latency_goal: Span::from_millis(300),
-        max_pause: Span::from_millis(200),
-        caller_timeout: None,
-        priority: 0,
-        max_attempts,
-        shares: vec![TrafficShare { service: service(), weight: 1 }],
-    }
-}
-
-fn request() -> Arc<Request> {
-    Arc::new(Request {
-        id: "request-1".to_owned(),
-        host: "a.example".to_owned(),
-        method: Method::POST,
-        path: "/".to_owned(),
-        headers: HeaderMap::new(),
-        body: Bytes::new(),
-        budget: None,
-        resume_after: None,
-        received: clock::steady(),
-    })
-}
-
-fn target(number: u16) -> TargetEntry {
-    TargetEntry {
-        id: format!("engine-{number}").parse().expect("target"),
-        service: service(),
-        address: ([127, 0, 0, 1], number).into(),
-        zone: "junin".parse().expect("data centre"),
-        slots: 8,
-        leaving: false,
-        started_at: None,
-    }
-}
-
-/// Pools of one host with `count` targets.
-fn pools(count: u16) -> Pools {
-    let (host, zone) = ("entry-1".parse().expect("host"), "junin".parse().expect("data centre"));
-    let (pools, _yields) = Pools::new(host, zone, 7);
-    let mut list = TargetList::default();
-    (1..=count).for_each(|number| list.upsert(target(number)));
-    pools.update_targets(&list);
-    pools
-}
-
-/// Sends one request on `route` to two targets that take `steps`.
-async fn forward(route: Route, steps: Vec<Step>) -> (RequestSummary, Caller, Vec<Dispatch>) {
-    let pools = pools(2);
-    let script = Arc::new(Script { steps: Mutex::new(steps.into()), ..Script::default() });
-    let relay = Relay::new(Arc::new(pools), Arc::clone(&script));
-    let mut caller = Caller::default();
-    let summary = relay.forward(&request(), &route, &mut caller).await;
-    let dispatches = script.dispatches.lock().clone();
-    (summary, caller, dispatches)
-}
-
-const FIRST: &str = "id: 1\ndata: a\n\n";
-const SECOND: &str = "id: 2\ndata: b\n\n";
+use crate::support::{FIRST, SECOND, Step, forward, pools, route, service};
 
 #[tokio::test]
 async fn an_interrupted_stream_continues_at_another_target() {
@@ -214,7 +28,7 @@
 /// progress.
 #[tokio::test]
 async fn a_stream_that_drips_without_events_continues_at_another_target() {
-    let steps = vec![Step::Drip(vec![FIRST]), Step::complete(&[SECOND])];
+    let steps = vec![Step::drip(&[FIRST]), Step::complete(&[SECOND])];
     let started = Instant::now();
     let (summary, caller, _) = forward(route(RetryPolicy::Resume, 2), steps).await;
     assert!(!summary.interrupted, "{summary:?}");
@@ -236,7 +50,7 @@
 
 #[tokio::test]
 async fn a_refusal_after_the_first_events_aborts_the_stream() {
-    let steps = vec![Step::broken(&[FIRST]), Step::NotRun, Step::NotRun];
+    let steps = vec![Step::broken(&[FIRST]), Step::not_run(), Step::not_run()];
     let (summary, caller, _) = forward(route(RetryPolicy::Resume, 2), steps).await;
     assert!(summary.interrupted, "{summary:?}");
     assert_eq!(caller.text, FIRST);
