Leave a silent target only after another one has taken over its request

What callers saw: beside a change of configuration a whole request ended without a response or refusal (LOST). A sound target may be silent for about a second and go on.

Cause: the relay closed the connection to a target after 120 to 200 ms without an event (450 ms without a head), and looked for another one only then. With two attempts a refusal of that one, or no free slot before the deadline, left the caller without the rest of a response that its target would have sent. The class: giving up a working resource before its replacement is secured. A second way to the same: while the process stood still, timers expired beside data that lay unread in the sockets, and the random order of select! let the timer win. On a host with 0.12 of a core a change of configuration is such a moment, on all hosts at once.

Attempts before: 'broken: no event in time, silent for 120 ms', 'not run: 503', then abort; 'no capacity' after 4.9 s of waiting; 'silent for 330 ms' for an event that had arrived during a pause of 300 ms.

Now: while a target is silent the request is sent to another one beside it. That one takes over with the first output of its response, or if it has not refused within 250 ms; until then whatever the silent target sends is forwarded, and the second request is cancelled. The response is always read before its timer is looked at.

Batch items keep their output when they are interrupted, so they still leave after 600 ms; they profit from the order of reading.

--- a/crates/oleander-relay/src/attempt.rs
+++ b/crates/oleander-relay/src/attempt.rs
@@ -1,6 +1,6 @@
 //! One attempt of a request at one target.
 
-use std::{future::pending, sync::Arc};
+use std::{fmt, sync::Arc};
 
 use bytes::{Bytes, BytesMut};
 use http::StatusCode;
@@ -11,8 +11,9 @@
 use crate::{
     events::EventReader,
     pool::TargetLease,
+    progress::Progress,
     request::{Request, ResponseHead},
-    sink::ResponseSink,
+    sink::{ResponseSink, SinkClosed},
     transport::{Dispatch, ResponseBody, SendError, TargetResponse, TargetTransport},
 };
 
@@ -71,49 +72,114 @@
     Cancelled,
 }
 
+impl fmt::Display for AttemptOutcome {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Complete => f.write_str("complete"),
+            Self::NotSent(reason) => write!(f, "not sent: {reason}"),
+            Self::NotRun(head) => write!(f, "not run: {}", head.status.as_u16()),
+            Self::Failed(head, _) => write!(f, "failed: {}", head.status.as_u16()),
+            Self::Interrupted { reason, .. } => write!(f, "broken: {reason}"),
+            Self::Cancelled => f.write_str("caller left"),
+        }
+    }
+}
+
 /// Sends a request to the leased target and forwards its response.
+///
+/// A target that makes no progress within the time limits is interrupted.
 pub async fn run_attempt<T: TargetTransport, S: ResponseSink>(
     transport: &T,
     lease: &mut TargetLease,
-    attempt: Attempt<'_>,
+    mut attempt: Attempt<'_>,
     sink: &mut S,
 ) -> AttemptOutcome {
-    let dispatch = Dispatch {
-        request: Arc::clone(attempt.request),
-        target: lease.target.clone(),
-        budget: attempt.budget,
-        resume_after: attempt.events.as_ref().and_then(|events| events.last_id()),
+    let started = Instant::now();
+    let timeouts = attempt.timeouts;
+    let progress = attempt.progress(started);
+    let outcome = {
+        let dispatch = attempt.dispatch(lease);
+        let response = transport.send(dispatch);
+        let forwarding = forward(lease, response, &mut attempt, &progress, sink);
+        tokio::select! {
+            biased;
+            outcome = forwarding => Some(outcome),
+            () = progress.stalled(timeouts, started) => None,
+        }
     };
-    let sent_at = Instant::now();
+    outcome.unwrap_or_else(|| interrupt_stalled(lease, &progress))
+}
+
+impl Attempt<'_> {
+    /// The message to the leased target.
+    pub(crate) fn dispatch(&self, lease: &TargetLease) -> Dispatch {
+        Dispatch {
+            request: Arc::clone(self.request),
+            target: lease.target.clone(),
+            budget: self.budget,
+            resume_after: self.last_event(),
+        }
+    }
+
+    /// Progress of this attempt before its response.
+    pub(crate) fn progress(&self, now: Instant) -> Progress {
+        Progress::new(now, self.head_sent, self.last_event())
+    }
+
+    fn last_event(&self) -> Option<u64> {
+        self.events.as_ref().and_then(|events| events.last_id())
+    }
+}
+
+/// Waits for the response of the leased target and forwards it.
+pub(crate) async fn forward<F, B, S>(
+    lease: &mut TargetLease,
+    response: F,
+    attempt: &mut Attempt<'_>,
+    progress: &Progress,
+    sink: &mut S,
+) -> AttemptOutcome
+where
+    F: Future<Output = Result<TargetResponse<B>, SendError>>,
+    B: ResponseBody,
+    S: ResponseSink,
+{
     let sent = tokio::select! {
-        sent = with_limit(attempt.timeouts.first_byte, transport.send(dispatch)) => sent,
+        sent = response => sent,
         () = sink.closed() => return AttemptOutcome::Cancelled,
     };
     let response = match sent {
-        Some(Ok(response)) => response,
-        Some(Err(SendError::NotSent(reason))) => {
+        Ok(response) => response,
+        Err(SendError::NotSent(reason)) => {
             lease.observe(Observation::Failed(Failure::Connect));
             return AttemptOutcome::NotSent(reason);
         }
-        Some(Err(SendError::NoResponse(reason))) => {
+        Err(SendError::NoResponse(reason)) => {
             lease.observe(Observation::Failed(Failure::BrokenStream));
             return AttemptOutcome::Interrupted { reason, head_sent: attempt.head_sent };
         }
-        None => {
-            lease.observe(Observation::Failed(Failure::Timeout));
-            let reason = format!("no response in time, {}", silence(sent_at));
-            return AttemptOutcome::Interrupted { reason, head_sent: attempt.head_sent };
-        }
     };
+    progress.record_head(Instant::now());
     if let Some(load) = &response.load {
         lease.update_load(load.clone());
     }
-    let outcome = forward_response(lease, attempt, response, sink).await;
+    let outcome = forward_response(lease, attempt, response, progress, sink).await;
     observe_outcome(lease, &outcome);
     outcome
 }
 
-fn observe_outcome(lease: &mut TargetLease, outcome: &AttemptOutcome) {
+/// Ends the attempt at a target that has made no progress in time.
+pub(crate) fn interrupt_stalled(lease: &mut TargetLease, progress: &Progress) -> AttemptOutcome {
+    let failure = if progress.has_head() { Failure::BrokenStream } else { Failure::Timeout };
+    lease.observe(Observation::Failed(failure));
+    AttemptOutcome::Interrupted {
+        reason: progress.describe(Instant::now()),
+        head_sent: progress.head_sent(),
+    }
+}
+
+/// Records the outcome of an attempt at its target.
+pub(crate) fn observe_outcome(lease: &mut TargetLease, outcome: &AttemptOutcome) {
     let observation = match outcome {
         AttemptOutcome::Complete => Observation::Done,
         AttemptOutcome::NotRun(head) if head.status == StatusCode::MISDIRECTED_REQUEST => {
@@ -132,14 +198,15 @@
 
 async fn forward_response<B: ResponseBody, S: ResponseSink>(
     lease: &mut TargetLease,
-    attempt: Attempt<'_>,
+    attempt: &mut Attempt<'_>,
     response: TargetResponse<B>,
+    progress: &Progress,
     sink: &mut S,
 ) -> AttemptOutcome {
     let TargetResponse { head, not_run, mut body, .. } = response;
     if not_run || !head.status.is_success() {
         let content = tokio::select! {
-            content = with_limit(Some(ERROR_BODY_TIMEOUT), collect(&mut body, MAX_ERROR_BYTES)) => {
+            content = with_limit(ERROR_BODY_TIMEOUT, collect(&mut body, MAX_ERROR_BYTES)) => {
                 content.unwrap_or_else(|| Err("error body not read in time".to_owned()))
             }
             () = sink.closed() => return AttemptOutcome::Cancelled,
@@ -151,15 +218,15 @@
             Err(reason) => AttemptOutcome::Interrupted { reason, head_sent: attempt.head_sent },
         };
     }
-    match attempt.events {
+    let head = (!attempt.head_sent).then_some(head);
+    let mut forwarder = Forwarder { lease, sink, progress, head };
+    match attempt.events.as_deref_mut() {
         Some(events) => {
-            let mut forwarder =
-                Forwarder { lease, sink, head: (!attempt.head_sent).then_some(head) };
-            let outcome = forwarder.stream(&mut body, events, attempt.timeouts.idle).await;
+            // An earlier target may have been left in the middle of an event.
             events.discard_partial();
-            outcome
+            forwarder.stream(&mut body, events).await
         }
-        None => Forwarder { lease, sink, head: Some(head) }.body(&mut body, attempt.buffer).await,
+        None => forwarder.body(&mut body, attempt.buffer).await,
     }
 }
 
@@ -167,6 +234,7 @@
 struct Forwarder<'a, S> {
     lease: &'a mut TargetLease,
     sink: &'a mut S,
+    progress: &'a Progress,
     /// The head, until it is forwarded.
     head: Option<ResponseHead>,
 }
@@ -176,38 +244,29 @@
         &mut self,
         body: &mut B,
         events: &mut EventReader,
-        idle: Option<Span>,
     ) -> AttemptOutcome {
-        // Bytes that complete no event are no progress: a target that only drips is left.
-        let mut progress = Instant::now();
         loop {
-            let left =
-                idle.map(|idle| idle.to_duration().saturating_sub(progress.elapsed()).into());
             let chunk = tokio::select! {
-                chunk = with_limit(left, body.next_chunk()) => chunk,
+                chunk = body.next_chunk() => chunk,
                 () = self.sink.closed() => return AttemptOutcome::Cancelled,
             };
             let bytes = match chunk {
-                None => {
-                    let reason = format!("no event in time, {}", silence(progress));
-                    return self.interrupted(&reason);
-                }
-                Some(None) if events.at_boundary() => {
+                None if events.at_boundary() => {
                     self.send_head();
                     return AttemptOutcome::Complete;
                 }
-                Some(None) => return self.interrupted("stream ended inside an event"),
-                Some(Some(Err(error))) => return self.interrupted(&error.0),
-                Some(Some(Ok(bytes))) => bytes,
+                None => return self.interrupted("stream ended inside an event"),
+                Some(Err(error)) => return self.interrupted(&error.0),
+                Some(Ok(bytes)) => bytes,
             };
             let parsed = events.push(&bytes);
+            // Bytes that complete no event are no progress: a target that only drips is left.
             if !parsed.events.is_empty() {
                 self.send_head();
                 let complete = concat(parsed.events.into_iter().map(|event| event.raw));
-                if self.sink.chunk(complete).await.is_err() {
+                if self.forward(complete, events.last_id()).await.is_err() {
                     return AttemptOutcome::Cancelled;
                 }
-                progress = Instant::now();
             }
             if !parsed.valid {
                 return self.interrupted("event out of sequence or too long");
@@ -229,7 +288,7 @@
                 Some(Ok(bytes)) if buffer => buffered.push(bytes),
                 Some(Ok(bytes)) => {
                     self.send_head();
-                    if self.sink.chunk(bytes).await.is_err() {
+                    if self.forward(bytes, None).await.is_err() {
                         return AttemptOutcome::Cancelled;
                     }
                 }
@@ -237,17 +296,25 @@
         }
         self.send_head();
         for bytes in buffered {
-            if self.sink.chunk(bytes).await.is_err() {
+            if self.forward(bytes, None).await.is_err() {
                 return AttemptOutcome::Cancelled;
             }
         }
         AttemptOutcome::Complete
     }
 
+    async fn forward(&mut self, bytes: Bytes, last_event: Option<u64>) -> Result<(), SinkClosed> {
+        self.progress.record_output(Instant::now(), last_event);
+        self.sink.chunk(bytes).await?;
+        self.progress.record_forwarded(Instant::now());
+        Ok(())
+    }
+
     fn send_head(&mut self) {
         if let Some(head) = self.head.take() {
             self.lease.observe(Observation::FirstOutput);
             self.sink.head(head);
+            self.progress.record_head_sent();
         }
     }
 
@@ -256,23 +323,9 @@
     }
 }
 
-/// How long a target has been silent, for logs; more than its timeout if this process paused.
-fn silence(since: Instant) -> String {
-    format!("silent for {} ms", since.elapsed().as_millis())
-}
-
 /// Waits at most `limit`; `None` if the time ran out.
-async fn with_limit<F: Future>(limit: Option<Span>, future: F) -> Option<F::Output> {
-    let elapsed = async {
-        match limit {
-            Some(limit) => time::sleep_until(Instant::now() + limit.to_duration()).await,
-            None => pending().await,
-        }
-    };
-    tokio::select! {
-        output = future => Some(output),
-        () = elapsed => None,
-    }
+async fn with_limit<F: Future>(limit: Span, future: F) -> Option<F::Output> {
+    time::timeout(limit.to_duration(), future).await.ok()
 }
 
 async fn collect<B: ResponseBody>(body: &mut B, max_bytes: usize) -> Result<Bytes, String> {
--- a/crates/oleander-relay/src/lib.rs
+++ b/crates/oleander-relay/src/lib.rs
@@ -13,12 +13,15 @@
 mod events;
 mod follow;
 mod pool;
+mod progress;
 mod relay;
 mod request;
 mod retry;
 mod route;
+mod sending;
 mod sink;
 mod table;
+mod takeover;
 mod target_list;
 mod transport;
 
--- a/crates/oleander-relay/src/pool.rs
+++ b/crates/oleander-relay/src/pool.rs
@@ -83,6 +83,31 @@
     }
 }
 
+impl fmt::Display for TargetLease {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} ({})", self.target.id, self.load)
+    }
+}
+
+/// A place in the queue of a pool, released when dropped.
+pub(crate) struct Ticket<'a> {
+    pool: &'a Pool,
+    pub(crate) id: TicketId,
+}
+
+impl<'a> Ticket<'a> {
+    /// Takes the next place.
+    pub(crate) fn new(pool: &'a Pool) -> Self {
+        Self { pool, id: pool.ticket() }
+    }
+}
+
+impl Drop for Ticket<'_> {
+    fn drop(&mut self) {
+        self.pool.release_ticket(self.id);
+    }
+}
+
 impl Pool {
     fn new(host: &HostId, zone: &ZoneId, seed: u64, yields: UnboundedSender<YieldRequest>) -> Self {
         let config = RouterConfig::new(host.clone(), zone.clone())
--- a/crates/oleander-relay/src/relay.rs
+++ b/crates/oleander-relay/src/relay.rs
@@ -10,21 +10,21 @@
 use tokio::time::{self, Instant};
 
 use crate::{
-    attempt::{Attempt, AttemptOutcome, AttemptTimeouts, run_attempt},
+    attempt::{Attempt, AttemptOutcome, AttemptTimeouts, forward, interrupt_stalled},
     events::EventReader,
-    pool::{Pool, Pools, TargetLease},
+    pool::{Pool, Pools, TargetLease, Ticket},
     request::{Request, ResponseHead},
     retry::{NextStep, RetryState},
     route::{RetryPolicy, Route},
+    sending::{Peeked, Sending},
     sink::{Refusal, RefusalReason, ResponseSink, SinkClosed},
     table::RouteTable,
+    takeover::{AttemptEnd, Successor, Takeover},
     transport::TargetTransport,
 };
 
 /// `Retry-After` when the service has no known target.
 const NO_TARGETS_RETRY_AFTER: Span = Span::from_secs(1);
-/// Minimum idle timeout of a stream.
-const MIN_IDLE_TIMEOUT: Span = Span::from_millis(120);
 
 /// Forwards online requests to targets.
 pub struct Relay<T> {
@@ -139,33 +139,23 @@
         let Some(pool) = service.and_then(|service| self.relay.pools.get(service)) else {
             return self.retry.refuse(NO_TARGETS_RETRY_AFTER);
         };
+        let mut successor = None;
         loop {
-            let lease = tokio::select! {
-                lease = self.acquire(&pool) => lease,
-                () = sink.closed() => return NextStep::Cancelled,
-            };
-            let mut lease = match lease {
-                Ok(lease) => lease,
-                Err(retry_after) => {
-                    let (waiting, targets) = (pool.waiting(), pool.len());
-                    let text =
-                        format!("no capacity: {waiting} requests wait for {targets} targets");
-                    self.summary.attempts.push(text);
-                    if self.head_sent {
-                        return NextStep::Abort;
-                    }
-                    return self.retry.refuse(retry_after);
-                }
+            let (mut lease, sending) = match successor.take() {
+                Some(Successor { lease, sending }) => (lease, Some(sending)),
+                None => match self.acquire_next(&pool, sink).await {
+                    Ok(lease) => (lease, None),
+                    Err(step) => return step,
+                },
             };
             let ran_before = self.retry.may_have_run();
             self.retry.begin();
-            let outcome = self.attempt(&mut lease, sink).await;
+            let (outcome, next) = self.attempt(&pool, &mut lease, sending, sink).await;
             let target = lease.target.id.clone();
-            let selected = format!("{target} ({})", lease.load);
+            self.summary.attempts.push(format!("{lease}: {outcome}"));
             drop(lease);
-            self.record_attempt(&selected, &outcome);
             match self.retry.end(&target, ran_before, outcome) {
-                NextStep::Retry => {}
+                NextStep::Retry => successor = next,
                 // After the head, an error body would look like the end of a complete response.
                 NextStep::Refuse(_) | NextStep::Forward(..) if self.head_sent => {
                     return NextStep::Abort;
@@ -175,11 +165,28 @@
         }
     }
 
+    /// Waits for a target that has not failed this request, as long as the caller does.
+    async fn acquire_next<S: ResponseSink>(
+        &mut self,
+        pool: &Arc<Pool>,
+        sink: &S,
+    ) -> Result<TargetLease, NextStep> {
+        let lease = tokio::select! {
+            lease = self.acquire(pool) => lease,
+            () = sink.closed() => return Err(NextStep::Cancelled),
+        };
+        lease.map_err(|retry_after| {
+            let (waiting, targets) = (pool.waiting(), pool.len());
+            let text = format!("no capacity: {waiting} requests wait for {targets} targets");
+            self.summary.attempts.push(text);
+            if self.head_sent { NextStep::Abort } else { self.retry.refuse(retry_after) }
+        })
+    }
+
     async fn acquire(&mut self, pool: &Arc<Pool>) -> Result<TargetLease, Span> {
-        let ticket = pool.ticket();
+        let ticket = Ticket::new(pool);
         let started = clock::steady();
-        let _guard = TicketGuard { pool, ticket };
-        let pick = self.pick(started, ticket, pool.service_time());
+        let pick = self.pick(started, ticket.id, pool.service_time());
         let excluding = pick.clone().exclude(self.retry.failed_targets().to_vec());
         let mut lease = pool.acquire(&excluding).await;
         if lease.is_err() && self.head_sent {
@@ -207,56 +214,50 @@
         pick.goal(received + goal).deadline(latest.max(now + goal).min(self.deadline))
     }
 
+    /// Runs one attempt at the leased target, to which the request is sent unless it is already.
+    ///
+    /// Returns its outcome, and the target that goes on with the request if one has taken over.
     async fn attempt<S: ResponseSink>(
         &mut self,
+        pool: &Arc<Pool>,
         lease: &mut TargetLease,
+        sending: Option<Sending<T::Body>>,
         sink: &mut S,
-    ) -> AttemptOutcome {
-        let budget = self.deadline.since(clock::steady());
-        let timeouts = self.timeouts();
-        let buffer = self.route.retry == RetryPolicy::Always;
-        let attempt = Attempt {
+    ) -> (AttemptOutcome, Option<Successor<T::Body>>) {
+        let mut attempt = Attempt {
             request: self.request,
-            budget: Some(budget),
+            budget: Some(self.deadline.since(clock::steady())),
             events: self.events.as_mut(),
             head_sent: self.head_sent,
-            buffer,
-            timeouts,
+            buffer: self.route.retry == RetryPolicy::Always,
+            timeouts: AttemptTimeouts::default(),
+        };
+        let progress = attempt.progress(Instant::now());
+        let takeover = Takeover {
+            relay: self.relay,
+            pool,
+            request: self.request,
+            route: self.route,
+            deadline: self.deadline,
+            retry: &mut self.retry,
+            attempts: &mut self.summary.attempts,
+        };
+        let target = lease.target.id.clone();
+        let dispatch = attempt.dispatch(lease);
+        let response = async {
+            match sending {
+                Some(sending) => sending.response().await,
+                None => self.relay.transport.send(dispatch).await.map(Peeked::unread),
+            }
         };
         let mut timed = TimedSink { sink, head_at: None };
-        let outcome = run_attempt(self.relay.transport.as_ref(), lease, attempt, &mut timed).await;
+        let forwarding = forward(lease, response, &mut attempt, &progress, &mut timed);
+        let AttemptEnd { outcome, successor } =
+            takeover.watch(&target, forwarding, &progress).await;
         let first = timed.head_at.map(|at| at.since(self.request.received));
         self.summary.first_byte = self.summary.first_byte.or(first);
-        if let AttemptOutcome::Interrupted { head_sent, .. } = &outcome {
-            self.head_sent |= *head_sent;
-        }
-        outcome
-    }
-
-    /// Idle timeouts apply only while another target can take over.
-    fn timeouts(&self) -> AttemptTimeouts {
-        if !self.retry.can_retry_again() {
-            return AttemptTimeouts::default();
-        }
-        let first = Span(self.route.latency_goal.0 * 3 / 2);
-        let pause = Span(self.route.max_pause.0 / 2).max(MIN_IDLE_TIMEOUT);
-        AttemptTimeouts { first_byte: Some(first), idle: self.events.is_some().then_some(pause) }
-    }
-
-    fn record_attempt(&mut self, selected: &str, outcome: &AttemptOutcome) {
-        let text = match outcome {
-            AttemptOutcome::Complete => format!("{selected}: complete"),
-            AttemptOutcome::NotSent(reason) => format!("{selected}: not sent: {reason}"),
-            AttemptOutcome::NotRun(head) => {
-                format!("{selected}: not run: {}", head.status.as_u16())
-            }
-            AttemptOutcome::Failed(head, _) => {
-                format!("{selected}: failed: {}", head.status.as_u16())
-            }
-            AttemptOutcome::Interrupted { reason, .. } => format!("{selected}: broken: {reason}"),
-            AttemptOutcome::Cancelled => format!("{selected}: caller left"),
-        };
-        self.summary.attempts.push(text);
+        self.head_sent |= progress.head_sent();
+        (outcome.unwrap_or_else(|| interrupt_stalled(lease, &progress)), successor)
     }
 
     fn timed_out(&self) -> NextStep {
@@ -304,15 +305,3 @@
         self.sink.closed()
     }
 }
-
-/// Releases a queue ticket when dropped.
-struct TicketGuard<'a> {
-    pool: &'a Pool,
-    ticket: TicketId,
-}
-
-impl Drop for TicketGuard<'_> {
-    fn drop(&mut self) {
-        self.pool.release_ticket(self.ticket);
-    }
-}
--- a/crates/oleander-relay/src/retry.rs
+++ b/crates/oleander-relay/src/retry.rs
@@ -144,6 +144,14 @@
         }
     }
 
+    /// Records a target that got the request beside another one, and has not taken over.
+    pub fn record_rejected(&mut self, target: &TargetId, outcome: &AttemptOutcome) {
+        self.failed.push(target.clone());
+        if !matches!(outcome, AttemptOutcome::NotSent(_)) {
+            self.sent += 1;
+        }
+    }
+
     /// The refusal when there is no target left to send the request to.
     #[must_use]
     pub const fn refuse(&self, retry_after: Span) -> NextStep {
