--- a/crates/oleander-relay/src/follow.rs
+++ b/crates/oleander-relay/src/follow.rs
@@ -104,7 +104,8 @@
     let entry = change.object.as_ref().and_then(|object| parse_entry(name, &object.body, parse));
     match entry {
         Some(entry) => {
-            log::info!(target:% = entry.id, address:% = entry.address, leaving = entry.leaving;
+            log::info!(target:% = entry.id, version:% = entry.version, address:% = entry.address,
+                leaving = entry.leaving;
                 "target is listed");
             list.upsert(entry);
         }
--- a/crates/oleander-relay/src/lib.rs
+++ b/crates/oleander-relay/src/lib.rs
@@ -24,6 +24,7 @@
 mod takeover;
 mod target_list;
 mod transport;
+mod version;
 
 pub use attempt::{Attempt, AttemptOutcome, AttemptTimeouts, run_attempt};
 pub use events::{Event, EventReader, ParsedEvents, event_data};
@@ -39,3 +40,4 @@
 pub use transport::{
     BodyError, Dispatch, ResponseBody, SendError, TargetResponse, TargetTransport,
 };
+pub use version::{EmptyVersion, SoftwareVersion};
--- a/crates/oleander-relay/src/pool.rs
+++ b/crates/oleander-relay/src/pool.rs
@@ -85,7 +85,7 @@
 
 impl fmt::Display for TargetLease {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{} ({})", self.target.id, self.load)
+        write!(f, "{} {} ({})", self.target.id, self.target.version, self.load)
     }
 }
 
--- a/crates/oleander-relay/src/request.rs
+++ b/crates/oleander-relay/src/request.rs
@@ -23,6 +23,8 @@
     pub budget: Option<Span>,
     /// Id of the last event received, when the caller resumes a stream.
     pub resume_after: Option<u64>,
+    /// Id of the attempt that brought the first event of a stream which the caller resumes.
+    pub resumes: Option<String>,
     /// When the head of the request arrived.
     pub received: Time,
 }
--- a/crates/oleander-relay/src/target_list.rs
+++ b/crates/oleander-relay/src/target_list.rs
@@ -8,6 +8,8 @@
 
 use oleander_core::{ServiceId, Span, TargetId, Time, ZoneId};
 
+use crate::version::SoftwareVersion;
+
 /// Time after an outage of the platform within which running targets are listed again, specified as
 /// about 2 s.
 const RECONNECT_GRACE: Span = Span::from_millis(2_200);
@@ -23,11 +25,13 @@
     pub address: SocketAddr,
     /// Its data centre.
     pub zone: ZoneId,
+    /// Version of its software.
+    pub version: SoftwareVersion,
     /// Number of requests that it runs at once.
     pub slots: u32,
     /// Whether it is shutting down and gets no new requests.
     pub leaving: bool,
-    /// Start time of its process, as stated by the platform.
+    /// Start time of its process in milliseconds since the Unix epoch, if stated.
     pub started_at: Option<u64>,
 }
 
--- a/crates/oleander-relay/tests/support/mod.rs
+++ b/crates/oleander-relay/tests/support/mod.rs
@@ -267,6 +267,7 @@
         body: Bytes::new(),
         budget: None,
         resume_after: None,
+        resumes: None,
         received: clock::steady(),
     })
 }
@@ -277,6 +278,7 @@
         service: service(),
         address: ([127, 0, 0, 1], number).into(),
         zone: "junin".parse().expect("data centre"),
+        version: "v1".parse().expect("version"),
         slots: 8,
         leaving: false,
         started_at: None,
--- a/crates/oleander-worklist/src/item.rs
+++ b/crates/oleander-worklist/src/item.rs
@@ -116,6 +116,7 @@
             body: item.body,
             budget: None,
             resume_after: None,
+            resumes: None,
             received: Time(0),
         };
         Self {
--- a/crates/oleander-worklist/tests/manager/fixture.rs
+++ b/crates/oleander-worklist/tests/manager/fixture.rs
@@ -197,6 +197,7 @@
         service: "llm".parse().expect("name of a service"),
         address: ([127, 0, 0, 1], 1).into(),
         zone: zone(),
+        version: "v1".parse().expect("version"),
         slots: 8,
         leaving: false,
         started_at: None,
