--- a/crates/oleander-relay/tests/support/mod.rs
+++ b/crates/oleander-relay/tests/support/mod.rs
@@ -285,6 +285,20 @@
     }
 }
 
+/// A target with a version of its own.
+pub fn target_of(number: u16, version: &str) -> TargetEntry {
+    TargetEntry { version: version.parse().expect("version"), ..target(number) }
+}
+
+/// A request by which a caller resumes the stream that its attempt `first` began.
+pub fn resuming(first: &str) -> Arc<Request> {
+    let mut request = Request::clone(&request());
+    request.id = "request-2".to_owned();
+    request.resume_after = Some(1);
+    request.resumes = Some(first.to_owned());
+    Arc::new(request)
+}
+
 /// Pools of one host with these targets.
 pub fn pools_of(targets: Vec<TargetEntry>) -> Arc<Pools> {
     let (host, zone) = ("entry-1".parse().expect("host"), "junin".parse().expect("data centre"));
@@ -309,10 +323,20 @@
 
 /// Sends one request on `route` to targets of `pools` that take `steps`.
 pub async fn forward_to(pools: Arc<Pools>, route: Route, steps: Vec<Step>) -> Forwarded {
+    forward_request(pools, request(), route, steps).await
+}
+
+/// Sends `request` on `route` to targets of `pools` that take `steps`.
+pub async fn forward_request(
+    pools: Arc<Pools>,
+    request: Arc<Request>,
+    route: Route,
+    steps: Vec<Step>,
+) -> Forwarded {
     let script = Script::new(steps);
     let relay = Relay::new(pools, Arc::clone(&script));
     let mut caller = Caller::default();
-    let summary = relay.forward(&request(), &route, &mut caller).await;
+    let summary = relay.forward(&request, &route, &mut caller).await;
     Forwarded { summary, caller, script }
 }
 
