Let a stream go on only at the software version that began it

Cause: versions were read nowhere. Whatever went on after a failure, within one response or by a caller who came back to another host, took any target. The class: state of a session (here the version) is lost at a fail-over, since the unit that remembers it fails too.

Now: a target's version is part of its entry, and a choice of versions part of each wait for a target. Within one response, also at a takeover from a silent target, only the version of the first event qualifies. Over a caller's tries the host that sends a stream to a target registers it by the id of the caller's attempt, and, while the service has or lately had several versions, announces it to three other hosts within 20 ms, before most first events. A host that doesn't know a stream asks all others for 150 ms at most. If none knows it, and the service is not known to have had a single version for 30 s, the stream is refused at once as not run, which is true; so it is if no target serves its version. A version that is new in a service begins no streams for 2 s, unless it is the only one, so that no host takes the service for one of a single version while its streams begin.

Weighed: a stable function of the id and the set of versions (survives all hosts, but fails for the streams of a rollout's last seconds, which are those that fail over), one write a stream at the platform (out by two orders), memory alone (lost with its host).

--- a/crates/oleander-cluster/src/cluster.rs
+++ b/crates/oleander-cluster/src/cluster.rs
@@ -135,6 +135,14 @@
                     PeerRequest::App(request) => {
                         PeerResponse::App(handler.handle(peer, request).await)
                     }
+                    PeerRequest::Streams(announced) => {
+                        cluster.pools.streams.merge(announced);
+                        PeerResponse::Noted
+                    }
+                    PeerRequest::StreamVersion(service, stream) => {
+                        let answer = cluster.pools.streams.answer(&service, stream);
+                        PeerResponse::StreamVersion(answer)
+                    }
                 }
             }
         };
@@ -163,7 +171,10 @@
             address.ok_or_else(|| LinkError::Unreachable(format!("unknown host {host}")))?;
         match self.link.call(&address.to_string(), &PeerRequest::App(request), timeout).await? {
             PeerResponse::App(response) => Ok(response),
-            PeerResponse::Member(_) | PeerResponse::Noted | PeerResponse::Store(_) => {
+            PeerResponse::Member(_)
+            | PeerResponse::Noted
+            | PeerResponse::Store(_)
+            | PeerResponse::StreamVersion(_) => {
                 Err(LinkError::Codec("unexpected kind of response".to_owned()))
             }
         }
--- a/crates/oleander-cluster/src/lib.rs
+++ b/crates/oleander-cluster/src/lib.rs
@@ -18,6 +18,7 @@
 mod record;
 mod retirement;
 mod sharing;
+mod streams;
 mod zone_load;
 
 pub use breaker::CircuitBreaker;
--- a/crates/oleander-cluster/src/message.rs
+++ b/crates/oleander-cluster/src/message.rs
@@ -2,6 +2,7 @@
 
 use oleander_core::{ServiceId, Time, ZoneId, value};
 use oleander_members::Message;
+use oleander_relay::{StreamAnswer, StreamId, VersionStreams};
 use oleander_routing::PeerCount;
 use serde::{Deserialize, Serialize};
 
@@ -36,6 +37,10 @@
     Store(StoreRequest),
     /// A request of the application.
     App(Q),
+    /// New streams of the sender.
+    Streams(Vec<VersionStreams>),
+    /// Asks for the version that began a stream of a service.
+    StreamVersion(ServiceId, StreamId),
 }
 
 /// The response to a request; `A` is the application's response type.
@@ -43,10 +48,12 @@
 pub enum PeerResponse<A> {
     /// Membership messages to the sender of the request.
     Member(Vec<Message>),
-    /// The load report was accepted.
+    /// The load report or announcement was accepted.
     Noted,
     /// The platform's response.
     Store(StoreResponse),
     /// A response of the application.
     App(A),
+    /// What the receiver knows about a stream.
+    StreamVersion(StreamAnswer),
 }
--- /dev/null
+++ b/crates/oleander-cluster/src/streams.rs
@@ -0,0 +1,101 @@
+//! Exchange of the software versions of streams between hosts.
+//!
+//! Each host announces its new streams to a few others, so that they survive it, and asks all
+//! others about a stream that it does not know.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use futures_util::{StreamExt, stream::FuturesUnordered};
+use oleander_core::{HostId, hash};
+use oleander_relay::{StreamAnswer, StreamQuery, VersionStreams};
+use tokio::{sync::mpsc::UnboundedReceiver, time};
+
+use crate::{
+    cluster::Cluster,
+    message::{PeerRequest, PeerResponse},
+};
+
+/// Number of other hosts to which a host announces its streams.
+const WITNESSES: usize = 3;
+/// Time in which new streams are collected for one announcement; most first events take longer.
+const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(20);
+/// Maximum wait for the response to an announcement.
+const ANNOUNCE_TIMEOUT: Duration = Duration::from_millis(400);
+/// Maximum wait for the answers of other hosts about a stream.
+const QUERY_TIMEOUT: Duration = Duration::from_millis(150);
+
+impl Cluster {
+    /// Announces the streams of this host to others; never returns.
+    pub async fn announce_streams(self: Arc<Self>) {
+        loop {
+            let announced = self.pools.streams.announcements().await;
+            self.send_announcement(&announced);
+            time::sleep(ANNOUNCE_INTERVAL).await;
+        }
+    }
+
+    fn send_announcement(&self, announced: &[VersionStreams]) {
+        for (host, address) in self.witnesses() {
+            let request: PeerRequest<()> = PeerRequest::Streams(announced.to_vec());
+            let link = self.link.clone();
+            tokio::spawn(async move {
+                let response = link.call(&address.to_string(), &request, ANNOUNCE_TIMEOUT).await;
+                if let Err(error) = response.map(|_: PeerResponse<()>| ()) {
+                    log::debug!(host:% = host, error:% = error; "streams were not announced");
+                }
+            });
+        }
+    }
+
+    /// The hosts that keep the streams of this one, by rendezvous hashing.
+    fn witnesses(&self) -> Vec<(HostId, SocketAddr)> {
+        let peers = self.peers().into_iter();
+        let mut peers: Vec<_> = peers.map(|(host, _, address)| (host, address)).collect();
+        peers.sort_by_key(|(host, _)| hash::hash_parts(&[self.local.host.as_str(), host.as_str()]));
+        peers.truncate(WITNESSES);
+        peers
+    }
+
+    /// Asks the other hosts about streams that this host does not know; never returns.
+    pub async fn ask_about_streams(self: Arc<Self>, mut queries: UnboundedReceiver<StreamQuery>) {
+        while let Some(query) = queries.recv().await {
+            let cluster = Arc::clone(&self);
+            tokio::spawn(async move {
+                let answers = cluster.collect_answers(&query).await;
+                log::info!(stream:% = query.stream, service:% = query.service, answers:? = answers;
+                    "version of a stream asked");
+                // The request that asked may have ended.
+                let _ = query.answers.send(answers);
+            });
+        }
+    }
+
+    /// Answers of all reachable hosts; stops at the first that has the stream.
+    async fn collect_answers(&self, query: &StreamQuery) -> Vec<StreamAnswer> {
+        let request: PeerRequest<()> =
+            PeerRequest::StreamVersion(query.service.clone(), query.stream);
+        let peers = self.peers();
+        let calls = peers.iter().map(|(_, _, address)| self.ask(*address, &request));
+        let mut calls: FuturesUnordered<_> = calls.collect();
+        let mut answers = Vec::new();
+        while let Some(answer) = calls.next().await {
+            let is_registered = matches!(answer, Some(StreamAnswer::Registered(_)));
+            answers.extend(answer);
+            if is_registered {
+                break;
+            }
+        }
+        answers
+    }
+
+    async fn ask(&self, address: SocketAddr, request: &PeerRequest<()>) -> Option<StreamAnswer> {
+        match self.link.call(&address.to_string(), request, QUERY_TIMEOUT).await {
+            Ok(PeerResponse::<()>::StreamVersion(answer)) => Some(answer),
+            Ok(_) => None,
+            Err(error) => {
+                log::debug!(address:% = address, error:% = error; "no answer about a stream");
+                None
+            }
+        }
+    }
+}
--- a/crates/oleander-relay/src/follow.rs
+++ b/crates/oleander-relay/src/follow.rs
@@ -50,6 +50,7 @@
             }
         };
         let now = clock::steady();
+        let is_complete = !matches!(followed, FollowEvent::Failed(_));
         let changed = match followed {
             FollowEvent::Failed(error) => {
                 log::warn!(error:% = error; "targets can't be read; the last list stands");
@@ -75,6 +76,9 @@
         if list.expire(now) || changed {
             pools.update_targets(&list);
         }
+        if is_complete {
+            pools.streams.confirm();
+        }
     }
 }
 
--- a/crates/oleander-relay/src/lib.rs
+++ b/crates/oleander-relay/src/lib.rs
@@ -20,6 +20,7 @@
 mod route;
 mod sending;
 mod sink;
+mod streams;
 mod table;
 mod takeover;
 mod target_list;
@@ -29,12 +30,15 @@
 pub use attempt::{Attempt, AttemptOutcome, AttemptTimeouts, run_attempt};
 pub use events::{Event, EventReader, ParsedEvents, event_data};
 pub use follow::{ParseTarget, follow_routes, follow_targets};
-pub use pool::{Pool, Pools, TargetLease, TargetLoad, YieldRequest, batch_pick};
+pub use pool::{Pool, Pools, TargetLease, TargetLoad, VersionChoice, YieldRequest, batch_pick};
 pub use relay::{Relay, RequestSummary};
 pub use request::{Request, ResponseHead};
 pub use retry::{NextStep, RetryState};
 pub use route::{RetryPolicy, Route, RouteError, RouteKind, TrafficShare};
 pub use sink::{ChannelSink, Refusal, RefusalReason, ResponseSink, SinkClosed, response_channel};
+pub use streams::{
+    StreamAnswer, StreamId, StreamQuery, StreamRegister, StreamVersions, VersionStreams,
+};
 pub use table::RouteTable;
 pub use target_list::{TargetEntry, TargetList};
 pub use transport::{
--- a/crates/oleander-relay/src/pool.rs
+++ b/crates/oleander-relay/src/pool.rs
@@ -1,6 +1,11 @@
 //! The targets of one service, behind the router that selects among them.
 
-use std::{collections::HashMap, fmt, sync::Arc};
+use std::{
+    borrow::Cow,
+    collections::{BTreeSet, HashMap},
+    fmt,
+    sync::Arc,
+};
 
 use oleander_core::{HostId, ServiceId, Span, TargetId, Time, ZoneId};
 use oleander_host::clock;
@@ -14,7 +19,11 @@
     mpsc::{self, UnboundedReceiver, UnboundedSender},
 };
 
-use crate::target_list::{TargetEntry, TargetList};
+use crate::{
+    streams::StreamVersions,
+    target_list::{TargetEntry, TargetList},
+    version::SoftwareVersion,
+};
 
 /// Maximum wait before the router is asked again.
 const MAX_WAIT: Span = Span::from_millis(500);
@@ -34,6 +43,21 @@
 /// responds is slower.
 const FIRST_TOKEN_LIMIT: Span = Span::from_secs(5);
 
+/// Time for which a version that is new in a service begins no streams, unless it is the only one;
+/// by then all hosts know of it.
+const NEW_VERSION_DELAY: Span = Span::from_secs(2);
+
+/// Which software versions of the targets may take a request.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub enum VersionChoice {
+    /// All.
+    Any,
+    /// Those that all hosts know of, if there are any: for a new stream.
+    Established,
+    /// The version that began a stream.
+    Only(SoftwareVersion),
+}
+
 /// A request to preempt batch items so that online requests fit.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct YieldRequest {
@@ -50,6 +74,8 @@
     yields: UnboundedSender<YieldRequest>,
     router: Mutex<Router>,
     targets: RwLock<HashMap<TargetId, TargetEntry>>,
+    /// When each listed version was first listed.
+    versions: Mutex<HashMap<SoftwareVersion, Time>>,
     /// Hosts for which preferred targets are assigned; `None` after a change of the targets.
     assigned: Mutex<Option<Vec<HostId>>>,
     changed: Notify,
@@ -121,6 +147,7 @@
             yields,
             router: Mutex::new(Router::new(config, seed)),
             targets: RwLock::default(),
+            versions: Mutex::default(),
             assigned: Mutex::default(),
             changed: Notify::new(),
         }
@@ -133,12 +160,24 @@
             router.set_leaving(&entry.id, entry.leaving);
         }
         drop(router);
+        self.set_versions(&entries);
         let entries = entries.into_iter().map(|entry| (entry.id.clone(), entry));
         *self.targets.write() = entries.collect();
         *self.assigned.lock() = None;
         self.changed.notify_waiters();
     }
 
+    fn set_versions(&self, entries: &[TargetEntry]) {
+        let now = clock::steady();
+        let mut versions = self.versions.lock();
+        // At the start of this process, the other hosts know all versions.
+        let first = if versions.is_empty() { Time(0) } else { now };
+        versions.retain(|version, _| entries.iter().any(|entry| entry.version == *version));
+        for entry in entries {
+            versions.entry(entry.version.clone()).or_insert(first);
+        }
+    }
+
     /// Assigns this host its preferred targets in its data centre, if the targets or `hosts`
     /// changed.
     pub fn assign_preferred(&self, host: &HostId, zone: &ZoneId, hosts: &[HostId]) {
@@ -170,11 +209,24 @@
     ///
     /// Returns the time after which a retry may succeed, if no target has capacity in time.
     pub async fn acquire(self: &Arc<Self>, pick: &Pick) -> Result<TargetLease, Span> {
+        self.acquire_version(pick, &VersionChoice::Any).await
+    }
+
+    /// Waits for a target of a permitted version with capacity.
+    ///
+    /// # Errors
+    ///
+    /// Returns the time after which a retry may succeed, if no target has capacity in time.
+    pub async fn acquire_version(
+        self: &Arc<Self>,
+        pick: &Pick,
+        versions: &VersionChoice,
+    ) -> Result<TargetLease, Span> {
         loop {
             let changed = self.changed.notified();
             tokio::pin!(changed);
             changed.as_mut().enable();
-            let (decision, wake) = self.decide(pick);
+            let (decision, wake) = self.decide(&self.restrict(pick, versions));
             match decision {
                 Decision::Send { target, lease, yields } => {
                     self.request_yields(&target, yields);
@@ -212,12 +264,63 @@
 
     /// Leases a target for a batch item if one has capacity now.
     pub fn try_acquire_batch(self: &Arc<Self>, pick: &Pick) -> Option<TargetLease> {
-        match self.decide(pick).0 {
+        self.try_acquire_batch_version(pick, &VersionChoice::Any)
+    }
+
+    /// Leases a target of a permitted version for a batch item if one has capacity now.
+    pub fn try_acquire_batch_version(
+        self: &Arc<Self>,
+        pick: &Pick,
+        versions: &VersionChoice,
+    ) -> Option<TargetLease> {
+        match self.decide(&self.restrict(pick, versions)).0 {
             Decision::Send { target, lease, .. } => self.create_lease(&target, lease),
             Decision::Wait | Decision::Refuse { .. } => None,
         }
     }
 
+    /// Whether a target of this version takes requests.
+    pub fn serves_version(&self, version: &SoftwareVersion) -> bool {
+        let targets = self.targets.read();
+        targets.values().any(|target| target.version == *version && !target.leaving)
+    }
+
+    /// Excludes the targets of the versions that are not permitted.
+    fn restrict<'a>(&self, pick: &'a Pick, versions: &VersionChoice) -> Cow<'a, Pick> {
+        let targets = self.targets.read();
+        let excluded: Vec<TargetId> = match versions {
+            VersionChoice::Any => return Cow::Borrowed(pick),
+            VersionChoice::Only(version) => {
+                let others = targets.values().filter(|target| target.version != *version);
+                others.map(|target| target.id.clone()).collect()
+            }
+            VersionChoice::Established => self.new_targets(&targets),
+        };
+        if excluded.is_empty() {
+            return Cow::Borrowed(pick);
+        }
+        let mut restricted = pick.clone();
+        restricted.exclude.extend(excluded);
+        Cow::Owned(restricted)
+    }
+
+    /// Targets of new versions; none if there are no others.
+    fn new_targets(&self, targets: &HashMap<TargetId, TargetEntry>) -> Vec<TargetId> {
+        let versions = self.versions.lock();
+        if versions.len() < 2 {
+            return Vec::new();
+        }
+        let now = clock::steady();
+        let is_new = |target: &&TargetEntry| {
+            let first = versions.get(&target.version);
+            first.is_some_and(|first| now.since(*first) < NEW_VERSION_DELAY)
+        };
+        if !targets.values().any(|target| !target.leaving && !is_new(&target)) {
+            return Vec::new();
+        }
+        targets.values().filter(is_new).map(|target| target.id.clone()).collect()
+    }
+
     /// Completes on a change that may have freed capacity.
     pub async fn changed(&self) {
         self.changed.notified().await;
@@ -319,6 +422,8 @@
 
 /// The pools of all services.
 pub struct Pools {
+    /// The streams of all services, by their software version.
+    pub streams: StreamVersions,
     host: HostId,
     zone: ZoneId,
     seed: u64,
@@ -331,7 +436,8 @@
     #[must_use]
     pub fn new(host: HostId, zone: ZoneId, seed: u64) -> (Self, UnboundedReceiver<YieldRequest>) {
         let (yields, receiver) = mpsc::unbounded_channel();
-        (Self { host, zone, seed, yields, pools: RwLock::default() }, receiver)
+        let streams = StreamVersions::default();
+        (Self { streams, host, zone, seed, yields, pools: RwLock::default() }, receiver)
     }
 
     /// Updates the targets of all pools; existing pools keep their state.
@@ -345,7 +451,11 @@
             pools.entry(service.clone()).or_insert_with(|| Arc::new(self.new_pool()));
         }
         for (service, pool) in pools.iter() {
-            pool.set_targets(by_service.remove(service).unwrap_or_default());
+            let entries = by_service.remove(service).unwrap_or_default();
+            let versions: BTreeSet<SoftwareVersion> =
+                entries.iter().map(|entry| entry.version.clone()).collect();
+            self.streams.set_listed(service, versions, youngest_age(clock::now(), &entries));
+            pool.set_targets(entries);
         }
     }
 
@@ -364,6 +474,13 @@
     }
 }
 
+/// Time since the last start of a target; zero if one does not state its start.
+fn youngest_age(wall_now: Time, entries: &[TargetEntry]) -> Span {
+    let starts = entries.iter().map(|entry| entry.started_at.map(|millis| millis * 1_000));
+    let last = starts.collect::<Option<Vec<_>>>().and_then(|starts| starts.into_iter().max());
+    last.map_or(Span::ZERO, |last| wall_now.since(Time(last)))
+}
+
 /// Router settings of a listed target.
 ///
 /// Engines admit requests in order of arrival, so requests that queue there can't be reordered; no
--- a/crates/oleander-relay/src/progress.rs
+++ b/crates/oleander-relay/src/progress.rs
@@ -79,6 +79,12 @@
         self.state.lock().head_sent
     }
 
+    /// Whether the caller has output of this response or of an earlier one.
+    pub(crate) fn has_output(&self) -> bool {
+        let state = self.state.lock();
+        state.head_sent || state.last_event.is_some()
+    }
+
     /// Id of the last event read.
     pub(crate) fn last_event(&self) -> Option<u64> {
         self.state.lock().last_event
--- a/crates/oleander-relay/src/relay.rs
+++ b/crates/oleander-relay/src/relay.rs
@@ -12,7 +12,7 @@
 use crate::{
     attempt::{Attempt, AttemptOutcome, AttemptTimeouts, forward, interrupt_stalled},
     events::EventReader,
-    pool::{Pool, Pools, TargetLease, Ticket},
+    pool::{Pool, Pools, TargetLease, Ticket, VersionChoice},
     request::{Request, ResponseHead},
     retry::{NextStep, RetryState},
     route::{RetryPolicy, Route},
@@ -20,9 +20,13 @@
     sink::{Refusal, RefusalReason, ResponseSink, SinkClosed},
     table::RouteTable,
     takeover::{AttemptEnd, Successor, Takeover},
+    target_list::TargetEntry,
     transport::TargetTransport,
+    version::SoftwareVersion,
 };
 
+/// `Retry-After` when the version that began a stream is not known or not served.
+const NO_VERSION_RETRY_AFTER: Span = Span::from_secs(1);
 /// `Retry-After` when the service has no known target.
 const NO_TARGETS_RETRY_AFTER: Span = Span::from_secs(1);
 
@@ -98,6 +102,7 @@
             retry: RetryState::new(route),
             events: route.is_stream().then(|| EventReader::after(request.resume_after)),
             head_sent: false,
+            version: None,
             summary: RequestSummary::new(&route.name),
         };
         let remaining = deadline.since(clock::steady()).to_duration();
@@ -130,15 +135,26 @@
     retry: RetryState,
     events: Option<EventReader>,
     head_sent: bool,
+    /// Version that began the stream; `None` before its first event.
+    version: Option<SoftwareVersion>,
     summary: RequestSummary,
 }
 
 impl<T: TargetTransport> PendingRequest<'_, T> {
     async fn run<S: ResponseSink>(&mut self, sink: &mut S) -> NextStep {
-        let service = self.route.service(&self.request.id);
+        let service = self.route.service(self.request.first_id());
         let Some(pool) = service.and_then(|service| self.relay.pools.get(service)) else {
             return self.retry.refuse(NO_TARGETS_RETRY_AFTER);
         };
+        if self.route.is_stream() && self.request.resume_after.is_some() {
+            tokio::select! {
+                version = self.resolve_version(&pool) => self.version = version,
+                () = sink.closed() => return NextStep::Cancelled,
+            }
+            if self.version.is_none() {
+                return self.retry.refuse(NO_VERSION_RETRY_AFTER);
+            }
+        }
         let mut successor = None;
         loop {
             let (mut lease, sending) = match successor.take() {
@@ -183,15 +199,42 @@
         })
     }
 
+    /// The version that began the stream which the caller resumes, if a target still serves it.
+    async fn resolve_version(&mut self, pool: &Pool) -> Option<SoftwareVersion> {
+        let service = self.route.service(self.request.first_id())?;
+        let stream = self.request.stream()?;
+        let Some(version) = self.relay.pools.streams.resolve(service, stream).await else {
+            self.summary.attempts.push("the version that began the stream is not known".to_owned());
+            return None;
+        };
+        if !pool.serves_version(&version) {
+            self.summary
+                .attempts
+                .push(format!("no target serves {version}, which began the stream"));
+            return None;
+        }
+        Some(version)
+    }
+
+    /// The versions that may take this request.
+    fn versions(&self) -> VersionChoice {
+        match &self.version {
+            Some(version) => VersionChoice::Only(version.clone()),
+            None if self.route.is_stream() => VersionChoice::Established,
+            None => VersionChoice::Any,
+        }
+    }
+
     async fn acquire(&mut self, pool: &Arc<Pool>) -> Result<TargetLease, Span> {
         let ticket = Ticket::new(pool);
         let started = clock::steady();
         let pick = self.pick(started, ticket.id, pool.service_time());
         let excluding = pick.clone().exclude(self.retry.failed_targets().to_vec());
-        let mut lease = pool.acquire(&excluding).await;
+        let versions = self.versions();
+        let mut lease = pool.acquire_version(&excluding, &versions).await;
         if lease.is_err() && self.head_sent {
             // No other target is available; the one that failed may have recovered.
-            lease = pool.acquire(&pick).await;
+            lease = pool.acquire_version(&pick, &versions).await;
         }
         self.summary.waited = self.summary.waited + clock::steady().since(started);
         lease
@@ -224,6 +267,7 @@
         sending: Option<Sending<T::Body>>,
         sink: &mut S,
     ) -> (AttemptOutcome, Option<Successor<T::Body>>) {
+        let versions = self.versions();
         let mut attempt = Attempt {
             request: self.request,
             budget: Some(self.deadline.since(clock::steady())),
@@ -233,16 +277,21 @@
             timeouts: AttemptTimeouts::default(),
         };
         let progress = attempt.progress(Instant::now());
+        if let (true, Some(stream)) = (self.route.is_stream(), self.request.stream()) {
+            let TargetEntry { service, version, .. } = &lease.target;
+            self.relay.pools.streams.begin(service, stream, version, self.deadline);
+        }
         let takeover = Takeover {
             relay: self.relay,
             pool,
             request: self.request,
             route: self.route,
             deadline: self.deadline,
+            versions,
             retry: &mut self.retry,
             attempts: &mut self.summary.attempts,
         };
-        let target = lease.target.id.clone();
+        let target = lease.target.clone();
         let dispatch = attempt.dispatch(lease);
         let response = async {
             match sending {
@@ -257,6 +306,9 @@
         let first = timed.head_at.map(|at| at.since(self.request.received));
         self.summary.first_byte = self.summary.first_byte.or(first);
         self.head_sent |= progress.head_sent();
+        if self.head_sent {
+            self.version.get_or_insert(target.version);
+        }
         (outcome.unwrap_or_else(|| interrupt_stalled(lease, &progress)), successor)
     }
 
--- a/crates/oleander-relay/src/request.rs
+++ b/crates/oleander-relay/src/request.rs
@@ -4,6 +4,8 @@
 use http::{HeaderMap, Method, StatusCode};
 use oleander_core::{Span, Time};
 
+use crate::streams::StreamId;
+
 /// A request as received from a caller.
 #[derive(Debug, Clone)]
 pub struct Request {
@@ -29,6 +31,22 @@
     pub received: Time,
 }
 
+impl Request {
+    /// Id of the attempt that began this request: an earlier one if the caller resumes a stream.
+    #[must_use]
+    pub fn first_id(&self) -> &str {
+        self.resumes.as_deref().filter(|_| self.resume_after.is_some()).unwrap_or(&self.id)
+    }
+
+    /// The stream that this request begins or resumes; `None` if the caller resumes one without
+    /// naming it.
+    #[must_use]
+    pub fn stream(&self) -> Option<StreamId> {
+        let is_known = self.resume_after.is_none() || self.resumes.is_some();
+        is_known.then(|| StreamId::new(self.first_id()))
+    }
+}
+
 /// Status and headers of a response.
 #[derive(Debug, Clone)]
 pub struct ResponseHead {
--- /dev/null
+++ b/crates/oleander-relay/src/streams.rs
@@ -0,0 +1,171 @@
+//! Software versions of streams, over all tries of a caller.
+//!
+//! What two versions of a target's software write does not fit together, so a stream goes on only
+//! at the version that began it. A caller that comes back names the attempt that brought the first
+//! event, but not its version, and may come to any host, most often after its first host failed.
+//!
+//! The host that sends a stream to a target registers it under the id of the caller's attempt. While
+//! a service has, or lately had, targets of more than one version, new streams are announced to a
+//! few other hosts before their first event. A host that gets a stream which it does not know asks
+//! the others. If none knows it, and the service may have had another version, the stream is
+//! refused: without its version it can't go on.
+
+mod register;
+
+use std::{collections::BTreeSet, fmt};
+
+use oleander_core::{ServiceId, Span, Time, hash, value};
+use oleander_host::clock;
+use parking_lot::Mutex;
+use serde::{Deserialize, Serialize};
+use tokio::sync::{
+    Notify,
+    mpsc::{self, UnboundedReceiver, UnboundedSender},
+    oneshot,
+};
+
+pub use self::register::StreamRegister;
+use crate::version::SoftwareVersion;
+
+/// A stream over all tries of its caller: the hash of the id of the attempt that began it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct StreamId(u64);
+
+impl StreamId {
+    /// The stream that the attempt `id` of a caller began.
+    #[must_use]
+    pub fn new(id: &str) -> Self {
+        Self(hash::hash_parts(&[id]))
+    }
+}
+
+impl fmt::Display for StreamId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+value! {
+    /// Streams that were begun by one version.
+    pub struct VersionStreams {
+        /// The version.
+        pub version: SoftwareVersion,
+        /// The streams.
+        pub streams: Vec<StreamId>,
+    }
+
+    /// What a host knows about the version of a stream.
+    pub enum StreamAnswer {
+        /// The version that began it.
+        Registered(SoftwareVersion),
+        /// Its service has had this version only, for longer than a stream lasts.
+        Settled(SoftwareVersion),
+        /// Its service has more than one version.
+        Mixed,
+        /// Nothing.
+        Unknown,
+    }
+}
+
+impl StreamAnswer {
+    pub(crate) const fn registered(&self) -> Option<&SoftwareVersion> {
+        match self {
+            Self::Registered(version) => Some(version),
+            Self::Settled(_) | Self::Mixed | Self::Unknown => None,
+        }
+    }
+}
+
+/// A question to the other hosts.
+#[derive(Debug)]
+pub struct StreamQuery {
+    /// The service.
+    pub service: ServiceId,
+    /// The stream.
+    pub stream: StreamId,
+    /// Receives the answers.
+    pub answers: oneshot::Sender<Vec<StreamAnswer>>,
+}
+
+/// The streams known to this host, and its access to those that others know.
+#[derive(Debug, Default)]
+pub struct StreamVersions {
+    register: Mutex<StreamRegister>,
+    queries: Mutex<Option<UnboundedSender<StreamQuery>>>,
+    announced: Notify,
+}
+
+impl StreamVersions {
+    /// Subscribes to the questions to other hosts; without a subscriber, nobody is asked.
+    pub fn queries(&self) -> UnboundedReceiver<StreamQuery> {
+        let (sender, receiver) = mpsc::unbounded_channel();
+        *self.queries.lock() = Some(sender);
+        receiver
+    }
+
+    /// Waits for streams that other hosts have to know.
+    pub async fn announcements(&self) -> Vec<VersionStreams> {
+        loop {
+            let announced = self.announced.notified();
+            let announcements = self.register.lock().take_announcements();
+            if !announcements.is_empty() {
+                return announcements;
+            }
+            announced.await;
+        }
+    }
+
+    /// Registers streams that another host has announced.
+    pub fn merge(&self, announced: Vec<VersionStreams>) {
+        self.register.lock().merge(clock::steady(), announced);
+    }
+
+    /// What this host knows about a stream.
+    #[must_use]
+    pub fn answer(&self, service: &ServiceId, stream: StreamId) -> StreamAnswer {
+        self.register.lock().answer(clock::steady(), service, stream)
+    }
+
+    /// Registers a stream that this host sends to a target of `version`.
+    pub(crate) fn begin(
+        &self,
+        service: &ServiceId,
+        stream: StreamId,
+        version: &SoftwareVersion,
+        deadline: Time,
+    ) {
+        self.register.lock().begin(clock::steady(), service, stream, version, deadline);
+        self.announced.notify_one();
+    }
+
+    /// The version that began a stream; `None` if it can't be known.
+    pub(crate) async fn resolve(
+        &self,
+        service: &ServiceId,
+        stream: StreamId,
+    ) -> Option<SoftwareVersion> {
+        let known = self.register.lock().lookup(clock::steady(), service, stream);
+        if known.is_some() {
+            return known;
+        }
+        let queries = self.queries.lock().clone()?;
+        let (answers, receiver) = oneshot::channel();
+        queries.send(StreamQuery { service: service.clone(), stream, answers }).ok()?;
+        let answers = receiver.await.unwrap_or_default();
+        self.register.lock().conclude(service, &answers)
+    }
+
+    pub(crate) fn set_listed(
+        &self,
+        service: &ServiceId,
+        listed: BTreeSet<SoftwareVersion>,
+        youngest: Span,
+    ) {
+        self.register.lock().set_listed(clock::steady(), service, listed, youngest);
+        self.announced.notify_one();
+    }
+
+    pub(crate) fn confirm(&self) {
+        self.register.lock().confirm(clock::steady());
+    }
+}
--- /dev/null
+++ b/crates/oleander-relay/src/streams/register.rs
@@ -0,0 +1,209 @@
+//! What one host knows about the software versions of streams.
+
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap},
+    mem,
+};
+
+use oleander_core::{ServiceId, Span, Time};
+
+use super::{StreamAnswer, StreamId, VersionStreams};
+use crate::version::SoftwareVersion;
+
+/// Time for which a stream is kept beyond its deadline, and for which a service must have had a
+/// single version before that version is assumed for a stream without a record.
+const RETENTION: Span = Span::from_secs(30);
+/// Age up to which a list of targets is taken as current.
+const CURRENT_AGE: Span = Span::from_millis(1_500);
+/// Interval at which expired streams are removed.
+const EXPIRY_INTERVAL: Span = Span::from_secs(1);
+
+/// The streams known to one host, and the versions of its services.
+#[derive(Debug, Clone, Default)]
+pub struct StreamRegister {
+    streams: HashMap<StreamId, Registered>,
+    services: HashMap<ServiceId, ServiceVersions>,
+    pending: BTreeMap<SoftwareVersion, Vec<StreamId>>,
+    expired_at: Time,
+}
+
+#[derive(Debug, Clone)]
+struct Registered {
+    version: SoftwareVersion,
+    expires: Time,
+    /// Service of a stream that this host sent to a target and has not announced.
+    unannounced: Option<ServiceId>,
+}
+
+/// The versions of a service's listed targets.
+#[derive(Debug, Clone)]
+struct ServiceVersions {
+    listed: BTreeSet<SoftwareVersion>,
+    /// Time since which the list has had the versions that it has now.
+    since: Time,
+    /// When the list was last known to be complete.
+    confirmed: Time,
+}
+
+impl ServiceVersions {
+    /// The only version that a stream of this service can have.
+    fn settled(&self, now: Time) -> Option<&SoftwareVersion> {
+        let is_settled = self.listed.len() == 1 && now.since(self.since) >= RETENTION;
+        self.listed.first().filter(|_| is_settled)
+    }
+}
+
+impl StreamRegister {
+    /// Applies the versions of a service's listed targets.
+    ///
+    /// `youngest` is the time since the last start of one of them. It counts only for the first list
+    /// of a process: no other version is assumed to have been listed since then.
+    pub fn set_listed(
+        &mut self,
+        now: Time,
+        service: &ServiceId,
+        listed: BTreeSet<SoftwareVersion>,
+        youngest: Span,
+    ) {
+        let was_settled = self.settled(now, service).is_some();
+        let known = self.services.entry(service.clone()).or_insert_with(|| {
+            let since = Time(now.0.saturating_sub(youngest.0));
+            ServiceVersions { listed: listed.clone(), since, confirmed: now }
+        });
+        known.confirmed = now;
+        if known.listed != listed {
+            known.listed = listed;
+            known.since = now;
+        }
+        if was_settled && self.settled(now, service).is_none() {
+            self.announce_known(service);
+        }
+    }
+
+    /// Records that the lists of all services are complete.
+    pub fn confirm(&mut self, now: Time) {
+        self.services.values_mut().for_each(|versions| versions.confirmed = now);
+    }
+
+    /// Registers a stream that this host sends to a target of `version`.
+    pub fn begin(
+        &mut self,
+        now: Time,
+        service: &ServiceId,
+        stream: StreamId,
+        version: &SoftwareVersion,
+        deadline: Time,
+    ) {
+        self.expire(now);
+        match self.streams.get(&stream) {
+            Some(known) if known.version == *version => return,
+            // Another version begins the stream, after the first one sent no event.
+            Some(_) => self.pending.values_mut().for_each(|ids| ids.retain(|id| *id != stream)),
+            None => {}
+        }
+        let is_settled = self.settled(now, service).is_some();
+        if !is_settled {
+            self.pending.entry(version.clone()).or_default().push(stream);
+        }
+        let registered = Registered {
+            version: version.clone(),
+            expires: deadline.max(now) + RETENTION,
+            unannounced: is_settled.then(|| service.clone()),
+        };
+        self.streams.insert(stream, registered);
+    }
+
+    /// Takes the streams that other hosts have to know.
+    pub fn take_announcements(&mut self) -> Vec<VersionStreams> {
+        let pending = mem::take(&mut self.pending).into_iter();
+        pending.map(|(version, streams)| VersionStreams { version, streams }).collect()
+    }
+
+    /// Registers streams that another host has announced.
+    pub fn merge(&mut self, now: Time, announced: Vec<VersionStreams>) {
+        self.expire(now);
+        let expires = now + RETENTION * 2;
+        for VersionStreams { version, streams } in announced {
+            for stream in streams {
+                let version = version.clone();
+                self.streams.insert(stream, Registered { version, expires, unannounced: None });
+            }
+        }
+    }
+
+    /// The version of a stream, if this host knows it without asking others.
+    #[must_use]
+    pub fn lookup(
+        &self,
+        now: Time,
+        service: &ServiceId,
+        stream: StreamId,
+    ) -> Option<SoftwareVersion> {
+        if let Some(known) = self.streams.get(&stream) {
+            return Some(known.version.clone());
+        }
+        let versions = self.services.get(service)?;
+        let is_current = now.since(versions.confirmed) <= CURRENT_AGE;
+        versions.settled(now).filter(|_| is_current).cloned()
+    }
+
+    /// What this host answers when another one asks for the version of a stream.
+    #[must_use]
+    pub fn answer(&self, now: Time, service: &ServiceId, stream: StreamId) -> StreamAnswer {
+        if let Some(known) = self.streams.get(&stream) {
+            return StreamAnswer::Registered(known.version.clone());
+        }
+        match self.services.get(service) {
+            Some(versions) if versions.listed.len() > 1 => StreamAnswer::Mixed,
+            Some(versions) => {
+                versions.settled(now).cloned().map_or(StreamAnswer::Unknown, StreamAnswer::Settled)
+            }
+            None => StreamAnswer::Unknown,
+        }
+    }
+
+    /// Concludes the version of a stream from the answers of other hosts.
+    ///
+    /// A record decides. Without one, all that know the service must agree on its only version.
+    #[must_use]
+    pub fn conclude(
+        &self,
+        service: &ServiceId,
+        answers: &[StreamAnswer],
+    ) -> Option<SoftwareVersion> {
+        let registered = answers.iter().find_map(StreamAnswer::registered);
+        if registered.is_some() {
+            return registered.cloned();
+        }
+        let own = self.services.get(service).filter(|versions| versions.listed.len() == 1);
+        let own = own.and_then(|versions| versions.listed.first())?;
+        let settled = answers.iter().any(|answer| *answer == StreamAnswer::Settled(own.clone()));
+        let differs = answers.iter().any(|answer| match answer {
+            StreamAnswer::Mixed => true,
+            StreamAnswer::Settled(version) => version != own,
+            StreamAnswer::Registered(_) | StreamAnswer::Unknown => false,
+        });
+        (settled && !differs).then(|| own.clone())
+    }
+
+    fn settled(&self, now: Time, service: &ServiceId) -> Option<&SoftwareVersion> {
+        self.services.get(service)?.settled(now)
+    }
+
+    /// Announces the streams of a service whose targets get another version.
+    fn announce_known(&mut self, service: &ServiceId) {
+        for (stream, known) in &mut self.streams {
+            if known.unannounced.as_ref() == Some(service) {
+                known.unannounced = None;
+                self.pending.entry(known.version.clone()).or_default().push(*stream);
+            }
+        }
+    }
+
+    fn expire(&mut self, now: Time) {
+        if now.since(self.expired_at) >= EXPIRY_INTERVAL {
+            self.expired_at = now;
+            self.streams.retain(|_, known| known.expires > now);
+        }
+    }
+}
--- a/crates/oleander-relay/src/takeover.rs
+++ b/crates/oleander-relay/src/takeover.rs
@@ -7,20 +7,21 @@
 
 use std::{pin::pin, sync::Arc};
 
-use oleander_core::{Span, TargetId, Time};
+use oleander_core::{Span, Time};
 use oleander_host::clock;
 use oleander_routing::Pick;
 use tokio::time::{self, Instant};
 
 use crate::{
     attempt::{AttemptOutcome, AttemptTimeouts, observe_outcome},
-    pool::{Pool, TargetLease, Ticket},
+    pool::{Pool, TargetLease, Ticket, VersionChoice},
     progress::Progress,
     relay::Relay,
     request::Request,
     retry::RetryState,
     route::Route,
     sending::Sending,
+    target_list::TargetEntry,
     transport::{Dispatch, TargetTransport},
 };
 
@@ -50,6 +51,8 @@
     pub(crate) request: &'a Arc<Request>,
     pub(crate) route: &'a Route,
     pub(crate) deadline: Time,
+    /// Versions that may take the request before its first event.
+    pub(crate) versions: VersionChoice,
     pub(crate) retry: &'a mut RetryState,
     /// Texts of the attempts so far, for the record of the request.
     pub(crate) attempts: &'a mut Vec<String>,
@@ -60,7 +63,7 @@
     /// taken over.
     pub(crate) async fn watch<F>(
         mut self,
-        current: &TargetId,
+        current: &TargetEntry,
         forwarding: F,
         progress: &Progress,
     ) -> AttemptEnd<T::Body>
@@ -107,15 +110,20 @@
     /// Sends the request to another target; returns whether that one has taken over.
     async fn send_to_another(
         &self,
-        current: &TargetId,
+        current: &TargetEntry,
         progress: &Progress,
         candidate: &mut Option<Successor<T::Body>>,
     ) -> bool {
         let mut excluded = self.retry.failed_targets().to_vec();
-        excluded.push(current.clone());
+        excluded.push(current.id.clone());
+        let versions = if progress.has_output() {
+            VersionChoice::Only(current.version.clone())
+        } else {
+            self.versions.clone()
+        };
         let ticket = Ticket::new(self.pool);
         let pick = Pick::online(ticket.id).exclude(excluded).deadline(self.deadline);
-        let Ok(lease) = self.pool.acquire(&pick).await else { return false };
+        let Ok(lease) = self.pool.acquire_version(&pick, &versions).await else { return false };
         let dispatch = Dispatch {
             request: Arc::clone(self.request),
             target: lease.target.clone(),
--- /dev/null
+++ b/crates/oleander-relay/tests/streams.rs
@@ -0,0 +1,116 @@
+//! What hosts know about the software versions of streams, and tell each other.
+
+use std::collections::BTreeSet;
+
+use oleander_core::{ServiceId, Span, Time};
+use oleander_relay::{SoftwareVersion, StreamAnswer, StreamId, StreamRegister};
+
+const START: Time = Time(1_000_000_000);
+/// Longer than any stream is kept.
+const LONG: Span = Span::from_secs(120);
+const SECOND: Span = Span::from_secs(1);
+
+fn service() -> ServiceId {
+    "model".parse().expect("service")
+}
+
+fn version(text: &str) -> SoftwareVersion {
+    text.parse().expect("version")
+}
+
+fn versions(texts: &[&str]) -> BTreeSet<SoftwareVersion> {
+    texts.iter().map(|text| version(text)).collect()
+}
+
+fn stream(number: u32) -> StreamId {
+    StreamId::new(&format!("request-{number}"))
+}
+
+/// A host whose first list, at [`START`], has targets of these versions.
+fn host(listed: &[&str], youngest: Span) -> StreamRegister {
+    let mut register = StreamRegister::default();
+    register.set_listed(START, &service(), versions(listed), youngest);
+    register
+}
+
+fn begin(host: &mut StreamRegister, now: Time, number: u32, text: &str) {
+    host.begin(now, &service(), stream(number), &version(text), now + Span::from_secs(5));
+}
+
+fn lookup(host: &StreamRegister, now: Time, number: u32) -> Option<SoftwareVersion> {
+    host.lookup(now, &service(), stream(number))
+}
+
+#[test]
+fn a_stream_is_known_where_it_was_announced() {
+    let (mut first, mut second) = (host(&["v1", "v2"], LONG), host(&["v1", "v2"], LONG));
+    begin(&mut first, START, 1, "v2");
+    assert_eq!(lookup(&second, START, 1), None);
+    second.merge(START, first.take_announcements());
+    assert_eq!(lookup(&second, START, 1), Some(version("v2")));
+    assert!(first.take_announcements().is_empty());
+}
+
+#[test]
+fn the_last_version_to_which_a_stream_was_sent_counts() {
+    let (mut first, mut second) = (host(&["v1", "v2"], LONG), host(&["v1", "v2"], LONG));
+    begin(&mut first, START, 1, "v2");
+    begin(&mut first, START, 1, "v1");
+    second.merge(START, first.take_announcements());
+    assert_eq!(lookup(&second, START, 1), Some(version("v1")));
+}
+
+#[test]
+fn a_service_of_one_version_needs_no_record() {
+    let mut settled = host(&["v1"], LONG);
+    assert_eq!(lookup(&settled, START, 1), Some(version("v1")));
+    begin(&mut settled, START, 1, "v1");
+    assert!(settled.take_announcements().is_empty());
+}
+
+#[test]
+fn streams_begun_before_a_second_version_are_announced_when_it_comes() {
+    let mut first = host(&["v1"], LONG);
+    begin(&mut first, START, 1, "v1");
+    first.set_listed(START + SECOND, &service(), versions(&["v1", "v2"]), SECOND);
+    let mut second = host(&["v1", "v2"], LONG);
+    second.merge(START + SECOND, first.take_announcements());
+    assert_eq!(lookup(&second, START + SECOND, 1), Some(version("v1")));
+}
+
+#[test]
+fn a_version_is_not_assumed_while_another_one_may_have_begun_the_stream() {
+    let mut host = host(&["v1", "v2"], LONG);
+    host.set_listed(START + SECOND, &service(), versions(&["v2"]), SECOND);
+    for seconds in [1, 10, 29] {
+        let now = START + Span::from_secs(seconds);
+        host.confirm(now);
+        assert_eq!(lookup(&host, now, 1), None, "after {seconds} s");
+    }
+    let later = START + LONG;
+    host.confirm(later);
+    assert_eq!(lookup(&host, later, 1), Some(version("v2")));
+}
+
+#[test]
+fn a_list_that_may_be_out_of_date_does_not_decide_alone() {
+    let host = host(&["v1"], LONG);
+    let later = START + Span::from_secs(3);
+    assert_eq!(lookup(&host, later, 1), None);
+    let settled = StreamAnswer::Settled(version("v1"));
+    let conclude = |answers: &[StreamAnswer]| host.conclude(&service(), answers);
+    assert_eq!(conclude(&[StreamAnswer::Unknown, settled.clone()]), Some(version("v1")));
+    assert_eq!(conclude(&[settled.clone(), StreamAnswer::Mixed]), None);
+    assert_eq!(conclude(&[settled, StreamAnswer::Settled(version("v2"))]), None);
+    assert_eq!(conclude(&[StreamAnswer::Unknown]), None);
+    assert_eq!(conclude(&[]), None);
+    let registered = StreamAnswer::Registered(version("v2"));
+    assert_eq!(conclude(&[StreamAnswer::Mixed, registered]), Some(version("v2")));
+}
+
+#[test]
+fn a_restarted_host_does_not_assume_the_version_of_a_target_that_has_just_started() {
+    let restarted = host(&["v2"], Span::from_secs(5));
+    assert_eq!(lookup(&restarted, START, 1), None);
+    assert_eq!(restarted.answer(START, &service(), stream(1)), StreamAnswer::Unknown);
+}
