Let a batch item go on only at the version that wrote its output

Now the output of an item keeps its version. The item waits for a target of that version for 3 s at most; then, or at once if none is listed, it drops the output and starts again at any. An item that waits for its version does not hold up the other items of its job: all startable items are tried, each requirement once in a round.

--- a/crates/oleander-worklist/src/item.rs
+++ b/crates/oleander-worklist/src/item.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, Method};
 use oleander_core::{TargetId, Time};
-use oleander_relay::{EventReader, Request};
+use oleander_relay::{EventReader, Request, SoftwareVersion};
 
 use crate::record::ItemRecord;
 
@@ -57,6 +57,8 @@
     pub output: Vec<u8>,
     /// Whether the output contains any event.
     pub has_events: bool,
+    /// Software version of the targets that wrote the output.
+    pub version: Option<SoftwareVersion>,
 }
 
 /// An item of an open job, with its status and progress.
--- a/crates/oleander-worklist/src/job.rs
+++ b/crates/oleander-worklist/src/job.rs
@@ -114,23 +114,32 @@
         self.items.iter().filter(|item| item.status == ItemStatus::Running).count()
     }
 
-    /// Request of the item that would start next, and the target to avoid for it.
-    #[must_use]
-    pub fn peek(&self, now: Time) -> Option<(&Arc<Request>, Option<&TargetId>)> {
-        let item = self.items.iter().find(|item| is_startable(item, now))?;
-        Some((&item.request, item.avoid.as_ref()))
+    /// Items that could start now, with their indexes.
+    pub(crate) fn startable(&self, now: Time) -> impl Iterator<Item = (usize, &Item)> {
+        self.items.iter().enumerate().filter(move |(_, item)| is_startable(item, now))
+    }
+
+    pub(crate) fn item(&self, index: usize) -> &Item {
+        &self.items[index]
     }
 
     /// Marks the next startable item as running and returns it.
     pub fn start_next(&mut self, now: Time) -> Option<NextItem> {
-        let index = self.items.iter().position(|item| is_startable(item, now))?;
+        let (index, _) = self.startable(now).next()?;
+        Some(self.start(index))
+    }
+
+    /// Marks an item as running and returns it.
+    pub(crate) fn start(&mut self, index: usize) -> NextItem {
         let item = &mut self.items[index];
         item.status = ItemStatus::Running;
-        Some(NextItem {
-            index,
-            request: Arc::clone(&item.request),
-            progress: mem::take(&mut item.progress),
-        })
+        let progress = mem::take(&mut item.progress);
+        NextItem { index, request: Arc::clone(&item.request), progress }
+    }
+
+    /// Drops the output of an item, so that it starts again at any version.
+    pub(crate) fn drop_output(&mut self, index: usize) {
+        self.items[index].progress = Progress::default();
     }
 
     /// Records the outcome of an item's run at `target`.
--- a/crates/oleander-worklist/src/runner.rs
+++ b/crates/oleander-worklist/src/runner.rs
@@ -7,12 +7,12 @@
 
 use bytes::Bytes;
 use http::StatusCode;
-use oleander_core::{ServiceId, Span, TargetId};
+use oleander_core::{ServiceId, Span, TargetId, Time};
 use oleander_host::clock;
 use oleander_platform::ObjectStore;
 use oleander_relay::{
     Attempt, AttemptOutcome, AttemptTimeouts, Pool, ResponseHead, ResponseSink, SinkClosed,
-    TargetLease, TargetTransport, batch_pick, event_data, run_attempt,
+    TargetEntry, TargetLease, TargetTransport, VersionChoice, batch_pick, event_data, run_attempt,
 };
 use tokio::{
     sync::{Notify, watch},
@@ -20,7 +20,7 @@
 };
 
 use crate::{
-    item::{Progress, RunOutcome},
+    item::{Item, Progress, RunOutcome},
     job::NextItem,
     manager::{JobManager, LoadedJob},
 };
@@ -34,6 +34,10 @@
     idle: Some(Span::from_millis(600)),
 };
 
+/// Time for which an item waits for a target of the version that wrote its output; then it starts
+/// again at any.
+const VERSION_WAIT: Span = Span::from_secs(3);
+
 /// A running item.
 #[derive(Debug, Clone)]
 pub(crate) struct Run {
@@ -74,50 +78,57 @@
         let mut jobs: Vec<Arc<LoadedJob>> = self.loaded.lock().values().cloned().collect();
         jobs.retain(|loaded| !loaded.is_stopped() && loaded.job.lock().has_waiting());
         jobs.sort_by_key(|loaded| loaded.job.lock().record.due_at());
-        let mut full_services = HashSet::new();
+        let mut full = HashSet::new();
         for loaded in &jobs {
-            while matches!(self.place_next(loaded, &mut full_services), Placement::Placed) {}
+            while matches!(self.place_next(loaded, &mut full), Placement::Placed) {}
         }
         !jobs.is_empty()
     }
 
-    /// Starts the next item of a job if a target has a free slot; adds its service to
-    /// `full_services` if none has.
+    /// Starts the next item of a job for which a target has a free slot; adds to `full` what has none.
     fn place_next(
         self: &Arc<Self>,
         loaded: &Arc<LoadedJob>,
-        full_services: &mut HashSet<ServiceId>,
+        full: &mut HashSet<(ServiceId, VersionChoice)>,
     ) -> Placement {
         let now = clock::steady();
-        let mut job = loaded.job.lock();
-        let Some((request, avoid)) = job.peek(now) else { return Placement::Blocked };
         let Some(table) = self.relay.table() else { return Placement::Blocked };
-        let Some(route) = table.find(&request.host, &request.path) else {
-            let id = request.id.clone();
-            log::warn!(request:% = id, job:% = job.record.job, version = table.version;
-                "item failed: no route serves it any more");
-            job.fail_item(&id);
-            loaded.finished.notify_one();
-            return Placement::Placed;
-        };
-        let Some(service) =
-            route.service(&request.id).filter(|service| !full_services.contains(service))
-        else {
-            return Placement::Blocked;
-        };
-        let Some(pool) = self.relay.pools.get(service) else { return Placement::Blocked };
+        let mut job = loaded.job.lock();
         let local_only = job.prefers_local(Self::wall_now());
-        let Some(granted) = reserve_slot(&pool, avoid.cloned().into_iter().collect(), local_only)
-        else {
-            full_services.insert(service.clone());
-            return Placement::Blocked;
-        };
-        let Some(next) = job.start_next(now) else { return Placement::Blocked };
-        drop(job);
-        let manager = Arc::clone(self);
-        let loaded = Arc::clone(loaded);
-        tokio::spawn(async move { manager.run_item(loaded, next, granted).await });
-        Placement::Placed
+        let startable: Vec<usize> = job.startable(now).map(|(index, _)| index).collect();
+        for index in startable {
+            let item = job.item(index);
+            let Some(route) = table.find(&item.request.host, &item.request.path) else {
+                let id = item.request.id.clone();
+                log::warn!(request:% = id, job:% = job.record.job, version = table.version;
+                    "item failed: no route serves it any more");
+                job.fail_item(&id);
+                loaded.finished.notify_one();
+                return Placement::Placed;
+            };
+            let Some(service) = route.service(&item.request.id) else { continue };
+            let Some(pool) = self.relay.pools.get(service) else { continue };
+            let versions = permitted_versions(now, &pool, item);
+            let requirement = (service.clone(), versions.clone());
+            if full.contains(&requirement) {
+                continue;
+            }
+            let avoid = item.avoid.clone();
+            let Some(granted) = reserve_slot(&pool, avoid, local_only, &versions) else {
+                full.insert(requirement);
+                continue;
+            };
+            if versions == VersionChoice::Any {
+                job.drop_output(index);
+            }
+            let next = job.start(index);
+            drop(job);
+            let manager = Arc::clone(self);
+            let loaded = Arc::clone(loaded);
+            tokio::spawn(async move { manager.run_item(loaded, next, granted).await });
+            return Placement::Placed;
+        }
+        Placement::Blocked
     }
 
     fn register_run(&self, target: &TargetId) -> Run {
@@ -135,7 +146,7 @@
         next: NextItem,
         mut granted: TargetLease,
     ) {
-        let Progress { mut events, output, has_events } = next.progress;
+        let Progress { mut events, output, has_events, .. } = next.progress;
         let resumed = events.last_id();
         let run = self.register_run(&granted.target.id);
         let preempted = Arc::clone(&run.preempted);
@@ -151,7 +162,7 @@
         let started = clock::steady();
         let attempt_outcome =
             run_attempt(self.relay.transport.as_ref(), &mut granted, parameters, &mut sink).await;
-        let target = granted.target.id.clone();
+        let TargetEntry { id: target, version, .. } = granted.target.clone();
         drop(granted);
         self.runs.lock().retain(|other| other.number != run.number);
         let outcome = run_outcome(&attempt_outcome);
@@ -160,18 +171,39 @@
             last:? = events.last_id(), took_ms = now.since(started).as_millis(), outcome:? = outcome,
             reason:% = reason(&attempt_outcome); "item run ended");
         metrics::counter!("item_runs_total", "outcome" => outcome_label(&outcome)).increment(1);
-        let progress = Progress { events, output: sink.output, has_events: sink.has_events };
+        let version = sink.has_events.then_some(version);
+        let progress =
+            Progress { events, output: sink.output, has_events: sink.has_events, version };
         loaded.job.lock().finish_run(now, next.index, &outcome, progress, target);
         loaded.finished.notify_one();
         self.wake.notify_one();
     }
 }
 
+/// The versions at which an item may run: the one that wrote its output, if it is still served and
+/// the item has not waited long for it.
+fn permitted_versions(now: Time, pool: &Pool, item: &Item) -> VersionChoice {
+    let written = item.progress.version.as_ref();
+    let kept = written.filter(|version| {
+        pool.serves_version(version) && now.since(item.not_before) < VERSION_WAIT
+    });
+    kept.map_or(VersionChoice::Any, |version| VersionChoice::Only(version.clone()))
+}
+
 /// Reserves a slot for an item at a target of the pool, if one is free.
-fn reserve_slot(pool: &Arc<Pool>, avoid: Vec<TargetId>, local_only: bool) -> Option<TargetLease> {
-    // If the pool has a single target, it is used even if it is the one to avoid.
-    let avoid = if pool.len() > 1 { avoid } else { Vec::new() };
-    pool.try_acquire_batch(&batch_pick(avoid, local_only))
+fn reserve_slot(
+    pool: &Arc<Pool>,
+    avoid: Option<TargetId>,
+    local_only: bool,
+    versions: &VersionChoice,
+) -> Option<TargetLease> {
+    let avoided = avoid.into_iter().collect();
+    let lease = pool.try_acquire_batch_version(&batch_pick(avoided, local_only), versions);
+    // The target to avoid is used if it may be the only one.
+    if lease.is_none() && (pool.len() == 1 || *versions != VersionChoice::Any) {
+        return pool.try_acquire_batch_version(&batch_pick(Vec::new(), local_only), versions);
+    }
+    lease
 }
 
 /// Outcome of a run, by the end of its attempt.
