Recognise a resumed stream by its content if the caller does not name its first attempt

Now: a stream is registered under its first attempt and under its content (host, path, body); the second serves callers that don't name the first. The time for which a single version must have been listed follows the longest deadline of the service's streams (10 s beyond it, with 5 s at least) in place of 30 s for all.

Measured: cargo test of oleander-relay passes.

--- a/crates/oleander-core/src/hash.rs
+++ b/crates/oleander-core/src/hash.rs
@@ -18,6 +18,12 @@
     hasher.digest()
 }
 
+/// Hashes bytes with XXH3; the result is the same on all hosts and in all versions.
+#[must_use]
+pub fn hash_bytes(bytes: &[u8]) -> u64 {
+    xxh3::xxh3_64(bytes)
+}
+
 /// Picks the owner of `key` among `hosts` by rendezvous hashing.
 ///
 /// When a host joins or leaves, only keys that it gains or loses change their owner. Returns `None`
--- a/crates/oleander-relay/src/relay.rs
+++ b/crates/oleander-relay/src/relay.rs
@@ -202,7 +202,7 @@
     /// The version that began the stream which the caller resumes, if a target still serves it.
     async fn resolve_version(&mut self, pool: &Pool) -> Option<SoftwareVersion> {
         let service = self.route.service(self.request.first_id())?;
-        let stream = self.request.stream()?;
+        let stream = self.request.resumed_stream();
         let Some(version) = self.relay.pools.streams.resolve(service, stream).await else {
             self.summary.attempts.push("the version that began the stream is not known".to_owned());
             return None;
@@ -277,9 +277,10 @@
             timeouts: AttemptTimeouts::default(),
         };
         let progress = attempt.progress(Instant::now());
-        if let (true, Some(stream)) = (self.route.is_stream(), self.request.stream()) {
+        if self.route.is_stream() {
             let TargetEntry { service, version, .. } = &lease.target;
-            self.relay.pools.streams.begin(service, stream, version, self.deadline);
+            let streams = self.request.streams();
+            self.relay.pools.streams.begin(service, streams, version, self.deadline);
         }
         let takeover = Takeover {
             relay: self.relay,
--- a/crates/oleander-relay/src/request.rs
+++ b/crates/oleander-relay/src/request.rs
@@ -38,12 +38,18 @@
         self.resumes.as_deref().filter(|_| self.resume_after.is_some()).unwrap_or(&self.id)
     }
 
-    /// The stream that this request begins or resumes; `None` if the caller resumes one without
-    /// naming it.
+    /// The stream that this request begins or resumes, by its first attempt and by its content.
     #[must_use]
-    pub fn stream(&self) -> Option<StreamId> {
-        let is_known = self.resume_after.is_none() || self.resumes.is_some();
-        is_known.then(|| StreamId::new(self.first_id()))
+    pub fn streams(&self) -> [StreamId; 2] {
+        let content = StreamId::of_content(&self.host, &self.path, &self.body);
+        [StreamId::new(self.first_id()), content]
+    }
+
+    /// The stream that the caller resumes.
+    #[must_use]
+    pub fn resumed_stream(&self) -> StreamId {
+        let [by_attempt, by_content] = self.streams();
+        if self.resumes.is_some() { by_attempt } else { by_content }
     }
 }
 
--- a/crates/oleander-relay/src/streams.rs
+++ b/crates/oleander-relay/src/streams.rs
@@ -4,7 +4,8 @@
 //! at the version that began it. A caller that comes back names the attempt that brought the first
 //! event, but not its version, and may come to any host, most often after its first host failed.
 //!
-//! The host that sends a stream to a target registers it under the id of the caller's attempt. While
+//! The host that sends a stream to a target registers it under the id of the caller's attempt, and
+//! under its content for callers that do not name the attempt when they come back. While
 //! a service has, or lately had, targets of more than one version, new streams are announced to a
 //! few other hosts before their first event. A host that gets a stream which it does not know asks
 //! the others. If none knows it, and the service may have had another version, the stream is
@@ -27,7 +28,7 @@
 pub use self::register::StreamRegister;
 use crate::version::SoftwareVersion;
 
-/// A stream over all tries of its caller: the hash of the id of the attempt that began it.
+/// A stream over all tries of its caller.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct StreamId(u64);
 
@@ -37,6 +38,13 @@
     pub fn new(id: &str) -> Self {
         Self(hash::hash_parts(&[id]))
     }
+
+    /// The stream that a request with this content began, whatever the id of the attempt.
+    #[must_use]
+    pub fn of_content(host: &str, path: &str, body: &[u8]) -> Self {
+        let body = hash::hash_bytes(body).to_string();
+        Self(hash::hash_parts(&[host, path, &body]))
+    }
 }
 
 impl fmt::Display for StreamId {
@@ -130,11 +138,16 @@
     pub(crate) fn begin(
         &self,
         service: &ServiceId,
-        stream: StreamId,
+        streams: [StreamId; 2],
         version: &SoftwareVersion,
         deadline: Time,
     ) {
-        self.register.lock().begin(clock::steady(), service, stream, version, deadline);
+        let now = clock::steady();
+        let mut register = self.register.lock();
+        for stream in streams {
+            register.begin(now, service, stream, version, deadline);
+        }
+        drop(register);
         self.announced.notify_one();
     }
 
--- a/crates/oleander-relay/src/streams/register.rs
+++ b/crates/oleander-relay/src/streams/register.rs
@@ -11,8 +11,13 @@
 use crate::version::SoftwareVersion;
 
 /// Time for which a stream is kept beyond its deadline, and for which a service must have had a
-/// single version before that version is assumed for a stream without a record.
-const RETENTION: Span = Span::from_secs(30);
+/// single version, beyond the longest time that a stream may take, before that version is assumed
+/// for a stream without a record. Targets that leave are listed, or serve, for some seconds more.
+const RETENTION: Span = Span::from_secs(10);
+/// Least time that a stream is assumed to take.
+const MIN_LIFETIME: Span = Span::from_secs(5);
+/// Time for which a stream of another host is kept.
+const ANNOUNCED_RETENTION: Span = Span::from_secs(60);
 /// Age up to which a list of targets is taken as current.
 const CURRENT_AGE: Span = Span::from_millis(1_500);
 /// Interval at which expired streams are removed.
@@ -43,12 +48,15 @@
     since: Time,
     /// When the list was last known to be complete.
     confirmed: Time,
+    /// Longest time that a stream may take.
+    longest: Span,
 }
 
 impl ServiceVersions {
     /// The only version that a stream of this service can have.
     fn settled(&self, now: Time) -> Option<&SoftwareVersion> {
-        let is_settled = self.listed.len() == 1 && now.since(self.since) >= RETENTION;
+        let is_settled =
+            self.listed.len() == 1 && now.since(self.since) >= self.longest + RETENTION;
         self.listed.first().filter(|_| is_settled)
     }
 }
@@ -68,7 +76,8 @@
         let was_settled = self.settled(now, service).is_some();
         let known = self.services.entry(service.clone()).or_insert_with(|| {
             let since = Time(now.0.saturating_sub(youngest.0));
-            ServiceVersions { listed: listed.clone(), since, confirmed: now }
+            let listed = listed.clone();
+            ServiceVersions { listed, since, confirmed: now, longest: MIN_LIFETIME }
         });
         known.confirmed = now;
         if known.listed != listed {
@@ -101,6 +110,9 @@
             Some(_) => self.pending.values_mut().for_each(|ids| ids.retain(|id| *id != stream)),
             None => {}
         }
+        if let Some(versions) = self.services.get_mut(service) {
+            versions.longest = versions.longest.max(deadline.since(now));
+        }
         let is_settled = self.settled(now, service).is_some();
         if !is_settled {
             self.pending.entry(version.clone()).or_default().push(stream);
@@ -122,7 +134,7 @@
     /// Registers streams that another host has announced.
     pub fn merge(&mut self, now: Time, announced: Vec<VersionStreams>) {
         self.expire(now);
-        let expires = now + RETENTION * 2;
+        let expires = now + ANNOUNCED_RETENTION;
         for VersionStreams { version, streams } in announced {
             for stream in streams {
                 let version = version.clone();
--- a/crates/oleander-relay/tests/versions.rs
+++ b/crates/oleander-relay/tests/versions.rs
@@ -5,8 +5,10 @@
 
 mod support;
 
+use std::sync::Arc;
+
 use oleander_core::Span;
-use oleander_relay::{RefusalReason, RetryPolicy, Route};
+use oleander_relay::{RefusalReason, Request, RetryPolicy, Route};
 
 use crate::support::{
     FIRST, Forwarded, SECOND, Step, forward_request, forward_to, pools_of, resuming, route,
@@ -78,3 +80,18 @@
         assert_eq!(second.caller.text, SECOND);
     }
 }
+
+#[tokio::test]
+async fn a_caller_that_does_not_name_its_first_attempt_gets_the_version_of_its_request() {
+    let targets = [(1, "v1"), (2, "v2"), (3, "v1"), (4, "v2")];
+    let targets = targets.iter().map(|(number, version)| target_of(*number, version));
+    let pools = pools_of(targets.collect());
+    let route = route(RetryPolicy::Resume, 1);
+    let first = forward_to(pools.clone(), route.clone(), vec![Step::broken(&[FIRST])]).await;
+    let mut request = Request::clone(&resuming("request-1"));
+    request.resumes = None;
+    let steps = vec![Step::complete(&[SECOND])];
+    let second = forward_request(pools, Arc::new(request), route, steps).await;
+    assert_eq!(versions(&first), versions(&second), "{:?}", second.summary);
+    assert_eq!(second.caller.text, SECOND);
+}
