Drop a second request that would repeat an event after its target broke off

A silent target that sends one more event and breaks off in the same poll left the request at the second target in place, which had been sent for the event before. What it sent was out of sequence, and the caller's stream was aborted.

Now such a request is dropped, and the stream is resumed anew behind the last event. It does not count as an attempt, since the target that broke off makes room for one.

Evidence: the test of this commit, red before: 'broken: connection reset', 'broken: event out of sequence or too long', aborted.

--- a/crates/oleander-relay/src/takeover.rs
+++ b/crates/oleander-relay/src/takeover.rs
@@ -82,7 +82,11 @@
             let mut candidate = None;
             let accepted = tokio::select! {
                 biased;
-                outcome = forwarding.as_mut() => return AttemptEnd::of(outcome, candidate),
+                outcome = forwarding.as_mut() => {
+                    // A target that sent more before it broke off needs a request that goes on there.
+                    let is_stale = progress.last() > mark;
+                    return AttemptEnd::of(outcome, candidate.filter(|_| !is_stale));
+                }
                 () = progress.resumed(mark) => false,
                 accepted = self.send_to_another(current, progress, &mut candidate) => accepted,
             };
--- a/crates/oleander-relay/tests/silence.rs
+++ b/crates/oleander-relay/tests/silence.rs
@@ -20,15 +20,15 @@
 use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, StatusCode};
 use oleander_relay::{
-    BodyError, Dispatch, Relay, ResponseBody, ResponseHead, RetryPolicy, SendError, TargetResponse,
-    TargetTransport,
+    BodyError, Dispatch, RefusalReason, Relay, ResponseBody, ResponseHead, RetryPolicy, SendError,
+    TargetResponse, TargetTransport,
 };
 use oleander_routing::Pick;
 use tokio::{io::AsyncReadExt, net::TcpStream};
 
 use crate::support::{
-    Caller, FIRST, Forwarded, SECOND, Step, forward_to, pools, pools_of, request, route, service,
-    target,
+    BodyEnd, Caller, FIRST, Forwarded, Part, SECOND, Step, THIRD, forward_to, pools, pools_of,
+    request, route, service, target,
 };
 
 /// How long a sound target is silent.
@@ -104,6 +104,20 @@
     assert!(overlap < MAX_OVERLAP, "two targets worked for {overlap:?}");
 }
 
+#[tokio::test]
+async fn a_target_that_sends_another_event_and_breaks_off_is_followed_by_the_right_event() {
+    let pause = Duration::from_millis(200);
+    let first = Step { end: BodyEnd::Broken, ..Step::pause(&[FIRST], pause, &[SECOND]) };
+    let second = Step::complete(&[SECOND, THIRD]).delayed(Duration::from_millis(100));
+    let steps = vec![first, second, Step::complete(&[THIRD])];
+    let forwarded = forward_to(pools(3), route(RetryPolicy::Resume, 2), steps).await;
+    assert!(!forwarded.summary.interrupted, "{:?}", forwarded.summary);
+    assert_eq!(forwarded.caller.text, format!("{FIRST}{SECOND}{THIRD}"));
+    let resumed: Vec<_> =
+        forwarded.script.dispatches.lock().iter().map(|sent| sent.resume_after).collect();
+    assert_eq!(resumed, [None, Some(1), Some(2)]);
+}
+
 /// Targets that send their events over sockets, from a thread of their own.
 #[derive(Debug, Default)]
 struct SocketTargets {
--- a/crates/oleander-relay/tests/support/mod.rs
+++ b/crates/oleander-relay/tests/support/mod.rs
@@ -25,6 +25,7 @@
 /// The first and the second event of a stream.
 pub const FIRST: &str = "id: 1\ndata: a\n\n";
 pub const SECOND: &str = "id: 2\ndata: b\n\n";
+pub const THIRD: &str = "id: 3\ndata: c\n\n";
 
 /// What a target does with one request.
 #[derive(Debug, Clone)]
