Count only the head of a success as progress of a target

The head of an error response, whose body came later, cancelled the request that another target had taken over beside it, and the caller got the error.

--- a/crates/oleander-relay/src/attempt.rs
+++ b/crates/oleander-relay/src/attempt.rs
@@ -159,7 +159,6 @@
             return AttemptOutcome::Interrupted { reason, head_sent: attempt.head_sent };
         }
     };
-    progress.record_head(Instant::now());
     if let Some(load) = &response.load {
         lease.update_load(load.clone());
     }
@@ -218,6 +217,7 @@
             Err(reason) => AttemptOutcome::Interrupted { reason, head_sent: attempt.head_sent },
         };
     }
+    progress.record_head(Instant::now());
     let head = (!attempt.head_sent).then_some(head);
     let mut forwarder = Forwarder { lease, sink, progress, head };
     match attempt.events.as_deref_mut() {
--- a/crates/oleander-relay/tests/silence.rs
+++ b/crates/oleander-relay/tests/silence.rs
@@ -118,6 +118,15 @@
     assert_eq!(resumed, [None, Some(1), Some(2)]);
 }
 
+#[tokio::test]
+async fn the_head_of_an_error_does_not_cancel_the_request_at_another_target() {
+    let mut error = Step::error(500, "failed").delayed(Duration::from_millis(550));
+    error.body.insert(0, Part::Silence(Duration::from_millis(20)));
+    let second = Step::complete(&[FIRST, SECOND]).delayed(Duration::from_millis(200));
+    let steps = vec![error, second];
+    assert_complete(&forward_to(pools(2), route(RetryPolicy::Resume, 2), steps).await);
+}
+
 /// Targets that send their events over sockets, from a thread of their own.
 #[derive(Debug, Default)]
 struct SocketTargets {
