Report a request that ran beside a silent target as one that may have run

A second target failed the request (500), then the first one stated that it had not run it, and the caller was told 'not run'.

Evidence: the test of this commit, red before: refusal NotRun after 'did not take over: failed: 500'.

--- a/crates/oleander-relay/src/retry.rs
+++ b/crates/oleander-relay/src/retry.rs
@@ -47,6 +47,8 @@
     sent: u32,
     connect_failures: u32,
     may_have_run: bool,
+    /// Whether a target that has not taken over may have run the request.
+    rejected_ran: bool,
     failed: Vec<TargetId>,
 }
 
@@ -60,6 +62,7 @@
             sent: 0,
             connect_failures: 0,
             may_have_run: false,
+            rejected_ran: false,
             failed: Vec::new(),
         }
     }
@@ -106,7 +109,7 @@
             AttemptOutcome::Complete => NextStep::Done,
             AttemptOutcome::Cancelled => NextStep::Cancelled,
             AttemptOutcome::NotSent(_) => {
-                self.may_have_run = ran_before;
+                self.may_have_run = ran_before || self.rejected_ran;
                 self.connect_failures += 1;
                 if self.connect_failures < MAX_CONNECT_FAILURES {
                     NextStep::Retry
@@ -116,7 +119,7 @@
             }
             AttemptOutcome::NotRun(_) => {
                 self.sent += 1;
-                self.may_have_run = ran_before;
+                self.may_have_run = ran_before || self.rejected_ran;
                 if self.sent < self.max_attempts {
                     NextStep::Retry
                 } else {
@@ -147,9 +150,11 @@
     /// Records a target that got the request beside another one, and has not taken over.
     pub fn record_rejected(&mut self, target: &TargetId, outcome: &AttemptOutcome) {
         self.failed.push(target.clone());
-        if !matches!(outcome, AttemptOutcome::NotSent(_)) {
-            self.sent += 1;
+        if matches!(outcome, AttemptOutcome::NotSent(_)) {
+            return;
         }
+        self.sent += 1;
+        self.rejected_ran |= !matches!(outcome, AttemptOutcome::NotRun(_));
     }
 
     /// The refusal when there is no target left to send the request to.
--- a/crates/oleander-relay/tests/silence.rs
+++ b/crates/oleander-relay/tests/silence.rs
@@ -127,6 +127,16 @@
     assert_complete(&forward_to(pools(2), route(RetryPolicy::Resume, 2), steps).await);
 }
 
+#[tokio::test]
+async fn a_request_that_ran_beside_a_silent_target_is_not_reported_as_not_run() {
+    for policy in [RetryPolicy::Resume, RetryPolicy::Always] {
+        let steps = vec![Step::not_run().delayed(SILENCE), Step::error(500, "failed")];
+        let forwarded = forward_to(pools(2), route(policy, 2), steps).await;
+        let refusal = forwarded.summary.refusal.expect("refused");
+        assert_ne!(refusal.reason, RefusalReason::NotRun, "{:?}", forwarded.summary);
+    }
+}
+
 /// Targets that send their events over sockets, from a thread of their own.
 #[derive(Debug, Default)]
 struct SocketTargets {
