--- a/crates/oleander-relay/src/relay.rs
+++ b/crates/oleander-relay/src/relay.rs
@@ -103,11 +103,16 @@
             events: route.is_stream().then(|| EventReader::after(request.resume_after)),
             head_sent: false,
             version: None,
+            current: None,
             summary: RequestSummary::new(&route.name),
         };
         let remaining = deadline.since(clock::steady()).to_duration();
-        let step = time::timeout_at(Instant::now() + remaining, pending.run(sink)).await;
+        let mut timed = TimedSink { sink, head_at: None };
+        let step = time::timeout_at(Instant::now() + remaining, pending.run(&mut timed)).await;
+        pending.head_sent |= timed.head_at.is_some();
+        let first_byte = timed.head_at.map(|at| at.since(request.received));
         let step = step.unwrap_or_else(|_| pending.timed_out());
+        pending.summary.first_byte = first_byte;
         pending.finish(step, sink).await
     }
 }
@@ -137,6 +142,8 @@
     head_sent: bool,
     /// Version that began the stream; `None` before its first event.
     version: Option<SoftwareVersion>,
+    /// Target of the attempt in progress.
+    current: Option<String>,
     summary: RequestSummary,
 }
 
@@ -166,7 +173,9 @@
             };
             let ran_before = self.retry.may_have_run();
             self.retry.begin();
+            self.current = Some(lease.to_string());
             let (outcome, next) = self.attempt(&pool, &mut lease, sending, sink).await;
+            self.current = None;
             let target = lease.target.id.clone();
             self.summary.attempts.push(format!("{lease}: {outcome}"));
             drop(lease);
@@ -300,12 +309,9 @@
                 None => self.relay.transport.send(dispatch).await.map(Peeked::unread),
             }
         };
-        let mut timed = TimedSink { sink, head_at: None };
-        let forwarding = forward(lease, response, &mut attempt, &progress, &mut timed);
+        let forwarding = forward(lease, response, &mut attempt, &progress, sink);
         let AttemptEnd { outcome, successor } =
             takeover.watch(&target, forwarding, &progress).await;
-        let first = timed.head_at.map(|at| at.since(self.request.received));
-        self.summary.first_byte = self.summary.first_byte.or(first);
         self.head_sent |= progress.head_sent();
         if self.head_sent {
             self.version.get_or_insert(target.version);
@@ -313,7 +319,10 @@
         (outcome.unwrap_or_else(|| interrupt_stalled(lease, &progress)), successor)
     }
 
-    fn timed_out(&self) -> NextStep {
+    fn timed_out(&mut self) -> NextStep {
+        if let Some(target) = self.current.take() {
+            self.summary.attempts.push(format!("{target}: deadline passed"));
+        }
         if self.head_sent {
             return NextStep::Abort;
         }
--- a/crates/oleander-relay/src/takeover.rs
+++ b/crates/oleander-relay/src/takeover.rs
@@ -147,7 +147,11 @@
         let outcome = sending.into_outcome();
         self.retry.record_rejected(&lease.target.id, &outcome);
         observe_outcome(&mut lease, &outcome);
-        self.attempts.push(format!("{lease}: did not take over: {outcome}"));
+        let reason = match outcome {
+            AttemptOutcome::Cancelled => "the other target went on".to_owned(),
+            outcome => outcome.to_string(),
+        };
+        self.attempts.push(format!("{lease}: did not take over: {reason}"));
     }
 }
 
