Read a refusal that arrived during a pause before a silent target is left

A refusal comes to the task that waits for it by way of two others, its timer directly; after a pause of this process of 250 ms or more the timer could win, and a sound target was left for one that had refused. 5 ms more let the refusal through.

--- a/crates/oleander-relay/src/takeover.rs
+++ b/crates/oleander-relay/src/takeover.rs
@@ -30,6 +30,9 @@
 /// Time for which two targets may have the same request; longer than a connect timeout.
 const MAX_OVERLAP: Span = Span::from_millis(250);
 
+/// Further time in which a response is read that arrived while this process paused.
+const PAUSE_MARGIN: Span = Span::from_millis(5);
+
 /// How an attempt ended.
 pub(crate) struct AttemptEnd<B> {
     /// The outcome; `None` if the target was left because it made no progress.
@@ -136,9 +139,14 @@
         };
         let sending = Sending::start(Arc::clone(&self.relay.transport), dispatch);
         let successor = candidate.insert(Successor { lease, sending });
-        let accepted = time::timeout(MAX_OVERLAP.to_duration(), successor.sending.accepted()).await;
+        for wait in [MAX_OVERLAP, PAUSE_MARGIN] {
+            let accepted = successor.sending.accepted();
+            if let Ok(accepted) = time::timeout(wait.to_duration(), accepted).await {
+                return accepted;
+            }
+        }
         // A target refuses at once; one that has not responded in time has queued the request.
-        accepted.unwrap_or(true)
+        true
     }
 
     /// Records a target that has not taken over.
