--- a/crates/oleander-cluster/src/streams.rs
+++ b/crates/oleander-cluster/src/streams.rs
@@ -15,8 +15,8 @@
     message::{PeerRequest, PeerResponse},
 };
 
-/// Number of other hosts to which a host announces its streams.
-const WITNESSES: usize = 3;
+/// Number of other hosts that keep the streams of a host.
+const REPLICAS: usize = 3;
 /// Time in which new streams are collected for one announcement; most first events take longer.
 const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(20);
 /// Maximum wait for the response to an announcement.
@@ -35,7 +35,7 @@
     }
 
     fn send_announcement(&self, announced: &[VersionStreams]) {
-        for (host, address) in self.witnesses() {
+        for (host, address) in self.replicas() {
             let request: PeerRequest<()> = PeerRequest::Streams(announced.to_vec());
             let link = self.link.clone();
             tokio::spawn(async move {
@@ -48,11 +48,11 @@
     }
 
     /// The hosts that keep the streams of this one, by rendezvous hashing.
-    fn witnesses(&self) -> Vec<(HostId, SocketAddr)> {
+    fn replicas(&self) -> Vec<(HostId, SocketAddr)> {
         let peers = self.peers().into_iter();
         let mut peers: Vec<_> = peers.map(|(host, _, address)| (host, address)).collect();
         peers.sort_by_key(|(host, _)| hash::hash_parts(&[self.local.host.as_str(), host.as_str()]));
-        peers.truncate(WITNESSES);
+        peers.truncate(REPLICAS);
         peers
     }
 
