--- a/crates/oleander-relay/tests/streams.rs
+++ b/crates/oleander-relay/tests/streams.rs
@@ -114,3 +114,21 @@
     assert_eq!(lookup(&restarted, START, 1), None);
     assert_eq!(restarted.answer(START, &service(), stream(1)), StreamAnswer::Unknown);
 }
+
+/// Guards against streams of two versions after a restart: the list of a host that has just started
+/// does not tell that targets of another version left a moment ago, since no target started then.
+#[test]
+fn a_restarted_host_does_not_assume_a_version_after_another_one_has_left() {
+    let mut running = host(&["v1", "v2"], LONG);
+    let left = START + Span::from_secs(60);
+    running.set_listed(left, &service(), versions(&["v2"]), LONG);
+    let now = left + Span::from_secs(5);
+    let mut restarted = StreamRegister::default();
+    restarted.set_listed(now, &service(), versions(&["v2"]), LONG);
+    let mut other = restarted.clone();
+    other.confirm(now);
+    assert_eq!(lookup(&restarted, now, 1), None, "others have to be asked");
+    let answers =
+        [other.answer(now, &service(), stream(1)), running.answer(now, &service(), stream(1))];
+    assert_eq!(restarted.conclude(&service(), &answers), None, "{answers:?}");
+}
