Ask the other hosts before a restarted host assumes the version of a stream

What callers would see: a stream that v1 began goes on at v2, if its caller comes to a host that started within 30 s after the last target of v1 left, while no target of v2 is that young.

Cause: the age of the youngest target stood for the time for which a service has had one version. Targets that leave start nothing. And a host that saw v1 leave answered 'unknown' to others, which stopped nobody.

Now a version counts as settled only at a host that has followed the service for 30 s itself. A host that has not asks the others; one that saw another version leave within 30 s answers that the service is mixed, which refuses the stream. What the first list tells decides only if nobody knows more, as after a restart of all hosts.

Still open: a restart of all hosts within 30 s after the last target of a version left, with no young target. Nothing that outlives the hosts tells of that version.

Two tests took a host's first list for what it had followed; they now start from a host that has followed its service for two minutes, and one checks in addition that nothing is announced before the second version comes. The concluding function takes the time.

--- a/crates/oleander-relay/src/streams.rs
+++ b/crates/oleander-relay/src/streams.rs
@@ -60,7 +60,7 @@
         Registered(SoftwareVersion),
         /// Its service has had this version only, for longer than a stream lasts.
         Settled(SoftwareVersion),
-        /// Its service has more than one version.
+        /// Its service has, or lately had, more than one version.
         Mixed,
         /// Nothing.
         Unknown,
@@ -148,11 +148,17 @@
         if known.is_some() {
             return known;
         }
-        let queries = self.queries.lock().clone()?;
+        let answers = self.ask(service, stream).await;
+        self.register.lock().conclude(clock::steady(), service, &answers)
+    }
+
+    /// Answers of the other hosts; none without a subscriber to the questions.
+    async fn ask(&self, service: &ServiceId, stream: StreamId) -> Vec<StreamAnswer> {
+        let Some(queries) = self.queries.lock().clone() else { return Vec::new() };
         let (answers, receiver) = oneshot::channel();
-        queries.send(StreamQuery { service: service.clone(), stream, answers }).ok()?;
-        let answers = receiver.await.unwrap_or_default();
-        self.register.lock().conclude(service, &answers)
+        // If nobody receives the query, the answers are dropped with it.
+        let _ = queries.send(StreamQuery { service: service.clone(), stream, answers });
+        receiver.await.unwrap_or_default()
     }
 
     pub(crate) fn set_listed(
--- a/crates/oleander-relay/src/streams/register.rs
+++ b/crates/oleander-relay/src/streams/register.rs
@@ -39,17 +39,38 @@
 #[derive(Debug, Clone)]
 struct ServiceVersions {
     listed: BTreeSet<SoftwareVersion>,
-    /// Time since which the list has had the versions that it has now.
+    /// Time since which the list has had the versions that it has now, as far as it tells.
     since: Time,
+    /// When this process first had a list.
+    first: Time,
+    /// Versions that left while this process followed them, and when.
+    left: BTreeMap<SoftwareVersion, Time>,
     /// When the list was last known to be complete.
     confirmed: Time,
 }
 
 impl ServiceVersions {
-    /// The only version that a stream of this service can have.
+    /// The only version that a stream of this service can have, as this process has followed it
+    /// for long enough.
     fn settled(&self, now: Time) -> Option<&SoftwareVersion> {
-        let is_settled = self.listed.len() == 1 && now.since(self.since) >= RETENTION;
-        self.listed.first().filter(|_| is_settled)
+        self.assumed(now).filter(|_| now.since(self.first) >= RETENTION)
+    }
+
+    /// The only version that the list tells of. Another one may have left just before the start of
+    /// this process, which hosts that ran then know.
+    fn assumed(&self, now: Time) -> Option<&SoftwareVersion> {
+        let is_alone = self.listed.len() == 1 && now.since(self.since) >= RETENTION;
+        self.listed.first().filter(|_| is_alone)
+    }
+
+    /// Whether streams of this service may have different versions.
+    fn is_mixed(&self, now: Time) -> bool {
+        let mut recent = self.left.iter().filter(|(_, left)| now.since(**left) < RETENTION);
+        self.listed.len() > 1 || recent.any(|(version, _)| !self.listed.contains(version))
+    }
+
+    fn is_current(&self, now: Time) -> bool {
+        now.since(self.confirmed) <= CURRENT_AGE
     }
 }
 
@@ -68,10 +89,19 @@
         let was_settled = self.settled(now, service).is_some();
         let known = self.services.entry(service.clone()).or_insert_with(|| {
             let since = Time(now.0.saturating_sub(youngest.0));
-            ServiceVersions { listed: listed.clone(), since, confirmed: now }
+            ServiceVersions {
+                listed: listed.clone(),
+                since,
+                first: now,
+                left: BTreeMap::new(),
+                confirmed: now,
+            }
         });
         known.confirmed = now;
         if known.listed != listed {
+            let gone = known.listed.difference(&listed).cloned();
+            known.left.retain(|_, left| now.since(*left) < RETENTION);
+            known.left.extend(gone.map(|version| (version, now)));
             known.listed = listed;
             known.since = now;
         }
@@ -143,8 +173,7 @@
             return Some(known.version.clone());
         }
         let versions = self.services.get(service)?;
-        let is_current = now.since(versions.confirmed) <= CURRENT_AGE;
-        versions.settled(now).filter(|_| is_current).cloned()
+        versions.settled(now).filter(|_| versions.is_current(now)).cloned()
     }
 
     /// What this host answers when another one asks for the version of a stream.
@@ -154,7 +183,7 @@
             return StreamAnswer::Registered(known.version.clone());
         }
         match self.services.get(service) {
-            Some(versions) if versions.listed.len() > 1 => StreamAnswer::Mixed,
+            Some(versions) if versions.is_mixed(now) => StreamAnswer::Mixed,
             Some(versions) => {
                 versions.settled(now).cloned().map_or(StreamAnswer::Unknown, StreamAnswer::Settled)
             }
@@ -164,10 +193,12 @@
 
     /// Concludes the version of a stream from the answers of other hosts.
     ///
-    /// A record decides. Without one, all that know the service must agree on its only version.
+    /// A record decides. Without one, no host may know of another version than the only one listed
+    /// here, and another host or a current list must tell that it has been the only one for long.
     #[must_use]
     pub fn conclude(
         &self,
+        now: Time,
         service: &ServiceId,
         answers: &[StreamAnswer],
     ) -> Option<SoftwareVersion> {
@@ -175,15 +206,16 @@
         if registered.is_some() {
             return registered.cloned();
         }
-        let own = self.services.get(service).filter(|versions| versions.listed.len() == 1);
-        let own = own.and_then(|versions| versions.listed.first())?;
+        let versions = self.services.get(service)?;
+        let own = versions.listed.first().filter(|_| !versions.is_mixed(now))?;
         let settled = answers.iter().any(|answer| *answer == StreamAnswer::Settled(own.clone()));
+        let assumed = versions.is_current(now) && versions.assumed(now).is_some();
         let differs = answers.iter().any(|answer| match answer {
             StreamAnswer::Mixed => true,
             StreamAnswer::Settled(version) => version != own,
             StreamAnswer::Registered(_) | StreamAnswer::Unknown => false,
         });
-        (settled && !differs).then(|| own.clone())
+        ((settled || assumed) && !differs).then(|| own.clone())
     }
 
     fn settled(&self, now: Time, service: &ServiceId) -> Option<&SoftwareVersion> {
--- a/crates/oleander-relay/tests/streams.rs
+++ b/crates/oleander-relay/tests/streams.rs
@@ -33,6 +33,14 @@
     register
 }
 
+/// A host that has followed a service of one version for long, and still does at [`START`].
+fn settled_host(only: &str) -> StreamRegister {
+    let mut register = StreamRegister::default();
+    register.set_listed(Time(START.0 - LONG.0), &service(), versions(&[only]), LONG);
+    register.confirm(START);
+    register
+}
+
 fn begin(host: &mut StreamRegister, now: Time, number: u32, text: &str) {
     host.begin(now, &service(), stream(number), &version(text), now + Span::from_secs(5));
 }
@@ -62,7 +70,7 @@
 
 #[test]
 fn a_service_of_one_version_needs_no_record() {
-    let mut settled = host(&["v1"], LONG);
+    let mut settled = settled_host("v1");
     assert_eq!(lookup(&settled, START, 1), Some(version("v1")));
     begin(&mut settled, START, 1, "v1");
     assert!(settled.take_announcements().is_empty());
@@ -70,8 +78,9 @@
 
 #[test]
 fn streams_begun_before_a_second_version_are_announced_when_it_comes() {
-    let mut first = host(&["v1"], LONG);
+    let mut first = settled_host("v1");
     begin(&mut first, START, 1, "v1");
+    assert!(first.take_announcements().is_empty());
     first.set_listed(START + SECOND, &service(), versions(&["v1", "v2"]), SECOND);
     let mut second = host(&["v1", "v2"], LONG);
     second.merge(START + SECOND, first.take_announcements());
@@ -98,7 +107,7 @@
     let later = START + Span::from_secs(3);
     assert_eq!(lookup(&host, later, 1), None);
     let settled = StreamAnswer::Settled(version("v1"));
-    let conclude = |answers: &[StreamAnswer]| host.conclude(&service(), answers);
+    let conclude = |answers: &[StreamAnswer]| host.conclude(later, &service(), answers);
     assert_eq!(conclude(&[StreamAnswer::Unknown, settled.clone()]), Some(version("v1")));
     assert_eq!(conclude(&[settled.clone(), StreamAnswer::Mixed]), None);
     assert_eq!(conclude(&[settled, StreamAnswer::Settled(version("v2"))]), None);
@@ -130,5 +139,25 @@
     assert_eq!(lookup(&restarted, now, 1), None, "others have to be asked");
     let answers =
         [other.answer(now, &service(), stream(1)), running.answer(now, &service(), stream(1))];
-    assert_eq!(restarted.conclude(&service(), &answers), None, "{answers:?}");
+    assert_eq!(restarted.conclude(now, &service(), &answers), None, "{answers:?}");
+}
+
+/// Guards against refusing all that callers resume after a restart of every host.
+#[test]
+fn restarted_hosts_of_a_service_with_old_targets_go_on_with_its_streams() {
+    let restarted = host(&["v1"], LONG);
+    let answers = [host(&["v1"], LONG).answer(START, &service(), stream(1))];
+    assert_eq!(restarted.conclude(START, &service(), &answers), Some(version("v1")));
+}
+
+/// Guards against taking a service for one of two versions when its only one was away for a moment.
+#[test]
+fn a_version_that_comes_back_alone_is_not_mixed_with_itself() {
+    let mut host = settled_host("v1");
+    host.set_listed(START, &service(), versions(&[]), Span::ZERO);
+    host.set_listed(START + SECOND, &service(), versions(&["v1"]), Span::ZERO);
+    let now = START + SECOND * 2;
+    assert_eq!(host.answer(now, &service(), stream(1)), StreamAnswer::Unknown);
+    host.set_listed(now, &service(), versions(&["v2"]), Span::ZERO);
+    assert_eq!(host.answer(now, &service(), stream(1)), StreamAnswer::Mixed);
 }
