Don't report a request as not run that ran at a second target beside the first

What callers saw: 503 with Retry-After, which promises that the request has not run, though a target had run it.

Cause: while a target is silent the request is sent to another one. If that one fails, breaks off or is cancelled, and the silent one then states that it has not run the request, `RetryState::end` restored the state of before the attempt, without the second target.

Evidence: a test of tests/retry.rs, red before: NotRun instead of ResponseLost for a second target that answered 500.

Now: a second target that may have run the request counts until the end. Only requests that may be sent again have one.

Measured: cargo test of oleander-relay passes.

--- a/crates/oleander-relay/src/retry.rs
+++ b/crates/oleander-relay/src/retry.rs
@@ -47,6 +47,8 @@
     sent: u32,
     connect_failures: u32,
     may_have_run: bool,
+    /// Whether a target that has not taken over may have run it.
+    rejected_may_have_run: bool,
     failed: Vec<TargetId>,
 }
 
@@ -60,6 +62,7 @@
             sent: 0,
             connect_failures: 0,
             may_have_run: false,
+            rejected_may_have_run: false,
             failed: Vec::new(),
         }
     }
@@ -106,7 +109,7 @@
             AttemptOutcome::Complete => NextStep::Done,
             AttemptOutcome::Cancelled => NextStep::Cancelled,
             AttemptOutcome::NotSent(_) => {
-                self.may_have_run = ran_before;
+                self.may_have_run = ran_before || self.rejected_may_have_run;
                 self.connect_failures += 1;
                 if self.connect_failures < MAX_CONNECT_FAILURES {
                     NextStep::Retry
@@ -116,7 +119,7 @@
             }
             AttemptOutcome::NotRun(_) => {
                 self.sent += 1;
-                self.may_have_run = ran_before;
+                self.may_have_run = ran_before || self.rejected_may_have_run;
                 if self.sent < self.max_attempts {
                     NextStep::Retry
                 } else {
@@ -147,8 +150,13 @@
     /// Records a target that got the request beside another one, and has not taken over.
     pub fn record_rejected(&mut self, target: &TargetId, outcome: &AttemptOutcome) {
         self.failed.push(target.clone());
-        if !matches!(outcome, AttemptOutcome::NotSent(_)) {
-            self.sent += 1;
+        match outcome {
+            AttemptOutcome::NotSent(_) => {}
+            AttemptOutcome::NotRun(_) => self.sent += 1,
+            _ => {
+                self.sent += 1;
+                self.rejected_may_have_run = true;
+            }
         }
     }
 
--- a/crates/oleander-relay/tests/retry.rs
+++ b/crates/oleander-relay/tests/retry.rs
@@ -83,6 +83,23 @@
     assert_eq!(refusal_reason(&step), Some(RefusalReason::ResponseLost));
 }
 
+#[test]
+fn a_request_that_ran_at_another_target_beside_is_not_reported_as_not_run() {
+    let failed = AttemptOutcome::Failed(head(StatusCode::INTERNAL_SERVER_ERROR), Bytes::new());
+    for (beside, reason) in [
+        (failed, RefusalReason::ResponseLost),
+        (interrupted(false), RefusalReason::ResponseLost),
+        (AttemptOutcome::Cancelled, RefusalReason::ResponseLost),
+        (not_run(), RefusalReason::NotRun),
+    ] {
+        let mut state = RetryState::new(&route(RetryPolicy::Resume, 2));
+        state.begin();
+        state.record_rejected(&target(2), &beside);
+        let step = state.end(&target(1), false, not_run());
+        assert_eq!(refusal_reason(&step), Some(reason), "{beside}");
+    }
+}
+
 #[test]
 fn a_failed_connection_does_not_count_as_an_attempt() {
     let outcomes = vec![
