Don't cancel the request at a second target for a late refusal of the first

What callers saw: 502 or, for a stream in progress, an abort, though a second target was about to take the request over.

Cause: the head of any response counted as progress, that of a refusal or error too. While its end was read, or the connection returned to the pool, the request was cancelled at the second target; the attempt then ended as refused with no attempts left.

Now: only the head of a success is progress.

--- a/crates/oleander-relay/src/attempt.rs
+++ b/crates/oleander-relay/src/attempt.rs
@@ -159,7 +159,10 @@
             return AttemptOutcome::Interrupted { reason, head_sent: attempt.head_sent };
         }
     };
-    progress.record_head(Instant::now());
+    // The head of a refusal or error is no progress: another target may be about to take over.
+    if response.is_success() {
+        progress.record_head(Instant::now());
+    }
     if let Some(load) = &response.load {
         lease.update_load(load.clone());
     }
@@ -203,8 +206,9 @@
     progress: &Progress,
     sink: &mut S,
 ) -> AttemptOutcome {
+    let is_success = response.is_success();
     let TargetResponse { head, not_run, mut body, .. } = response;
-    if not_run || !head.status.is_success() {
+    if !is_success {
         let content = tokio::select! {
             content = with_limit(ERROR_BODY_TIMEOUT, collect(&mut body, MAX_ERROR_BYTES)) => {
                 content.unwrap_or_else(|| Err("error body not read in time".to_owned()))
--- a/crates/oleander-relay/src/sending.rs
+++ b/crates/oleander-relay/src/sending.rs
@@ -36,7 +36,7 @@
     /// Reads the first chunk of a successful response.
     async fn read_first(response: TargetResponse<B>) -> SendResult<B> {
         let mut response = Self::unread(response);
-        if response.not_run || !response.head.status.is_success() {
+        if !response.is_success() {
             return Ok(response);
         }
         let first = response.body.body.next_chunk().await.transpose();
@@ -71,8 +71,7 @@
     pub(crate) async fn accepted(&mut self) -> bool {
         let result = self.wait().await;
         self.result = Some(result);
-        matches!(&self.result, Some(Ok(response))
-            if !response.not_run && response.head.status.is_success())
+        matches!(&self.result, Some(Ok(response)) if response.is_success())
     }
 
     /// Waits for the response.
--- a/crates/oleander-relay/src/transport.rs
+++ b/crates/oleander-relay/src/transport.rs
@@ -37,6 +37,14 @@
     pub body: B,
 }
 
+impl<B> TargetResponse<B> {
+    /// Whether the target runs the request and responds with its result.
+    #[must_use]
+    pub fn is_success(&self) -> bool {
+        !self.not_run && self.head.status.is_success()
+    }
+}
+
 /// Why there is no response.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum SendError {
--- a/crates/oleander-relay/tests/silence.rs
+++ b/crates/oleander-relay/tests/silence.rs
@@ -27,8 +27,8 @@
 use tokio::{io::AsyncReadExt, net::TcpStream};
 
 use crate::support::{
-    Caller, FIRST, Forwarded, SECOND, Step, forward_to, pools, pools_of, request, route, service,
-    target,
+    Caller, FIRST, Forwarded, Part, SECOND, Step, forward_to, pools, pools_of, request, route,
+    service, target,
 };
 
 /// How long a sound target is silent.
@@ -83,6 +83,18 @@
     }
 }
 
+/// The head of a refusal arrives before its end.
+#[tokio::test]
+async fn a_late_refusal_does_not_cancel_the_request_at_another_target() {
+    let mut refusal = Step::not_run().delayed(Duration::from_millis(500));
+    refusal.body = vec![Part::Silence(Duration::from_millis(20))];
+    let second = Step::complete(&[FIRST, SECOND]).delayed(Duration::from_millis(150));
+    for policy in [RetryPolicy::Resume, RetryPolicy::Always] {
+        let steps = vec![refusal.clone(), second.clone()];
+        assert_complete(&forward_to(pools(2), route(policy, 2), steps).await);
+    }
+}
+
 #[tokio::test]
 async fn a_stream_of_a_target_that_stays_silent_continues_at_another_one() {
     let steps = vec![Step::silent(&[FIRST]), Step::complete(&[SECOND])];
