Don't end a response as complete when its task has panicked

What callers saw: nothing known; found by reading every exit of a request.

Cause: `ResponseChunks`, then a bare receiver, could not tell a finished response from a dropped sender.

Now: a response is complete only if its sink was finished; a sender dropped without that closes the connection inside the body.

--- a/crates/oleander-relay/src/lib.rs
+++ b/crates/oleander-relay/src/lib.rs
@@ -33,7 +33,9 @@
 pub use request::{Request, ResponseHead};
 pub use retry::{NextStep, RetryState};
 pub use route::{RetryPolicy, Route, RouteError, RouteKind, TrafficShare};
-pub use sink::{ChannelSink, Refusal, RefusalReason, ResponseSink, SinkClosed, response_channel};
+pub use sink::{
+    ChannelSink, Refusal, RefusalReason, ResponseChunks, ResponseSink, SinkClosed, response_channel,
+};
 pub use table::RouteTable;
 pub use target_list::{TargetEntry, TargetList};
 pub use transport::{
--- a/crates/oleander-relay/src/sink.rs
+++ b/crates/oleander-relay/src/sink.rs
@@ -1,6 +1,13 @@
 //! Destination of a response.
 
-use std::fmt;
+use std::{
+    fmt,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    task::{Context, Poll},
+};
 
 use bytes::Bytes;
 use oleander_core::Span;
@@ -76,24 +83,48 @@
 pub struct ChannelSink {
     head: Option<oneshot::Sender<Result<ResponseHead, Refusal>>>,
     chunks: mpsc::Sender<Result<Bytes, SinkClosed>>,
+    finished: Arc<AtomicBool>,
+}
+
+/// The body of a response that another task sends.
+#[derive(Debug)]
+pub struct ResponseChunks {
+    chunks: mpsc::Receiver<Result<Bytes, SinkClosed>>,
+    finished: Arc<AtomicBool>,
 }
 
 /// Creates a sink, the receiver of its head and the receiver of its body.
 ///
-/// The body ends with an error if the response was aborted.
+/// The body ends with an error unless the response was finished.
 #[must_use]
-#[allow(clippy::type_complexity)]
-pub fn response_channel() -> (
-    ChannelSink,
-    oneshot::Receiver<Result<ResponseHead, Refusal>>,
-    mpsc::Receiver<Result<Bytes, SinkClosed>>,
-) {
+pub fn response_channel()
+-> (ChannelSink, oneshot::Receiver<Result<ResponseHead, Refusal>>, ResponseChunks) {
     let (head, head_receiver) = oneshot::channel();
     let (chunks, receiver) = mpsc::channel(MAX_QUEUED_CHUNKS);
-    (ChannelSink { head: Some(head), chunks }, head_receiver, receiver)
+    let finished = Arc::new(AtomicBool::new(false));
+    let sink = ChannelSink { head: Some(head), chunks, finished: Arc::clone(&finished) };
+    (sink, head_receiver, ResponseChunks { chunks: receiver, finished })
+}
+
+impl ResponseChunks {
+    /// Polls the next chunk; `None` after a complete body.
+    pub fn poll_recv(
+        &mut self,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Bytes, SinkClosed>>> {
+        self.chunks.poll_recv(context).map(|chunk| match chunk {
+            None if !self.finished.load(Ordering::Acquire) => Some(Err(SinkClosed)),
+            chunk => chunk,
+        })
+    }
 }
 
 impl ChannelSink {
+    /// Ends a complete response.
+    pub fn finish(self) {
+        self.finished.store(true, Ordering::Release);
+    }
+
     /// Ends the response with a refusal, or aborts it if its head has been sent already.
     pub async fn refuse(mut self, refusal: Refusal) {
         match self.head.take() {
