Apply the limits of a configuration only with its routes

What callers saw: nothing known; found by reading every exit of a request. An older configuration, as read through another host, left the routes as they were but put its limits on bodies and idle connections in force again: a proper request could be answered 413.

Cause: the limits were written while the object was parsed, before the version was compared.

Now: `follow_routes` hands on the other settings only once their routes are in force.

--- a/crates/oleander-relay/src/follow.rs
+++ b/crates/oleander-relay/src/follow.rs
@@ -129,17 +129,20 @@
 
 /// Applies each newer configuration of the object `key` below `prefix`; never returns.
 ///
-/// `parse` receives the body of the object, and may apply settings that are not routes itself.
-pub async fn follow_routes<S, T, R>(
+/// `parse` decodes the body of the object into routes and other settings; `apply` receives the
+/// latter once their routes are in force, so that an older configuration changes neither.
+pub async fn follow_routes<S, T, R, O, A>(
     store: S,
     prefix: &str,
     key: &str,
     parse: R,
+    apply: A,
     relay: Arc<Relay<T>>,
 ) where
     S: ObjectStore,
     T: TargetTransport,
-    R: Fn(&[u8]) -> Result<RouteTable, String>,
+    R: Fn(&[u8]) -> Result<(RouteTable, O), String>,
+    A: Fn(O),
 {
     let mut follow = Follower::new(store, prefix, SHORT_WAIT);
     loop {
@@ -156,9 +159,12 @@
         };
         for (_, object) in objects.into_iter().filter(|(name, _)| name == key) {
             match parse(&object.body) {
-                Ok(table) => {
+                Ok((table, other)) => {
                     let version = table.version;
                     let applied = relay.set_table(table);
+                    if applied {
+                        apply(other);
+                    }
                     log::info!(version, revision = object.revision.0, applied;
                         "configuration read");
                 }
