--- a/crates/oleander-relay/src/attempt.rs
+++ b/crates/oleander-relay/src/attempt.rs
@@ -202,8 +202,9 @@
     progress: &Progress,
     sink: &mut S,
 ) -> AttemptOutcome {
+    let is_success = response.is_success();
     let TargetResponse { head, not_run, mut body, .. } = response;
-    if not_run || !head.status.is_success() {
+    if !is_success {
         let content = tokio::select! {
             content = with_limit(ERROR_BODY_TIMEOUT, collect(&mut body, MAX_ERROR_BYTES)) => {
                 content.unwrap_or_else(|| Err("error body not read in time".to_owned()))
