Keep the pools of the entry and the batch process in one type

Cause: the table of pools, the settings of a pool's router, the reading of the targets' loads and the marking of leaving targets stood twice, in oleander-entry and in oleander-batch.

Now: oleander-node has Pools, generic over the trait ServicePool, and both processes use it. The entry serves all services and sets the queue limit, the batch process serves engines only, as before. No decision changes.

Measured: cargo clippy of the three crates clean; cargo test of oleander-node, oleander-batch and oleander-entry: 13 passed (all in oleander-batch, the other two have no tests of their own). The entry runs in tests of oleander-check, on binaries of this tree: online 12 passed, leaving 3 passed, config 5 passed.

--- a/crates/oleander-batch/src/app.rs
+++ b/crates/oleander-batch/src/app.rs
@@ -16,14 +16,14 @@
 use oleander_intake::JobStore;
 use oleander_jobs::TargetHealth;
 use oleander_link::{Link, LinkError};
-use oleander_node::{LocalDocument, routing_policy};
+use oleander_node::{LocalDocument, Pools, routing_policy};
 use oleander_peer::{Contact, PeerRequest, PeerResponse, Status};
 use oleander_platform::HttpPlatform;
 use oleander_target::{TargetClient, Timeouts};
 use parking_lot::Mutex;
 use tokio::sync::Notify;
 
-use crate::{jobs::Jobs, lots::Lots, peers::Peers, pool::Pools, runs::Runs};
+use crate::{jobs::Jobs, lots::Lots, peers::Peers, pool::Pool, runs::Runs};
 
 /// Maximum time from the request to the first token of an item.
 const FIRST_TOKEN_TIMEOUT: Duration = Duration::from_secs(10);
@@ -39,7 +39,7 @@
     pub(crate) timeline: Arc<Timeline>,
     pub(crate) document: LocalDocument,
     pub(crate) peers: Mutex<Peers>,
-    pub(crate) pools: Pools,
+    pub(crate) pools: Pools<Pool>,
     pub(crate) jobs: Mutex<Jobs>,
     pub(crate) lots: Mutex<Lots>,
     pub(crate) runs: Mutex<Runs>,
--- a/crates/oleander-batch/src/background.rs
+++ b/crates/oleander-batch/src/background.rs
@@ -7,7 +7,6 @@
 use oleander_node::DOCUMENT_KEY;
 use oleander_peer::{PeerRequest, PeerResponse, Status};
 use oleander_platform::{HostListing, HostState, ObjectStore as _, Platform as _, Role};
-use oleander_routing::LoadReport;
 
 use crate::{app::App, peers};
 
@@ -95,32 +94,12 @@
     let names: Vec<HostId> = names.filter(|name| !peers.is_draining(name)).collect();
     drop(peers);
     app.jobs.lock().set_hosts(clock::now(), names);
-    for pool in app.pools.all() {
-        for host in view.hosts.iter().filter(|host| host.role == Role::Target) {
-            if let Ok(target) = host.name.parse() {
-                pool.set_leaving(&target, host.state == HostState::Leaving);
-            }
-        }
-    }
+    app.pools.update_leaving(view);
 }
 
 async fn poll_loads(app: Arc<App>) {
     loop {
-        for pool in app.pools.all() {
-            for (target, address) in pool.addresses() {
-                let (app, pool) = (Arc::clone(&app), Arc::clone(&pool));
-                tokio::spawn(async move {
-                    if let Ok(load) = app.targets.read_load(&address).await {
-                        let report = LoadReport {
-                            running: load.running,
-                            waiting: load.waiting,
-                            measured_at: load.measured_at_us,
-                        };
-                        pool.update_load(&target, report);
-                    }
-                });
-            }
-        }
+        app.pools.read_loads(&app.targets);
         app.health.lock().expire(clock::now());
         tokio::time::sleep(LOAD_POLL_INTERVAL).await;
     }
--- a/crates/oleander-batch/src/jobs.rs
+++ b/crates/oleander-batch/src/jobs.rs
@@ -15,6 +15,7 @@
     Counts, FileRecord, JobRecord, JobState, Lot, LotConfig, LotEnd, LotEvent, LotPlan,
     LotScheduler, ScheduledJob, key,
 };
+use oleander_node::ServicePool;
 use oleander_peer::PeerRequest;
 use parking_lot::Mutex;
 use tokio::{sync::mpsc, time};
--- a/crates/oleander-batch/src/pool.rs
+++ b/crates/oleander-batch/src/pool.rs
@@ -1,14 +1,14 @@
 //! The targets of one service and the router that selects among them.
 
-use std::{collections::HashMap, sync::Arc};
+use std::collections::HashMap;
 
-use oleander_core::{HostId, ServiceId, TargetId, Time, ZoneId};
-use oleander_document::{BatchLimits, Document, Service, ServiceKind};
+use oleander_core::{HostId, TargetId, Time};
+use oleander_document::{BatchLimits, Service, ServiceKind};
 use oleander_host::clock;
-use oleander_node::{peer_counts, router_targets, target_counts};
+use oleander_node::{ServicePool, peer_counts, router_targets, target_addresses, target_counts};
 use oleander_peer::TargetCount;
 use oleander_routing::{
-    BatchExcess, Decision, LeaseId, LoadReport, Observation, Pick, Policy, Router, RouterConfig,
+    BatchExcess, Decision, LeaseId, LoadReport, Observation, Pick, Router, RouterConfig,
     TargetState, TargetStatus,
 };
 use parking_lot::{Mutex, RwLock};
@@ -38,13 +38,12 @@
     pub(crate) id: LeaseId,
 }
 
-impl Pool {
-    fn new(service: &Service, host: &HostId, zone: &ZoneId, policy: Policy, seed: u64) -> Self {
-        let limits = &service.online;
-        let config = RouterConfig::new(host.clone(), zone.clone())
-            .policy(policy)
-            .first_token(limits.first_token)
-            .between_tokens(limits.between_tokens);
+impl ServicePool for Pool {
+    fn serves(service: &Service) -> bool {
+        matches!(service.kind, ServiceKind::Engine { .. })
+    }
+
+    fn new(service: &Service, config: RouterConfig, seed: u64) -> Self {
         let router = Mutex::new(Router::new(config, seed));
         let pool = Self { router, service: RwLock::new(ServiceConfig::from(service)) };
         pool.set_service(service);
@@ -56,17 +55,26 @@
         *self.service.write() = ServiceConfig::from(service);
     }
 
+    fn addresses(&self) -> Vec<(TargetId, String)> {
+        let service = self.service.read();
+        service.addresses.iter().map(|(name, address)| (name.clone(), address.clone())).collect()
+    }
+
+    fn update_load(&self, target: &TargetId, load: LoadReport) {
+        self.router.lock().update_load(clock::now(), target, load);
+    }
+
+    fn set_leaving(&self, target: &TargetId, leaving: bool) {
+        self.router.lock().set_leaving(target, leaving);
+    }
+}
+
+impl Pool {
     /// Limits of batch items.
     pub(crate) fn limits(&self) -> BatchLimits {
         self.service.read().batch.clone()
     }
 
-    /// Names and addresses of the targets.
-    pub(crate) fn addresses(&self) -> Vec<(TargetId, String)> {
-        let service = self.service.read();
-        service.addresses.iter().map(|(name, address)| (name.clone(), address.clone())).collect()
-    }
-
     /// Selects a target; `None` if none has free capacity now.
     pub(crate) fn pick(&self, now: Time, pick: &Pick) -> Option<TargetLease> {
         let Decision::Send { target, lease, .. } = self.router.lock().pick(now, pick) else {
@@ -84,16 +92,6 @@
         self.router.lock().observe(clock::now(), lease, observation);
     }
 
-    /// Passes a target's load report to the router.
-    pub(crate) fn update_load(&self, target: &TargetId, load: LoadReport) {
-        self.router.lock().update_load(clock::now(), target, load);
-    }
-
-    /// Marks a target as leaving or not.
-    pub(crate) fn set_leaving(&self, target: &TargetId, leaving: bool) {
-        self.router.lock().set_leaving(target, leaving);
-    }
-
     /// Passes a peer's in-flight counts to the router.
     pub(crate) fn update_peer(&self, peer: &HostId, counts: &[TargetCount], sent_at: Time) {
         self.router.lock().update_peer(clock::now(), peer, peer_counts(counts), sent_at);
@@ -123,49 +121,6 @@
 
 impl From<&Service> for ServiceConfig {
     fn from(service: &Service) -> Self {
-        let targets = service.targets.iter();
-        let addresses = targets.map(|target| (target.name.clone(), target.address.clone()));
-        Self { addresses: addresses.collect(), batch: service.batch.clone() }
-    }
-}
-
-/// The pools of all engine services.
-pub(crate) struct Pools {
-    host: HostId,
-    zone: ZoneId,
-    policy: Policy,
-    seed: u64,
-    pools: RwLock<HashMap<ServiceId, Arc<Pool>>>,
-}
-
-impl Pools {
-    /// No pools yet.
-    pub(crate) fn new(host: HostId, zone: ZoneId, policy: Policy, seed: u64) -> Self {
-        Self { host, zone, policy, seed, pools: RwLock::default() }
-    }
-
-    /// Applies a document; the pools of services that it still declares keep their state.
-    pub(crate) fn set_document(&self, document: &Document) {
-        let mut pools = self.pools.write();
-        pools.retain(|name, _| document.service(name.as_str()).is_some());
-        let engines = document.services.iter();
-        for service in engines.filter(|s| matches!(s.kind, ServiceKind::Engine { .. })) {
-            if let Some(pool) = pools.get(&service.name) {
-                pool.set_service(service);
-                continue;
-            }
-            let pool = Pool::new(service, &self.host, &self.zone, self.policy, self.seed);
-            pools.insert(service.name.clone(), Arc::new(pool));
-        }
-    }
-
-    /// The pool of a service.
-    pub(crate) fn get(&self, service: &ServiceId) -> Option<Arc<Pool>> {
-        self.pools.read().get(service).cloned()
-    }
-
-    /// All pools.
-    pub(crate) fn all(&self) -> Vec<Arc<Pool>> {
-        self.pools.read().values().cloned().collect()
+        Self { addresses: target_addresses(service), batch: service.batch.clone() }
     }
 }
--- a/crates/oleander-entry/src/app.rs
+++ b/crates/oleander-entry/src/app.rs
@@ -16,7 +16,7 @@
 use oleander_intake::JobStore;
 use oleander_ledger::{CallRecord, ShardReply};
 use oleander_link::{Link, LinkError};
-use oleander_node::{LocalDocument, routing_policy};
+use oleander_node::{LocalDocument, Pools, routing_policy};
 use oleander_peer::{Contact, PeerRequest, PeerResponse, ShardRequest, Status};
 use oleander_platform::HttpPlatform;
 use oleander_routing::WorkspaceLimiter;
@@ -27,7 +27,7 @@
 use crate::{
     active_run::ActiveRuns,
     hosts::Hosts,
-    pool::Pools,
+    pool::Pool,
     shards::{ShardPeers, Shards, shard_config},
 };
 
@@ -94,7 +94,7 @@
     pub(crate) timeline: Arc<Timeline>,
     pub(crate) document: LocalDocument,
     pub(crate) hosts: Arc<Mutex<Hosts>>,
-    pub(crate) pools: Pools,
+    pub(crate) pools: Pools<Pool>,
     pub(crate) runs: ActiveRuns,
     pub(crate) shards: Shards<HttpPlatform, LinkPeers>,
     pub(crate) shutdown: Shutdown,
--- a/crates/oleander-entry/src/background.rs
+++ b/crates/oleander-entry/src/background.rs
@@ -7,8 +7,7 @@
 use oleander_host::clock;
 use oleander_node::DOCUMENT_KEY;
 use oleander_peer::{PeerRequest, PeerResponse, Status};
-use oleander_platform::{HostState, ObjectStore as _, Platform as _, Role};
-use oleander_routing::LoadReport;
+use oleander_platform::{ObjectStore as _, Platform as _, Role};
 use tokio::sync::mpsc;
 
 use crate::app::App;
@@ -128,13 +127,7 @@
                 let peers = view.hosts.iter().filter(|host| host.role != Role::Target);
                 let links = peers.map(|host| host.address.clone()).collect();
                 app.hosts.lock().set_listed(links);
-                for pool in app.pools.all() {
-                    for host in view.hosts.iter().filter(|host| host.role == Role::Target) {
-                        if let Ok(target) = host.name.parse() {
-                            pool.set_leaving(&target, host.state == HostState::Leaving);
-                        }
-                    }
-                }
+                app.pools.update_leaving(&view);
             }
             Err(error) => log::debug!("reading the list of hosts failed: {error}"),
         }
@@ -144,21 +137,7 @@
 
 async fn poll_loads(app: Arc<App>) {
     loop {
-        for pool in app.pools.all() {
-            for (target, address) in pool.addresses() {
-                let (app, pool) = (Arc::clone(&app), Arc::clone(&pool));
-                tokio::spawn(async move {
-                    if let Ok(load) = app.targets.read_load(&address).await {
-                        let report = LoadReport {
-                            running: load.running,
-                            waiting: load.waiting,
-                            measured_at: load.measured_at_us,
-                        };
-                        pool.update_load(&target, report);
-                    }
-                });
-            }
-        }
+        app.pools.read_loads(&app.targets);
         tokio::time::sleep(LOAD_POLL_INTERVAL).await;
     }
 }
--- a/crates/oleander-entry/src/pool.rs
+++ b/crates/oleander-entry/src/pool.rs
@@ -2,13 +2,13 @@
 
 use std::{collections::HashMap, sync::Arc};
 
-use oleander_core::{HostId, ServiceId, Span, TargetId, Time, ZoneId};
-use oleander_document::{Document, OnlineLimits, Service};
+use oleander_core::{HostId, Span, TargetId, Time};
+use oleander_document::{OnlineLimits, Service};
 use oleander_host::clock;
-use oleander_node::{peer_counts, router_targets, target_counts};
+use oleander_node::{ServicePool, peer_counts, router_targets, target_addresses, target_counts};
 use oleander_peer::TargetCount;
 use oleander_routing::{
-    Decision, LeaseId, LoadReport, Observation, Pick, Policy, RetryBudget, Router, RouterConfig,
+    Decision, LeaseId, LoadReport, Observation, Pick, RetryBudget, Router, RouterConfig,
     TargetStatus, TicketId,
 };
 use parking_lot::{Mutex, RwLock};
@@ -45,19 +45,18 @@
     pub(crate) yields: u32,
 }
 
-impl Pool {
-    fn new(service: &Service, host: &HostId, zone: &ZoneId, policy: Policy, seed: u64) -> Self {
-        let limits = &service.online;
-        let config = RouterConfig::new(host.clone(), zone.clone())
-            .policy(policy)
-            .first_token(limits.first_token)
-            .between_tokens(limits.between_tokens)
-            .queue_limit(limits.queue_limit);
+impl ServicePool for Pool {
+    fn serves(_: &Service) -> bool {
+        true
+    }
+
+    fn new(service: &Service, config: RouterConfig, seed: u64) -> Self {
+        let config = config.queue_limit(service.online.queue_limit);
         let pool = Self {
             router: Mutex::new(Router::new(config, seed)),
             retries: Mutex::new(RetryBudget::new()),
             changed: Notify::new(),
-            service: RwLock::new(service_config(service)),
+            service: RwLock::new(ServiceConfig::from(service)),
         };
         pool.set_service(service);
         pool
@@ -65,21 +64,31 @@
 
     fn set_service(&self, service: &Service) {
         self.router.lock().set_targets(router_targets(service));
-        *self.service.write() = service_config(service);
+        *self.service.write() = ServiceConfig::from(service);
+        self.changed.notify_waiters();
+    }
+
+    fn addresses(&self) -> Vec<(TargetId, String)> {
+        let service = self.service.read();
+        service.addresses.iter().map(|(name, address)| (name.clone(), address.clone())).collect()
+    }
+
+    fn update_load(&self, target: &TargetId, load: LoadReport) {
+        self.router.lock().update_load(clock::now(), target, load);
         self.changed.notify_waiters();
     }
 
+    fn set_leaving(&self, target: &TargetId, leaving: bool) {
+        self.router.lock().set_leaving(target, leaving);
+    }
+}
+
+impl Pool {
     /// Time allowed for a call without a deadline of its own.
     pub(crate) fn default_deadline(&self) -> Span {
         self.service.read().limits.deadline
     }
 
-    /// Names and addresses of the targets.
-    pub(crate) fn addresses(&self) -> Vec<(TargetId, String)> {
-        let service = self.service.read();
-        service.addresses.iter().map(|(name, address)| (name.clone(), address.clone())).collect()
-    }
-
     /// A new ticket for a request in the router's queue.
     pub(crate) fn ticket(&self) -> TicketId {
         self.router.lock().ticket()
@@ -154,12 +163,6 @@
         self.changed.notify_waiters();
     }
 
-    /// Passes a target's load report to the router.
-    pub(crate) fn update_load(&self, target: &TargetId, load: LoadReport) {
-        self.router.lock().update_load(clock::now(), target, load);
-        self.changed.notify_waiters();
-    }
-
     /// Passes a peer's in-flight counts to the router.
     pub(crate) fn update_peer(&self, host: &HostId, counts: &[TargetCount], sent_at: Time) {
         let mut counts = peer_counts(counts);
@@ -168,11 +171,6 @@
         self.changed.notify_waiters();
     }
 
-    /// Marks a target as leaving or not.
-    pub(crate) fn set_leaving(&self, target: &TargetId, leaving: bool) {
-        self.router.lock().set_leaving(target, leaving);
-    }
-
     /// In-flight requests of this host by target.
     pub(crate) fn counts(&self) -> Vec<TargetCount> {
         target_counts(self.router.lock().counts())
@@ -184,10 +182,10 @@
     }
 }
 
-fn service_config(service: &Service) -> ServiceConfig {
-    let targets = service.targets.iter();
-    let addresses = targets.map(|target| (target.name.clone(), target.address.clone()));
-    ServiceConfig { addresses: addresses.collect(), limits: service.online.clone() }
+impl From<&Service> for ServiceConfig {
+    fn from(service: &Service) -> Self {
+        Self { addresses: target_addresses(service), limits: service.online.clone() }
+    }
 }
 
 impl TargetLease {
@@ -206,43 +204,3 @@
         self.observe(Observation::Cancelled);
     }
 }
-
-/// The pools of all services.
-pub(crate) struct Pools {
-    host: HostId,
-    zone: ZoneId,
-    policy: Policy,
-    seed: u64,
-    pools: RwLock<HashMap<ServiceId, Arc<Pool>>>,
-}
-
-impl Pools {
-    /// No pools yet.
-    pub(crate) fn new(host: HostId, zone: ZoneId, policy: Policy, seed: u64) -> Self {
-        Self { host, zone, policy, seed, pools: RwLock::default() }
-    }
-
-    /// Applies a document; the pools of services that it still declares keep their state.
-    pub(crate) fn set_document(&self, document: &Document) {
-        let mut pools = self.pools.write();
-        pools.retain(|name, _| document.service(name.as_str()).is_some());
-        for service in &document.services {
-            if let Some(pool) = pools.get(&service.name) {
-                pool.set_service(service);
-                continue;
-            }
-            let pool = Pool::new(service, &self.host, &self.zone, self.policy, self.seed);
-            pools.insert(service.name.clone(), Arc::new(pool));
-        }
-    }
-
-    /// The pool of a service.
-    pub(crate) fn get(&self, service: &ServiceId) -> Option<Arc<Pool>> {
-        self.pools.read().get(service).cloned()
-    }
-
-    /// All pools.
-    pub(crate) fn all(&self) -> Vec<Arc<Pool>> {
-        self.pools.read().values().cloned().collect()
-    }
-}
--- a/crates/oleander-node/src/convert.rs
+++ b/crates/oleander-node/src/convert.rs
@@ -1,5 +1,8 @@
 //! Conversions between the router's types and those of peers, operators and the document.
 
+use std::collections::HashMap;
+
+use oleander_core::TargetId;
 use oleander_document::Service;
 use oleander_host::TargetStatus;
 use oleander_peer::TargetCount;
@@ -17,6 +20,13 @@
     targets.collect()
 }
 
+/// Addresses of the targets of a service.
+#[must_use]
+pub fn target_addresses(service: &Service) -> HashMap<TargetId, String> {
+    let targets = service.targets.iter();
+    targets.map(|target| (target.name.clone(), target.address.clone())).collect()
+}
+
 /// Request counts of the router as a peer message.
 #[must_use]
 pub fn target_counts(counts: Vec<PeerCount>) -> Vec<TargetCount> {
