Move the append queue of the ledger's log into a module of its own

Cause: log.rs had 375 lines: the types of its events, the state machine, and the grouping of records into segments.

Now: log/event.rs has the input and output, log/queue.rs the pending appends with the writer's attempt ids. The state machine stays in log.rs (308 lines). Code moved, not changed; the stored format is untouched, and crate::Log etc. keep their paths.

--- a/crates/oleander-ledger/src/log.rs
+++ b/crates/oleander-ledger/src/log.rs
@@ -10,53 +10,19 @@
 
 use std::mem;
 
-use oleander_core::{AttemptId, HostId, Span, Time};
+use oleander_core::{HostId, Span, Time};
 use serde::{Deserialize, Serialize};
 
-use crate::segment::{MAX_SEGMENT_BYTES, Segment};
+use crate::segment::Segment;
 
-const MIN_BACKOFF: Span = Span::from_millis(50);
-const MAX_BACKOFF: Span = Span::from_secs(2);
-/// Upper bound of the segment's size without its records.
-const SEGMENT_OVERHEAD_BYTES: usize = 512;
+mod event;
+mod queue;
 
-/// Identifies an append or a request, to match it with its result.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub struct Ticket(pub u64);
-
-/// Input of the log.
-#[derive(Debug, Clone, PartialEq)]
-pub enum LogEvent<R> {
-    /// Append a record.
-    Append(Ticket, R),
-    /// The object of this sequence number was created.
-    Created(u64),
-    /// The object of this sequence number existed before the create.
-    Exists(u64),
-    /// The create or fetch of this sequence number failed or got no response.
-    Failed(u64),
-    /// The object of this sequence number, or `None` if it is absent.
-    Fetched(u64, Option<Segment<R>>),
-    /// Read the segments that other writers have added.
-    Refresh,
-    /// Time has passed.
-    Tick,
-}
+pub use event::{LogAction, LogEvent, Ticket};
+use queue::AppendQueue;
 
-/// Output of the log.
-#[derive(Debug, Clone, PartialEq)]
-pub enum LogAction<R> {
-    /// Create the object of this sequence number.
-    Create(u64, Segment<R>),
-    /// Read the object of this sequence number.
-    Fetch(u64),
-    /// Apply a committed segment. The tickets are those of its records, in order; there are none
-    /// if another writer created the segment.
-    Apply(u64, Segment<R>, Vec<Ticket>),
-    /// Appends that were not committed, because another writer's segment came first or their
-    /// create did not take effect.
-    Reject(Vec<(Ticket, R)>),
-}
+const MIN_BACKOFF: Span = Span::from_millis(50);
+const MAX_BACKOFF: Span = Span::from_secs(2);
 
 #[derive(Debug)]
 enum Phase<R> {
@@ -73,11 +39,9 @@
 /// The log state machine.
 #[derive(Debug)]
 pub struct Log<R> {
-    writer: HostId,
-    incarnation: u64,
     commit_interval: Span,
     next_sequence: u64,
-    pending: Vec<(Ticket, R)>,
+    queue: AppendQueue<R>,
     phase: Phase<R>,
     /// Whether a create or fetch has no response yet.
     in_flight: bool,
@@ -88,8 +52,6 @@
     /// When the last create or fetch was sent.
     sent_at: Time,
     synced_at: Time,
-    /// Number of segments that were started.
-    attempts: u64,
     paused: bool,
 }
 
@@ -101,11 +63,9 @@
     #[must_use]
     pub fn new(writer: HostId, incarnation: u64, commit_interval: Span) -> Self {
         Self {
-            writer,
-            incarnation,
             commit_interval,
             next_sequence: 0,
-            pending: Vec::new(),
+            queue: AppendQueue::new(writer, incarnation),
             phase: Phase::Replaying,
             in_flight: false,
             retry_at: Some(Time(0)),
@@ -113,7 +73,6 @@
             next_create: Time(0),
             sent_at: Time(0),
             synced_at: Time(0),
-            attempts: 0,
             paused: false,
         }
     }
@@ -155,7 +114,7 @@
             Phase::Writing { tickets, .. } | Phase::Resolving { tickets, .. } => tickets.len(),
             Phase::Replaying | Phase::Idle => 0,
         };
-        writing + self.pending.len()
+        writing + self.queue.len()
     }
 
     /// Latest time of the next tick; `None` while a create or fetch is in flight or
@@ -166,7 +125,7 @@
             return None;
         }
         match self.phase {
-            Phase::Idle if self.pending.is_empty() || self.paused => None,
+            Phase::Idle if self.queue.is_empty() || self.paused => None,
             Phase::Idle => Some(self.next_create),
             _ => self.retry_at,
         }
@@ -179,14 +138,14 @@
 
     /// Removes and returns the appends that are not part of a segment yet.
     pub fn take_pending(&mut self) -> Vec<(Ticket, R)> {
-        mem::take(&mut self.pending)
+        self.queue.take()
     }
 
     /// Handles an event and returns the resulting actions, in order.
     pub fn handle(&mut self, now: Time, event: LogEvent<R>) -> Vec<LogAction<R>> {
         let mut actions = Vec::new();
         match event {
-            LogEvent::Append(ticket, record) => self.pending.push((ticket, record)),
+            LogEvent::Append(ticket, record) => self.queue.push(ticket, record),
             LogEvent::Created(sequence) => self.handle_created(sequence, &mut actions),
             LogEvent::Exists(sequence) => self.handle_exists(now, sequence),
             LogEvent::Failed(sequence) => self.handle_failed(now, sequence),
@@ -297,7 +256,7 @@
     /// Rejects all appends that are not committed.
     fn reject(&mut self, own: Segment<R>, tickets: Vec<Ticket>, actions: &mut Vec<LogAction<R>>) {
         let mut rejected: Vec<_> = tickets.into_iter().zip(own.records).collect();
-        rejected.append(&mut self.pending);
+        rejected.append(&mut self.queue.take());
         actions.push(LogAction::Reject(rejected));
     }
 
@@ -326,8 +285,9 @@
             return;
         }
         let may_write = !self.paused && now >= self.next_create;
-        if matches!(self.phase, Phase::Idle) && !self.pending.is_empty() && may_write {
-            self.phase = self.fill_segment();
+        if matches!(self.phase, Phase::Idle) && !self.queue.is_empty() && may_write {
+            let (segment, tickets) = self.queue.next_segment();
+            self.phase = Phase::Writing { segment, tickets };
             self.retry_at = Some(now);
         }
         if self.retry_at.is_none_or(|at| now < at) {
@@ -345,31 +305,4 @@
         self.in_flight = true;
         self.sent_at = now;
     }
-
-    /// Starts a segment with as many pending records as fit.
-    fn fill_segment(&mut self) -> Phase<R> {
-        let mut size = SEGMENT_OVERHEAD_BYTES;
-        let mut count = 0;
-        for (_, record) in &self.pending {
-            size += encoded_len(record);
-            if count > 0 && size > MAX_SEGMENT_BYTES {
-                break;
-            }
-            count += 1;
-        }
-        self.attempts += 1;
-        let (tickets, records) = self.pending.drain(..count).unzip();
-        let segment = Segment { writer: self.writer.clone(), attempt: self.attempt_id(), records };
-        Phase::Writing { segment, tickets }
-    }
-
-    fn attempt_id(&self) -> AttemptId {
-        let text = format!("{}:{}:{}", self.writer, self.incarnation, self.attempts);
-        AttemptId::try_from(text)
-            .unwrap_or_else(|_| unreachable!("the longest host id fits in an attempt id"))
-    }
-}
-
-fn encoded_len<R: Serialize>(record: &R) -> usize {
-    postcard::experimental::serialized_size(record).unwrap_or(MAX_SEGMENT_BYTES)
 }
