Split the take-over of jobs from the commit of results and the hand-over

Code moved, not changed. Log lines keep keys and texts; the module that the logger adds to a line by itself is the new one for the moved lines.

--- /dev/null
+++ b/crates/oleander-worklist/src/handover.rs
@@ -0,0 +1,85 @@
+//! Hand-over of jobs when the process stops.
+
+use std::{sync::Arc, time::Duration};
+
+use oleander_core::JobId;
+use oleander_host::clock;
+use oleander_platform::ObjectStore;
+use oleander_relay::TargetTransport;
+use tokio::time;
+
+use crate::{
+    commit::COLLECT_TIME,
+    index::next_owner,
+    manager::{JobManager, LoadedJob},
+    record::{JobPhase, JobRecord},
+    takeover::RETRY_DELAY,
+};
+
+/// Time that running items get to finish before this host stops.
+const DRAIN_TIMEOUT: Duration = Duration::from_millis(4_500);
+
+impl<S: ObjectStore, T: TargetTransport> JobManager<S, T> {
+    /// Releases each loaded open job once its running items have finished and their results are
+    /// committed; those that remain after the drain timeout and twice `COLLECT_TIME` are released
+    /// as they are.
+    ///
+    /// A job without running items and pending results is released at once, as this host starts no
+    /// more of its items.
+    pub async fn hand_over(self: &Arc<Self>) {
+        self.drain();
+        let deadline = clock::steady() + DRAIN_TIMEOUT.into();
+        while clock::steady() < deadline && self.release_jobs(false).await {
+            time::sleep(RETRY_DELAY).await;
+        }
+        // A result that came in just before the timeout may be collected for `COLLECT_TIME` first;
+        // as much again is left for the write.
+        time::sleep(COLLECT_TIME + COLLECT_TIME).await;
+        self.release_jobs(true).await;
+    }
+
+    /// Releases the loaded jobs that have no running items or pending results, or `all` loaded
+    /// ones; returns whether this process still owns any of them.
+    async fn release_jobs(self: &Arc<Self>, all: bool) -> bool {
+        let loaded: Vec<(JobId, Arc<LoadedJob>)> = self
+            .loaded
+            .lock()
+            .iter()
+            .map(|(id, loaded)| (id.clone(), Arc::clone(loaded)))
+            .collect();
+        let mut owns_any = false;
+        for (id, loaded) in loaded {
+            let is_idle = {
+                let job = loaded.job.lock();
+                job.running() == 0 && job.pending_results().is_empty()
+            };
+            if all || is_idle {
+                self.release_job(&id).await;
+            }
+            owns_any |= self.is_owned(&id);
+        }
+        owns_any
+    }
+
+    /// Removes the owner from a job's record and notifies the next owner.
+    async fn release_job(self: &Arc<Self>, id: &JobId) {
+        let Some((revision, record)) = self.indexed(id) else { return };
+        if record.phase != JobPhase::Open || record.owner.as_ref() != Some(&self.local) {
+            return;
+        }
+        let released = JobRecord { owner: None, ..record };
+        match self.store.replace(&released, revision).await {
+            Ok(Some(at)) => {
+                log::info!(job:% = id, revision = at.0; "job given away");
+                self.apply_record(at, released);
+                if let Some(next) = next_owner(id, &self.cluster.live_entry_hosts()) {
+                    self.notify_changed(next.clone(), id.clone());
+                }
+            }
+            // If this process still owns the job and it isn't released later, the next owner takes
+            // it over once this process has stopped.
+            Ok(None) => log::info!(job:% = id; "job was not released: its record has changed"),
+            Err(fault) => log::warn!(job:% = id, error:% = fault; "job was not released"),
+        }
+    }
+}
--- a/crates/oleander-worklist/src/lib.rs
+++ b/crates/oleander-worklist/src/lib.rs
@@ -12,6 +12,8 @@
 
 mod admission;
 mod backlog;
+mod commit;
+mod handover;
 mod index;
 mod item;
 mod job;
