Parse settings files of the console and the processes in one place

Cause: the reading of JSON text with the path of the first fault, and the check for trailing text, stood in oleander-host and again in oleander-console.

Now: oleander_host::settings::parse_raw is used by both. Faults have the same paths and texts.

--- a/crates/oleander-console/src/settings.rs
+++ b/crates/oleander-console/src/settings.rs
@@ -3,7 +3,7 @@
 use std::{fs, net::SocketAddr, path::Path, path::PathBuf};
 
 use oleander_core::value;
-use oleander_host::settings::{Fault, LogSettings, RawLogSettings, SettingsError};
+use oleander_host::settings::{self, Fault, LogSettings, RawLogSettings, SettingsError};
 use serde::Deserialize;
 
 /// Contents of a settings file before validation.
@@ -48,11 +48,7 @@
     ///
     /// Returns the faults found.
     pub fn parse(text: &str) -> Result<Self, SettingsError> {
-        let mut json = serde_json::Deserializer::from_str(text);
-        let raw: RawSettings = serde_path_to_error::deserialize(&mut json)
-            .map_err(|error| SettingsError::Faults(vec![Fault::from(error)]))?;
-        json.end().map_err(|error| SettingsError::Faults(vec![fault(".", &error.to_string())]))?;
-        Self::try_from(raw)
+        Self::try_from(settings::parse_raw::<RawSettings>(text)?)
     }
 }
 
--- a/crates/oleander-host/src/settings.rs
+++ b/crates/oleander-host/src/settings.rs
@@ -13,7 +13,7 @@
 pub use raw::{RawBatchSettings, RawEntrySettings, RawLogSettings, RawSettings};
 
 use oleander_core::value;
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
 /// Role of a process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -164,17 +164,26 @@
     ///
     /// Returns all faults of the content.
     pub fn parse(text: &str) -> Result<Self, SettingsError> {
-        let mut json = serde_json::Deserializer::from_str(text);
-        let raw: RawSettings = serde_path_to_error::deserialize(&mut json)
-            .map_err(|e| SettingsError::Faults(vec![Fault::from(e)]))?;
-        json.end().map_err(|e| {
-            let path = ".".to_owned();
-            SettingsError::Faults(vec![Fault { path, reason: e.to_string() }])
-        })?;
-        Self::try_from(raw)
+        Self::try_from(parse_raw::<RawSettings>(text)?)
     }
 }
 
+/// Parses the JSON text of a settings file, without validation of its values.
+///
+/// # Errors
+///
+/// Returns the fault that makes the text unreadable as a `T`.
+pub fn parse_raw<T: DeserializeOwned>(text: &str) -> Result<T, SettingsError> {
+    let mut json = serde_json::Deserializer::from_str(text);
+    let raw = serde_path_to_error::deserialize(&mut json)
+        .map_err(|e| SettingsError::Faults(vec![Fault::from(e)]))?;
+    json.end().map_err(|e| {
+        let path = ".".to_owned();
+        SettingsError::Faults(vec![Fault { path, reason: e.to_string() }])
+    })?;
+    Ok(raw)
+}
+
 value! {
     /// A fault of a settings file.
     pub struct Fault {
