Move the simulated fleet and the naive rules out of the routing tests of peers

Now: tests/peers/ has fleet.rs, naive.rs and main.rs with the tests. Names, bodies and assertions of the 15 tests are the same.

--- a/crates/oleander-routing/tests/peers/main.rs
+++ b/crates/oleander-routing/tests/peers/main.rs
@@ -2,120 +2,28 @@
 
 #![allow(clippy::unwrap_used)]
 
+#[path = "../common/mod.rs"]
 mod common;
-
-use std::collections::VecDeque;
+mod fleet;
+mod naive;
 
 use common::{
     config, fill_batch, host, millis, pick_online, properties, router, sent, target_id, targets,
 };
-use oleander_core::{HostId, Span, TargetId, Time};
+use fleet::{EXCHANGE, Fleet};
+use naive::{
+    CHOICE_HOSTS, CHOICE_REQUESTS, CHOICE_TARGETS, max_load, naive_cancel, naive_choice,
+    naive_start,
+};
+use oleander_core::Span;
 use oleander_routing::{
     LeaseId, LoadReport, Observation, PeerCount, Pick, Router, cap_level, even_share, floor_level,
 };
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
-const EXCHANGE: Span = Span::from_millis(100);
-
-/// Counts sent by one host and not yet received by the others.
-struct Message {
-    from: HostId,
-    counts: Vec<PeerCount>,
-    sent_at: Time,
-}
-
-/// Routers, and the work that is in fact in flight at the targets.
-struct Fleet {
-    routers: Vec<Router>,
-    open: Vec<Vec<(TargetId, LeaseId)>>,
-    messages: VecDeque<Message>,
-    lag: Span,
-    now: Time,
-}
-
-impl Fleet {
-    fn new(hosts: usize, targets: usize, limit: u32, reserve: u32, lag: Span) -> Self {
-        Self {
-            routers: (0..hosts).map(|index| router(index, targets, limit, reserve)).collect(),
-            open: vec![Vec::new(); hosts],
-            messages: VecDeque::new(),
-            lag,
-            now: millis(0),
-        }
-    }
-
-    fn advance(&mut self, span: Span) {
-        let before = self.now;
-        self.now = self.now + span;
-        if before.0 / EXCHANGE.0 != self.now.0 / EXCHANGE.0 {
-            self.exchange();
-        }
-        while let Some(message) = self.messages.front() {
-            if message.sent_at + self.lag > self.now {
-                break;
-            }
-            let message = self.messages.pop_front().unwrap();
-            self.deliver(&message);
-        }
-    }
-
-    fn exchange(&mut self) {
-        for (index, router) in self.routers.iter().enumerate() {
-            let counts = router.counts();
-            self.messages.push_back(Message { from: host(index), counts, sent_at: self.now });
-        }
-    }
-
-    fn deliver(&mut self, message: &Message) {
-        for (index, router) in self.routers.iter_mut().enumerate() {
-            if host(index) != message.from {
-                router.update_peer(
-                    self.now,
-                    &message.from,
-                    message.counts.clone(),
-                    message.sent_at,
-                );
-            }
-        }
-    }
-
-    fn start(&mut self, index: usize, pick: &Pick) -> bool {
-        let Some((target, lease, _)) = sent(self.routers[index].pick(self.now, pick)) else {
-            return false;
-        };
-        self.open[index].push((target, lease));
-        true
-    }
-
-    fn finish(&mut self, index: usize, rng: &mut Pcg64Mcg) {
-        if self.open[index].is_empty() {
-            return;
-        }
-        let position = rng.random_range(0..self.open[index].len());
-        let (_, lease) = self.open[index].swap_remove(position);
-        self.routers[index].observe(self.now, lease, Observation::Done);
-    }
-
-    /// Cancels the host's batch excess; all its work must be batch.
-    fn cancel_excess(&mut self, index: usize) {
-        for excess in self.routers[index].batch_excess(self.now) {
-            for _ in 0..excess.count {
-                let at_target = |(target, _): &(TargetId, LeaseId)| *target == excess.target;
-                let position = self.open[index].iter().position(at_target).unwrap();
-                let (_, lease) = self.open[index].swap_remove(position);
-                self.routers[index].observe(self.now, lease, Observation::Cancelled);
-            }
-        }
-    }
-
-    fn max_at_one_target(&self, targets: usize) -> u32 {
-        let at = |target: &TargetId| {
-            self.open.iter().flatten().filter(|(name, _)| name == target).count() as u32
-        };
-        (0..targets).map(|index| at(&target_id(index))).max().unwrap()
-    }
-}
+const HOSTS: usize = 8;
+const CAPACITY: u32 = 28;
 
 properties! {
     fn hosts_that_start_together_stay_within_capacity(hosts: u8, lag_ms: u8, seed: u64) -> bool {
@@ -296,14 +204,6 @@
     assert!((28..=30).contains(&max), "{max} at a target with capacity 28 and a margin of 2");
 }
 
-const HOSTS: usize = 8;
-const CAPACITY: u32 = 28;
-
-/// Starts items in all slots that are free by the known counts.
-fn naive_start(capacity: u32, known: u32, own: &mut u32) {
-    *own += capacity.saturating_sub(known + *own);
-}
-
 #[test]
 fn naive_starts_by_late_counts_exceed_the_capacity() {
     let mut items = [0; HOSTS];
@@ -311,12 +211,6 @@
     assert_eq!(items.iter().sum::<u32>(), HOSTS as u32 * CAPACITY);
 }
 
-/// Cancels a part of the excess in proportion to this host's share of the known items.
-fn naive_cancel(capacity: u32, known: u32, own: &mut u32) {
-    let total = known + *own;
-    *own -= (total.saturating_sub(capacity) * *own).div_ceil(total);
-}
-
 #[test]
 fn naive_cancellation_repeats_while_counts_are_late() {
     let (capacity, late) = (10, 10);
@@ -329,31 +223,6 @@
     assert!(naive <= 1, "{naive} left");
 }
 
-const CHOICE_TARGETS: usize = 20;
-const CHOICE_HOSTS: usize = 8;
-const CHOICE_REQUESTS: u32 = 1_600;
-
-/// Takes the target with the lowest reported load.
-fn naive_choice(reports: &[u32]) -> usize {
-    let lowest = reports.iter().enumerate().min_by_key(|(_, load)| **load);
-    lowest.map(|(index, _)| index).unwrap()
-}
-
-/// Largest number of requests at one target when `choice` selects each request's target and load
-/// reports are updated only every 400 requests.
-fn max_load(mut choice: impl FnMut(usize, &[u32], bool) -> usize) -> u32 {
-    let mut loads = vec![0; CHOICE_TARGETS];
-    let mut reports = loads.clone();
-    for request in 0..CHOICE_REQUESTS {
-        let fresh = request % 400 == 0;
-        if fresh {
-            reports.clone_from(&loads);
-        }
-        loads[choice(request as usize % CHOICE_HOSTS, &reports, fresh)] += 1;
-    }
-    loads.into_iter().max().unwrap()
-}
-
 #[test]
 fn choice_by_late_reports_alone_sends_all_requests_to_one_target() {
     let max = max_load(|_, reports, _| naive_choice(reports));
