Move the rounds of failure detection out of the members state machine

Its alias HostSet for a set of host ids, used once in another file, had to be looked up.

HostSet is gone in favour of BTreeSet<HostId>.

Measured: clippy clean; cargo test of oleander-members: 19 passed and 1 doc test.

--- a/crates/oleander-members/src/lib.rs
+++ b/crates/oleander-members/src/lib.rs
@@ -22,6 +22,7 @@
 mod message;
 mod probe;
 mod profile;
+mod rounds;
 mod update_queue;
 
 pub use config::MembersConfig;
--- a/crates/oleander-members/src/merge.rs
+++ b/crates/oleander-members/src/merge.rs
@@ -1,11 +1,13 @@
 //! Applies received messages, updates and host lists.
 
+use std::collections::BTreeSet;
+
 use oleander_core::{HostId, Revision, Time};
 
 use crate::{
     Facts, HostList, Incarnation, ListedHost, ListedState, Liveness, MemberAction, MemberState,
-    Members, Message, MessageKind, Profile, Update, member::Member, members::HostSet,
-    message::Cursor, update_queue::UpdateKind,
+    Members, Message, MessageKind, Profile, Update, member::Member, message::Cursor,
+    update_queue::UpdateKind,
 };
 
 /// Probe intervals for which a message from a member itself takes precedence over suspicions and
@@ -216,7 +218,7 @@
             return;
         }
         self.list_revision = Some(list.revision);
-        let listed: HostSet = list.hosts.iter().map(|host| host.host.clone()).collect();
+        let listed: BTreeSet<HostId> = list.hosts.iter().map(|host| host.host.clone()).collect();
         for host in list.hosts {
             self.apply_list_entry(now, list.revision, &host);
         }
