Write log segments of calls and of lots by one function

Cause: the entry's shards and the batch host's lots each encoded a segment, created its object and turned the outcome into an event of the log.

Now: oleander_node::create_segment does so for both. Keys, bytes and events are the same. The entry's warning about a failed create now reads like that of the batch host ('segment KEY was not written'), and both come from the module of the function; no test, script or page matches the former text.

Measured: cargo clippy of the three crates clean; cargo test of oleander-batch: 13 passed (oleander-entry and oleander-node have no tests of their own); the online tests of oleander-check on binaries of this tree: 12 passed.

--- a/crates/oleander-batch/src/lots.rs
+++ b/crates/oleander-batch/src/lots.rs
@@ -10,7 +10,7 @@
 use oleander_host::clock;
 use oleander_jobs::{Lot, LotAction, LotEnd, LotEvent, LotRecord, key};
 use oleander_ledger::{LogEvent, Segment};
-use oleander_platform::{Created, ObjectStore};
+use oleander_node::create_segment;
 use parking_lot::Mutex;
 use tokio::time::{self, Duration};
 
@@ -130,20 +130,7 @@
 
 async fn create(app: Arc<App>, lot: Arc<OpenLot>, sequence: u64, segment: Segment<LotRecord>) {
     let name = key::segment(&lot.id.job, lot.id.index, sequence);
-    let event = match segment.encode() {
-        Ok(bytes) => match app.platform.create(&name, Bytes::from(bytes)).await {
-            Ok(Created::New(_)) => LogEvent::Created(sequence),
-            Ok(Created::Exists) => LogEvent::Exists(sequence),
-            Err(error) => {
-                log::warn!("segment {name} was not written: {error}");
-                LogEvent::Failed(sequence)
-            }
-        },
-        Err(error) => {
-            log::error!("segment {name} can't be encoded: {error}");
-            LogEvent::Failed(sequence)
-        }
-    };
+    let event = create_segment(&app.platform, &name, sequence, &segment).await;
     app.handle_event(&lot, LotEvent::Log(event));
 }
 
--- a/crates/oleander-entry/src/shards.rs
+++ b/crates/oleander-entry/src/shards.rs
@@ -5,15 +5,15 @@
 
 use std::{collections::HashMap, ops::Range, sync::Arc, time::Duration};
 
-use bytes::Bytes;
 use futures_util::future::join_all;
 use oleander_core::{CallId, HostId, ShardId, Span};
 use oleander_host::clock;
 use oleander_ledger::{
     CallRecord, LogEvent, Segment, Shard, ShardAction, ShardConfig, ShardEvent, ShardReply, Ticket,
 };
+use oleander_node::create_segment;
 use oleander_peer::ShardRequest;
-use oleander_platform::{Created, ObjectStore};
+use oleander_platform::ObjectStore;
 use parking_lot::Mutex;
 use tokio::sync::{mpsc, oneshot};
 
@@ -214,20 +214,7 @@
         let (platform, events, key) =
             (self.platform.clone(), self.events.clone(), self.key(sequence));
         tokio::spawn(async move {
-            let event = match segment.encode() {
-                Ok(body) => match platform.create(&key, Bytes::from(body)).await {
-                    Ok(Created::New(_)) => LogEvent::Created(sequence),
-                    Ok(Created::Exists) => LogEvent::Exists(sequence),
-                    Err(error) => {
-                        log::warn!("creating {key} failed: {error}");
-                        LogEvent::Failed(sequence)
-                    }
-                },
-                Err(error) => {
-                    log::error!("segment {key} can't be encoded: {error}");
-                    LogEvent::Failed(sequence)
-                }
-            };
+            let event = create_segment(&platform, &key, sequence, &segment).await;
             let _ = events.send(Input::Event(ShardEvent::Log(event))).await;
         });
     }
