--- a/crates/oleander-intake/src/store.rs
+++ b/crates/oleander-intake/src/store.rs
@@ -3,7 +3,7 @@
 //! Failed requests are retried for a short time. A retried create that finds an object may have
 //! found its own earlier write: keys are chosen so that it makes no difference whose write it was.
 
-use std::{fmt, time::Duration};
+use std::time::Duration;
 
 use bytes::Bytes;
 use oleander_core::{DigestId, FileId, JobId, LotIndex, Revision, Time, WorkspaceId};
@@ -18,6 +18,10 @@
     time::{self, Instant},
 };
 
+mod error;
+
+pub use error::StoreError;
+
 /// Maximum time for which a failed request is retried.
 const RETRY_TIMEOUT: Duration = Duration::from_secs(2);
 const RETRY_INTERVAL: Duration = Duration::from_millis(100);
@@ -49,22 +53,6 @@
     pub counts: Counts,
 }
 
-/// Why an operation of the store failed.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum StoreError {
-    /// The platform failed the request or did not answer.
-    Platform {
-        /// Error of the last attempt.
-        error: PlatformError,
-        /// Whether a write may have taken effect.
-        may_have_written: bool,
-    },
-    /// A record can't be encoded or decoded.
-    Record(RecordError),
-    /// The object with this key is required but does not exist.
-    Missing(String),
-}
-
 impl<P: ObjectStore> JobStore<P> {
     /// Creates a store at a platform.
     #[must_use]
@@ -319,33 +307,3 @@
         }
     }
 }
-
-impl StoreError {
-    /// Marks the error of a read as following a write that may have taken effect, if there was one.
-    fn after_write(self, earlier_write: bool) -> Self {
-        match self {
-            Self::Platform { error, may_have_written } => {
-                Self::Platform { error, may_have_written: may_have_written || earlier_write }
-            }
-            other => other,
-        }
-    }
-}
-
-impl From<RecordError> for StoreError {
-    fn from(error: RecordError) -> Self {
-        Self::Record(error)
-    }
-}
-
-impl fmt::Display for StoreError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::Platform { error, .. } => error.fmt(f),
-            Self::Record(error) => error.fmt(f),
-            Self::Missing(key) => write!(f, "object {key} is missing"),
-        }
-    }
-}
-
-impl std::error::Error for StoreError {}
