Limit the size of a response that is not a stream

What callers would see: a target whose body never ends held a request that may be repeated until its deadline (TimedOut after 4 s, with two sound targets free), and took memory as fast as the network carries it. The target stayed in use, since a request that reaches its deadline says nothing about its target.

Cause: Forwarder::body kept the chunks of such a response without a limit.

Now a response that is not a stream may have 8 MiB, whether it is buffered or forwarded at once. It is kept in one buffer: small chunks would each keep the read buffer that they lie in.

--- a/crates/oleander-relay/src/attempt.rs
+++ b/crates/oleander-relay/src/attempt.rs
@@ -20,6 +20,10 @@
 /// Maximum size of an error body that is kept for forwarding.
 const MAX_ERROR_BYTES: usize = 64 << 10;
 
+/// Maximum size of a response that is not a stream; limits the memory that a target can make this
+/// host use.
+const MAX_BODY_BYTES: usize = 8 << 20;
+
 /// Time limit for reading an error body.
 const ERROR_BODY_TIMEOUT: Span = Span::from_secs(1);
 
@@ -276,30 +280,36 @@
 
     /// Forwards a response that is not a stream; reads it completely first if `buffer` is set.
     async fn body<B: ResponseBody>(&mut self, body: &mut B, buffer: bool) -> AttemptOutcome {
-        let mut buffered = Vec::new();
+        // One buffer: small chunks, each with its own overhead, would take many times their size.
+        let mut buffered = BytesMut::new();
+        let mut size = 0;
         loop {
             let chunk = tokio::select! {
                 chunk = body.next_chunk() => chunk,
                 () = self.sink.closed() => return AttemptOutcome::Cancelled,
             };
-            match chunk {
+            let bytes = match chunk {
                 None => break,
                 Some(Err(error)) => return self.interrupted(&error.0),
-                Some(Ok(bytes)) if buffer => buffered.push(bytes),
-                Some(Ok(bytes)) => {
-                    self.send_head();
-                    if self.forward(bytes, None).await.is_err() {
-                        return AttemptOutcome::Cancelled;
-                    }
-                }
+                Some(Ok(bytes)) => bytes,
+            };
+            size += bytes.len();
+            if size > MAX_BODY_BYTES {
+                return self.interrupted("response too long");
             }
-        }
-        self.send_head();
-        for bytes in buffered {
+            if buffer {
+                buffered.extend_from_slice(&bytes);
+                continue;
+            }
+            self.send_head();
             if self.forward(bytes, None).await.is_err() {
                 return AttemptOutcome::Cancelled;
             }
         }
+        self.send_head();
+        if !buffered.is_empty() && self.forward(buffered.freeze(), None).await.is_err() {
+            return AttemptOutcome::Cancelled;
+        }
         AttemptOutcome::Complete
     }
 
