--- a/crates/oleander-relay/tests/events.rs
+++ b/crates/oleander-relay/tests/events.rs
@@ -1,5 +1,7 @@
 //! Boundaries, ids and interruptions of event streams.
 
+use std::time::{Duration, Instant};
+
 use oleander_relay::{EventReader, event_data};
 
 fn event(id: u64, text: &str) -> String {
@@ -50,3 +52,14 @@
     let events = b"weight-versions: 2\nid: 1\ndata: a\ndata: b\n\nid: 2\ndata: c\n\n";
     assert_eq!(event_data(events), vec![b"a\nb".to_vec(), b"c".to_vec()]);
 }
+
+/// Time within which callers may abandon a stream.
+const CALLER_TIMEOUT: Duration = Duration::from_secs(2);
+
+#[test]
+fn an_event_that_arrives_in_small_pieces_is_searched_only_once() {
+    let mut reader = EventReader::after(None);
+    let started = Instant::now();
+    while reader.push(&[b'x'; 16]).valid {}
+    assert!(started.elapsed() < CALLER_TIMEOUT, "{:?}", started.elapsed());
+}
