Search each byte of an event only once

What callers would see: a target that sends an event without end in small pieces keeps a core of the host busy, and other requests of the host wait.

Cause: EventReader searched all bytes of the incomplete event for a boundary after each piece.

Evidence: an_event_that_arrives_in_small_pieces_is_searched_only_once: over 60 s before.

Now the reader remembers where it has found no boundary.

--- a/crates/oleander-relay/src/events.rs
+++ b/crates/oleander-relay/src/events.rs
@@ -33,6 +33,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct EventReader {
     pending: BytesMut,
+    /// Bytes of `pending` in which no boundary begins.
+    searched: usize,
     last_id: Option<u64>,
 }
 
@@ -40,7 +42,7 @@
     /// Creates a reader of a stream that resumes after the event `last_id`.
     #[must_use]
     pub fn after(last_id: Option<u64>) -> Self {
-        Self { pending: BytesMut::new(), last_id }
+        Self { last_id, ..Self::default() }
     }
 
     /// Id of the last complete event.
@@ -58,14 +60,14 @@
     /// Discards the beginning of an incomplete event.
     pub fn discard_partial(&mut self) {
         self.pending.clear();
+        self.searched = 0;
     }
 
     /// Appends bytes and returns the events that they complete.
     pub fn push(&mut self, bytes: &[u8]) -> ParsedEvents {
         self.pending.extend_from_slice(bytes);
         let mut events = Vec::new();
-        while let Some(at) = memmem::find(&self.pending, BOUNDARY) {
-            let raw = self.pending.split_to(at + BOUNDARY.len()).freeze();
+        while let Some(raw) = self.next_event() {
             let id = read_id(&raw);
             if !self.is_next(id) {
                 return ParsedEvents { events, valid: false };
@@ -76,6 +78,17 @@
         ParsedEvents { events, valid: self.pending.len() <= MAX_EVENT_BYTES }
     }
 
+    /// Removes the next complete event; does not search the same bytes twice.
+    fn next_event(&mut self) -> Option<Bytes> {
+        let Some(at) = memmem::find(&self.pending[self.searched..], BOUNDARY) else {
+            self.searched = self.pending.len().saturating_sub(BOUNDARY.len() - 1);
+            return None;
+        };
+        let end = self.searched + at + BOUNDARY.len();
+        self.searched = 0;
+        Some(self.pending.split_to(end).freeze())
+    }
+
     fn is_next(&self, id: Option<u64>) -> bool {
         match (self.last_id, id) {
             (Some(last), Some(id)) => id == last + 1,
