End a stream whose events have no ids after 1 MiB

What callers would see: blank lines without end were forwarded until the deadline as if they were events; a stream that may resume ended then (TimedOut after 4 s, with two sound targets free), and its target stayed in use.

Cause: an event without an id was accepted anywhere, and counted as progress.

Now the bytes of events without an id count towards the limit of the event that follows them. Events of the users' targets have increasing ids, so sound streams don't come near it. A target that sends few such bytes at a time still counts as making progress.

--- a/crates/oleander-relay/src/events.rs
+++ b/crates/oleander-relay/src/events.rs
@@ -6,7 +6,8 @@
 use bytes::{Bytes, BytesMut};
 use memchr::memmem;
 
-/// Maximum size of an event; limits the memory that a target can make this host use.
+/// Maximum size of an event, with what precedes it without an id; limits the memory that a target
+/// can make this host use, and ends a stream that has no events.
 const MAX_EVENT_BYTES: usize = 1 << 20;
 /// End of an event.
 const BOUNDARY: &[u8] = b"\n\n";
@@ -35,6 +36,8 @@
     pending: BytesMut,
     /// Bytes of `pending` in which no boundary begins.
     searched: usize,
+    /// Bytes of complete events since the last one that had an id.
+    unidentified: usize,
     last_id: Option<u64>,
 }
 
@@ -61,6 +64,7 @@
     pub fn discard_partial(&mut self) {
         self.pending.clear();
         self.searched = 0;
+        self.unidentified = 0;
     }
 
     /// Appends bytes and returns the events that they complete.
@@ -73,9 +77,11 @@
                 return ParsedEvents { events, valid: false };
             }
             self.last_id = id.or(self.last_id);
+            self.unidentified = if id.is_some() { 0 } else { self.unidentified + raw.len() };
             events.push(Event { raw, id });
         }
-        ParsedEvents { events, valid: self.pending.len() <= MAX_EVENT_BYTES }
+        let valid = self.unidentified + self.pending.len() <= MAX_EVENT_BYTES;
+        ParsedEvents { events, valid }
     }
 
     /// Removes the next complete event; does not search the same bytes twice.
