--- a/crates/oleander-relay/src/attempt.rs
+++ b/crates/oleander-relay/src/attempt.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     events::EventReader,
-    pool::TargetLease,
+    lease::TargetLease,
     progress::Progress,
     request::{Request, ResponseHead},
     sink::{ResponseSink, SinkClosed},
--- a/crates/oleander-relay/src/follow.rs
+++ b/crates/oleander-relay/src/follow.rs
@@ -8,7 +8,7 @@
 use tokio::time::{self, Instant};
 
 use crate::{
-    pool::Pools,
+    pools::Pools,
     relay::Relay,
     table::RouteTable,
     target_list::{TargetEntry, TargetList},
--- /dev/null
+++ b/crates/oleander-relay/src/lease.rs
@@ -0,0 +1,82 @@
+//! A target reserved for one request, and a request's place in the queue for one.
+
+use std::{fmt, sync::Arc};
+
+use oleander_routing::{LeaseId, LoadReport, Observation, TicketId};
+
+use crate::{pool::Pool, target_list::TargetEntry};
+
+/// A target reserved for one request; the reservation ends on drop.
+pub struct TargetLease {
+    pub(crate) pool: Arc<Pool>,
+    pub(crate) id: LeaseId,
+    pub(crate) ended: bool,
+    /// The target.
+    pub target: TargetEntry,
+    /// Load of the target when it was selected, including this request.
+    pub load: TargetLoad,
+}
+
+/// Work in flight at a target, over all known hosts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct TargetLoad {
+    /// Online requests.
+    pub online: u32,
+    /// Batch items.
+    pub batch: u32,
+    /// Concurrency limit in force.
+    pub limit: u32,
+}
+
+impl fmt::Display for TargetLoad {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "online {} batch {} of {}", self.online, self.batch, self.limit)
+    }
+}
+
+impl fmt::Display for TargetLease {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} {} ({})", self.target.id, self.target.version, self.load)
+    }
+}
+
+/// A place in the queue of a pool, released when dropped.
+pub(crate) struct Ticket<'a> {
+    pool: &'a Pool,
+    pub(crate) id: TicketId,
+}
+
+impl<'a> Ticket<'a> {
+    /// Takes the next place.
+    pub(crate) fn new(pool: &'a Pool) -> Self {
+        Self { pool, id: pool.ticket() }
+    }
+}
+
+impl Drop for Ticket<'_> {
+    fn drop(&mut self) {
+        self.pool.release_ticket(self.id);
+    }
+}
+
+impl TargetLease {
+    /// Records an observation of the request.
+    pub fn observe(&mut self, observation: Observation) {
+        if self.ended {
+            return;
+        }
+        self.ended = observation.is_final();
+        self.pool.observe(self.id, observation);
+    }
+
+    /// Updates the load that the target reported.
+    pub fn update_load(&self, load: LoadReport) {
+        self.pool.update_load(&self.target.id, load);
+    }
+}
+
+impl Drop for TargetLease {
+    fn drop(&mut self) {
+        self.observe(Observation::Cancelled);
+    }
+}
--- a/crates/oleander-relay/src/pool.rs
+++ b/crates/oleander-relay/src/pool.rs
@@ -1,27 +1,19 @@
 //! The targets of one service, behind the router that selects among them.
 
-use std::{
-    borrow::Cow,
-    collections::{BTreeSet, HashMap},
-    fmt,
-    sync::Arc,
-};
+use std::{borrow::Cow, collections::HashMap, sync::Arc};
 
-use oleander_core::{HostId, ServiceId, Span, TargetId, Time, ZoneId};
+use oleander_core::{HostId, Span, TargetId, Time, ZoneId};
 use oleander_host::clock;
 use oleander_routing::{
     BatchExcess, Class, Decision, LeaseId, LoadReport, Observation, PeerCount, Pick, Router,
     RouterConfig, Target, TicketId, preferred_targets,
 };
 use parking_lot::{Mutex, RwLock};
-use tokio::sync::{
-    Notify,
-    mpsc::{self, UnboundedReceiver, UnboundedSender},
-};
+use tokio::sync::{Notify, mpsc::UnboundedSender};
 
 use crate::{
-    streams::StreamVersions,
-    target_list::{TargetEntry, TargetList},
+    lease::{TargetLease, TargetLoad},
+    target_list::TargetEntry,
     version::SoftwareVersion,
 };
 
@@ -81,61 +73,13 @@
     changed: Notify,
 }
 
-/// A target reserved for one request; the reservation ends on drop.
-pub struct TargetLease {
-    pool: Arc<Pool>,
-    id: LeaseId,
-    ended: bool,
-    /// The target.
-    pub target: TargetEntry,
-    /// Load of the target when it was selected, including this request.
-    pub load: TargetLoad,
-}
-
-/// Work in flight at a target, over all known hosts.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
-pub struct TargetLoad {
-    /// Online requests.
-    pub online: u32,
-    /// Batch items.
-    pub batch: u32,
-    /// Concurrency limit in force.
-    pub limit: u32,
-}
-
-impl fmt::Display for TargetLoad {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "online {} batch {} of {}", self.online, self.batch, self.limit)
-    }
-}
-
-impl fmt::Display for TargetLease {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{} {} ({})", self.target.id, self.target.version, self.load)
-    }
-}
-
-/// A place in the queue of a pool, released when dropped.
-pub(crate) struct Ticket<'a> {
-    pool: &'a Pool,
-    pub(crate) id: TicketId,
-}
-
-impl<'a> Ticket<'a> {
-    /// Takes the next place.
-    pub(crate) fn new(pool: &'a Pool) -> Self {
-        Self { pool, id: pool.ticket() }
-    }
-}
-
-impl Drop for Ticket<'_> {
-    fn drop(&mut self) {
-        self.pool.release_ticket(self.id);
-    }
-}
-
 impl Pool {
-    fn new(host: &HostId, zone: &ZoneId, seed: u64, yields: UnboundedSender<YieldRequest>) -> Self {
+    pub(crate) fn new(
+        host: &HostId,
+        zone: &ZoneId,
+        seed: u64,
+        yields: UnboundedSender<YieldRequest>,
+    ) -> Self {
         let config = RouterConfig::new(host.clone(), zone.clone())
             .zone_cost(ZONE_COST_PER_MILLE)
             .draws(DRAWS)
@@ -153,7 +97,7 @@
         }
     }
 
-    fn set_targets(&self, entries: Vec<TargetEntry>) {
+    pub(crate) fn set_targets(&self, entries: Vec<TargetEntry>) {
         let mut router = self.router.lock();
         router.set_targets(entries.iter().map(limits).collect());
         for entry in &entries {
@@ -348,7 +292,7 @@
         Some(TargetLease { pool: Arc::clone(self), id: lease, ended: false, target, load })
     }
 
-    fn observe(&self, lease: LeaseId, observation: Observation) {
+    pub(crate) fn observe(&self, lease: LeaseId, observation: Observation) {
         self.router.lock().observe(clock::steady(), lease, observation);
         if observation.is_final() {
             self.changed.notify_waiters();
@@ -398,89 +342,6 @@
     }
 }
 
-impl TargetLease {
-    /// Records an observation of the request.
-    pub fn observe(&mut self, observation: Observation) {
-        if self.ended {
-            return;
-        }
-        self.ended = observation.is_final();
-        self.pool.observe(self.id, observation);
-    }
-
-    /// Updates the load that the target reported.
-    pub fn update_load(&self, load: LoadReport) {
-        self.pool.update_load(&self.target.id, load);
-    }
-}
-
-impl Drop for TargetLease {
-    fn drop(&mut self) {
-        self.observe(Observation::Cancelled);
-    }
-}
-
-/// The pools of all services.
-pub struct Pools {
-    /// The streams of all services, by their software version.
-    pub streams: StreamVersions,
-    host: HostId,
-    zone: ZoneId,
-    seed: u64,
-    yields: UnboundedSender<YieldRequest>,
-    pools: RwLock<HashMap<ServiceId, Arc<Pool>>>,
-}
-
-impl Pools {
-    /// Creates an empty set of pools, and the receiver of their yield requests.
-    #[must_use]
-    pub fn new(host: HostId, zone: ZoneId, seed: u64) -> (Self, UnboundedReceiver<YieldRequest>) {
-        let (yields, receiver) = mpsc::unbounded_channel();
-        let streams = StreamVersions::default();
-        (Self { streams, host, zone, seed, yields, pools: RwLock::default() }, receiver)
-    }
-
-    /// Updates the targets of all pools; existing pools keep their state.
-    pub fn update_targets(&self, list: &TargetList) {
-        let mut by_service: HashMap<ServiceId, Vec<TargetEntry>> = HashMap::new();
-        for target in list.targets() {
-            by_service.entry(target.service.clone()).or_default().push(target.clone());
-        }
-        let mut pools = self.pools.write();
-        for service in by_service.keys() {
-            pools.entry(service.clone()).or_insert_with(|| Arc::new(self.new_pool()));
-        }
-        for (service, pool) in pools.iter() {
-            let entries = by_service.remove(service).unwrap_or_default();
-            let versions: BTreeSet<SoftwareVersion> =
-                entries.iter().map(|entry| entry.version.clone()).collect();
-            self.streams.set_listed(service, versions, youngest_age(clock::now(), &entries));
-            pool.set_targets(entries);
-        }
-    }
-
-    fn new_pool(&self) -> Pool {
-        Pool::new(&self.host, &self.zone, self.seed, self.yields.clone())
-    }
-
-    /// The pool of a service.
-    pub fn get(&self, service: &ServiceId) -> Option<Arc<Pool>> {
-        self.pools.read().get(service).cloned()
-    }
-
-    /// All pools with their services.
-    pub fn all(&self) -> Vec<(ServiceId, Arc<Pool>)> {
-        self.pools.read().iter().map(|(name, pool)| (name.clone(), Arc::clone(pool))).collect()
-    }
-}
-
-/// Time since the last start of a target; zero if one does not state its start.
-fn youngest_age(wall_now: Time, entries: &[TargetEntry]) -> Span {
-    let starts = entries.iter().map(|entry| entry.started_at.map(|millis| millis * 1_000));
-    let last = starts.collect::<Option<Vec<_>>>().and_then(|starts| starts.into_iter().max());
-    last.map_or(Span::ZERO, |last| wall_now.since(Time(last)))
-}
-
 /// Router settings of a listed target.
 ///
 /// Engines admit requests in order of arrival, so requests that queue there can't be reordered; no
--- a/crates/oleander-relay/src/relay.rs
+++ b/crates/oleander-relay/src/relay.rs
@@ -12,7 +12,9 @@
 use crate::{
     attempt::{Attempt, AttemptOutcome, AttemptTimeouts, forward, interrupt_stalled},
     events::EventReader,
-    pool::{Pool, Pools, TargetLease, Ticket, VersionChoice},
+    lease::{TargetLease, Ticket},
+    pool::{Pool, VersionChoice},
+    pools::Pools,
     request::{Request, ResponseHead},
     retry::{NextStep, RetryState},
     route::{RetryPolicy, Route},
--- a/crates/oleander-relay/src/takeover.rs
+++ b/crates/oleander-relay/src/takeover.rs
@@ -14,7 +14,8 @@
 
 use crate::{
     attempt::{AttemptOutcome, AttemptTimeouts, observe_outcome},
-    pool::{Pool, TargetLease, Ticket, VersionChoice},
+    lease::{TargetLease, Ticket},
+    pool::{Pool, VersionChoice},
     progress::Progress,
     relay::Relay,
     request::Request,
