Move the engines' steps out of the policy simulation's main module

Now: simulation/steps.rs has the steps of the engines and the way of their output to callers. Code moved, not changed.

No test covers the example.

--- a/crates/oleander-routing/examples/policy/simulation.rs
+++ b/crates/oleander-routing/examples/policy/simulation.rs
@@ -3,6 +3,7 @@
 mod batch;
 mod exchange;
 mod state;
+mod steps;
 
 use std::{
     cmp::Reverse,
@@ -10,15 +11,13 @@
 };
 
 use hdrhistogram::Histogram;
-use oleander_core::{HostId, Span, TargetId, Time, Tokens, ZoneId};
-use oleander_routing::{
-    Class, Decision, LeaseId, Observation, Pick, Router, RouterConfig, Target, TicketId,
-};
+use oleander_core::{HostId, Span, TargetId, Time, ZoneId};
+use oleander_routing::{Class, Decision, LeaseId, Pick, Router, RouterConfig, Target, TicketId};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
 use crate::{
-    engine::{Engine, Sequence, StepOutput},
+    engine::{Engine, Sequence},
     load::Arrival,
     settings::{Outcome, Settings},
 };
@@ -29,8 +28,6 @@
 const EXCHANGE_INTERVAL: Span = Span::from_millis(100);
 /// Interval at which an engine measures its load.
 const REPORT_INTERVAL: Span = Span::from_millis(500);
-/// Number of tokens between two observations of a stream.
-const TOKENS_PER_OUTPUT: u32 = 8;
 /// Number of times that a refused caller retries.
 const MAX_RETRIES: u32 = 2;
 /// Upper bound of the histograms.
@@ -285,73 +282,6 @@
         self.schedule_after(delay, Event::Submit { target, sequence });
     }
 
-    fn start_step(&mut self, target: usize) {
-        let engine = &mut self.engines[target];
-        if engine.busy {
-            return;
-        }
-        if let Some(took) = engine.start_step(&self.settings.engine) {
-            self.schedule_after(took, Event::FinishStep { target });
-        }
-        let load = self.engines[target].load();
-        self.outcome.max_at_engine = self.outcome.max_at_engine.max((load.0 + load.1) as usize);
-    }
-
-    fn finish_step(&mut self, target: usize) {
-        let outputs = self.engines[target].finish_step();
-        for output in outputs {
-            if self.is_measured() {
-                match output.class {
-                    Class::Online => self.outcome.online_tokens += 1,
-                    Class::Batch => self.outcome.batch_tokens += 1,
-                }
-            }
-            if output.first || output.done || output.produced % TOKENS_PER_OUTPUT == 0 {
-                let Some(run) = self.runs.get(&output.run) else { continue };
-                let host = self.hosts[run.host].zone;
-                let delay = self.link_delay(host, target);
-                self.schedule_after(delay, Event::Output { output });
-            }
-        }
-        self.start_step(target);
-    }
-
-    fn observe_output(&mut self, output: StepOutput) {
-        let Some(run) = self.runs.get_mut(&output.run) else { return };
-        let (host, lease) = (run.host, run.lease);
-        let tokens = Tokens(u64::from(output.produced.saturating_sub(run.observed)));
-        run.observed = output.produced;
-        let router = &mut self.hosts[host].router;
-        if output.first {
-            router.observe(self.now, lease, Observation::FirstOutput);
-        } else {
-            router.observe(self.now, lease, Observation::Output { tokens });
-        }
-        if let Work::Call(call) = run.work {
-            self.record_latency(call, output);
-        }
-        if output.done {
-            self.hosts[host].router.observe(self.now, lease, Observation::Done);
-            self.runs.remove(&output.run);
-            self.retry_waiting(host);
-        }
-    }
-
-    fn record_latency(&mut self, call: usize, output: StepOutput) {
-        if !self.is_measured() {
-            return;
-        }
-        let Call { arrival, sent_at, .. } = self.calls[call];
-        let took = (self.now + self.settings.caller_delay).since(sent_at).0;
-        if output.first {
-            self.outcome.first_token.saturating_record(took);
-        }
-        if output.done {
-            self.outcome.response.saturating_record(took);
-            self.outcome.completed_tokens += u64::from(arrival.length);
-        }
-    }
-
     /// Retries all calls that wait at a host, so that late ones are refused.
     fn retry_all(&mut self, host: usize) {
         let waiting = self.hosts[host].waiting.clone();
