Record a stream that its deadline cuts as interrupted

What callers saw: an abort, as is right. Its record said 'timed_out' with no first byte, as if the caller had got 504 and no event, so that cuts after the head could not be counted.

Cause: the deadline drops the attempt before the relay notes that its head was sent.

Evidence: a test of tests/silence.rs, red before: refusal TimedOut, interrupted false, first_byte None.

Now: the sink of the whole request notes the head. The texts of attempts still lack the one that the deadline has dropped.

--- a/crates/oleander-relay/src/relay.rs
+++ b/crates/oleander-relay/src/relay.rs
@@ -101,7 +101,10 @@
             summary: RequestSummary::new(&route.name),
         };
         let remaining = deadline.since(clock::steady()).to_duration();
-        let step = time::timeout_at(Instant::now() + remaining, pending.run(sink)).await;
+        let mut timed = TimedSink { sink, head_at: None };
+        let step = time::timeout_at(Instant::now() + remaining, pending.run(&mut timed)).await;
+        pending.head_sent = timed.head_at.is_some();
+        pending.summary.first_byte = timed.head_at.map(|at| at.since(request.received));
         let step = step.unwrap_or_else(|_| pending.timed_out());
         pending.finish(step, sink).await
     }
@@ -250,12 +253,9 @@
                 None => self.relay.transport.send(dispatch).await.map(Peeked::unread),
             }
         };
-        let mut timed = TimedSink { sink, head_at: None };
-        let forwarding = forward(lease, response, &mut attempt, &progress, &mut timed);
+        let forwarding = forward(lease, response, &mut attempt, &progress, sink);
         let AttemptEnd { outcome, successor } =
             takeover.watch(&target, forwarding, &progress).await;
-        let first = timed.head_at.map(|at| at.since(self.request.received));
-        self.summary.first_byte = self.summary.first_byte.or(first);
         self.head_sent |= progress.head_sent();
         (outcome.unwrap_or_else(|| interrupt_stalled(lease, &progress)), successor)
     }
@@ -285,7 +285,7 @@
     }
 }
 
-/// Records when the response head is forwarded.
+/// Records when the response head is forwarded, also if its attempt is dropped at the deadline.
 struct TimedSink<'a, S> {
     sink: &'a mut S,
     head_at: Option<Time>,
@@ -293,7 +293,7 @@
 
 impl<S: ResponseSink> ResponseSink for TimedSink<'_, S> {
     fn head(&mut self, head: ResponseHead) {
-        self.head_at = Some(clock::steady());
+        self.head_at.get_or_insert_with(clock::steady);
         self.sink.head(head);
     }
 
--- a/crates/oleander-relay/tests/silence.rs
+++ b/crates/oleander-relay/tests/silence.rs
@@ -19,6 +19,7 @@
 
 use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, StatusCode};
+use oleander_core::Span;
 use oleander_relay::{
     BodyError, Dispatch, Relay, ResponseBody, ResponseHead, RetryPolicy, SendError, TargetResponse,
     TargetTransport,
@@ -116,6 +117,16 @@
     assert!(overlap < MAX_OVERLAP, "two targets worked for {overlap:?}");
 }
 
+/// The record of a request says how it ended for its caller.
+#[tokio::test]
+async fn a_stream_that_is_cut_by_its_deadline_is_recorded_as_interrupted() {
+    let mut route = route(RetryPolicy::Never, 1);
+    route.timeout = Span::from_millis(300);
+    let Forwarded { summary, .. } = forward_to(pools(1), route, vec![silent_stream()]).await;
+    assert!(summary.interrupted && summary.refusal.is_none(), "{summary:?}");
+    assert!(summary.first_byte.is_some(), "{summary:?}");
+}
+
 /// Targets that send their events over sockets, from a thread of their own.
 #[derive(Debug, Default)]
 struct SocketTargets {
