Add a failing test of a second target that refuses late (LOST)

What callers see: an abort, or 502 before the head, though their target was sound and their time not over.

Cause: a second target that has not responded after 250 ms counts as having queued the request, and the silent first one is left. If the second was silent itself and then refuses, no attempts are left.

Not mended here, since each way has a price that has to be weighed: to keep the first target until the second has responded (two targets may work on a request for longer), to cancel the second after 250 ms and keep the first (a dead target is left only for one that responds so soon), or to go back to the first one, which adds no target to `max_attempts`.

--- a/crates/oleander-relay/tests/silence.rs
+++ b/crates/oleander-relay/tests/silence.rs
@@ -84,6 +84,18 @@
     }
 }
 
+/// A second target may be silent itself before it refuses.
+#[tokio::test]
+async fn a_silent_target_is_not_lost_when_another_target_refuses_late() {
+    for first in [silent_stream(), Step::complete(&[FIRST, SECOND]).delayed(SILENCE)] {
+        let has_begun = first.delay.is_zero();
+        let rest: &[&str] = if has_begun { &[SECOND] } else { &[FIRST, SECOND] };
+        let refusal = Step::not_run().delayed(Duration::from_millis(500));
+        let steps = vec![first, refusal, Step::complete(rest)];
+        assert_complete(&forward_to(pools(2), route(RetryPolicy::Resume, 2), steps).await);
+    }
+}
+
 /// The head of a refusal arrives before its end.
 #[tokio::test]
 async fn a_late_refusal_does_not_cancel_the_request_at_another_target() {
