--- a/crates/oleander-relay/tests/silence.rs
+++ b/crates/oleander-relay/tests/silence.rs
@@ -19,6 +19,7 @@
 
 use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, StatusCode};
+use oleander_core::Span;
 use oleander_relay::{
     BodyError, Dispatch, RefusalReason, Relay, ResponseBody, ResponseHead, RetryPolicy, SendError,
     TargetResponse, TargetTransport,
@@ -83,6 +84,18 @@
     }
 }
 
+/// A second target may be silent itself before it refuses.
+#[tokio::test]
+async fn a_silent_target_is_not_lost_when_another_target_refuses_late() {
+    for first in [silent_stream(), Step::complete(&[FIRST, SECOND]).delayed(SILENCE)] {
+        let has_begun = first.delay.is_zero();
+        let rest: &[&str] = if has_begun { &[SECOND] } else { &[FIRST, SECOND] };
+        let refusal = Step::not_run().delayed(Duration::from_millis(500));
+        let steps = vec![first, refusal, Step::complete(rest)];
+        assert_complete(&forward_to(pools(2), route(RetryPolicy::Resume, 2), steps).await);
+    }
+}
+
 /// The head of a refusal arrives before its end.
 #[tokio::test]
 async fn a_late_refusal_does_not_cancel_the_request_at_another_target() {
@@ -149,6 +162,16 @@
     }
 }
 
+/// The record of a request says how it ended for its caller.
+#[tokio::test]
+async fn a_stream_that_is_cut_by_its_deadline_is_recorded_as_interrupted() {
+    let mut route = route(RetryPolicy::Never, 1);
+    route.timeout = Span::from_millis(300);
+    let Forwarded { summary, .. } = forward_to(pools(1), route, vec![silent_stream()]).await;
+    assert!(summary.interrupted && summary.refusal.is_none(), "{summary:?}");
+    assert!(summary.first_byte.is_some(), "{summary:?}");
+}
+
 /// Targets that send their events over sockets, from a thread of their own.
 #[derive(Debug, Default)]
 struct SocketTargets {
