Limit the responses of the store, the platform and the targets' own interface

What callers would see: a store or target whose body never ends takes memory until the time limit of the request (96 MiB in 1.5 s in the tests, where the stand-in stops).

Cause: the three clients collected bodies, and the chat reader events, without a limit.

Now a body may have 16 MiB, an event of a chat 1 MiB.

--- a/crates/oleander-platform/src/client.rs
+++ b/crates/oleander-platform/src/client.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use http::{Method, Request, StatusCode, header};
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper_util::{
     client::legacy::{Client, connect::HttpConnector},
     rt::TokioExecutor,
@@ -22,6 +22,8 @@
 /// Maximum duration of a watch. A watch may omit a change, so the caller reads the object again
 /// when it ends.
 const WATCH_TIMEOUT: Duration = Duration::from_secs(3);
+/// Maximum size of a response, and of all lines of a watch: several times the largest value, 1 MiB.
+const MAX_RESPONSE_BYTES: usize = 16 << 20;
 const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
 const REVISION_HEADER: &str = "x-revision";
 
@@ -74,7 +76,8 @@
         let exchange = async {
             let response = self.client.request(request).await.map_err(client_error)?;
             let (parts, body) = response.into_parts();
-            let body = body.collect().await.map_err(no_response)?.to_bytes();
+            let body = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
+            let body = body.map_err(no_response)?.to_bytes();
             let revision = parts.headers.get(REVISION_HEADER).and_then(|v| v.to_str().ok());
             let revision = revision.and_then(|v| v.parse().ok());
             Ok(Response { status: parts.status, revision, body })
@@ -98,7 +101,7 @@
             .await
             .map_err(no_response)?
             .map_err(client_error)?;
-        let mut body = response.into_body();
+        let mut body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES);
         let mut buffer = Vec::new();
         loop {
             let frame =
--- a/crates/oleander-target/src/chat.rs
+++ b/crates/oleander-target/src/chat.rs
@@ -4,7 +4,16 @@
 //! missing, and the end marker has arrived after a finish reason. Tokens that are already known are
 //! skipped.
 
-use std::{fmt, pin::Pin, time::Duration};
+use std::{
+    fmt,
+    pin::Pin,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    task::{Context, Poll},
+    time::Duration,
+};
 
 use bytes::Bytes;
 use eventsource_stream::{EventStream, Eventsource};
@@ -16,6 +25,8 @@
 use crate::{client::Timeouts, error::TargetError};
 
 const END_MARKER: &str = "[DONE]";
+/// Maximum size of an event; limits the memory that a target can make this host use.
+const MAX_EVENT_BYTES: usize = 1 << 20;
 
 /// Token counts of a completion.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -64,11 +75,39 @@
     content: Option<String>,
 }
 
-type Events = EventStream<BodyDataStream<Incoming>>;
+type Events = EventStream<LimitedBody>;
+
+/// A body that fails once an event exceeds [`MAX_EVENT_BYTES`].
+struct LimitedBody {
+    body: BodyDataStream<Incoming>,
+    /// Bytes read since the last event.
+    pending: Arc<AtomicUsize>,
+}
+
+impl Stream for LimitedBody {
+    type Item = Result<Bytes, String>;
+
+    fn poll_next(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Option<Self::Item>> {
+        let chunk = self.body.poll_next_unpin(context);
+        chunk.map(|chunk| chunk.map(|chunk| self.check(chunk.map_err(|e| e.to_string())?)))
+    }
+}
+
+impl LimitedBody {
+    fn check(&self, chunk: Bytes) -> Result<Bytes, String> {
+        let before = self.pending.fetch_add(chunk.len(), Ordering::Relaxed);
+        if before + chunk.len() > MAX_EVENT_BYTES {
+            return Err("event is too long".to_owned());
+        }
+        Ok(chunk)
+    }
+}
 
 /// The response stream of a chat completion.
 pub struct ChatStream {
     events: Pin<Box<Events>>,
+    /// Bytes read since the last event.
+    pending: Arc<AtomicUsize>,
     request_id: String,
     next_index: u64,
     finish: Option<(String, Usage)>,
@@ -92,8 +131,11 @@
         resume_from: u64,
         timeouts: Timeouts,
     ) -> Self {
+        let pending = Arc::new(AtomicUsize::new(0));
+        let body = LimitedBody { body: BodyDataStream::new(body), pending: Arc::clone(&pending) };
         Self {
-            events: Box::pin(BodyDataStream::new(body).eventsource()),
+            events: Box::pin(body.eventsource()),
+            pending,
             request_id: request_id.to_owned(),
             next_index: resume_from,
             finish: None,
@@ -118,6 +160,7 @@
         loop {
             let data = next_data(&mut self.events, self.timeout).await?;
             self.timeout = self.idle_timeout;
+            self.pending.store(0, Ordering::Relaxed);
             if data == END_MARKER {
                 return self.end();
             }
--- a/crates/oleander-target/src/client.rs
+++ b/crates/oleander-target/src/client.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use http::{Method, Request, Response, header};
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper_util::{
     client::legacy::{Client, connect::HttpConnector},
@@ -16,6 +16,8 @@
 
 /// Header with the id of a request at its target.
 pub(crate) const REQUEST_ID_HEADER: &str = "x-request-id";
+/// Maximum size of a response that is not a stream.
+const MAX_BODY_BYTES: usize = 16 << 20;
 const MAX_IDLE_CONNECTIONS: usize = 64;
 
 pub(crate) type HttpClient = Client<HttpConnector, Full<Bytes>>;
@@ -187,7 +189,7 @@
         response: Response<Incoming>,
     ) -> Result<TargetResponse, TargetError> {
         let status = response.status().as_u16();
-        let body = response.into_body().collect();
+        let body = Limited::new(response.into_body(), MAX_BODY_BYTES).collect();
         match tokio::time::timeout(self.timeouts.first_byte, body).await {
             Ok(Ok(body)) => Ok(TargetResponse { status, body: body.to_bytes() }),
             Ok(Err(error)) => Err(TargetError::Interrupted(error.to_string())),
