Count hosts that do not answer when the version of a stream is asked

What callers would see: a stream that v1 began goes on at v2, if its caller comes to a host in the first second after its start, when it has reached no other host, and v1 left a moment ago.

Cause: only hosts that had answered a probe were asked, so a host that had just started asked nobody, and took no answer for nobody knowing better.

Now all listed hosts are asked that have not failed, and one that does not answer counts as such: a version that only the list tells of decides only if all hosts answered. Before the host has read which others there are, it decides nothing.

--- a/crates/oleander-cluster/src/cluster.rs
+++ b/crates/oleander-cluster/src/cluster.rs
@@ -340,6 +340,20 @@
         peers.collect()
     }
 
+    /// Addresses of the other entry hosts that are not known to have failed, also of those that have
+    /// not been reached yet.
+    pub(crate) fn possible_peers(&self) -> Vec<SocketAddr> {
+        let members = self.members.lock();
+        let running = members.view().filter(|view| view.state != MemberState::Failed);
+        let entries = running.filter(|view| view.profile.role == MemberRole::Entry);
+        entries.map(|view| view.profile.address).collect()
+    }
+
+    /// Whether the records of the hosts have been read.
+    pub(crate) fn is_listed(&self) -> bool {
+        self.records.read().contains_key(&self.local.host)
+    }
+
     fn address(&self, host: &HostId) -> Option<SocketAddr> {
         let record = self.records.read().get(host).map(|record| record.link);
         record.or_else(|| self.members.lock().address(host))
--- a/crates/oleander-cluster/src/streams.rs
+++ b/crates/oleander-cluster/src/streams.rs
@@ -70,17 +70,21 @@
         }
     }
 
-    /// Answers of all reachable hosts; stops at the first that has the stream.
+    /// Answers of all other hosts that may run; stops at the first that has the stream.
     async fn collect_answers(&self, query: &StreamQuery) -> Vec<StreamAnswer> {
+        if !self.is_listed() {
+            // The other hosts are not known yet.
+            return vec![StreamAnswer::Unreached];
+        }
         let request: PeerRequest<()> =
             PeerRequest::StreamVersion(query.service.clone(), query.stream);
-        let peers = self.peers();
-        let calls = peers.iter().map(|(_, _, address)| self.ask(*address, &request));
+        let peers = self.possible_peers();
+        let calls = peers.iter().map(|address| self.ask(*address, &request));
         let mut calls: FuturesUnordered<_> = calls.collect();
         let mut answers = Vec::new();
         while let Some(answer) = calls.next().await {
-            let is_registered = matches!(answer, Some(StreamAnswer::Registered(_)));
-            answers.extend(answer);
+            let is_registered = matches!(answer, StreamAnswer::Registered(_));
+            answers.push(answer);
             if is_registered {
                 break;
             }
@@ -88,13 +92,13 @@
         answers
     }
 
-    async fn ask(&self, address: SocketAddr, request: &PeerRequest<()>) -> Option<StreamAnswer> {
+    async fn ask(&self, address: SocketAddr, request: &PeerRequest<()>) -> StreamAnswer {
         match self.link.call(&address.to_string(), request, QUERY_TIMEOUT).await {
-            Ok(PeerResponse::<()>::StreamVersion(answer)) => Some(answer),
-            Ok(_) => None,
+            Ok(PeerResponse::<()>::StreamVersion(answer)) => answer,
+            Ok(_) => StreamAnswer::Unreached,
             Err(error) => {
                 log::debug!(address:% = address, error:% = error; "no answer about a stream");
-                None
+                StreamAnswer::Unreached
             }
         }
     }
--- a/crates/oleander-cluster/tests/streams/hosts.rs
+++ b/crates/oleander-cluster/tests/streams/hosts.rs
@@ -16,8 +16,8 @@
 use oleander_platform::{MemoryPlatform, ObjectStore};
 use oleander_relay::{
     BodyError, Dispatch, Pools, Relay, Request, RequestSummary, ResponseBody, ResponseHead,
-    ResponseSink, RetryPolicy, Route, RouteKind, SendError, SinkClosed, StreamId, StreamQuery,
-    TargetEntry, TargetList, TargetResponse, TargetTransport, TrafficShare,
+    ResponseSink, RetryPolicy, Route, RouteKind, SendError, SinkClosed, StreamAnswer, StreamId,
+    StreamQuery, TargetEntry, TargetList, TargetResponse, TargetTransport, TrafficShare,
 };
 use rand::{Rng, rngs::SmallRng};
 use tokio::{
@@ -128,7 +128,8 @@
         let (answers, answered) = oneshot::channel();
         let query = StreamQuery { service: service(), stream: StreamId::new("none"), answers };
         queries.send(query).expect("a receiver");
-        let count = answered.await.map_or(0, |answers| answers.len());
+        let answers = answered.await.unwrap_or_default();
+        let count = answers.iter().filter(|answer| **answer != StreamAnswer::Unreached).count();
         asking.abort();
         count
     }
--- a/crates/oleander-relay/src/streams.rs
+++ b/crates/oleander-relay/src/streams.rs
@@ -64,6 +64,8 @@
         Mixed,
         /// Nothing.
         Unknown,
+        /// Not known here, as the host did not answer.
+        Unreached,
     }
 }
 
@@ -71,7 +73,7 @@
     pub(crate) const fn registered(&self) -> Option<&SoftwareVersion> {
         match self {
             Self::Registered(version) => Some(version),
-            Self::Settled(_) | Self::Mixed | Self::Unknown => None,
+            Self::Settled(_) | Self::Mixed | Self::Unknown | Self::Unreached => None,
         }
     }
 }
--- a/crates/oleander-relay/src/streams/register.rs
+++ b/crates/oleander-relay/src/streams/register.rs
@@ -194,7 +194,8 @@
     /// Concludes the version of a stream from the answers of other hosts.
     ///
     /// A record decides. Without one, no host may know of another version than the only one listed
-    /// here, and another host or a current list must tell that it has been the only one for long.
+    /// here. Another host must tell that it has been the only one for long, or the list must, if all
+    /// hosts answer.
     #[must_use]
     pub fn conclude(
         &self,
@@ -209,11 +210,12 @@
         let versions = self.services.get(service)?;
         let own = versions.listed.first().filter(|_| !versions.is_mixed(now))?;
         let settled = answers.iter().any(|answer| *answer == StreamAnswer::Settled(own.clone()));
-        let assumed = versions.is_current(now) && versions.assumed(now).is_some();
+        let all_answered = !answers.contains(&StreamAnswer::Unreached);
+        let assumed = all_answered && versions.is_current(now) && versions.assumed(now).is_some();
         let differs = answers.iter().any(|answer| match answer {
             StreamAnswer::Mixed => true,
             StreamAnswer::Settled(version) => version != own,
-            StreamAnswer::Registered(_) | StreamAnswer::Unknown => false,
+            StreamAnswer::Registered(_) | StreamAnswer::Unknown | StreamAnswer::Unreached => false,
         });
         ((settled || assumed) && !differs).then(|| own.clone())
     }
--- a/crates/oleander-relay/tests/streams.rs
+++ b/crates/oleander-relay/tests/streams.rs
@@ -148,6 +148,10 @@
     let restarted = host(&["v1"], LONG);
     let answers = [host(&["v1"], LONG).answer(START, &service(), stream(1))];
     assert_eq!(restarted.conclude(START, &service(), &answers), Some(version("v1")));
+    // Nobody knows better, or nobody was there to be asked.
+    assert_eq!(restarted.conclude(START, &service(), &[]), Some(version("v1")));
+    let silent = [StreamAnswer::Unknown, StreamAnswer::Unreached];
+    assert_eq!(restarted.conclude(START, &service(), &silent), None);
 }
 
 /// Guards against taking a service for one of two versions when its only one was away for a moment.
