--- a/crates/oleander-cluster/tests/streams/main.rs
+++ b/crates/oleander-cluster/tests/streams/main.rs
@@ -108,6 +108,20 @@
     assert_eq!(resume(&hosts, &[0, 1, 2], &begun).await, 0);
 }
 
+/// Guards against hosts that all forget, in one restart, that a version left a moment ago.
+#[tokio::test]
+async fn after_a_restart_of_all_hosts_a_version_that_has_just_left_is_not_forgotten() {
+    let mut hosts = Hosts::start(3, two_versions()).await;
+    let begun = begin(&hosts, &[0, 1, 2], "forgotten").await;
+    hosts.list(targets(&["v2", "v2"], OLD));
+    (0..3).for_each(|index| hosts.kill(index));
+    for index in 0..3 {
+        hosts.start_host(index).await;
+    }
+    hosts.wait_until_connected().await;
+    resume(&hosts, &[0, 1, 2], &begun).await;
+}
+
 /// Guards against a host that restarts just after the last target of a version left, and takes the
 /// service for one of a single version.
 #[tokio::test]
--- a/crates/oleander-relay/tests/streams.rs
+++ b/crates/oleander-relay/tests/streams.rs
@@ -165,3 +165,16 @@
     host.set_listed(now, &service(), versions(&["v2"]), Span::ZERO);
     assert_eq!(host.answer(now, &service(), stream(1)), StreamAnswer::Mixed);
 }
+
+/// Guards against announcements that overtake each other on their way to a host.
+#[test]
+fn an_announcement_that_arrives_late_does_not_replace_a_newer_one() {
+    let (mut first, mut second) = (host(&["v1", "v2"], LONG), host(&["v1", "v2"], LONG));
+    begin(&mut first, START, 1, "v2");
+    let early = first.take_announcements();
+    begin(&mut first, START + SECOND, 1, "v1");
+    let late = first.take_announcements();
+    second.merge(START + SECOND, late);
+    second.merge(START + SECOND, early);
+    assert_eq!(lookup(&second, START + SECOND, 1), Some(version("v1")));
+}
