Keep the newer of two announcements of a stream

What callers could see: a stream that changed its version before its first event goes on at the one that sent nothing, if a host gets the two announcements in the wrong order and the host that began the stream is gone.

Cause: each announcement is a call of its own, and the one that arrived last counted.

Now an announcement has the time at which it was sent, and an older one does not replace another version. Only the host that began a stream announces it with two versions, so that one clock decides.

--- a/crates/oleander-relay/src/streams.rs
+++ b/crates/oleander-relay/src/streams.rs
@@ -50,6 +50,8 @@
     pub struct VersionStreams {
         /// The version.
         pub version: SoftwareVersion,
+        /// When the sender announced them, by its clock.
+        pub sent: Time,
         /// The streams.
         pub streams: Vec<StreamId>,
     }
@@ -109,7 +111,7 @@
     pub async fn announcements(&self) -> Vec<VersionStreams> {
         loop {
             let announced = self.announced.notified();
-            let announcements = self.register.lock().take_announcements();
+            let announcements = self.register.lock().take_announcements(clock::steady());
             if !announcements.is_empty() {
                 return announcements;
             }
--- a/crates/oleander-relay/src/streams/register.rs
+++ b/crates/oleander-relay/src/streams/register.rs
@@ -31,6 +31,8 @@
 struct Registered {
     version: SoftwareVersion,
     expires: Time,
+    /// When it was announced, by the clock of the sender; `None` if this host sent it to a target.
+    announced: Option<Time>,
     /// Service of a stream that this host sent to a target and has not announced.
     unannounced: Option<ServiceId>,
 }
@@ -138,25 +140,36 @@
         let registered = Registered {
             version: version.clone(),
             expires: deadline.max(now) + RETENTION,
+            announced: None,
             unannounced: is_settled.then(|| service.clone()),
         };
         self.streams.insert(stream, registered);
     }
 
     /// Takes the streams that other hosts have to know.
-    pub fn take_announcements(&mut self) -> Vec<VersionStreams> {
+    pub fn take_announcements(&mut self, now: Time) -> Vec<VersionStreams> {
         let pending = mem::take(&mut self.pending).into_iter();
-        pending.map(|(version, streams)| VersionStreams { version, streams }).collect()
+        pending.map(|(version, streams)| VersionStreams { version, sent: now, streams }).collect()
     }
 
     /// Registers streams that another host has announced.
+    ///
+    /// Announcements may overtake each other; the one that was sent last counts. Only the host that
+    /// began a stream announces it with different versions, so that one clock decides.
     pub fn merge(&mut self, now: Time, announced: Vec<VersionStreams>) {
         self.expire(now);
         let expires = now + RETENTION * 2;
-        for VersionStreams { version, streams } in announced {
+        for VersionStreams { version, sent, streams } in announced {
             for stream in streams {
+                let known = self.streams.get(&stream);
+                let last = known.and_then(|known| known.announced).filter(|last| *last > sent);
+                if last.is_some() && known.is_some_and(|known| known.version != version) {
+                    continue;
+                }
+                let announced = last.or(Some(sent));
                 let version = version.clone();
-                self.streams.insert(stream, Registered { version, expires, unannounced: None });
+                let registered = Registered { version, expires, announced, unannounced: None };
+                self.streams.insert(stream, registered);
             }
         }
     }
--- a/crates/oleander-relay/tests/streams.rs
+++ b/crates/oleander-relay/tests/streams.rs
@@ -54,9 +54,9 @@
     let (mut first, mut second) = (host(&["v1", "v2"], LONG), host(&["v1", "v2"], LONG));
     begin(&mut first, START, 1, "v2");
     assert_eq!(lookup(&second, START, 1), None);
-    second.merge(START, first.take_announcements());
+    second.merge(START, first.take_announcements(START));
     assert_eq!(lookup(&second, START, 1), Some(version("v2")));
-    assert!(first.take_announcements().is_empty());
+    assert!(first.take_announcements(START).is_empty());
 }
 
 #[test]
@@ -64,7 +64,7 @@
     let (mut first, mut second) = (host(&["v1", "v2"], LONG), host(&["v1", "v2"], LONG));
     begin(&mut first, START, 1, "v2");
     begin(&mut first, START, 1, "v1");
-    second.merge(START, first.take_announcements());
+    second.merge(START, first.take_announcements(START));
     assert_eq!(lookup(&second, START, 1), Some(version("v1")));
 }
 
@@ -73,17 +73,17 @@
     let mut settled = settled_host("v1");
     assert_eq!(lookup(&settled, START, 1), Some(version("v1")));
     begin(&mut settled, START, 1, "v1");
-    assert!(settled.take_announcements().is_empty());
+    assert!(settled.take_announcements(START).is_empty());
 }
 
 #[test]
 fn streams_begun_before_a_second_version_are_announced_when_it_comes() {
     let mut first = settled_host("v1");
     begin(&mut first, START, 1, "v1");
-    assert!(first.take_announcements().is_empty());
+    assert!(first.take_announcements(START).is_empty());
     first.set_listed(START + SECOND, &service(), versions(&["v1", "v2"]), SECOND);
     let mut second = host(&["v1", "v2"], LONG);
-    second.merge(START + SECOND, first.take_announcements());
+    second.merge(START + SECOND, first.take_announcements(START + SECOND));
     assert_eq!(lookup(&second, START + SECOND, 1), Some(version("v1")));
 }
 
@@ -171,9 +171,9 @@
 fn an_announcement_that_arrives_late_does_not_replace_a_newer_one() {
     let (mut first, mut second) = (host(&["v1", "v2"], LONG), host(&["v1", "v2"], LONG));
     begin(&mut first, START, 1, "v2");
-    let early = first.take_announcements();
+    let early = first.take_announcements(START);
     begin(&mut first, START + SECOND, 1, "v1");
-    let late = first.take_announcements();
+    let late = first.take_announcements(START + SECOND);
     second.merge(START + SECOND, late);
     second.merge(START + SECOND, early);
     assert_eq!(lookup(&second, START + SECOND, 1), Some(version("v1")));
