--- a/crates/oleander-relay/src/relay.rs
+++ b/crates/oleander-relay/src/relay.rs
@@ -12,7 +12,9 @@
 use crate::{
     attempt::{Attempt, AttemptOutcome, AttemptTimeouts, forward, interrupt_stalled},
     events::EventReader,
-    pool::{Pool, Pools, TargetLease, Ticket, VersionChoice},
+    lease::{TargetLease, Ticket},
+    pool::{Pool, VersionChoice},
+    pools::Pools,
     request::{Request, ResponseHead},
     retry::{NextStep, RetryState},
     route::{RetryPolicy, Route},
@@ -109,10 +111,9 @@
         let remaining = deadline.since(clock::steady()).to_duration();
         let mut timed = TimedSink { sink, head_at: None };
         let step = time::timeout_at(Instant::now() + remaining, pending.run(&mut timed)).await;
-        pending.head_sent |= timed.head_at.is_some();
-        let first_byte = timed.head_at.map(|at| at.since(request.received));
+        pending.head_sent = timed.head_at.is_some();
+        pending.summary.first_byte = timed.head_at.map(|at| at.since(request.received));
         let step = step.unwrap_or_else(|_| pending.timed_out());
-        pending.summary.first_byte = first_byte;
         pending.finish(step, sink).await
     }
 }
@@ -347,7 +348,7 @@
     }
 }
 
-/// Records when the response head is forwarded.
+/// Records when the response head is forwarded, also if its attempt is dropped at the deadline.
 struct TimedSink<'a, S> {
     sink: &'a mut S,
     head_at: Option<Time>,
@@ -355,7 +356,7 @@
 
 impl<S: ResponseSink> ResponseSink for TimedSink<'_, S> {
     fn head(&mut self, head: ResponseHead) {
-        self.head_at = Some(clock::steady());
+        self.head_at.get_or_insert_with(clock::steady);
         self.sink.head(head);
     }
 
--- a/crates/oleander-relay/src/streams.rs
+++ b/crates/oleander-relay/src/streams.rs
@@ -58,6 +58,8 @@
     pub struct VersionStreams {
         /// The version.
         pub version: SoftwareVersion,
+        /// When the sender announced them, by its clock.
+        pub sent: Time,
         /// The streams.
         pub streams: Vec<StreamId>,
     }
@@ -72,6 +74,8 @@
         Mixed,
         /// Nothing.
         Unknown,
+        /// Not known here, as the host did not answer.
+        Unreached,
     }
 }
 
@@ -79,7 +83,7 @@
     pub(crate) const fn registered(&self) -> Option<&SoftwareVersion> {
         match self {
             Self::Registered(version) => Some(version),
-            Self::Settled(_) | Self::Mixed | Self::Unknown => None,
+            Self::Settled(_) | Self::Mixed | Self::Unknown | Self::Unreached => None,
         }
     }
 }
@@ -115,7 +119,7 @@
     pub async fn announcements(&self) -> Vec<VersionStreams> {
         loop {
             let announced = self.announced.notified();
-            let announcements = self.register.lock().take_announcements();
+            let announcements = self.register.lock().take_announcements(clock::steady());
             if !announcements.is_empty() {
                 return announcements;
             }
--- a/crates/oleander-relay/src/streams/register.rs
+++ b/crates/oleander-relay/src/streams/register.rs
@@ -36,6 +36,8 @@
 struct Registered {
     version: SoftwareVersion,
     expires: Time,
+    /// When it was announced, by the clock of the sender; `None` if this host sent it to a target.
+    announced: Option<Time>,
     /// Service of a stream that this host sent to a target and has not announced.
     unannounced: Option<ServiceId>,
 }
@@ -156,25 +158,36 @@
         let registered = Registered {
             version: version.clone(),
             expires: deadline.max(now) + RETENTION,
+            announced: None,
             unannounced: is_settled.then(|| service.clone()),
         };
         self.streams.insert(stream, registered);
     }
 
     /// Takes the streams that other hosts have to know.
-    pub fn take_announcements(&mut self) -> Vec<VersionStreams> {
+    pub fn take_announcements(&mut self, now: Time) -> Vec<VersionStreams> {
         let pending = mem::take(&mut self.pending).into_iter();
-        pending.map(|(version, streams)| VersionStreams { version, streams }).collect()
+        pending.map(|(version, streams)| VersionStreams { version, sent: now, streams }).collect()
     }
 
     /// Registers streams that another host has announced.
+    ///
+    /// Announcements may overtake each other; the one that was sent last counts. Only the host that
+    /// began a stream announces it with different versions, so that one clock decides.
     pub fn merge(&mut self, now: Time, announced: Vec<VersionStreams>) {
         self.expire(now);
         let expires = now + ANNOUNCED_RETENTION;
-        for VersionStreams { version, streams } in announced {
+        for VersionStreams { version, sent, streams } in announced {
             for stream in streams {
+                let known = self.streams.get(&stream);
+                let last = known.and_then(|known| known.announced).filter(|last| *last > sent);
+                if last.is_some() && known.is_some_and(|known| known.version != version) {
+                    continue;
+                }
+                let announced = last.or(Some(sent));
                 let version = version.clone();
-                self.streams.insert(stream, Registered { version, expires, unannounced: None });
+                let registered = Registered { version, expires, announced, unannounced: None };
+                self.streams.insert(stream, registered);
             }
         }
     }
@@ -212,7 +225,8 @@
     /// Concludes the version of a stream from the answers of other hosts.
     ///
     /// A record decides. Without one, no host may know of another version than the only one listed
-    /// here, and another host or a current list must tell that it has been the only one for long.
+    /// here. Another host must tell that it has been the only one for long, or the list must, if all
+    /// hosts answer.
     #[must_use]
     pub fn conclude(
         &self,
@@ -227,11 +241,12 @@
         let versions = self.services.get(service)?;
         let own = versions.listed.first().filter(|_| !versions.is_mixed(now))?;
         let settled = answers.iter().any(|answer| *answer == StreamAnswer::Settled(own.clone()));
-        let assumed = versions.is_current(now) && versions.assumed(now).is_some();
+        let all_answered = !answers.contains(&StreamAnswer::Unreached);
+        let assumed = all_answered && versions.is_current(now) && versions.assumed(now).is_some();
         let differs = answers.iter().any(|answer| match answer {
             StreamAnswer::Mixed => true,
             StreamAnswer::Settled(version) => version != own,
-            StreamAnswer::Registered(_) | StreamAnswer::Unknown => false,
+            StreamAnswer::Registered(_) | StreamAnswer::Unknown | StreamAnswer::Unreached => false,
         });
         ((settled || assumed) && !differs).then(|| own.clone())
     }
