Log the parts of prompts, the phase of broken attempts and whether a target has ended

The end of a request and of an item's run now name the parts that other requests may share (never the last one). A broken attempt says whether the target had sent output, and each target that broke off is connected to once and logged as ended if it refuses. No decision depends on it yet.

--- a/crates/oleander-core/src/lib.rs
+++ b/crates/oleander-core/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod event;
 pub mod hash;
 pub mod ids;
+pub mod prompt;
 pub mod units;
 
 pub use api::{ApiError, ErrorCode, Ran};
@@ -17,4 +18,5 @@
     AttemptId, CallId, ChunkIndex, DigestId, Fence, FileId, HostId, ItemIndex, JobId, LotIndex,
     ModelId, ParseIdError, RequestId, Revision, ServiceId, ShardId, TargetId, WorkspaceId, ZoneId,
 };
+pub use prompt::PromptPart;
 pub use units::{Bytes, ParseUnitError, Rate, Span, Time, Tokens};
--- a/crates/oleander-relay/src/attempt.rs
+++ b/crates/oleander-relay/src/attempt.rs
@@ -315,6 +315,7 @@
     }
 
     async fn forward(&mut self, bytes: Bytes, last_event: Option<u64>) -> Result<(), SinkClosed> {
+        self.lease.record_output();
         self.progress.record_output(Instant::now(), last_event);
         self.sink.chunk(bytes).await?;
         self.progress.record_forwarded(Instant::now());
--- a/crates/oleander-relay/src/lease.rs
+++ b/crates/oleander-relay/src/lease.rs
@@ -11,6 +11,8 @@
     pub(crate) pool: Arc<Pool>,
     pub(crate) id: LeaseId,
     pub(crate) ended: bool,
+    /// Whether the target has sent output for this request.
+    pub(crate) has_output: bool,
     /// The target.
     pub target: TargetEntry,
     /// Load of the target when it was selected, including this request.
@@ -69,6 +71,11 @@
         self.pool.observe(self.id, observation);
     }
 
+    /// Records that the target has sent output, also for a stream that goes on here.
+    pub(crate) const fn record_output(&mut self) {
+        self.has_output = true;
+    }
+
     /// Updates the load that the target reported.
     pub fn update_load(&self, load: LoadReport) {
         self.pool.update_load(&self.target.id, load);
--- a/crates/oleander-relay/src/pool.rs
+++ b/crates/oleander-relay/src/pool.rs
@@ -289,7 +289,8 @@
             limit: status.limit,
         });
         let load = load.unwrap_or_default();
-        Some(TargetLease { pool: Arc::clone(self), id: lease, ended: false, target, load })
+        let pool = Arc::clone(self);
+        Some(TargetLease { pool, id: lease, ended: false, has_output: false, target, load })
     }
 
     pub(crate) fn observe(&self, lease: LeaseId, observation: Observation) {
--- a/crates/oleander-relay/src/relay.rs
+++ b/crates/oleander-relay/src/relay.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use oleander_core::{Span, Time};
+use oleander_core::{PromptPart, Span, Time};
 use oleander_host::clock;
 use oleander_routing::{Pick, TicketId};
 use parking_lot::RwLock;
@@ -47,6 +47,8 @@
 pub struct RequestSummary {
     /// Name of the route.
     pub route: String,
+    /// Parts of the prompt that other requests may share.
+    pub parts: Vec<PromptPart>,
     /// Attempts, each with the target, its load when it was selected, and the outcome.
     pub attempts: Vec<String>,
     /// Time spent waiting for a target.
@@ -106,7 +108,7 @@
             head_sent: false,
             version: None,
             current: None,
-            summary: RequestSummary::new(&route.name),
+            summary: RequestSummary::new(&route.name, self.transport.shared_parts(request)),
         };
         let remaining = deadline.since(clock::steady()).to_duration();
         let mut timed = TimedSink { sink, head_at: None };
@@ -119,9 +121,10 @@
 }
 
 impl RequestSummary {
-    fn new(route: &str) -> Self {
+    fn new(route: &str, parts: Vec<PromptPart>) -> Self {
         Self {
             route: route.to_owned(),
+            parts,
             attempts: Vec::new(),
             waited: Span::ZERO,
             first_byte: None,
@@ -178,7 +181,7 @@
             let (outcome, next) = self.attempt(&pool, &mut lease, sending, sink).await;
             self.current = None;
             let target = lease.target.id.clone();
-            self.summary.attempts.push(format!("{lease}: {outcome}"));
+            self.record_attempt(&lease, &outcome);
             drop(lease);
             match self.retry.end(&target, ran_before, outcome) {
                 NextStep::Retry => successor = next,
@@ -191,6 +194,16 @@
         }
     }
 
+    /// Adds an attempt to the record of the request, and checks a target that broke off.
+    fn record_attempt(&mut self, lease: &TargetLease, outcome: &AttemptOutcome) {
+        let mut text = format!("{lease}: {outcome}");
+        if matches!(outcome, AttemptOutcome::Interrupted { .. }) {
+            text.push_str(if lease.has_output { ", after output" } else { ", before any output" });
+            tokio::spawn(check_target(Arc::clone(&self.relay.transport), lease.target.clone()));
+        }
+        self.summary.attempts.push(text);
+    }
+
     /// Waits for a target that has not failed this request, as long as the caller does.
     async fn acquire_next<S: ResponseSink>(
         &mut self,
@@ -348,6 +361,12 @@
     }
 }
 
+/// Logs whether a target that broke off has ended, or only its connection.
+async fn check_target<T: TargetTransport>(transport: Arc<T>, target: TargetEntry) {
+    let ended = transport.refuses(&target).await;
+    log::info!(target:% = target.id, address:% = target.address, ended; "target broke off");
+}
+
 /// Records when the response head is forwarded, also if its attempt is dropped at the deadline.
 struct TimedSink<'a, S> {
     sink: &'a mut S,
--- a/crates/oleander-relay/src/transport.rs
+++ b/crates/oleander-relay/src/transport.rs
@@ -3,7 +3,7 @@
 use std::{fmt, sync::Arc};
 
 use bytes::Bytes;
-use oleander_core::Span;
+use oleander_core::{PromptPart, Span};
 use oleander_routing::LoadReport;
 
 use crate::{
@@ -88,4 +88,14 @@
         &self,
         dispatch: Dispatch,
     ) -> impl Future<Output = Result<TargetResponse<Self::Body>, SendError>> + Send;
+
+    /// The parts of a request's prompt that other requests may share.
+    fn shared_parts(&self, _request: &Request) -> Vec<PromptPart> {
+        Vec::new()
+    }
+
+    /// Whether the target refuses connections, so that its process has ended.
+    fn refuses(&self, _target: &TargetEntry) -> impl Future<Output = bool> + Send {
+        async { false }
+    }
 }
--- a/crates/oleander-worklist/src/runner.rs
+++ b/crates/oleander-worklist/src/runner.rs
@@ -167,7 +167,8 @@
         self.runs.lock().retain(|other| other.number != run.number);
         let outcome = run_outcome(&attempt_outcome);
         let now = clock::steady();
-        log::info!(request:% = next.request.id, target:% = target, after:? = resumed,
+        let parts = self.relay.transport.shared_parts(&next.request);
+        log::info!(request:% = next.request.id, parts:? = parts, target:% = target, after:? = resumed,
             last:? = events.last_id(), took_ms = now.since(started).as_millis(), outcome:? = outcome,
             reason:% = reason(&attempt_outcome); "item run ended");
         metrics::counter!("item_runs_total", "outcome" => outcome_label(&outcome)).increment(1);
