Add a failing test of requests that share a part which crashes targets

Five hosts with real links, ten scripted targets that crash when they begin to write for one part of a prompt, callers that repeat a lost request once, and new targets in place of the ended ones.

The hosts of the test of streams are now shared by both tests, for any transport; its checks are as they were.

--- /dev/null
+++ b/crates/oleander-cluster/tests/crashes/main.rs
@@ -0,0 +1,54 @@
+//! Requests at several hosts, of which some have a part in their prompts that crashes targets.
+
+#[path = "../support/hosts.rs"]
+mod support;
+mod targets;
+mod traffic;
+
+use std::time::{Duration, Instant};
+
+use targets::CrashTargets;
+use traffic::{Fleet, Served};
+
+/// Seeds of the tests, unless `CRASH_SEEDS` names another number of them.
+const SEEDS: u64 = 2;
+const HOSTS: usize = 5;
+const TARGETS: usize = 10;
+/// Time in which hosts may still learn of the fifth crash.
+const CONTACT: Duration = Duration::from_millis(500);
+/// Requests with the bad part that may reach targets after that.
+const MAX_LATE_RUNS: usize = 3;
+
+fn seeds() -> u64 {
+    std::env::var("CRASH_SEEDS").ok().and_then(|text| text.parse().ok()).unwrap_or(SEEDS)
+}
+
+/// Bad requests that reached targets too long after the fifth crash.
+fn late_runs(targets: &CrashTargets) -> usize {
+    let Some(fifth) = targets.crashes().get(4).copied() else { return 0 };
+    let runs = targets.runs();
+    runs.iter().filter(|run| run.is_bad && run.at > fifth + CONTACT).count()
+}
+
+/// Share of sound requests served whole at the first attempt, in per mille, of those sent after `from`.
+fn served_per_mille(served: &[Served], from: Instant) -> usize {
+    let sound = served.iter().filter(|one| !one.is_bad && !one.is_repeat && one.at > from);
+    let (whole, all) =
+        sound.fold((0, 0), |(whole, all), one| (whole + usize::from(one.is_whole), all + 1));
+    whole * 1_000 / all.max(1)
+}
+
+#[tokio::test]
+async fn requests_with_a_crashing_part_do_not_end_one_target_after_the_other() {
+    for (seed, share) in (0..seeds()).flat_map(|seed| [(seed, 30), (seed, 300)]) {
+        let mut fleet = Fleet::start(seed, HOSTS, TARGETS).await;
+        fleet.run(Duration::from_millis(300), 0).await;
+        let served = fleet.run(Duration::from_secs(4), share).await;
+        let (late, crashes) = (late_runs(&fleet.crashing), fleet.crashing.crashes());
+        assert!(late <= MAX_LATE_RUNS, "seed {seed}, share {share}: {late} of {}", crashes.len());
+        let from = crashes.get(4).map_or(crashes[0], |fifth| *fifth) + CONTACT * 2;
+        let sound = served_per_mille(&served, from);
+        let lost = served.iter().find(|one| !one.is_bad && !one.is_whole && one.at > from);
+        assert!(sound > 500, "seed {seed}, share {share}: {sound} per mille served, not {lost:?}");
+    }
+}
--- /dev/null
+++ b/crates/oleander-cluster/tests/crashes/targets.rs
@@ -0,0 +1,147 @@
+//! Targets that crash when they begin to write a response for a prompt with a bad part.
+
+use std::{
+    collections::HashMap,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use http::{HeaderMap, StatusCode};
+use oleander_core::{PromptPart, TargetId};
+use oleander_relay::{
+    BodyError, Dispatch, Request, ResponseBody, ResponseHead, SendError, TargetEntry,
+    TargetResponse, TargetTransport,
+};
+use parking_lot::Mutex;
+use tokio::{sync::watch, time::sleep};
+
+/// Header that lists the parts of a prompt, the request's own part last.
+pub(crate) const PARTS: &str = "x-parts";
+/// Time before the first event of a stream, and between two of them.
+const FIRST_EVENT: Duration = Duration::from_millis(40);
+const EVENT_INTERVAL: Duration = Duration::from_millis(25);
+/// Events of a stream.
+pub(crate) const EVENTS: u64 = 6;
+
+/// A request that reached a target.
+#[derive(Debug, Clone)]
+pub(crate) struct Run {
+    pub(crate) at: Instant,
+    pub(crate) target: TargetId,
+    pub(crate) is_bad: bool,
+}
+
+/// Targets of which each ends with all its streams when it begins to write for the bad part.
+///
+/// Clones are the same targets.
+#[derive(Debug, Clone)]
+pub(crate) struct CrashTargets {
+    bad: PromptPart,
+    running: Arc<Mutex<HashMap<TargetId, watch::Sender<bool>>>>,
+    runs: Arc<Mutex<Vec<Run>>>,
+    crashes: Arc<Mutex<Vec<Instant>>>,
+}
+
+impl CrashTargets {
+    pub(crate) fn new(bad: PromptPart) -> Self {
+        Self { bad, running: Arc::default(), runs: Arc::default(), crashes: Arc::default() }
+    }
+
+    /// Starts a target.
+    pub(crate) fn start(&self, target: &TargetId) {
+        self.running.lock().insert(target.clone(), watch::Sender::new(true));
+    }
+
+    /// Ends a target with all its streams; returns whether it ran.
+    pub(crate) fn end(&self, target: &TargetId) -> bool {
+        let ended = self.running.lock().remove(target);
+        ended.is_some_and(|running| running.send(false).is_ok() || running.is_closed())
+    }
+
+    fn crash(&self, target: &TargetId) {
+        if self.end(target) {
+            self.crashes.lock().push(Instant::now());
+        }
+    }
+
+    pub(crate) fn is_running(&self, target: &TargetId) -> bool {
+        self.running.lock().contains_key(target)
+    }
+
+    /// When targets crashed, in order.
+    pub(crate) fn crashes(&self) -> Vec<Instant> {
+        self.crashes.lock().clone()
+    }
+
+    /// Requests that reached targets, in order.
+    pub(crate) fn runs(&self) -> Vec<Run> {
+        self.runs.lock().clone()
+    }
+}
+
+fn parts(request: &Request) -> Vec<PromptPart> {
+    let text = request.headers.get(PARTS).and_then(|value| value.to_str().ok()).unwrap_or("");
+    text.split(',').filter_map(|part| part.parse().ok()).collect()
+}
+
+impl TargetTransport for CrashTargets {
+    type Body = CrashBody;
+
+    async fn send(&self, dispatch: Dispatch) -> Result<TargetResponse<CrashBody>, SendError> {
+        let target = dispatch.target.id.clone();
+        let running = self.running.lock().get(&target).map(watch::Sender::subscribe);
+        let Some(running) = running else {
+            return Err(SendError::NotSent("connection refused".to_owned()));
+        };
+        let is_bad = parts(&dispatch.request).contains(&self.bad);
+        self.runs.lock().push(Run { at: Instant::now(), target: target.clone(), is_bad });
+        let next = dispatch.resume_after.unwrap_or(0) + 1;
+        let body = CrashBody { targets: self.clone(), target, is_bad, running, next, sent: 0 };
+        let head = ResponseHead { status: StatusCode::OK, headers: HeaderMap::new() };
+        Ok(TargetResponse { head, not_run: false, load: None, body })
+    }
+
+    fn shared_parts(&self, request: &Request) -> Vec<PromptPart> {
+        let mut parts = parts(request);
+        parts.pop();
+        parts
+    }
+
+    async fn refuses(&self, target: &TargetEntry) -> bool {
+        !self.is_running(&target.id)
+    }
+}
+
+#[derive(Debug)]
+pub(crate) struct CrashBody {
+    targets: CrashTargets,
+    target: TargetId,
+    is_bad: bool,
+    running: watch::Receiver<bool>,
+    next: u64,
+    sent: u64,
+}
+
+impl ResponseBody for CrashBody {
+    async fn next_chunk(&mut self) -> Option<Result<Bytes, BodyError>> {
+        if self.next > EVENTS {
+            return None;
+        }
+        let pause = if self.sent == 0 { FIRST_EVENT } else { EVENT_INTERVAL };
+        tokio::select! {
+            () = sleep(pause) => {}
+            _ = self.running.wait_for(|running| !running) => {
+                return Some(Err(BodyError("end of file".to_owned())));
+            }
+        }
+        if self.is_bad {
+            self.targets.crash(&self.target);
+            return Some(Err(BodyError("end of file".to_owned())));
+        }
+        let event = format!("id: {0}\ndata: {0}\n\n", self.next);
+        self.next += 1;
+        self.sent += 1;
+        Some(Ok(Bytes::from(event)))
+    }
+}
--- /dev/null
+++ b/crates/oleander-cluster/tests/crashes/traffic.rs
@@ -0,0 +1,146 @@
+//! Callers of several hosts, and an operator that starts a new target for each that has ended.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use oleander_core::{PromptPart, Span};
+use oleander_relay::{RefusalReason, Request, RequestSummary, RetryPolicy, Route, TargetEntry};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use tokio::{task::JoinSet, time::sleep};
+
+use crate::{
+    support::{Hosts, beginning, route, targets},
+    targets::{CrashTargets, EVENTS, PARTS},
+};
+
+/// The part that crashes targets.
+pub(crate) const BAD: PromptPart = PromptPart(0xbad);
+/// First part of most requests.
+pub(crate) const FIRST: u64 = 0xa;
+/// First part of the others.
+const OTHER_FIRST: u64 = 0xc;
+/// Time from one arrival to the next.
+const ARRIVAL: Duration = Duration::from_millis(15);
+/// Parts that a few sound requests share.
+const SESSIONS: u64 = 30;
+/// Time after which a new target is listed for one that has ended.
+const RESTART: Duration = Duration::from_millis(700);
+/// Pause between two looks of the operator.
+const LOOK: Duration = Duration::from_millis(50);
+const SLOTS: u32 = 8;
+
+/// A request and what its caller got.
+#[derive(Debug, Clone)]
+pub(crate) struct Served {
+    pub(crate) at: Instant,
+    pub(crate) is_bad: bool,
+    pub(crate) is_repeat: bool,
+    pub(crate) is_whole: bool,
+    pub(crate) summary: RequestSummary,
+}
+
+/// Hosts, their targets, and requests at all of them.
+pub(crate) struct Fleet {
+    pub(crate) hosts: Hosts<CrashTargets>,
+    pub(crate) crashing: CrashTargets,
+    pub(crate) random: SmallRng,
+    sent: u64,
+    started: u16,
+}
+
+impl Fleet {
+    pub(crate) async fn start(seed: u64, hosts: usize, count: usize) -> Self {
+        let crashing = CrashTargets::new(BAD);
+        let listed: Vec<TargetEntry> = targets(&vec!["v1"; count], Span::from_secs(60))
+            .into_iter()
+            .map(|target| TargetEntry { slots: SLOTS, ..target })
+            .collect();
+        listed.iter().for_each(|target| crashing.start(&target.id));
+        let transport = Arc::new(crashing.clone());
+        let hosts = Hosts::start(transport, hosts, listed).await;
+        let random = SmallRng::seed_from_u64(seed);
+        Self { hosts, crashing, random, sent: 0, started: count as u16 }
+    }
+
+    /// Sends requests for a time, of which a share in per mille has the bad part.
+    pub(crate) async fn run(&mut self, time: Duration, bad_per_mille: u32) -> Vec<Served> {
+        let end = Instant::now() + time;
+        let mut requests = JoinSet::new();
+        let mut looked = Instant::now();
+        while Instant::now() < end {
+            let is_bad = self.random.random_ratio(bad_per_mille, 1_000);
+            self.send(&mut requests, is_bad);
+            sleep(ARRIVAL).await;
+            if looked.elapsed() >= LOOK {
+                looked = Instant::now();
+                self.replace_ended();
+            }
+        }
+        let mut served: Vec<Served> = requests.join_all().await.into_iter().flatten().collect();
+        served.sort_by_key(|one| one.at);
+        served
+    }
+
+    fn send(&mut self, requests: &mut JoinSet<Vec<Served>>, is_bad: bool) {
+        self.sent += 1;
+        let first = if self.random.random_ratio(1, 5) { OTHER_FIRST } else { FIRST };
+        let second = if is_bad { BAD.0 } else { 0x100 + self.random.random_range(0..SESSIONS) };
+        let parts = format!("{first:x},{second:x},{:x}", 0x1_0000 + self.sent);
+        let live = self.hosts.live_indexes();
+        let mut at = || live[self.random.random_range(0..live.len())];
+        let (first_host, second_host) = (self.hosts.caller(at()), self.hosts.caller(at()));
+        let id = format!("r-{}", self.sent);
+        requests.spawn(async move {
+            let mut served = Vec::new();
+            for (host, id) in [(first_host, id.clone()), (second_host, format!("{id}-again"))] {
+                let at = Instant::now();
+                let (summary, text) = host.forward(request(&id, &parts), &resumable()).await;
+                let is_whole = text.matches("data:").count() as u64 == EVENTS;
+                let is_lost = summary.interrupted
+                    || summary.refusal.is_some_and(|one| one.reason == RefusalReason::ResponseLost);
+                let is_repeat = !served.is_empty();
+                served.push(Served { at, is_bad, is_repeat, is_whole, summary });
+                if !is_lost {
+                    break;
+                }
+            }
+            served
+        });
+    }
+
+    /// Lists a new target at all hosts for each that has ended a while ago.
+    fn replace_ended(&mut self) {
+        let now = Instant::now();
+        let ready = self.crashing.crashes().iter().filter(|at| now - **at >= RESTART).count();
+        let mut listed = self.hosts.listed().to_vec();
+        let mut ended: Vec<usize> = (0..listed.len())
+            .filter(|index| !self.crashing.is_running(&listed[*index].id))
+            .collect();
+        let crashes = self.crashing.crashes().len();
+        ended.truncate(ended.len().saturating_sub(crashes - ready.min(crashes)));
+        if ended.is_empty() {
+            return;
+        }
+        for index in ended {
+            self.started += 1;
+            let id = format!("engine-{}-v1", self.started).parse().expect("target");
+            listed[index] = TargetEntry { id, ..listed[index].clone() };
+            self.crashing.start(&listed[index].id);
+        }
+        self.hosts.list(listed);
+    }
+}
+
+fn request(id: &str, parts: &str) -> Arc<Request> {
+    let mut request = Request::clone(&beginning(id));
+    request.headers.insert(PARTS, parts.parse().expect("header value"));
+    request.body = parts.to_owned().into();
+    Arc::new(request)
+}
+
+/// A route of streams that go on at a second target.
+fn resumable() -> Route {
+    Route { retry: RetryPolicy::Resume, max_attempts: 2, ..route() }
+}
--- a/crates/oleander-cluster/tests/streams/main.rs
+++ b/crates/oleander-cluster/tests/streams/main.rs
@@ -1,12 +1,16 @@
 //! Streams that callers take up again at other hosts, while targets of several versions serve.
 
 mod hosts;
+#[path = "../support/hosts.rs"]
+mod support;
 
 use futures_util::future::join_all;
 use oleander_core::Span;
 use rand::{Rng, SeedableRng, rngs::SmallRng, seq::IndexedRandom};
 
-use hosts::{EVENTS, Hosts, LAST_BEFORE, OLD, beginning, resuming, targets};
+use hosts::{
+    EVENTS, Hosts, LAST_BEFORE, OLD, beginning, forward, list_at_some, resuming, start, targets,
+};
 
 /// Seeds of the rollouts, unless `STREAM_SEEDS` names another number of them.
 const SEEDS: u64 = 2;
@@ -27,7 +31,7 @@
     let one = |number: usize| async move {
         let id = format!("{name}-{number}");
         let host = hosts.host(at[number % at.len()]);
-        let (summary, events) = host.forward(beginning(&id)).await;
+        let (summary, events) = forward(host, beginning(&id)).await;
         assert_eq!(events.len() as u64, LAST_BEFORE, "{summary:?}");
         Begun { id, version: events[0].version.clone() }
     };
@@ -38,7 +42,7 @@
 async fn resume(hosts: &Hosts, at: &[usize], begun: &[Begun]) -> usize {
     let one = |(number, stream): (usize, Begun)| async move {
         let host = hosts.host(at[number % at.len()]);
-        let (summary, events) = host.forward(resuming(&stream.id)).await;
+        let (summary, events) = forward(host, resuming(&stream.id)).await;
         for event in &events {
             assert_eq!(event.version, stream.version, "two versions in {stream:?}: {summary:?}");
         }
@@ -60,7 +64,7 @@
 
 #[tokio::test]
 async fn a_caller_goes_on_at_another_host_after_its_first_one_is_gone() {
-    let mut hosts = Hosts::start(HOSTS, two_versions()).await;
+    let mut hosts = start(HOSTS, two_versions()).await;
     let begun = begin(&hosts, &[0], "gone").await;
     assert!(begun.iter().any(|stream| stream.version != begun[0].version), "{begun:?}");
     hosts.kill(0);
@@ -70,7 +74,7 @@
 
 #[tokio::test]
 async fn a_caller_goes_on_at_its_first_host_after_a_restart() {
-    let mut hosts = Hosts::start(HOSTS, two_versions()).await;
+    let mut hosts = start(HOSTS, two_versions()).await;
     let begun = begin(&hosts, &[0], "back").await;
     hosts.kill(0);
     hosts.start_host(0).await;
@@ -80,7 +84,7 @@
 
 #[tokio::test]
 async fn after_a_restart_of_all_hosts_a_stream_goes_on_only_if_there_was_one_version() {
-    let mut hosts = Hosts::start(3, two_versions()).await;
+    let mut hosts = start(3, two_versions()).await;
     for (listed, expected) in [(two_versions(), 0), (targets(&["v3", "v3"], OLD), STREAMS)] {
         hosts.list(listed);
         let begun = begin(&hosts, &[0, 1, 2], "all").await;
@@ -97,7 +101,7 @@
 
 #[tokio::test]
 async fn after_a_restart_of_all_hosts_young_targets_are_not_taken_for_the_only_ones() {
-    let mut hosts = Hosts::start(3, targets(&["v1", "v1"], OLD)).await;
+    let mut hosts = start(3, targets(&["v1", "v1"], OLD)).await;
     let begun = begin(&hosts, &[0, 1, 2], "young").await;
     hosts.list(targets(&["v2", "v2"], Span::from_secs(1)));
     (0..3).for_each(|index| hosts.kill(index));
@@ -111,7 +115,7 @@
 /// Guards against hosts that all forget, in one restart, that a version left a moment ago.
 #[tokio::test]
 async fn after_a_restart_of_all_hosts_a_version_that_has_just_left_is_not_forgotten() {
-    let mut hosts = Hosts::start(3, two_versions()).await;
+    let mut hosts = start(3, two_versions()).await;
     let begun = begin(&hosts, &[0, 1, 2], "forgotten").await;
     hosts.list(targets(&["v2", "v2"], OLD));
     (0..3).for_each(|index| hosts.kill(index));
@@ -126,7 +130,7 @@
 /// service for one of a single version.
 #[tokio::test]
 async fn a_restarted_host_does_not_go_on_with_streams_of_a_version_that_left() {
-    let mut hosts = Hosts::start(3, two_versions()).await;
+    let mut hosts = start(3, two_versions()).await;
     let begun = begin(&hosts, &[0], "left").await;
     hosts.list(targets(&["v2", "v2"], OLD));
     hosts.kill(0);
@@ -140,7 +144,7 @@
 /// silence for not knowing better.
 #[tokio::test]
 async fn a_host_that_has_just_started_does_not_go_on_without_asking_the_others() {
-    let mut hosts = Hosts::start(3, two_versions()).await;
+    let mut hosts = start(3, two_versions()).await;
     let begun = begin(&hosts, &[0], "early").await;
     hosts.list(targets(&["v2", "v2"], OLD));
     hosts.kill(0);
@@ -152,7 +156,7 @@
 /// Guards against hosts that refuse, or mix, what was announced to others only.
 #[tokio::test]
 async fn a_host_that_did_not_hear_of_a_stream_asks_the_others() {
-    let hosts = Hosts::start(HOSTS, two_versions()).await;
+    let hosts = start(HOSTS, two_versions()).await;
     let begun = begin(&hosts, &[0], "ask").await;
     for index in 0..HOSTS {
         assert_eq!(resume(&hosts, &[index], &begun).await, STREAMS, "at host {index}");
@@ -161,7 +165,7 @@
 
 #[tokio::test]
 async fn a_host_that_reaches_no_other_refuses_what_it_does_not_know() {
-    let mut hosts = Hosts::start(2, two_versions()).await;
+    let mut hosts = start(2, two_versions()).await;
     let begun = begin(&hosts, &[0], "alone").await;
     hosts.kill(0);
     hosts.kill(1);
@@ -183,12 +187,12 @@
 /// Streams that go on, and all that callers take up again while two targets of their version serve.
 async fn roll_out(seed: u64) -> (usize, usize) {
     let mut random = SmallRng::seed_from_u64(seed);
-    let mut hosts = Hosts::start(HOSTS, two_versions()).await;
+    let mut hosts = start(HOSTS, two_versions()).await;
     let (mut served, mut all) = (0, 0);
     for round in 0..ROUNDS {
         let listed = random_versions(&mut random);
         let age = if random.random_bool(0.5) { OLD } else { Span::from_secs(1) };
-        hosts.list_at_some(&mut random, targets(&listed, age));
+        list_at_some(&mut hosts, &mut random, targets(&listed, age));
         let name = format!("{seed}-{round}");
         let begun = begin(&hosts, &hosts.live_indexes(), &name).await;
         let count = random.random_range(1..=2);
