Keep requests that crash targets away from targets

Cause: nothing was remembered beyond one request. An end of a target changed what a host thought of the target, never of the request, so each new request with the part was sent on, twice, at every host. The same held for items and for second requests beside silent targets. Class: a fault of the input taken for a fault of the server, and retried.

The new crate oleander-quarantine keeps, for each crash of a target, the requests that had no output from it yet, by the parts of their prompts and their whole content. Output for a part, anywhere later, clears it. Parts suspected by three crashes at different moments (five if many requests had them lately) are blocked: their requests are refused at once, 'not run' with the time until the block ends, and an item ends as failed. Until then requests with a suspected part all go to one target, and one whose parts have ended two targets is not sent again. A crash is told from a broken connection by a refused one. Hosts tell each other at once, repeat it to a few others while there is something to know, and store blocks at the platform, so that a restart of one or of all hosts forgets nothing. A block ends after ten minutes; one crash then doubles it.

Four more tests: a host that starts anew, all hosts at once, targets that end together, and sound requests beside bad ones.

--- a/crates/oleander-cluster/src/cluster.rs
+++ b/crates/oleander-cluster/src/cluster.rs
@@ -139,6 +139,10 @@
                         cluster.pools.streams.merge(announced);
                         PeerResponse::Noted
                     }
+                    PeerRequest::Quarantine(news) => {
+                        cluster.receive_quarantine(news);
+                        PeerResponse::Noted
+                    }
                     PeerRequest::StreamVersion(service, stream) => {
                         let answer = cluster.pools.streams.answer(&service, stream);
                         PeerResponse::StreamVersion(answer)
--- a/crates/oleander-cluster/src/message.rs
+++ b/crates/oleander-cluster/src/message.rs
@@ -2,6 +2,7 @@
 
 use oleander_core::{ServiceId, Time, ZoneId, value};
 use oleander_members::Message;
+use oleander_quarantine::QuarantineNews;
 use oleander_relay::{StreamAnswer, StreamId, VersionStreams};
 use oleander_routing::PeerCount;
 use serde::{Deserialize, Serialize};
@@ -18,6 +19,16 @@
     }
 }
 
+value! {
+    /// What a host knows of requests that crash the targets of one service.
+    pub struct ServiceQuarantine {
+        /// The service.
+        pub service: ServiceId,
+        /// Crashes and blocks.
+        pub news: QuarantineNews,
+    }
+}
+
 /// A request from one host to another; `Q` is the application's request type.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum PeerRequest<Q> {
@@ -41,6 +52,8 @@
     Streams(Vec<VersionStreams>),
     /// Asks for the version that began a stream of a service.
     StreamVersion(ServiceId, StreamId),
+    /// Crashes of targets and blocked parts that the sender knows of.
+    Quarantine(Vec<ServiceQuarantine>),
 }
 
 /// The response to a request; `A` is the application's response type.
--- /dev/null
+++ b/crates/oleander-cluster/src/quarantine.rs
@@ -0,0 +1,188 @@
+//! Exchange between hosts of what they know of requests that crash targets.
+//!
+//! News go to all other entry hosts at once, since every host gets such requests. While there is
+//! anything to know, each host also repeats all of it to a few others now and then, for hosts that
+//! started anew, were paused or were cut off. Blocks are stored at the platform as well, for the
+//! case that all hosts end; a host reads them once, when it starts.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use oleander_core::{HostId, ServiceId, Span, Time, hash, value};
+use oleander_host::clock;
+use oleander_platform::{Created, ObjectStore, StoreError, decode_value, encode_value};
+use oleander_quarantine::{BlockNews, QuarantineNews};
+use oleander_relay::Pool;
+use rand::seq::IndexedRandom;
+use tokio::time;
+
+use crate::{
+    cluster::Cluster,
+    message::{PeerRequest, PeerResponse, ServiceQuarantine},
+};
+
+/// Prefix of the keys of stored blocks.
+const PREFIX: &str = "blockedparts/";
+/// Time in which news are collected for one message.
+const NEWS_INTERVAL: Duration = Duration::from_millis(5);
+/// Maximum wait for the response to a message.
+const MESSAGE_TIMEOUT: Duration = Duration::from_millis(400);
+/// Interval at which a host repeats all that it knows.
+const REPEAT_INTERVAL: Duration = Duration::from_millis(500);
+/// Number of hosts to which it is repeated.
+const REPEAT_HOSTS: usize = 3;
+/// Pause before a failed call of the platform is repeated.
+const RETRY_PAUSE: Duration = Duration::from_millis(500);
+
+value! {
+    /// A block as stored at the platform.
+    struct StoredBlock {
+        service: ServiceId,
+        block: BlockNews,
+        /// When it was stored, by the clock of the host that began it.
+        stored: Time,
+    }
+}
+
+impl Cluster {
+    /// Tells other hosts of crashes and blocks, and stores the blocks that this host begins; never
+    /// returns.
+    pub async fn share_quarantine<S: ObjectStore>(self: Arc<Self>, store: S) {
+        let cluster = Arc::clone(&self);
+        let blocks = store.clone();
+        tokio::spawn(async move { cluster.load_blocks(&blocks).await });
+        let mut repeat = time::interval(REPEAT_INTERVAL);
+        loop {
+            tokio::select! {
+                () = self.pools.quarantine_changed() => {
+                    self.send_news();
+                    self.store_begun(&store);
+                    time::sleep(NEWS_INTERVAL).await;
+                }
+                _ = repeat.tick() => self.repeat_all(),
+            }
+        }
+    }
+
+    pub(crate) fn receive_quarantine(&self, news: Vec<ServiceQuarantine>) {
+        for ServiceQuarantine { service, news } in news {
+            self.pools.merge_quarantine(&service, news);
+        }
+    }
+
+    fn send_news(&self) {
+        let news = self.quarantine(|pool| pool.quarantine.take_news());
+        if !news.is_empty() {
+            let peers = self.peers().into_iter();
+            self.send_quarantine(peers.map(|(host, _, address)| (host, address)), &news);
+        }
+    }
+
+    fn repeat_all(&self) {
+        let known = self.quarantine(|pool| pool.quarantine.snapshot());
+        if known.is_empty() {
+            return;
+        }
+        let peers: Vec<_> =
+            self.peers().into_iter().map(|(host, _, address)| (host, address)).collect();
+        let some = peers.choose_multiple(&mut rand::rng(), REPEAT_HOSTS);
+        self.send_quarantine(some.cloned(), &known);
+    }
+
+    /// What `read` says of each service, where it is not empty.
+    fn quarantine(&self, read: impl Fn(&Pool) -> QuarantineNews) -> Vec<ServiceQuarantine> {
+        let pools = self.pools.all().into_iter();
+        let news = pools.map(|(service, pool)| ServiceQuarantine { service, news: read(&pool) });
+        news.filter(|one| !one.news.is_empty()).collect()
+    }
+
+    fn send_quarantine(
+        &self,
+        hosts: impl Iterator<Item = (HostId, SocketAddr)>,
+        news: &[ServiceQuarantine],
+    ) {
+        for (host, address) in hosts {
+            let request: PeerRequest<()> = PeerRequest::Quarantine(news.to_vec());
+            let link = self.link.clone();
+            tokio::spawn(async move {
+                let response = link.call(&address.to_string(), &request, MESSAGE_TIMEOUT).await;
+                if let Err(error) = response.map(|_: PeerResponse<()>| ()) {
+                    log::debug!(host:% = host, error:% = error; "crashes were not announced");
+                }
+            });
+        }
+    }
+
+    /// Stores the blocks that this host has begun.
+    fn store_begun<S: ObjectStore>(&self, store: &S) {
+        for (service, pool) in self.pools.all() {
+            for block in pool.quarantine.take_begun() {
+                log::warn!(service:% = service, parts:% = block.parts, count = block.count,
+                    for_s = block.remaining.as_secs_f64(); "parts of prompts are blocked: they crash targets");
+                metrics::counter!("blocked_parts_total").increment(1);
+                let stored = StoredBlock { service: service.clone(), block, stored: clock::now() };
+                tokio::spawn(store_block(store.clone(), stored));
+            }
+        }
+    }
+
+    /// Reads the stored blocks, repeating until it succeeds.
+    async fn load_blocks<S: ObjectStore>(&self, store: &S) {
+        loop {
+            match read_blocks(store).await {
+                Ok(blocks) => {
+                    blocks.into_iter().for_each(|stored| self.apply_stored(stored));
+                    return;
+                }
+                Err(error) => log::warn!(error:% = error; "blocked parts can't be read"),
+            }
+            time::sleep(RETRY_PAUSE).await;
+        }
+    }
+
+    fn apply_stored(&self, stored: StoredBlock) {
+        let StoredBlock { service, mut block, stored } = stored;
+        let age = clock::now().since(stored);
+        block.remaining = Span(block.remaining.0.saturating_sub(age.0));
+        if block.remaining > Span::ZERO {
+            let news = QuarantineNews { crashes: Vec::new(), blocks: vec![block] };
+            self.pools.merge_quarantine(&service, news);
+        }
+    }
+}
+
+async fn read_blocks<S: ObjectStore>(store: &S) -> Result<Vec<StoredBlock>, StoreError> {
+    let mut blocks = Vec::new();
+    let mut after = String::new();
+    loop {
+        let page = store.scan(PREFIX, &after).await?;
+        for (key, object) in page.objects {
+            match decode_value::<StoredBlock>(&object.body) {
+                Ok(block) => blocks.push(block),
+                Err(error) => log::warn!(key:% = key, error:% = error; "stored block skipped"),
+            }
+            after = key;
+        }
+        if !page.more {
+            return Ok(blocks);
+        }
+    }
+}
+
+/// Stores a block unless another host has; each host that learns of the last crash begins it.
+async fn store_block<S: ObjectStore>(store: S, stored: StoredBlock) {
+    let StoredBlock { service, block, .. } = &stored;
+    let parts = block.parts.to_string();
+    let name = hash::hash_parts(&[service.as_str(), &parts, &block.count.to_string()]);
+    let key = format!("{PREFIX}{name:016x}");
+    let body = match encode_value(&stored) {
+        Ok(body) => body,
+        Err(error) => return log::error!(key:% = key, error:% = error; "block is not stored"),
+    };
+    loop {
+        match store.create(&key, body.clone()).await {
+            Ok(Created::New(_) | Created::Exists) => return,
+            Err(error) => log::warn!(key:% = key, error:% = error; "block is not stored yet"),
+        }
+        time::sleep(RETRY_PAUSE).await;
+    }
+}
--- a/crates/oleander-cluster/tests/crashes/targets.rs
+++ b/crates/oleander-cluster/tests/crashes/targets.rs
@@ -28,7 +28,6 @@
 #[derive(Debug, Clone)]
 pub(crate) struct Run {
     pub(crate) at: Instant,
-    pub(crate) target: TargetId,
     pub(crate) is_bad: bool,
 }
 
@@ -95,7 +94,7 @@
             return Err(SendError::NotSent("connection refused".to_owned()));
         };
         let is_bad = parts(&dispatch.request).contains(&self.bad);
-        self.runs.lock().push(Run { at: Instant::now(), target: target.clone(), is_bad });
+        self.runs.lock().push(Run { at: Instant::now(), is_bad });
         let next = dispatch.resume_after.unwrap_or(0) + 1;
         let body = CrashBody { targets: self.clone(), target, is_bad, running, next, sent: 0 };
         let head = ResponseHead { status: StatusCode::OK, headers: HeaderMap::new() };
--- a/crates/oleander-cluster/tests/crashes/traffic.rs
+++ b/crates/oleander-cluster/tests/crashes/traffic.rs
@@ -64,6 +64,26 @@
         Self { hosts, crashing, random, sent: 0, started: count as u16 }
     }
 
+    /// Ends half of the targets at one moment.
+    pub(crate) fn end_half(&mut self) {
+        let listed = self.hosts.listed().to_vec();
+        for target in listed.iter().step_by(2) {
+            self.crashing.end(&target.id);
+        }
+    }
+
+    /// Sends bad requests at all hosts, one after the other; returns how many were sent to targets.
+    pub(crate) async fn send_bad(&mut self, count: usize) -> usize {
+        let before = self.crashing.runs().len();
+        for _ in 0..count {
+            let mut requests = JoinSet::new();
+            let parts = self.parts(true);
+            self.send(&mut requests, parts, true);
+            requests.join_all().await;
+        }
+        self.crashing.runs().len() - before
+    }
+
     /// Sends requests for a time, of which a share in per mille has the bad part.
     pub(crate) async fn run(&mut self, time: Duration, bad_per_mille: u32) -> Vec<Served> {
         let end = Instant::now() + time;
@@ -71,7 +91,8 @@
         let mut looked = Instant::now();
         while Instant::now() < end {
             let is_bad = self.random.random_ratio(bad_per_mille, 1_000);
-            self.send(&mut requests, is_bad);
+            let parts = self.parts(is_bad);
+            self.send(&mut requests, parts, is_bad);
             sleep(ARRIVAL).await;
             if looked.elapsed() >= LOOK {
                 looked = Instant::now();
@@ -83,11 +104,15 @@
         served
     }
 
-    fn send(&mut self, requests: &mut JoinSet<Vec<Served>>, is_bad: bool) {
-        self.sent += 1;
+    /// The parts of a new request.
+    fn parts(&mut self, is_bad: bool) -> String {
         let first = if self.random.random_ratio(1, 5) { OTHER_FIRST } else { FIRST };
         let second = if is_bad { BAD.0 } else { 0x100 + self.random.random_range(0..SESSIONS) };
-        let parts = format!("{first:x},{second:x},{:x}", 0x1_0000 + self.sent);
+        format!("{first:x},{second:x},{:x}", 0x1_0000 + self.sent)
+    }
+
+    fn send(&mut self, requests: &mut JoinSet<Vec<Served>>, parts: String, is_bad: bool) {
+        self.sent += 1;
         let live = self.hosts.live_indexes();
         let mut at = || live[self.random.random_range(0..live.len())];
         let (first_host, second_host) = (self.hosts.caller(at()), self.hosts.caller(at()));
--- a/crates/oleander-cluster/tests/support/hosts.rs
+++ b/crates/oleander-cluster/tests/support/hosts.rs
@@ -167,6 +167,7 @@
             tokio::spawn(Arc::clone(&cluster).follow_records(self.store.clone())),
             tokio::spawn(Arc::clone(&cluster).run_probes()),
             tokio::spawn(Arc::clone(&cluster).announce_streams()),
+            tokio::spawn(Arc::clone(&cluster).share_quarantine(self.store.clone())),
             tokio::spawn(Arc::clone(&cluster).ask_about_streams(pools.streams.queries())),
         ];
         let relay = Arc::new(Relay::new(pools, Arc::clone(&self.transport)));
--- /dev/null
+++ b/crates/oleander-quarantine/src/crash.rs
@@ -0,0 +1,56 @@
+//! A crash and what is known of its cause.
+
+use std::collections::BTreeSet;
+
+use oleander_core::{PromptPart, Time};
+
+use crate::parts::PartSet;
+
+/// A crash of a target.
+#[derive(Debug, Clone)]
+pub(crate) struct Crash {
+    /// When this host learned of it.
+    pub(crate) known_at: Time,
+    /// Requests that had no output from the target yet.
+    pub(crate) suspects: BTreeSet<PartSet>,
+    /// Parts with output from another target since then.
+    pub(crate) cleared: PartSet,
+}
+
+impl Crash {
+    pub(crate) const fn new(now: Time) -> Self {
+        Self { known_at: now, suspects: BTreeSet::new(), cleared: PartSet(BTreeSet::new()) }
+    }
+
+    /// Parts of suspects that are not cleared.
+    pub(crate) fn suspected(&self) -> BTreeSet<PromptPart> {
+        let all = self.suspects.iter().flat_map(|parts| parts.0.iter().copied());
+        all.filter(|part| !self.cleared.0.contains(part)).collect()
+    }
+
+    /// Parts that are not cleared, of the suspects that have `part`.
+    pub(crate) fn suspected_with(&self, part: PromptPart) -> BTreeSet<PromptPart> {
+        let with = self.suspects.iter().filter(|parts| parts.0.contains(&part));
+        let all = with.flat_map(|parts| parts.0.iter().copied());
+        all.filter(|part| !self.cleared.0.contains(part)).collect()
+    }
+
+    /// Whether a suspect has `part`, which is not cleared.
+    pub(crate) fn suspects(&self, part: PromptPart) -> bool {
+        !self.cleared.0.contains(&part) && self.suspects.iter().any(|parts| parts.0.contains(&part))
+    }
+
+    /// Clears parts; returns whether any was suspected.
+    pub(crate) fn clear(&mut self, parts: &PartSet) -> bool {
+        let cleared: Vec<PromptPart> =
+            parts.0.iter().copied().filter(|part| self.suspects(*part)).collect();
+        let any = !cleared.is_empty();
+        self.cleared.0.extend(cleared);
+        any
+    }
+
+    /// Whether a suspect has all of `parts`.
+    pub(crate) fn is_explained_by(&self, parts: &PartSet) -> bool {
+        self.suspects.iter().any(|suspect| parts.is_within(suspect))
+    }
+}
--- a/crates/oleander-relay/src/attempt.rs
+++ b/crates/oleander-relay/src/attempt.rs
@@ -4,7 +4,8 @@
 
 use bytes::{Bytes, BytesMut};
 use http::StatusCode;
-use oleander_core::Span;
+use oleander_core::{Span, hash};
+use oleander_quarantine::RequestParts;
 use oleander_routing::{Failure, Observation};
 use tokio::time::{self, Instant};
 
@@ -93,8 +94,8 @@
 ///
 /// A target that makes no progress within the time limits is interrupted.
 pub async fn run_attempt<T: TargetTransport, S: ResponseSink>(
-    transport: &T,
-    lease: &mut TargetLease,
+    transport: &Arc<T>,
+    mut lease: TargetLease,
     mut attempt: Attempt<'_>,
     sink: &mut S,
 ) -> AttemptOutcome {
@@ -102,16 +103,50 @@
     let timeouts = attempt.timeouts;
     let progress = attempt.progress(started);
     let outcome = {
-        let dispatch = attempt.dispatch(lease);
+        let dispatch = attempt.dispatch(&lease);
         let response = transport.send(dispatch);
-        let forwarding = forward(lease, response, &mut attempt, &progress, sink);
+        let forwarding = forward(&mut lease, response, &mut attempt, &progress, sink);
         tokio::select! {
             biased;
             outcome = forwarding => Some(outcome),
             () = progress.stalled(timeouts, started) => None,
         }
     };
-    outcome.unwrap_or_else(|| interrupt_stalled(lease, &progress))
+    let outcome = outcome.unwrap_or_else(|| interrupt_stalled(&mut lease, &progress));
+    check_target(transport, lease).await;
+    outcome
+}
+
+/// The parts of a request, by which a crash of its target is attributed.
+pub fn request_parts<T: TargetTransport>(transport: &T, request: &Request) -> Arc<RequestParts> {
+    let content = hash::hash_bytes(&request.body).to_string();
+    let content = hash::hash_parts(&[&request.host, &request.path, &content]);
+    Arc::new(RequestParts::new(transport.shared_parts(request), content))
+}
+
+/// Finds out whether a target that broke off has crashed, or only a connection failed.
+///
+/// Whoever had no output yet waits for the result, since its next target depends on it.
+pub(crate) async fn check_target<T: TargetTransport>(transport: &Arc<T>, lease: TargetLease) {
+    let TargetLease { pool, target, has_output, .. } = &lease;
+    if !lease.broke_off || pool.quarantine.has_crashed(&target.run(), Span(u64::MAX)) {
+        return;
+    }
+    let (pool, target, has_output) = (Arc::clone(pool), target.clone(), *has_output);
+    drop(lease);
+    let transport = Arc::clone(transport);
+    let check = async move {
+        let ended = transport.refuses(&target).await;
+        log::info!(target:% = target.id, address:% = target.address, ended; "target broke off");
+        if ended {
+            pool.record_crash(&target);
+        }
+    };
+    if has_output {
+        tokio::spawn(check);
+    } else {
+        check.await;
+    }
 }
 
 impl Attempt<'_> {
@@ -158,6 +193,11 @@
             lease.observe(Observation::Failed(Failure::Connect));
             return AttemptOutcome::NotSent(reason);
         }
+        Err(SendError::Refused(reason)) => {
+            lease.record_crash();
+            lease.observe(Observation::Failed(Failure::Connect));
+            return AttemptOutcome::NotSent(reason);
+        }
         Err(SendError::NoResponse(reason)) => {
             lease.observe(Observation::Failed(Failure::BrokenStream));
             return AttemptOutcome::Interrupted { reason, head_sent: attempt.head_sent };
@@ -173,7 +213,7 @@
 
 /// Ends the attempt at a target that has made no progress in time.
 pub(crate) fn interrupt_stalled(lease: &mut TargetLease, progress: &Progress) -> AttemptOutcome {
-    let failure = if progress.has_head() { Failure::BrokenStream } else { Failure::Timeout };
+    let failure = if progress.has_head() { Failure::IdleTimeout } else { Failure::Timeout };
     lease.observe(Observation::Failed(failure));
     AttemptOutcome::Interrupted {
         reason: progress.describe(Instant::now()),
--- a/crates/oleander-relay/src/lease.rs
+++ b/crates/oleander-relay/src/lease.rs
@@ -2,7 +2,8 @@
 
 use std::{fmt, sync::Arc};
 
-use oleander_routing::{LeaseId, LoadReport, Observation, TicketId};
+use oleander_quarantine::{RequestParts, TargetRun};
+use oleander_routing::{Failure, LeaseId, LoadReport, Observation, TicketId};
 
 use crate::{pool::Pool, target_list::TargetEntry};
 
@@ -11,8 +12,12 @@
     pub(crate) pool: Arc<Pool>,
     pub(crate) id: LeaseId,
     pub(crate) ended: bool,
+    /// Parts of the request, by which a crash of the target is attributed.
+    pub(crate) parts: Arc<RequestParts>,
     /// Whether the target has sent output for this request.
     pub(crate) has_output: bool,
+    /// Whether the target broke off, rather than that it was left because it was silent.
+    pub(crate) broke_off: bool,
     /// The target.
     pub target: TargetEntry,
     /// Load of the target when it was selected, including this request.
@@ -68,12 +73,32 @@
             return;
         }
         self.ended = observation.is_final();
+        self.broke_off |= observation == Observation::Failed(Failure::BrokenStream);
+        let was_left = matches!(
+            observation,
+            Observation::Failed(Failure::BrokenStream | Failure::Timeout | Failure::IdleTimeout)
+        );
+        if was_left && !self.has_output && !self.target.leaving {
+            self.pool.quarantine.record_break(&self.run(), &self.parts);
+        }
         self.pool.observe(self.id, observation);
     }
 
     /// Records that the target has sent output, also for a stream that goes on here.
-    pub(crate) const fn record_output(&mut self) {
-        self.has_output = true;
+    pub(crate) fn record_output(&mut self) {
+        if !std::mem::replace(&mut self.has_output, true) {
+            self.pool.quarantine.record_output(&self.parts);
+        }
+    }
+
+    /// Records that the target's process has ended.
+    pub(crate) fn record_crash(&self) {
+        self.pool.record_crash(&self.target);
+    }
+
+    /// The run of the target.
+    pub(crate) fn run(&self) -> TargetRun {
+        self.target.run()
     }
 
     /// Updates the load that the target reported.
--- a/crates/oleander-relay/src/pool.rs
+++ b/crates/oleander-relay/src/pool.rs
@@ -1,9 +1,12 @@
 //! The targets of one service, behind the router that selects among them.
 
-use std::{borrow::Cow, collections::HashMap, sync::Arc};
+mod restrict;
+
+use std::{collections::HashMap, sync::Arc};
 
 use oleander_core::{HostId, Span, TargetId, Time, ZoneId};
 use oleander_host::clock;
+use oleander_quarantine::{PartSet, RequestParts, Standing};
 use oleander_routing::{
     BatchExcess, Class, Decision, LeaseId, LoadReport, Observation, PeerCount, Pick, Router,
     RouterConfig, Target, TicketId, preferred_targets,
@@ -13,6 +16,7 @@
 
 use crate::{
     lease::{TargetLease, TargetLoad},
+    quarantine::SharedQuarantine,
     target_list::TargetEntry,
     version::SoftwareVersion,
 };
@@ -35,10 +39,6 @@
 /// responds is slower.
 const FIRST_TOKEN_LIMIT: Span = Span::from_secs(5);
 
-/// Time for which a version that is new in a service begins no streams, unless it is the only one;
-/// by then all hosts know of it.
-const NEW_VERSION_DELAY: Span = Span::from_secs(2);
-
 /// Which software versions of the targets may take a request.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub enum VersionChoice {
@@ -61,8 +61,29 @@
     pub holders: Vec<(HostId, u32)>,
 }
 
+/// Why a request gets no target.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum AcquireError {
+    /// No target has capacity in time; a retry may succeed after this time.
+    NoCapacity(Span),
+    /// The request has parts that crash targets, and is refused for this time.
+    Blocked(PartSet, Span),
+}
+
+impl AcquireError {
+    /// Time after which a retry may succeed.
+    #[must_use]
+    pub const fn retry_after(&self) -> Span {
+        match self {
+            Self::NoCapacity(after) | Self::Blocked(_, after) => *after,
+        }
+    }
+}
+
 /// The targets of one service.
 pub struct Pool {
+    /// What is known of requests that crash targets.
+    pub quarantine: SharedQuarantine,
     yields: UnboundedSender<YieldRequest>,
     router: Mutex<Router>,
     targets: RwLock<HashMap<TargetId, TargetEntry>>,
@@ -70,7 +91,7 @@
     versions: Mutex<HashMap<SoftwareVersion, Time>>,
     /// Hosts for which preferred targets are assigned; `None` after a change of the targets.
     assigned: Mutex<Option<Vec<HostId>>>,
-    changed: Notify,
+    changed: Arc<Notify>,
 }
 
 impl Pool {
@@ -79,7 +100,9 @@
         zone: &ZoneId,
         seed: u64,
         yields: UnboundedSender<YieldRequest>,
+        news: Arc<Notify>,
     ) -> Self {
+        let changed = Arc::new(Notify::new());
         let config = RouterConfig::new(host.clone(), zone.clone())
             .zone_cost(ZONE_COST_PER_MILLE)
             .draws(DRAWS)
@@ -88,12 +111,13 @@
             .max_wait(MAX_QUEUE_TIME)
             .first_token(FIRST_TOKEN_LIMIT);
         Self {
+            quarantine: SharedQuarantine::new(Arc::clone(&changed), news),
             yields,
             router: Mutex::new(Router::new(config, seed)),
             targets: RwLock::default(),
             versions: Mutex::default(),
             assigned: Mutex::default(),
-            changed: Notify::new(),
+            changed,
         }
     }
 
@@ -152,31 +176,39 @@
     /// # Errors
     ///
     /// Returns the time after which a retry may succeed, if no target has capacity in time.
-    pub async fn acquire(self: &Arc<Self>, pick: &Pick) -> Result<TargetLease, Span> {
-        self.acquire_version(pick, &VersionChoice::Any).await
+    pub async fn acquire(self: &Arc<Self>, pick: &Pick) -> Result<TargetLease, AcquireError> {
+        self.acquire_version(pick, &VersionChoice::Any, &Arc::default()).await
     }
 
-    /// Waits for a target of a permitted version with capacity.
+    /// Waits for a target of a permitted version with capacity, for a request with these parts.
     ///
     /// # Errors
     ///
-    /// Returns the time after which a retry may succeed, if no target has capacity in time.
+    /// Returns an error if no target has capacity in time, or if the parts are blocked.
     pub async fn acquire_version(
         self: &Arc<Self>,
         pick: &Pick,
         versions: &VersionChoice,
-    ) -> Result<TargetLease, Span> {
+        parts: &Arc<RequestParts>,
+    ) -> Result<TargetLease, AcquireError> {
         loop {
             let changed = self.changed.notified();
             tokio::pin!(changed);
             changed.as_mut().enable();
-            let (decision, wake) = self.decide(&self.restrict(pick, versions));
+            let standing = self.quarantine.standing(parts);
+            if let Standing::Blocked { parts, remaining } = standing {
+                return Err(AcquireError::Blocked(parts, remaining));
+            }
+            let (decision, wake) = self.decide(&self.restrict(pick, versions, &standing));
             match decision {
                 Decision::Send { target, lease, yields } => {
                     self.request_yields(&target, yields);
-                    return self.create_lease(&target, lease).ok_or(MAX_WAIT);
+                    let lease = self.create_lease(&target, lease, parts);
+                    return lease.ok_or(AcquireError::NoCapacity(MAX_WAIT));
+                }
+                Decision::Refuse { retry_after } => {
+                    return Err(AcquireError::NoCapacity(retry_after));
                 }
-                Decision::Refuse { retry_after } => return Err(retry_after),
                 Decision::Wait => {
                     let wait = wake.unwrap_or(MAX_WAIT).min(MAX_WAIT);
                     // The router is asked again after a change or a timeout alike.
@@ -208,17 +240,23 @@
 
     /// Leases a target for a batch item if one has capacity now.
     pub fn try_acquire_batch(self: &Arc<Self>, pick: &Pick) -> Option<TargetLease> {
-        self.try_acquire_batch_version(pick, &VersionChoice::Any)
+        self.try_acquire_batch_version(pick, &VersionChoice::Any, &Arc::default())
     }
 
-    /// Leases a target of a permitted version for a batch item if one has capacity now.
+    /// Leases a target of a permitted version for a batch item with these parts, if one has
+    /// capacity now.
     pub fn try_acquire_batch_version(
         self: &Arc<Self>,
         pick: &Pick,
         versions: &VersionChoice,
+        parts: &Arc<RequestParts>,
     ) -> Option<TargetLease> {
-        match self.decide(&self.restrict(pick, versions)).0 {
-            Decision::Send { target, lease, .. } => self.create_lease(&target, lease),
+        let standing = self.quarantine.standing(parts);
+        if matches!(standing, Standing::Blocked { .. }) {
+            return None;
+        }
+        match self.decide(&self.restrict(pick, versions, &standing)).0 {
+            Decision::Send { target, lease, .. } => self.create_lease(&target, lease, parts),
             Decision::Wait | Decision::Refuse { .. } => None,
         }
     }
@@ -229,42 +267,6 @@
         targets.values().any(|target| target.version == *version && !target.leaving)
     }
 
-    /// Excludes the targets of the versions that are not permitted.
-    fn restrict<'a>(&self, pick: &'a Pick, versions: &VersionChoice) -> Cow<'a, Pick> {
-        let targets = self.targets.read();
-        let excluded: Vec<TargetId> = match versions {
-            VersionChoice::Any => return Cow::Borrowed(pick),
-            VersionChoice::Only(version) => {
-                let others = targets.values().filter(|target| target.version != *version);
-                others.map(|target| target.id.clone()).collect()
-            }
-            VersionChoice::Established => self.new_targets(&targets),
-        };
-        if excluded.is_empty() {
-            return Cow::Borrowed(pick);
-        }
-        let mut restricted = pick.clone();
-        restricted.exclude.extend(excluded);
-        Cow::Owned(restricted)
-    }
-
-    /// Targets of new versions; none if there are no others.
-    fn new_targets(&self, targets: &HashMap<TargetId, TargetEntry>) -> Vec<TargetId> {
-        let versions = self.versions.lock();
-        if versions.len() < 2 {
-            return Vec::new();
-        }
-        let now = clock::steady();
-        let is_new = |target: &&TargetEntry| {
-            let first = versions.get(&target.version);
-            first.is_some_and(|first| now.since(*first) < NEW_VERSION_DELAY)
-        };
-        if !targets.values().any(|target| !target.leaving && !is_new(&target)) {
-            return Vec::new();
-        }
-        targets.values().filter(is_new).map(|target| target.id.clone()).collect()
-    }
-
     /// Completes on a change that may have freed capacity.
     pub async fn changed(&self) {
         self.changed.notified().await;
@@ -278,7 +280,12 @@
         (decision, wake)
     }
 
-    fn create_lease(self: &Arc<Self>, target: &TargetId, lease: LeaseId) -> Option<TargetLease> {
+    fn create_lease(
+        self: &Arc<Self>,
+        target: &TargetId,
+        lease: LeaseId,
+        parts: &Arc<RequestParts>,
+    ) -> Option<TargetLease> {
         let Some(target) = self.targets.read().get(target).cloned() else {
             self.observe(lease, Observation::Cancelled);
             return None;
@@ -289,8 +296,18 @@
             limit: status.limit,
         });
         let load = load.unwrap_or_default();
-        let pool = Arc::clone(self);
-        Some(TargetLease { pool, id: lease, ended: false, has_output: false, target, load })
+        let (pool, parts) = (Arc::clone(self), Arc::clone(parts));
+        let (has_output, broke_off) = (false, false);
+        let ended = false;
+        Some(TargetLease { pool, id: lease, ended, parts, has_output, broke_off, target, load })
+    }
+
+    /// Records that the process of a target has ended without notice.
+    pub(crate) fn record_crash(&self, target: &TargetEntry) {
+        if self.quarantine.record_crash(&target.run()) {
+            log::info!(target:% = target.id, service:% = target.service; "target has crashed");
+            self.changed.notify_waiters();
+        }
     }
 
     pub(crate) fn observe(&self, lease: LeaseId, observation: Observation) {
--- a/crates/oleander-relay/src/pools.rs
+++ b/crates/oleander-relay/src/pools.rs
@@ -7,8 +7,12 @@
 
 use oleander_core::{HostId, ServiceId, Span, Time, ZoneId};
 use oleander_host::clock;
+use oleander_quarantine::QuarantineNews;
 use parking_lot::RwLock;
-use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
+use tokio::sync::{
+    Notify,
+    mpsc::{self, UnboundedReceiver, UnboundedSender},
+};
 
 use crate::{
     pool::{Pool, YieldRequest},
@@ -26,6 +30,8 @@
     seed: u64,
     yields: UnboundedSender<YieldRequest>,
     pools: RwLock<HashMap<ServiceId, Arc<Pool>>>,
+    /// Signals that other hosts have something to learn of crashes.
+    news: Arc<Notify>,
 }
 
 impl Pools {
@@ -34,7 +40,8 @@
     pub fn new(host: HostId, zone: ZoneId, seed: u64) -> (Self, UnboundedReceiver<YieldRequest>) {
         let (yields, receiver) = mpsc::unbounded_channel();
         let streams = StreamVersions::default();
-        (Self { streams, host, zone, seed, yields, pools: RwLock::default() }, receiver)
+        let (pools, news) = (RwLock::default(), Arc::new(Notify::new()));
+        (Self { streams, host, zone, seed, yields, pools, news }, receiver)
     }
 
     /// Updates the targets of all pools; existing pools keep their state.
@@ -57,7 +64,22 @@
     }
 
     fn new_pool(&self) -> Pool {
-        Pool::new(&self.host, &self.zone, self.seed, self.yields.clone())
+        let (yields, news) = (self.yields.clone(), Arc::clone(&self.news));
+        Pool::new(&self.host, &self.zone, self.seed, yields, news)
+    }
+
+    /// Applies what another host knows of crashes at the targets of a service.
+    pub fn merge_quarantine(&self, service: &ServiceId, news: QuarantineNews) {
+        let mut pools = self.pools.write();
+        let pool = pools.entry(service.clone()).or_insert_with(|| Arc::new(self.new_pool()));
+        let pool = Arc::clone(pool);
+        drop(pools);
+        pool.quarantine.merge(news);
+    }
+
+    /// Completes when other hosts may have something to learn of crashes.
+    pub async fn quarantine_changed(&self) {
+        self.news.notified().await;
     }
 
     /// The pool of a service.
--- /dev/null
+++ b/crates/oleander-relay/src/quarantine.rs
@@ -0,0 +1,101 @@
+//! The quarantine of one service, shared by its requests and the exchange between hosts.
+
+use std::sync::Arc;
+
+use oleander_core::Span;
+use oleander_host::clock;
+use oleander_quarantine::{
+    BlockNews, PartSet, Quarantine, QuarantineNews, RequestParts, Standing, TargetRun,
+};
+use parking_lot::Mutex;
+use tokio::sync::Notify;
+
+/// The quarantine of one service.
+#[derive(Debug)]
+pub struct SharedQuarantine {
+    state: Mutex<Quarantine>,
+    /// Signals the requests of this host that wait for a target.
+    waiting: Arc<Notify>,
+    /// Signals that other hosts have something to learn.
+    news: Arc<Notify>,
+}
+
+impl SharedQuarantine {
+    pub(crate) fn new(waiting: Arc<Notify>, news: Arc<Notify>) -> Self {
+        Self { state: Mutex::default(), waiting, news }
+    }
+
+    /// Whether a request with these parts may be sent.
+    pub fn standing(&self, request: &RequestParts) -> Standing {
+        self.state.lock().standing(clock::steady(), request)
+    }
+
+    /// Whether any crash or block is known.
+    pub fn is_empty(&self) -> bool {
+        self.state.lock().is_empty()
+    }
+
+    /// Whether this run of a target crashed less than `age` ago.
+    pub(crate) fn has_crashed(&self, run: &TargetRun, age: Span) -> bool {
+        self.state.lock().has_crashed(clock::steady(), run, age)
+    }
+
+    /// Records that a target sent output for a request.
+    pub(crate) fn record_output(&self, request: &RequestParts) {
+        self.state.lock().record_output(clock::steady(), request);
+        self.signal();
+    }
+
+    /// Records that a target broke off before it sent output for a request.
+    pub(crate) fn record_break(&self, run: &TargetRun, request: &RequestParts) {
+        self.state.lock().record_break(clock::steady(), run, request);
+        self.signal();
+    }
+
+    /// Records that a run of a target has ended without notice; returns whether that is new.
+    pub(crate) fn record_crash(&self, run: &TargetRun) -> bool {
+        let is_new = self.state.lock().record_crash(clock::steady(), run);
+        self.signal();
+        is_new
+    }
+
+    /// Applies what another host knows.
+    pub fn merge(&self, news: QuarantineNews) {
+        let blocks: Vec<PartSet> = news.blocks.iter().map(|block| block.parts.clone()).collect();
+        let mut state = self.state.lock();
+        let known = state.blocks();
+        let is_new = state.merge(clock::steady(), news);
+        drop(state);
+        if !is_new {
+            return;
+        }
+        for parts in blocks.iter().filter(|parts| !known.contains(parts)) {
+            log::warn!(parts:% = parts; "another host has blocked parts of prompts");
+        }
+        self.waiting.notify_waiters();
+        self.signal();
+    }
+
+    /// What other hosts have to learn, since the last call.
+    pub fn take_news(&self) -> QuarantineNews {
+        self.state.lock().take_news(clock::steady())
+    }
+
+    /// All that other hosts have to know.
+    pub fn snapshot(&self) -> QuarantineNews {
+        self.state.lock().snapshot(clock::steady())
+    }
+
+    /// Blocks that this host has begun, since the last call.
+    pub fn take_begun(&self) -> Vec<BlockNews> {
+        self.state.lock().take_begun(clock::steady())
+    }
+
+    /// Wakes whoever depends on the state, if it has changed.
+    fn signal(&self) {
+        if self.state.lock().has_news() {
+            self.waiting.notify_waiters();
+            self.news.notify_one();
+        }
+    }
+}
--- a/crates/oleander-relay/src/relay.rs
+++ b/crates/oleander-relay/src/relay.rs
@@ -5,15 +5,19 @@
 use bytes::Bytes;
 use oleander_core::{PromptPart, Span, Time};
 use oleander_host::clock;
+use oleander_quarantine::{RequestParts, Standing};
 use oleander_routing::{Pick, TicketId};
 use parking_lot::RwLock;
 use tokio::time::{self, Instant};
 
 use crate::{
-    attempt::{Attempt, AttemptOutcome, AttemptTimeouts, forward, interrupt_stalled},
+    attempt::{
+        Attempt, AttemptOutcome, AttemptTimeouts, check_target, forward, interrupt_stalled,
+        request_parts,
+    },
     events::EventReader,
     lease::{TargetLease, Ticket},
-    pool::{Pool, VersionChoice},
+    pool::{AcquireError, Pool, VersionChoice},
     pools::Pools,
     request::{Request, ResponseHead},
     retry::{NextStep, RetryState},
@@ -29,6 +33,8 @@
 
 /// `Retry-After` when the version that began a stream is not known or not served.
 const NO_VERSION_RETRY_AFTER: Span = Span::from_secs(1);
+/// Crashes under requests with the same part after which one of them is not sent again.
+const MAX_CRASHES: usize = 2;
 /// `Retry-After` when the service has no known target.
 const NO_TARGETS_RETRY_AFTER: Span = Span::from_secs(1);
 
@@ -98,6 +104,7 @@
     ) -> RequestSummary {
         let budget = request.budget.map_or(route.timeout, |budget| budget.min(route.timeout));
         let deadline = request.received + budget;
+        let parts = request_parts(self.transport.as_ref(), request);
         let mut pending = PendingRequest {
             relay: self,
             request,
@@ -108,7 +115,8 @@
             head_sent: false,
             version: None,
             current: None,
-            summary: RequestSummary::new(&route.name, self.transport.shared_parts(request)),
+            summary: RequestSummary::new(&route.name, parts.shared.clone()),
+            parts,
         };
         let remaining = deadline.since(clock::steady()).to_duration();
         let mut timed = TimedSink { sink, head_at: None };
@@ -142,6 +150,7 @@
     route: &'a Route,
     deadline: Time,
     retry: RetryState,
+    parts: Arc<RequestParts>,
     events: Option<EventReader>,
     head_sent: bool,
     /// Version that began the stream; `None` before its first event.
@@ -182,8 +191,12 @@
             self.current = None;
             let target = lease.target.id.clone();
             self.record_attempt(&lease, &outcome);
-            drop(lease);
+            let ran = matches!(outcome, AttemptOutcome::Interrupted { .. });
+            check_target(&self.relay.transport, lease).await;
             match self.retry.end(&target, ran_before, outcome) {
+                NextStep::Retry if ran && next.is_none() && self.crashes_targets(&pool) => {
+                    return self.give_up();
+                }
                 NextStep::Retry => successor = next,
                 // After the head, an error body would look like the end of a complete response.
                 NextStep::Refuse(_) | NextStep::Forward(..) if self.head_sent => {
@@ -199,11 +212,29 @@
         let mut text = format!("{lease}: {outcome}");
         if matches!(outcome, AttemptOutcome::Interrupted { .. }) {
             text.push_str(if lease.has_output { ", after output" } else { ", before any output" });
-            tokio::spawn(check_target(Arc::clone(&self.relay.transport), lease.target.clone()));
         }
         self.summary.attempts.push(text);
     }
 
+    /// Whether several targets have crashed under requests like this one, so that another run
+    /// would most likely end one more.
+    fn crashes_targets(&mut self, pool: &Pool) -> bool {
+        let Standing::Suspect { part, crashes } = pool.quarantine.standing(&self.parts) else {
+            return false;
+        };
+        if crashes < MAX_CRASHES {
+            return false;
+        }
+        let text = format!("not sent again: {crashes} targets have crashed under {part}");
+        self.summary.attempts.push(text);
+        true
+    }
+
+    /// The last step of a request that is not sent again.
+    const fn give_up(&self) -> NextStep {
+        if self.head_sent { NextStep::Abort } else { self.retry.refuse(NO_TARGETS_RETRY_AFTER) }
+    }
+
     /// Waits for a target that has not failed this request, as long as the caller does.
     async fn acquire_next<S: ResponseSink>(
         &mut self,
@@ -214,10 +245,16 @@
             lease = self.acquire(pool) => lease,
             () = sink.closed() => return Err(NextStep::Cancelled),
         };
-        lease.map_err(|retry_after| {
-            let (waiting, targets) = (pool.waiting(), pool.len());
-            let text = format!("no capacity: {waiting} requests wait for {targets} targets");
+        lease.map_err(|error| {
+            let text = match &error {
+                AcquireError::NoCapacity(_) => {
+                    let (waiting, targets) = (pool.waiting(), pool.len());
+                    format!("no capacity: {waiting} requests wait for {targets} targets")
+                }
+                AcquireError::Blocked(parts, _) => format!("blocked: {parts} crash targets"),
+            };
             self.summary.attempts.push(text);
+            let retry_after = error.retry_after();
             if self.head_sent { NextStep::Abort } else { self.retry.refuse(retry_after) }
         })
     }
@@ -248,16 +285,16 @@
         }
     }
 
-    async fn acquire(&mut self, pool: &Arc<Pool>) -> Result<TargetLease, Span> {
+    async fn acquire(&mut self, pool: &Arc<Pool>) -> Result<TargetLease, AcquireError> {
         let ticket = Ticket::new(pool);
         let started = clock::steady();
         let pick = self.pick(started, ticket.id, pool.service_time());
         let excluding = pick.clone().exclude(self.retry.failed_targets().to_vec());
         let versions = self.versions();
-        let mut lease = pool.acquire_version(&excluding, &versions).await;
+        let mut lease = pool.acquire_version(&excluding, &versions, &self.parts).await;
         if lease.is_err() && self.head_sent {
             // No other target is available; the one that failed may have recovered.
-            lease = pool.acquire_version(&pick, &versions).await;
+            lease = pool.acquire_version(&pick, &versions, &self.parts).await;
         }
         self.summary.waited = self.summary.waited + clock::steady().since(started);
         lease
@@ -312,6 +349,7 @@
             route: self.route,
             deadline: self.deadline,
             versions,
+            parts: &self.parts,
             retry: &mut self.retry,
             attempts: &mut self.summary.attempts,
         };
@@ -361,12 +399,6 @@
     }
 }
 
-/// Logs whether a target that broke off has ended, or only its connection.
-async fn check_target<T: TargetTransport>(transport: Arc<T>, target: TargetEntry) {
-    let ended = transport.refuses(&target).await;
-    log::info!(target:% = target.id, address:% = target.address, ended; "target broke off");
-}
-
 /// Records when the response head is forwarded, also if its attempt is dropped at the deadline.
 struct TimedSink<'a, S> {
     sink: &'a mut S,
--- a/crates/oleander-relay/src/sending.rs
+++ b/crates/oleander-relay/src/sending.rs
@@ -83,7 +83,9 @@
     pub(crate) fn into_outcome(mut self) -> AttemptOutcome {
         match self.result.take() {
             None => AttemptOutcome::Cancelled,
-            Some(Err(SendError::NotSent(reason))) => AttemptOutcome::NotSent(reason),
+            Some(Err(SendError::NotSent(reason) | SendError::Refused(reason))) => {
+                AttemptOutcome::NotSent(reason)
+            }
             Some(Err(SendError::NoResponse(reason))) => {
                 AttemptOutcome::Interrupted { reason, head_sent: false }
             }
--- a/crates/oleander-relay/src/takeover.rs
+++ b/crates/oleander-relay/src/takeover.rs
@@ -9,11 +9,12 @@
 
 use oleander_core::{Span, Time};
 use oleander_host::clock;
+use oleander_quarantine::{RequestParts, Standing};
 use oleander_routing::Pick;
 use tokio::time::{self, Instant};
 
 use crate::{
-    attempt::{AttemptOutcome, AttemptTimeouts, observe_outcome},
+    attempt::{AttemptOutcome, AttemptTimeouts, check_target, observe_outcome},
     lease::{TargetLease, Ticket},
     pool::{Pool, VersionChoice},
     progress::Progress,
@@ -57,6 +58,7 @@
     pub(crate) deadline: Time,
     /// Versions that may take the request before its first event.
     pub(crate) versions: VersionChoice,
+    pub(crate) parts: &'a Arc<RequestParts>,
     pub(crate) retry: &'a mut RetryState,
     /// Texts of the attempts so far, for the record of the request.
     pub(crate) attempts: &'a mut Vec<String>,
@@ -131,7 +133,12 @@
         };
         let ticket = Ticket::new(self.pool);
         let pick = Pick::online(ticket.id).exclude(excluded).deadline(self.deadline);
-        let Ok(lease) = self.pool.acquire_version(&pick, &versions).await else { return false };
+        if self.pool.quarantine.standing(self.parts) != Standing::Clear {
+            // The silent target may be about to crash, and so would the other one.
+            return false;
+        }
+        let lease = self.pool.acquire_version(&pick, &versions, self.parts).await;
+        let Ok(lease) = lease else { return false };
         let dispatch = Dispatch {
             request: Arc::clone(self.request),
             target: lease.target.clone(),
@@ -156,11 +163,13 @@
         let outcome = sending.into_outcome();
         self.retry.record_rejected(&lease.target.id, &outcome);
         observe_outcome(&mut lease, &outcome);
-        let reason = match outcome {
+        let reason = match &outcome {
             AttemptOutcome::Cancelled => "the other target went on".to_owned(),
             outcome => outcome.to_string(),
         };
         self.attempts.push(format!("{lease}: did not take over: {reason}"));
+        let transport = Arc::clone(&self.relay.transport);
+        tokio::spawn(async move { check_target(&transport, lease).await });
     }
 }
 
--- a/crates/oleander-relay/src/target_list.rs
+++ b/crates/oleander-relay/src/target_list.rs
@@ -7,6 +7,7 @@
 use std::{collections::BTreeMap, net::SocketAddr};
 
 use oleander_core::{ServiceId, Span, TargetId, Time, ZoneId};
+use oleander_quarantine::TargetRun;
 
 use crate::version::SoftwareVersion;
 
@@ -35,6 +36,14 @@
     pub started_at: Option<u64>,
 }
 
+impl TargetEntry {
+    /// The run of the target's process.
+    #[must_use]
+    pub fn run(&self) -> TargetRun {
+        TargetRun { target: self.id.clone(), started: self.started_at }
+    }
+}
+
 #[derive(Debug, Clone)]
 struct Listed {
     target: TargetEntry,
--- a/crates/oleander-relay/src/transport.rs
+++ b/crates/oleander-relay/src/transport.rs
@@ -50,6 +50,8 @@
 pub enum SendError {
     /// Nothing was sent; the target has not run the request.
     NotSent(String),
+    /// Nothing was sent, as the target refuses connections: its process has ended.
+    Refused(String),
     /// The request was sent in full or in part; the target may have run it.
     NoResponse(String),
 }
@@ -57,7 +59,7 @@
 impl fmt::Display for SendError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Self::NotSent(text) => write!(f, "request not sent: {text}"),
+            Self::NotSent(text) | Self::Refused(text) => write!(f, "request not sent: {text}"),
             Self::NoResponse(text) => write!(f, "no response: {text}"),
         }
     }
--- a/crates/oleander-worklist/src/item.rs
+++ b/crates/oleander-worklist/src/item.rs
@@ -1,12 +1,16 @@
 //! Items of a job: as submitted, and with their state in an open job.
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, OnceLock},
+};
 
 use base64::{Engine, prelude::BASE64_STANDARD};
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, Method};
 use oleander_core::{TargetId, Time};
-use oleander_relay::{EventReader, Request, SoftwareVersion};
+use oleander_quarantine::RequestParts;
+use oleander_relay::{EventReader, Request, SoftwareVersion, TargetTransport, request_parts};
 
 use crate::record::ItemRecord;
 
@@ -65,6 +69,7 @@
 #[derive(Debug, Clone)]
 pub(crate) struct Item {
     pub(crate) request: Arc<Request>,
+    parts: OnceLock<Arc<RequestParts>>,
     pub(crate) status: ItemStatus,
     pub(crate) failures: u32,
     pub(crate) not_before: Time,
@@ -123,6 +128,7 @@
         };
         Self {
             request: Arc::new(request),
+            parts: OnceLock::new(),
             status: ItemStatus::Waiting,
             failures: 0,
             not_before: Time(0),
@@ -130,4 +136,8 @@
             progress: Progress::default(),
         }
     }
+    /// The parts of the request, by which a crash of its target is attributed.
+    pub(crate) fn parts<T: TargetTransport>(&self, transport: &T) -> Arc<RequestParts> {
+        Arc::clone(self.parts.get_or_init(|| request_parts(transport, &self.request)))
+    }
 }
--- a/crates/oleander-worklist/src/runner.rs
+++ b/crates/oleander-worklist/src/runner.rs
@@ -10,6 +10,7 @@
 use oleander_core::{ServiceId, Span, TargetId, Time};
 use oleander_host::clock;
 use oleander_platform::ObjectStore;
+use oleander_quarantine::{RequestParts, Standing};
 use oleander_relay::{
     Attempt, AttemptOutcome, AttemptTimeouts, Pool, ResponseHead, ResponseSink, SinkClosed,
     TargetEntry, TargetLease, TargetTransport, VersionChoice, batch_pick, event_data, run_attempt,
@@ -108,14 +109,26 @@
             };
             let Some(service) = route.service(&item.request.id) else { continue };
             let Some(pool) = self.relay.pools.get(service) else { continue };
+            let parts = item.parts(self.relay.transport.as_ref());
+            let standing = pool.quarantine.standing(&parts);
+            if let Standing::Blocked { parts, .. } = standing {
+                let id = item.request.id.clone();
+                log::warn!(request:% = id, job:% = job.record.job, parts:% = parts;
+                    "item failed: its parts crash targets");
+                job.fail_item(&id);
+                loaded.finished.notify_one();
+                return Placement::Placed;
+            }
             let versions = permitted_versions(now, &pool, item);
             let requirement = (service.clone(), versions.clone());
             if full.contains(&requirement) {
                 continue;
             }
             let avoid = item.avoid.clone();
-            let Some(granted) = reserve_slot(&pool, avoid, local_only, &versions) else {
-                full.insert(requirement);
+            let Some(granted) = reserve_slot(&pool, avoid, local_only, &versions, &parts) else {
+                if standing == Standing::Clear {
+                    full.insert(requirement);
+                }
                 continue;
             };
             if versions == VersionChoice::Any {
@@ -144,7 +157,7 @@
         self: Arc<Self>,
         loaded: Arc<LoadedJob>,
         next: NextItem,
-        mut granted: TargetLease,
+        granted: TargetLease,
     ) {
         let Progress { mut events, output, has_events, .. } = next.progress;
         let resumed = events.last_id();
@@ -160,10 +173,9 @@
             timeouts: SILENCE_LIMITS,
         };
         let started = clock::steady();
-        let attempt_outcome =
-            run_attempt(self.relay.transport.as_ref(), &mut granted, parameters, &mut sink).await;
         let TargetEntry { id: target, version, .. } = granted.target.clone();
-        drop(granted);
+        let attempt_outcome =
+            run_attempt(&self.relay.transport, granted, parameters, &mut sink).await;
         self.runs.lock().retain(|other| other.number != run.number);
         let outcome = run_outcome(&attempt_outcome);
         let now = clock::steady();
@@ -197,12 +209,17 @@
     avoid: Option<TargetId>,
     local_only: bool,
     versions: &VersionChoice,
+    parts: &Arc<RequestParts>,
 ) -> Option<TargetLease> {
     let avoided = avoid.into_iter().collect();
-    let lease = pool.try_acquire_batch_version(&batch_pick(avoided, local_only), versions);
+    let lease = pool.try_acquire_batch_version(&batch_pick(avoided, local_only), versions, parts);
     // The target to avoid is used if it may be the only one.
     if lease.is_none() && (pool.len() == 1 || *versions != VersionChoice::Any) {
-        return pool.try_acquire_batch_version(&batch_pick(Vec::new(), local_only), versions);
+        return pool.try_acquire_batch_version(
+            &batch_pick(Vec::new(), local_only),
+            versions,
+            parts,
+        );
     }
     lease
 }
--- a/crates/oleander-worklist/tests/versions/fixture.rs
+++ b/crates/oleander-worklist/tests/versions/fixture.rs
@@ -174,7 +174,7 @@
         let pool = self.pool();
         let pick = Pick::online(pool.ticket());
         let versions = VersionChoice::Only(version.parse().expect("version"));
-        pool.acquire_version(&pick, &versions).await.expect("a slot")
+        pool.acquire_version(&pick, &versions, &Arc::default()).await.expect("a slot")
     }
 
     pub(crate) async fn wait_until(&self, is_reached: impl Fn(&Self) -> bool) {
