Read the rate that a target takes, and show it in the record of a request

The record said nothing of the limit that a target names, so a host that does not read it could not be told from one that acts alone. No decision depends on it yet.

--- a/crates/oleander-cluster/tests/crashes/targets.rs
+++ b/crates/oleander-cluster/tests/crashes/targets.rs
@@ -98,7 +98,7 @@
         let next = dispatch.resume_after.unwrap_or(0) + 1;
         let body = CrashBody { targets: self.clone(), target, is_bad, running, next, sent: 0 };
         let head = ResponseHead { status: StatusCode::OK, headers: HeaderMap::new() };
-        Ok(TargetResponse { head, not_run: false, load: None, body })
+        Ok(TargetResponse { head, not_run: false, load: None, rate_limit: None, body })
     }
 
     fn shared_parts(&self, request: &Request) -> Vec<PromptPart> {
--- a/crates/oleander-relay/src/attempt.rs
+++ b/crates/oleander-relay/src/attempt.rs
@@ -206,6 +206,7 @@
     if let Some(load) = &response.load {
         lease.update_load(load.clone());
     }
+    lease.rate_limit = response.rate_limit;
     let outcome = forward_response(lease, attempt, response, progress, sink).await;
     observe_outcome(lease, &outcome);
     outcome
--- a/crates/oleander-relay/src/lease.rs
+++ b/crates/oleander-relay/src/lease.rs
@@ -3,7 +3,7 @@
 use std::{fmt, sync::Arc};
 
 use oleander_quarantine::{RequestParts, TargetRun};
-use oleander_routing::{Failure, LeaseId, LoadReport, Observation, TicketId};
+use oleander_routing::{Failure, LeaseId, LoadReport, Observation, RequestRate, TicketId};
 
 use crate::{pool::Pool, target_list::TargetEntry};
 
@@ -14,6 +14,8 @@
     pub(crate) ended: bool,
     /// Parts of the request, by which a crash of the target is attributed.
     pub(crate) parts: Arc<RequestParts>,
+    /// Rate that the target stated in its response, if any.
+    pub(crate) rate_limit: Option<RequestRate>,
     /// Whether the target has sent output for this request.
     pub(crate) has_output: bool,
     /// Whether the target broke off, rather than that it was left because it was silent.
@@ -43,7 +45,8 @@
 
 impl fmt::Display for TargetLease {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{} {} ({})", self.target.id, self.target.version, self.load)
+        write!(f, "{} {} ({})", self.target.id, self.target.version, self.load)?;
+        self.rate_limit.map_or(Ok(()), |rate| write!(f, " takes {rate}"))
     }
 }
 
--- a/crates/oleander-relay/src/pool.rs
+++ b/crates/oleander-relay/src/pool.rs
@@ -297,9 +297,17 @@
         });
         let load = load.unwrap_or_default();
         let (pool, parts) = (Arc::clone(self), Arc::clone(parts));
-        let (has_output, broke_off) = (false, false);
-        let ended = false;
-        Some(TargetLease { pool, id: lease, ended, parts, has_output, broke_off, target, load })
+        Some(TargetLease {
+            pool,
+            id: lease,
+            ended: false,
+            parts,
+            rate_limit: None,
+            has_output: false,
+            broke_off: false,
+            target,
+            load,
+        })
     }
 
     /// Records that the process of a target has ended without notice.
--- a/crates/oleander-relay/src/sending.rs
+++ b/crates/oleander-relay/src/sending.rs
@@ -29,8 +29,8 @@
 impl<B: ResponseBody> Peeked<B> {
     /// A response of which only the head has been read.
     pub(crate) fn unread(response: TargetResponse<B>) -> TargetResponse<Self> {
-        let TargetResponse { head, not_run, load, body } = response;
-        TargetResponse { head, not_run, load, body: Self { first: None, body } }
+        let TargetResponse { head, not_run, load, rate_limit, body } = response;
+        TargetResponse { head, not_run, load, rate_limit, body: Self { first: None, body } }
     }
 
     /// Reads the first chunk of a successful response.
--- a/crates/oleander-relay/src/transport.rs
+++ b/crates/oleander-relay/src/transport.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use oleander_core::{PromptPart, Span};
-use oleander_routing::LoadReport;
+use oleander_routing::{LoadReport, RequestRate};
 
 use crate::{
     request::{Request, ResponseHead},
@@ -33,6 +33,8 @@
     pub not_run: bool,
     /// Load report sent with the response.
     pub load: Option<LoadReport>,
+    /// Rate that the target takes from all hosts together, if it limits it.
+    pub rate_limit: Option<RequestRate>,
     /// Body.
     pub body: B,
 }
--- a/crates/oleander-relay/tests/silence.rs
+++ b/crates/oleander-relay/tests/silence.rs
@@ -198,7 +198,13 @@
         });
         let stream = TcpStream::connect(address).await.expect("connected");
         let head = ResponseHead { status: StatusCode::OK, headers: HeaderMap::new() };
-        Ok(TargetResponse { head, not_run: false, load: None, body: SocketBody(stream) })
+        Ok(TargetResponse {
+            head,
+            not_run: false,
+            load: None,
+            rate_limit: None,
+            body: SocketBody(stream),
+        })
     }
 }
 
--- a/crates/oleander-relay/tests/support/mod.rs
+++ b/crates/oleander-relay/tests/support/mod.rs
@@ -211,7 +211,7 @@
         let status = StatusCode::from_u16(step.status).expect("status");
         let head = ResponseHead { status, headers: HeaderMap::new() };
         let body = ScriptBody { parts: step.body.into(), end: step.end, open: Some(open) };
-        Ok(TargetResponse { head, not_run: step.not_run, load: None, body })
+        Ok(TargetResponse { head, not_run: step.not_run, load: None, rate_limit: None, body })
     }
 }
 
