Share the rate that a target names among the hosts that send to it

Cause: no host read the limit; what bounds a target here is requests in flight, and each host decides alone. Class: a shared bound enforced by each of many senders, or by none.

A few hosts of the target's data centre send to it, chosen by rendezvous hashing over the live hosts, so that hosts with the same view agree without a message; each sends one request per interval and saves nothing it did not use, so that the burst of all stays below the slack of the rule also at 300 hosts. Between two requests the target is one without capacity: others are chosen, and items wait for half an interval more. Retries and second requests ask for a target in the same way, and count. An answer without a limit ends it only if its request was sent after the limit was named. Hosts tell a few others what they know, every 250 ms while there is something to know, so that a host without a share learns of the end.

--- a/crates/oleander-cluster/src/cluster.rs
+++ b/crates/oleander-cluster/src/cluster.rs
@@ -17,7 +17,7 @@
     HostList, MemberAction, MemberEvent, MemberRole, MemberState, Members, MembersConfig, Profile,
 };
 use oleander_platform::{Change, FollowEvent, Follower, ObjectStore};
-use oleander_relay::Pools;
+use oleander_relay::{Pools, Sender};
 use parking_lot::{Mutex, RwLock};
 use serde::{Serialize, de::DeserializeOwned};
 
@@ -36,6 +36,8 @@
 /// Maximum wait of a watch for host records. Records change only when a process starts, and
 /// membership detects failed hosts sooner.
 const WATCH_WAIT: Duration = Duration::from_secs(10);
+/// Maximum wait for the response to a message that says nothing.
+const MESSAGE_TIMEOUT: Duration = Duration::from_millis(400);
 /// Concurrent peer requests on a host that responds to them immediately.
 const LINK_WORKERS: usize = 32;
 /// Concurrent peer requests on a feeder, where most of them are waiting watches: four from each of
@@ -143,6 +145,10 @@
                         cluster.receive_quarantine(news);
                         PeerResponse::Noted
                     }
+                    PeerRequest::Rates(news) => {
+                        cluster.receive_rates(news);
+                        PeerResponse::Noted
+                    }
                     PeerRequest::StreamVersion(service, stream) => {
                         let answer = cluster.pools.streams.answer(&service, stream);
                         PeerResponse::StreamVersion(answer)
@@ -184,6 +190,17 @@
         }
     }
 
+    /// Sends a message to another host, whose response says nothing; a loss is logged.
+    pub(crate) fn tell(&self, host: &HostId, address: SocketAddr, message: PeerRequest<()>) {
+        let (link, host) = (self.link.clone(), host.clone());
+        tokio::spawn(async move {
+            let response = link.call(&address.to_string(), &message, MESSAGE_TIMEOUT).await;
+            if let Err(error) = response.map(|_: PeerResponse<()>| ()) {
+                log::debug!(host:% = host, error:% = error; "message was not delivered");
+            }
+        });
+    }
+
     /// Keeps the records of all hosts up to date; never returns.
     pub async fn follow_records<S: ObjectStore>(self: Arc<Self>, store: S) {
         let mut follow = Follower::new(store, PREFIX, WATCH_WAIT);
@@ -318,6 +335,17 @@
         live.map(|record| record.host.clone()).collect()
     }
 
+    /// The [`live_entry_hosts`](Self::live_entry_hosts) with their data centres.
+    pub(crate) fn senders(&self) -> Vec<Sender> {
+        let live = self.live_entry_hosts();
+        let records = self.records.read();
+        let senders = live.into_iter().filter_map(|host| {
+            let zone = records.get(&host)?.zone.clone();
+            Some(Sender { host, zone })
+        });
+        senders.collect()
+    }
+
     /// The [`live_entry_hosts`](Self::live_entry_hosts) in `zone`.
     pub(crate) fn live_entry_hosts_in(&self, zone: &ZoneId) -> Vec<HostId> {
         let mut live = self.live_entry_hosts();
--- a/crates/oleander-cluster/src/message.rs
+++ b/crates/oleander-cluster/src/message.rs
@@ -3,7 +3,7 @@
 use oleander_core::{ServiceId, Time, ZoneId, value};
 use oleander_members::Message;
 use oleander_quarantine::QuarantineNews;
-use oleander_relay::{StreamAnswer, StreamId, VersionStreams};
+use oleander_relay::{RateNews, StreamAnswer, StreamId, VersionStreams};
 use oleander_routing::PeerCount;
 use serde::{Deserialize, Serialize};
 
@@ -29,6 +29,16 @@
     }
 }
 
+value! {
+    /// What a host knows of the rates that the targets of one service name.
+    pub struct ServiceRates {
+        /// The service.
+        pub service: ServiceId,
+        /// The rates.
+        pub news: Vec<RateNews>,
+    }
+}
+
 /// A request from one host to another; `Q` is the application's request type.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum PeerRequest<Q> {
@@ -54,6 +64,8 @@
     StreamVersion(ServiceId, StreamId),
     /// Crashes of targets and blocked parts that the sender knows of.
     Quarantine(Vec<ServiceQuarantine>),
+    /// Rates that targets name, as far as the sender knows.
+    Rates(Vec<ServiceRates>),
 }
 
 /// The response to a request; `A` is the application's response type.
--- a/crates/oleander-cluster/src/quarantine.rs
+++ b/crates/oleander-cluster/src/quarantine.rs
@@ -17,15 +17,13 @@
 
 use crate::{
     cluster::Cluster,
-    message::{PeerRequest, PeerResponse, ServiceQuarantine},
+    message::{PeerRequest, ServiceQuarantine},
 };
 
 /// Prefix of the keys of stored blocks.
 const PREFIX: &str = "blockedparts/";
 /// Time in which news are collected for one message.
 const NEWS_INTERVAL: Duration = Duration::from_millis(5);
-/// Maximum wait for the response to a message.
-const MESSAGE_TIMEOUT: Duration = Duration::from_millis(400);
 /// Interval at which a host repeats all that it knows.
 const REPEAT_INTERVAL: Duration = Duration::from_millis(500);
 /// Number of hosts to which it is repeated.
@@ -101,14 +99,7 @@
         news: &[ServiceQuarantine],
     ) {
         for (host, address) in hosts {
-            let request: PeerRequest<()> = PeerRequest::Quarantine(news.to_vec());
-            let link = self.link.clone();
-            tokio::spawn(async move {
-                let response = link.call(&address.to_string(), &request, MESSAGE_TIMEOUT).await;
-                if let Err(error) = response.map(|_: PeerResponse<()>| ()) {
-                    log::debug!(host:% = host, error:% = error; "crashes were not announced");
-                }
-            });
+            self.tell(&host, address, PeerRequest::Quarantine(news.to_vec()));
         }
     }
 
--- a/crates/oleander-cluster/src/sharing.rs
+++ b/crates/oleander-cluster/src/sharing.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     cluster::Cluster,
-    message::{PeerRequest, PeerResponse, ServiceLoad},
+    message::{PeerRequest, ServiceLoad},
     zone_load::select_reporter,
 };
 
@@ -23,8 +23,6 @@
 const LOCAL_REPORTS_PER_SECOND: u32 = 250;
 /// Rounds of local reports for each report to the other data centres.
 const ROUNDS_PER_REMOTE_REPORT: u64 = 5;
-/// Maximum wait for the response to a report.
-const REPORT_TIMEOUT: Duration = Duration::from_millis(400);
 
 impl Cluster {
     /// Reports this host's work in flight to other hosts; never returns.
@@ -33,6 +31,7 @@
             let zone_hosts = self.live_entry_hosts_in(&self.local.zone);
             time::sleep(local_interval(zone_hosts.len())).await;
             self.assign_targets(&zone_hosts);
+            self.assign_senders();
             let (local, remote): (Vec<_>, Vec<_>) =
                 self.peers().into_iter().partition(|(_, zone, _)| *zone == self.local.zone);
             let own = self.load();
@@ -48,18 +47,12 @@
 
     fn send_load(&self, hosts: Vec<(HostId, ZoneId, SocketAddr)>, services: &[ServiceLoad]) {
         for (host, _, address) in hosts {
-            let request: PeerRequest<()> = PeerRequest::Load {
+            let request = PeerRequest::Load {
                 zone: self.local.zone.clone(),
                 services: services.to_vec(),
                 sent: clock::now(),
             };
-            let link = self.link.clone();
-            tokio::spawn(async move {
-                let response = link.call(&address.to_string(), &request, REPORT_TIMEOUT).await;
-                if let Err(error) = response.map(|_: PeerResponse<()>| ()) {
-                    log::debug!(host:% = host, error:% = error; "load report was not delivered");
-                }
-            });
+            self.tell(&host, address, request);
         }
     }
 
--- a/crates/oleander-cluster/src/streams.rs
+++ b/crates/oleander-cluster/src/streams.rs
@@ -19,8 +19,6 @@
 const REPLICAS: usize = 3;
 /// Time in which new streams are collected for one announcement; most first events take longer.
 const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(20);
-/// Maximum wait for the response to an announcement.
-const ANNOUNCE_TIMEOUT: Duration = Duration::from_millis(400);
 /// Maximum wait for the answers of other hosts about a stream.
 const QUERY_TIMEOUT: Duration = Duration::from_millis(150);
 
@@ -36,14 +34,7 @@
 
     fn send_announcement(&self, announced: &[VersionStreams]) {
         for (host, address) in self.replicas() {
-            let request: PeerRequest<()> = PeerRequest::Streams(announced.to_vec());
-            let link = self.link.clone();
-            tokio::spawn(async move {
-                let response = link.call(&address.to_string(), &request, ANNOUNCE_TIMEOUT).await;
-                if let Err(error) = response.map(|_: PeerResponse<()>| ()) {
-                    log::debug!(host:% = host, error:% = error; "streams were not announced");
-                }
-            });
+            self.tell(&host, address, PeerRequest::Streams(announced.to_vec()));
         }
     }
 
--- a/crates/oleander-cluster/tests/limits/main.rs
+++ b/crates/oleander-cluster/tests/limits/main.rs
@@ -16,7 +16,7 @@
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use tokio::{task::JoinSet, time::sleep};
 
-use support::{Hosts, beginning, route, targets};
+use support::{Hosts, beginning, route, service, targets};
 use targets::LimitTargets;
 
 /// Seeds of the tests, unless `LIMIT_SEEDS` names another number of them.
@@ -52,7 +52,8 @@
         let limited: HashSet<TargetId> =
             listed.iter().take(LIMITED).map(|target| target.id.clone()).collect();
         let targets = LimitTargets::new(limited);
-        let hosts = Hosts::start(Arc::new(targets.clone()), HOSTS, listed).await;
+        let mut hosts = Hosts::start(Arc::new(targets.clone()), HOSTS, listed).await;
+        hosts.publish_load();
         Self { hosts, targets, random: SmallRng::seed_from_u64(seed), sent: 0 }
     }
 
@@ -112,3 +113,37 @@
         assert!(served > 950, "seed {seed}: {served} per mille served");
     }
 }
+
+#[tokio::test]
+async fn a_host_that_starts_anew_does_not_add_to_what_a_limited_target_gets() {
+    for seed in 0..seeds() {
+        let mut fleet = Fleet::start(seed).await;
+        let rate: RequestRate = "3".parse().expect("a rate");
+        fleet.targets.set_rate(Some(rate));
+        fleet.run(CONTACT).await;
+        let from = Instant::now();
+        fleet.hosts.kill(0);
+        fleet.run(Duration::from_secs(2)).await;
+        fleet.hosts.start_host(0).await;
+        fleet.hosts.host_mut(0).publish_load();
+        fleet.run(Duration::from_secs(3)).await;
+        let most = fleet.most_in_window(from);
+        assert!(most <= allowed(rate), "seed {seed}: {most}, allowed {}", allowed(rate));
+    }
+}
+
+#[tokio::test]
+async fn all_hosts_use_a_target_again_after_the_end_of_its_limit() {
+    for seed in 0..seeds() {
+        let mut fleet = Fleet::start(seed).await;
+        fleet.targets.set_rate(Some("1".parse().expect("a rate")));
+        fleet.run(CONTACT * 2).await;
+        fleet.targets.set_rate(None);
+        fleet.run(CONTACT * 4).await;
+        for index in fleet.hosts.live_indexes() {
+            let pool = fleet.hosts.host(index).relay.pools.get(&service()).expect("a pool");
+            let limited = pool.rate_news().into_iter().filter(|news| news.rate.is_some());
+            assert_eq!(limited.count(), 0, "seed {seed}, host {index}");
+        }
+    }
+}
--- a/crates/oleander-cluster/tests/support/hosts.rs
+++ b/crates/oleander-cluster/tests/support/hosts.rs
@@ -90,6 +90,11 @@
 }
 
 impl<T: TargetTransport> Host<T> {
+    /// Reports the host's load to the others, by which targets are assigned to hosts.
+    pub(crate) fn publish_load(&mut self) {
+        self.tasks.push(tokio::spawn(Arc::clone(&self.cluster).publish_load()));
+    }
+
     /// A caller of this host.
     pub(crate) fn caller(&self) -> CallerOf<T> {
         CallerOf { relay: Arc::clone(&self.relay) }
@@ -168,6 +173,7 @@
             tokio::spawn(Arc::clone(&cluster).run_probes()),
             tokio::spawn(Arc::clone(&cluster).announce_streams()),
             tokio::spawn(Arc::clone(&cluster).share_quarantine(self.store.clone())),
+            tokio::spawn(Arc::clone(&cluster).share_rates()),
             tokio::spawn(Arc::clone(&cluster).ask_about_streams(pools.streams.queries())),
         ];
         let relay = Arc::new(Relay::new(pools, Arc::clone(&self.transport)));
@@ -223,6 +229,15 @@
         self.hosts[index].as_ref().expect("a live host")
     }
 
+    pub(crate) fn host_mut(&mut self, index: usize) -> &mut Host<T> {
+        self.hosts[index].as_mut().expect("a live host")
+    }
+
+    /// Makes all live hosts report their load.
+    pub(crate) fn publish_load(&mut self) {
+        self.hosts.iter_mut().flatten().for_each(Host::publish_load);
+    }
+
     /// A caller of a live host.
     pub(crate) fn caller(&self, index: usize) -> CallerOf<T> {
         self.host(index).caller()
--- a/crates/oleander-relay/src/attempt.rs
+++ b/crates/oleander-relay/src/attempt.rs
@@ -206,7 +206,10 @@
     if let Some(load) = &response.load {
         lease.update_load(load.clone());
     }
-    lease.rate_limit = response.rate_limit;
+    // Another target that has taken over the address says nothing of this one.
+    if response.head.status != StatusCode::MISDIRECTED_REQUEST {
+        lease.record_rate(response.rate_limit);
+    }
     let outcome = forward_response(lease, attempt, response, progress, sink).await;
     observe_outcome(lease, &outcome);
     outcome
--- a/crates/oleander-relay/src/lease.rs
+++ b/crates/oleander-relay/src/lease.rs
@@ -2,6 +2,7 @@
 
 use std::{fmt, sync::Arc};
 
+use oleander_core::Time;
 use oleander_quarantine::{RequestParts, TargetRun};
 use oleander_routing::{Failure, LeaseId, LoadReport, Observation, RequestRate, TicketId};
 
@@ -14,6 +15,8 @@
     pub(crate) ended: bool,
     /// Parts of the request, by which a crash of the target is attributed.
     pub(crate) parts: Arc<RequestParts>,
+    /// When the target was reserved, right before the request is sent.
+    pub(crate) sent: Time,
     /// Rate that the target stated in its response, if any.
     pub(crate) rate_limit: Option<RequestRate>,
     /// Whether the target has sent output for this request.
@@ -94,6 +97,12 @@
         }
     }
 
+    /// Records the rate that the target names in its response.
+    pub(crate) fn record_rate(&mut self, rate: Option<RequestRate>) {
+        self.rate_limit = rate;
+        self.pool.record_rate(&self.target, self.sent, rate);
+    }
+
     /// Records that the target's process has ended.
     pub(crate) fn record_crash(&self) {
         self.pool.record_crash(&self.target);
--- a/crates/oleander-relay/src/pool.rs
+++ b/crates/oleander-relay/src/pool.rs
@@ -1,5 +1,6 @@
 //! The targets of one service, behind the router that selects among them.
 
+mod limits;
 mod restrict;
 
 use std::{collections::HashMap, sync::Arc};
@@ -17,6 +18,7 @@
 use crate::{
     lease::{TargetLease, TargetLoad},
     quarantine::SharedQuarantine,
+    rates::TargetRates,
     target_list::TargetEntry,
     version::SoftwareVersion,
 };
@@ -91,6 +93,9 @@
     versions: Mutex<HashMap<SoftwareVersion, Time>>,
     /// Hosts for which preferred targets are assigned; `None` after a change of the targets.
     assigned: Mutex<Option<Vec<HostId>>>,
+    /// This host.
+    host: HostId,
+    rates: Mutex<TargetRates>,
     changed: Arc<Notify>,
 }
 
@@ -117,6 +122,8 @@
             targets: RwLock::default(),
             versions: Mutex::default(),
             assigned: Mutex::default(),
+            host: host.clone(),
+            rates: Mutex::default(),
             changed,
         }
     }
@@ -132,6 +139,7 @@
         let entries = entries.into_iter().map(|entry| (entry.id.clone(), entry));
         *self.targets.write() = entries.collect();
         *self.assigned.lock() = None;
+        self.update_rates();
         self.changed.notify_waiters();
     }
 
@@ -302,6 +310,7 @@
             id: lease,
             ended: false,
             parts,
+            sent: clock::steady(),
             rate_limit: None,
             has_output: false,
             broke_off: false,
--- a/crates/oleander-routing/src/lib.rs
+++ b/crates/oleander-routing/src/lib.rs
@@ -39,7 +39,7 @@
 pub use prefix::PrefixIndex;
 pub use queue::WaitQueue;
 pub use rate::{ParseRateError, RequestRate};
-pub use router::Router;
+pub use router::{RateShare, Router};
 pub use share::{cap_level, even_share, floor_level};
 pub use target::{Target, TargetState, TargetStatus};
 pub use workspace::WorkspaceLimiter;
--- a/crates/oleander-routing/src/router.rs
+++ b/crates/oleander-routing/src/router.rs
@@ -9,6 +9,7 @@
 mod capacity;
 mod observe;
 mod peers;
+mod rate;
 
 use std::{cmp::Reverse, collections::HashMap};
 
@@ -16,6 +17,7 @@
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 
+pub use self::rate::RateShare;
 use self::{
     backend::Backend,
     observe::Lease,
@@ -298,6 +300,7 @@
             self.peers.next_expiry(self.config.peer_ttl),
             self.next_recompute(),
             self.next_batch_start(now),
+            self.next_permit(now),
         ];
         wakes.into_iter().flatten().min()
     }
--- a/crates/oleander-routing/src/router/admit.rs
+++ b/crates/oleander-routing/src/router/admit.rs
@@ -227,8 +227,11 @@
         let is_local = backend.target.zone == self.config.zone;
         let zone_cost = if is_local { 0 } else { self.config.zone_cost };
         let has_preferred = self.backends.iter().any(|backend| backend.preferred);
-        let preference_cost =
-            if has_preferred && !backend.preferred { self.config.preference_slack } else { 0 };
+        let preference_cost = if has_preferred && !backend.preferred && backend.rate.is_none() {
+            self.config.preference_slack
+        } else {
+            0
+        };
         load.saturating_add(zone_cost).saturating_add(preference_cost)
     }
 }
--- a/crates/oleander-routing/src/router/backend.rs
+++ b/crates/oleander-routing/src/router/backend.rs
@@ -2,7 +2,7 @@
 
 use oleander_core::Time;
 
-use super::peers::Count;
+use super::{peers::Count, rate::RateLimit};
 use crate::{
     config::RouterConfig,
     history::History,
@@ -51,6 +51,8 @@
     /// Last start of an own batch item; `None` if that item was cancelled.
     pub(super) batch_started: Option<Time>,
     pub(super) limit: LimitController,
+    /// This host's share of the rate that the target takes, if it names one.
+    pub(super) rate: Option<RateLimit>,
     /// The single request that tests whether an ejected target works again.
     pub(super) probe: Option<LeaseId>,
     /// Most own online requests until the shares are next computed.
@@ -78,6 +80,7 @@
             batch: 0,
             batch_started: None,
             prefilling: 0,
+            rate: None,
             probe: None,
             online_cap: 0,
             batch_cap: 0,
@@ -127,6 +130,9 @@
     /// Counts the start of an own request or item.
     pub(super) fn start(&mut self, now: Time, class: Class) {
         self.prefilling += 1;
+        if let Some(rate) = &mut self.rate {
+            rate.record_sent(now);
+        }
         match class {
             Class::Online => self.online += 1,
             Class::Batch => {
--- a/crates/oleander-routing/src/router/capacity.rs
+++ b/crates/oleander-routing/src/router/capacity.rs
@@ -97,7 +97,9 @@
 
     /// Batch items that this host may start at the target now.
     pub(super) fn free_batch_slots(&self, now: Time, backend: &Backend) -> u32 {
-        if self.batch_start_due(backend).is_some_and(|due| due > now) {
+        if !Self::permits_rate(now, backend, Class::Batch)
+            || self.batch_start_due(backend).is_some_and(|due| due > now)
+        {
             return 0;
         }
         let free = self.batch_capacity(now, backend).saturating_sub(backend.batch_total());
@@ -139,11 +141,17 @@
 
     /// Online requests that this host may start at the target now; batch yields to them.
     pub(super) fn free_online_slots(&self, now: Time, backend: &Backend) -> u32 {
+        if !Self::permits_rate(now, backend, Class::Online) {
+            return 0;
+        }
         let used = match self.config.policy {
             Policy::FirstCome => backend.total(),
             Policy::Managed | Policy::Split { .. } | Policy::OnlineOnly => backend.online_total(),
         };
         let free = self.online_limit(backend).saturating_sub(used);
+        if backend.rate.is_some() {
+            return free.min(1);
+        }
         if !self.peers.any_active(now, Class::Online) {
             return free;
         }
