Do not send to an address under the id of an earlier run

Cause: after a crash, the entry of the earlier run stays listed for up to three heartbeats beside that of the run which started at the same address, so requests named a run that was gone, and lost one of their attempts to the refusal. An address now belongs to the run that states the latest start there.

--- a/crates/oleander-relay/src/target_list.rs
+++ b/crates/oleander-relay/src/target_list.rs
@@ -4,7 +4,10 @@
 //! list stays in force. An entry that is missing shortly after an outage is kept for a grace period
 //! in which a running target can be listed again.
 
-use std::{collections::BTreeMap, net::SocketAddr};
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+};
 
 use oleander_core::{ServiceId, Span, TargetId, Time, ZoneId};
 use oleander_quarantine::TargetRun;
@@ -117,7 +120,21 @@
     }
 
     /// All targets that may still be running.
+    ///
+    /// An address belongs to the run that started there last; the entries of earlier runs stay for
+    /// some time.
     pub fn targets(&self) -> impl Iterator<Item = &TargetEntry> {
-        self.listed.values().map(|listed| &listed.target)
+        let mut latest: HashMap<SocketAddr, u64> = HashMap::new();
+        for Listed { target, .. } in self.listed.values() {
+            if let Some(started) = target.started_at {
+                let known = latest.entry(target.address).or_insert(started);
+                *known = started.max(*known);
+            }
+        }
+        let targets = self.listed.values().map(|listed| &listed.target);
+        targets.filter(move |target| {
+            let last = latest.get(&target.address);
+            target.started_at.is_none() || target.started_at.as_ref() >= last
+        })
     }
 }
