Do not take a connection that ends before the first event for a whole stream

A response may come with neither a length nor chunks and end with its connection. A target that crashes before the first event of such a stream closes it in the same way, and the caller got a whole, empty stream. Such an end now counts as broken off; after an event it is the end of the stream.

--- a/crates/oleander-relay/src/attempt.rs
+++ b/crates/oleander-relay/src/attempt.rs
@@ -300,6 +300,10 @@
                 () = self.sink.closed() => return AttemptOutcome::Cancelled,
             };
             let bytes = match chunk {
+                // A target that crashes may close its connection before the first event.
+                None if !body.is_framed() && !self.lease.has_output => {
+                    return self.interrupted("connection ended before the first event");
+                }
                 None if events.at_boundary() => {
                     self.send_head();
                     return AttemptOutcome::Complete;
--- a/crates/oleander-relay/src/sending.rs
+++ b/crates/oleander-relay/src/sending.rs
@@ -46,6 +46,10 @@
 }
 
 impl<B: ResponseBody> ResponseBody for Peeked<B> {
+    fn is_framed(&self) -> bool {
+        self.body.is_framed()
+    }
+
     async fn next_chunk(&mut self) -> Option<Result<Bytes, BodyError>> {
         match self.first.take() {
             Some(first) => first.map(Ok),
--- a/crates/oleander-relay/src/transport.rs
+++ b/crates/oleander-relay/src/transport.rs
@@ -77,6 +77,11 @@
 pub trait ResponseBody: Send + 'static {
     /// Reads the next chunk; `None` after a complete body.
     fn next_chunk(&mut self) -> impl Future<Output = Option<Result<Bytes, BodyError>>> + Send;
+
+    /// Whether a length or chunks tell the end of the body, and not the end of the connection.
+    fn is_framed(&self) -> bool {
+        true
+    }
 }
 
 /// Sends requests to targets.
