--- a/crates/oleander-cluster/src/quarantine.rs
+++ b/crates/oleander-cluster/src/quarantine.rs
@@ -7,7 +7,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use oleander_core::{HostId, ServiceId, Span, Time, hash, value};
+use oleander_core::{HostId, Revision, ServiceId, Span, Time, hash, value};
 use oleander_host::clock;
 use oleander_platform::{Created, ObjectStore, StoreError, decode_value, encode_value};
 use oleander_quarantine::{BlockNews, QuarantineNews};
@@ -121,7 +121,11 @@
         loop {
             match read_blocks(store).await {
                 Ok(blocks) => {
-                    blocks.into_iter().for_each(|stored| self.apply_stored(stored));
+                    for (key, revision, stored) in blocks {
+                        if !self.apply_stored(stored) {
+                            remove_block(store, &key, revision).await;
+                        }
+                    }
                     return;
                 }
                 Err(error) => log::warn!(error:% = error; "blocked parts can't be read"),
@@ -130,25 +134,37 @@
         }
     }
 
-    fn apply_stored(&self, stored: StoredBlock) {
+    /// Applies a stored block; returns whether it has not ended.
+    fn apply_stored(&self, stored: StoredBlock) -> bool {
         let StoredBlock { service, mut block, stored } = stored;
         let age = clock::now().since(stored);
         block.remaining = Span(block.remaining.0.saturating_sub(age.0));
-        if block.remaining > Span::ZERO {
-            let news = QuarantineNews { crashes: Vec::new(), blocks: vec![block] };
-            self.pools.merge_quarantine(&service, news);
+        if block.remaining == Span::ZERO {
+            return false;
         }
+        let news = QuarantineNews { crashes: Vec::new(), blocks: vec![block] };
+        self.pools.merge_quarantine(&service, news);
+        true
+    }
+}
+
+/// Removes a block that has ended; the next host to start tries again if it fails.
+async fn remove_block<S: ObjectStore>(store: &S, key: &str, revision: Revision) {
+    if let Err(error) = store.remove(key, revision).await {
+        log::warn!(key:% = key, error:% = error; "block that has ended is not removed");
     }
 }
 
-async fn read_blocks<S: ObjectStore>(store: &S) -> Result<Vec<StoredBlock>, StoreError> {
+async fn read_blocks<S: ObjectStore>(
+    store: &S,
+) -> Result<Vec<(String, Revision, StoredBlock)>, StoreError> {
     let mut blocks = Vec::new();
     let mut after = String::new();
     loop {
         let page = store.scan(PREFIX, &after).await?;
         for (key, object) in page.objects {
             match decode_value::<StoredBlock>(&object.body) {
-                Ok(block) => blocks.push(block),
+                Ok(block) => blocks.push((key.clone(), object.revision, block)),
                 Err(error) => log::warn!(key:% = key, error:% = error; "stored block skipped"),
             }
             after = key;
