Save a little of an unused share of a rate, and count it in the wait of a queue

The expected wait now counts the slots that a share of a rate keeps busy, so a request that can't be served is refused at once. Five requests a target may be saved by all hosts together, for a wave after a pause; more senders than five save nothing.

--- a/crates/oleander-relay/src/rates.rs
+++ b/crates/oleander-relay/src/rates.rs
@@ -15,6 +15,9 @@
 const MIN_SENDERS: usize = 4;
 /// Requests a second for which there is one more such host.
 const RATE_PER_SENDER: f64 = 2.0;
+/// Requests that all hosts together may send to a target at one moment after a time without any,
+/// unless there are more such hosts.
+const MAX_BURST: u64 = 5;
 /// Time for which the end of a rate is told to other hosts.
 const END_RETENTION: Span = Span::from_secs(60);
 
@@ -133,8 +136,13 @@
             // The other hosts are not known yet.
             return Some(RateShare::Nothing);
         }
-        let share = RateShare::Interval(rate.interval() * hosts.len() as u64);
-        Some(if hosts.contains(&host) { share } else { RateShare::Nothing })
+        if !hosts.contains(&host) {
+            return Some(RateShare::Nothing);
+        }
+        let senders = hosts.len() as u64;
+        let interval = rate.interval() * senders;
+        let tolerance = rate.interval() * MAX_BURST.saturating_sub(senders);
+        Some(RateShare::Paced { interval, tolerance })
     }
 
     /// The hosts that send to a target, at most `count`.
--- a/crates/oleander-relay/tests/rates.rs
+++ b/crates/oleander-relay/tests/rates.rs
@@ -43,7 +43,7 @@
     let shares = (0..hosts).map(|number| rates.share(&host(number), &run(1), &zone("near")));
     shares
         .map(|share| match share {
-            Some(RateShare::Interval(interval)) => 1.0 / interval.as_secs_f64(),
+            Some(RateShare::Paced { interval, .. }) => 1.0 / interval.as_secs_f64(),
             Some(RateShare::Nothing) => 0.0,
             None => f64::INFINITY,
         })
--- a/crates/oleander-routing/src/router/admit.rs
+++ b/crates/oleander-routing/src/router/admit.rs
@@ -199,13 +199,19 @@
     /// Estimate of the slots that serve this host's queue.
     fn own_slots(&self, request: &Pick) -> u32 {
         let accepting = (0..self.backends.len()).filter(|index| self.accepts(*index, request));
-        let all: u32 = accepting.map(|index| self.backends[index].limit.current()).sum();
+        let accepting: Vec<&Backend> = accepting.map(|index| &self.backends[index]).collect();
+        let unlimited = accepting.iter().filter(|backend| backend.rate.is_none());
+        let all: u32 = unlimited.map(|backend| backend.limit.current()).sum();
         let own: u32 = self.backends.iter().map(|backend| backend.online).sum();
-        let preferred = self.backends.iter().filter(|backend| backend.preferred);
+        let preferred =
+            self.backends.iter().filter(|backend| backend.preferred && backend.rate.is_none());
         let preferred: u32 = preferred.map(|backend| backend.limit.current()).sum();
         // Without preferred targets, all hosts are assumed to have the same load.
         let share = if preferred > 0 { preferred } else { all / (self.peers.len() as u32 + 1) };
-        own.max(share).max(1)
+        let service_time = self.queue.service_time();
+        let rates = accepting.iter().filter_map(|backend| backend.rate);
+        let paced: u64 = rates.map(|rate| rate.slots_per_mille(service_time)).sum();
+        own.max(share + (paced / u64::from(PER_MILLE)) as u32).max(1)
     }
 
     fn candidates(&self, now: Time, request: &Pick, available: Vec<usize>) -> Vec<Candidate> {
--- a/crates/oleander-routing/src/router/rate.rs
+++ b/crates/oleander-routing/src/router/rate.rs
@@ -1,8 +1,8 @@
 //! Targets that name the rate of requests that they take.
 //!
 //! The router knows this host's share of such a rate and sends requests to the target at that
-//! interval. Between two of them the target is one without capacity. An unused share is not saved:
-//! all hosts could otherwise use what they saved at the same moment.
+//! interval. Between two of them the target is one without capacity. Little of an unused share is
+//! saved: all hosts could otherwise use what they saved at the same moment.
 
 use oleander_core::{Span, TargetId, Time};
 
@@ -15,8 +15,13 @@
 /// This host's share of the rate that a target takes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RateShare {
-    /// One request in this time.
-    Interval(Span),
+    /// One request in each interval.
+    Paced {
+        /// The interval.
+        interval: Span,
+        /// How much sooner a request may be sent after a time without any.
+        tolerance: Span,
+    },
     /// Nothing; other hosts send requests to the target.
     Nothing,
 }
@@ -25,26 +30,42 @@
 #[derive(Debug, Clone, Copy)]
 pub(super) struct RateLimit {
     share: RateShare,
-    /// When the next request may be sent.
+    /// When the next request is due if they are sent at the interval.
     next: Time,
 }
 
 impl RateLimit {
+    /// A share from `now` on, of which nothing is saved.
+    fn new(now: Time, share: RateShare) -> Self {
+        let next = match share {
+            RateShare::Paced { interval, tolerance } => now + interval + tolerance,
+            RateShare::Nothing => now,
+        };
+        Self { share, next }
+    }
+
     /// When the next request of a class may be sent; `None` if none may.
     fn due(&self, class: Class) -> Option<Time> {
-        match (self.share, class) {
-            (RateShare::Nothing, _) => None,
-            (RateShare::Interval(_), Class::Online) => Some(self.next),
-            (RateShare::Interval(interval), Class::Batch) => {
-                Some(self.next + Span(interval.0 / BATCH_DELAY_DIVISOR))
-            }
+        let RateShare::Paced { interval, tolerance } = self.share else { return None };
+        let due = Time(self.next.0.saturating_sub(tolerance.0));
+        match class {
+            Class::Online => Some(due),
+            Class::Batch => Some(due + Span(interval.0 / BATCH_DELAY_DIVISOR)),
+        }
+    }
+
+    /// Slots that its requests take on average, in per mille, if each takes `service_time`.
+    pub(super) fn slots_per_mille(&self, service_time: Span) -> u64 {
+        match self.share {
+            RateShare::Paced { interval, .. } => service_time.0 * 1_000 / interval.0.max(1),
+            RateShare::Nothing => 0,
         }
     }
 
     /// Records that a request is sent.
     pub(super) fn record_sent(&mut self, now: Time) {
-        if let RateShare::Interval(interval) = self.share {
-            self.next = now + interval;
+        if let RateShare::Paced { interval, .. } = self.share {
+            self.next = self.next.max(now) + interval;
         }
     }
 }
@@ -59,11 +80,7 @@
         if backend.rate.map(|rate| rate.share) == share {
             return;
         }
-        backend.rate = share.map(|share| {
-            let wait =
-                if let RateShare::Interval(interval) = share { interval } else { Span::ZERO };
-            RateLimit { share, next: now + wait }
-        });
+        backend.rate = share.map(|share| RateLimit::new(now, share));
     }
 
     /// Whether the rate that the target takes permits a request now.
