Assign no targets that name a rate to hosts as preferred ones

A host whose preferred targets are all limited got only half of the free slots of the others, by late counts. Targets with a rate are now left out, and if fewer are left than hosts, nobody prefers any and all share by counts.

--- a/crates/oleander-relay/src/pool.rs
+++ b/crates/oleander-relay/src/pool.rs
@@ -161,9 +161,17 @@
         if assigned.as_deref() == Some(hosts) {
             return;
         }
+        let rates = self.rates.lock();
         let targets = self.targets.read();
-        let rows = targets.values().map(|target| (&target.id, &target.zone));
-        let preferred = preferred_targets(host, hosts, zone, rows);
+        let local = targets.values().filter(|target| target.zone == *zone);
+        let (limited, unlimited): (Vec<_>, Vec<_>) =
+            local.partition(|target| rates.names_rate(&target.run()));
+        let rows = unlimited.iter().map(|target| (&target.id, &target.zone));
+        let mut preferred = preferred_targets(host, hosts, zone, rows);
+        if !limited.is_empty() && unlimited.len() < hosts.len() {
+            // A host without a preferred target would only get what the others leave.
+            preferred.clear();
+        }
         self.router.lock().set_preferred(&preferred);
         *assigned = Some(hosts.to_vec());
     }
--- a/crates/oleander-relay/src/pool/limits.rs
+++ b/crates/oleander-relay/src/pool/limits.rs
@@ -69,6 +69,7 @@
             router.set_rate_share(now, &target.id, share);
         }
         drop((router, targets, rates));
+        *self.assigned.lock() = None;
         self.changed.notify_waiters();
     }
 }
--- a/crates/oleander-relay/src/rates.rs
+++ b/crates/oleander-relay/src/rates.rs
@@ -112,6 +112,12 @@
         self.statements.retain(|run, _| listed.contains(run));
     }
 
+    /// Whether a target names a rate.
+    #[must_use]
+    pub fn names_rate(&self, run: &TargetRun) -> bool {
+        self.statements.get(run).is_some_and(|statement| statement.rate.is_some())
+    }
+
     /// Whether no target names a rate, or did lately.
     #[must_use]
     pub fn is_empty(&self) -> bool {
