--- a/crates/oleander-worklist/tests/manager/main.rs
+++ b/crates/oleander-worklist/tests/manager/main.rs
@@ -7,8 +7,9 @@
     time::Duration,
 };
 
-use oleander_core::{Span, Time};
+use oleander_core::{PromptPart, Span, Time, hash};
 use oleander_platform::MemoryPlatform;
+use oleander_quarantine::{BlockNews, PartSet, QuarantineNews};
 use oleander_routing::PeerCount;
 use oleander_worklist::{
     ItemOutcome, ItemResult, JobManager, JobRecord, JobStore, Owner, Segment, SubmitError,
@@ -206,3 +207,27 @@
     assert!(record.owner.is_some(), "a job with running items was released");
     handover.abort();
 }
+
+#[tokio::test]
+async fn an_item_that_crashes_targets_fails_and_its_job_goes_on() {
+    let (manager, targets, pools) = start_manager("entry-1", SlowStore::new(MemoryPlatform::new()));
+    let body = hash::hash_bytes(b"body").to_string();
+    let content = hash::hash_parts(&["a.example", "/drafts/1", &body]);
+    let blocked = BlockNews {
+        parts: PartSet([PromptPart(content)].into()),
+        cleared: PartSet::default(),
+        count: 1,
+        remaining: Span::from_secs(600),
+    };
+    let news = QuarantineNews { crashes: Vec::new(), blocks: vec![blocked] };
+    pools.merge_quarantine(&"llm".parse().expect("name of a service"), news);
+    wait_until_ready(&manager).await;
+    assert_eq!(manager.submit(submission(10), &route()).await, Ok(()));
+    assert_eq!(wait_for_results(&manager).await, 3);
+    let read =
+        manager.read_results(&job(), 0, Span::ZERO).await.expect("the store is up").expect("a job");
+    let failed = read.results.iter().filter(|result| result.state == ItemOutcome::Failed);
+    let failed: Vec<&str> = failed.map(|result| result.item.as_str()).collect();
+    assert_eq!(failed, ["job-1-item-1"]);
+    assert_eq!(targets.requests.load(Ordering::Relaxed), 2, "it is not sent");
+}
