--- a/crates/oleander-relay/src/attempt.rs
+++ b/crates/oleander-relay/src/attempt.rs
@@ -126,7 +126,7 @@
 
 /// Finds out whether a target that broke off has crashed, or only a connection failed.
 ///
-/// Whoever had no output yet waits for the result, since its next target depends on it.
+/// A request without output waits for the result, since its next target depends on it.
 pub(crate) async fn check_target<T: TargetTransport>(transport: &Arc<T>, lease: TargetLease) {
     let TargetLease { pool, target, has_output, .. } = &lease;
     if !lease.broke_off || pool.quarantine.has_crashed(&target.run(), Span(u64::MAX)) {
