--- a/crates/oleander-relay/src/rates.rs
+++ b/crates/oleander-relay/src/rates.rs
@@ -1,7 +1,7 @@
 //! The rates that targets of one service name, and this host's shares of them.
 //!
 //! A few hosts send requests to a target that names a rate, those of its data centre if there are
-//! any, and each has an equal share. They are chosen by rendezvous hashing, so that hosts with the
+//! any, and each has an equal share. Rendezvous hashing selects them, so that hosts with the
 //! same view of each other agree without messages. The other hosts learn from them that a target
 //! names a rate, and that it no longer does.
 
