--- a/crates/oleander-relay/src/pool.rs
+++ b/crates/oleander-relay/src/pool.rs
@@ -331,6 +331,7 @@
     pub(crate) fn record_crash(&self, target: &TargetEntry) {
         if self.quarantine.record_crash(&target.run()) {
             log::info!(target:% = target.id, service:% = target.service; "target has crashed");
+            metrics::counter!("target_crashes_total").increment(1);
             self.changed.notify_waiters();
         }
     }
