--- a/crates/oleander-relay/src/pool/limits.rs
+++ b/crates/oleander-relay/src/pool/limits.rs
@@ -22,6 +22,7 @@
         drop(rates);
         if changed {
             let rate = rate.map(|rate| rate.to_string());
+            metrics::counter!("target_rate_changes_total").increment(1);
             log::info!(target:% = target.id, rate:? = rate; "rate that a target takes changed");
             self.update_rates();
         }
