--- a/crates/oleander-cluster/tests/streams/main.rs
+++ b/crates/oleander-cluster/tests/streams/main.rs
@@ -49,6 +49,7 @@
         let numbers: Vec<u64> = events.iter().map(|event| event.number).collect();
         if numbers.is_empty() {
             assert!(summary.refusal.is_some(), "{summary:?}");
+            eprintln!("refused: {summary:?}");
             return false;
         }
         assert_eq!(numbers, (LAST_BEFORE + 1..=EVENTS).collect::<Vec<_>>(), "{summary:?}");
