Announce streams also to hosts that have not been reached yet

Seen: a_restarted_host_does_not_go_on_with_streams_of_a_version_that_left failed twice (0 of 12 streams went on). Callers whose host failed shortly after its start would be refused in the same way, with 'the version that began the stream is not known'.

Cause: a host announced its streams only to hosts that membership counts as live, and shortly after a start, or on a busy machine, that is none; the announcement went nowhere. Now hosts that have not been reached are used if too few others are.

--- a/crates/oleander-cluster/src/cluster.rs
+++ b/crates/oleander-cluster/src/cluster.rs
@@ -58,6 +58,13 @@
     Ended,
 }
 
+/// Another entry host that may run.
+pub(crate) struct PossiblePeer {
+    pub(crate) host: HostId,
+    pub(crate) address: SocketAddr,
+    pub(crate) is_reached: bool,
+}
+
 /// Handles the application's requests from peers.
 pub trait Handler<Q, A>: Send + Sync + 'static {
     /// Handles a request.
@@ -372,13 +379,18 @@
         peers.collect()
     }
 
-    /// Addresses of the other entry hosts that are not known to have failed, also of those that have
-    /// not been reached yet.
-    pub(crate) fn possible_peers(&self) -> Vec<SocketAddr> {
+    /// The other entry hosts that are not known to have failed, also those that have not been
+    /// reached yet.
+    pub(crate) fn possible_peers(&self) -> Vec<PossiblePeer> {
         let members = self.members.lock();
         let running = members.view().filter(|view| view.state != MemberState::Failed);
         let entries = running.filter(|view| view.profile.role == MemberRole::Entry);
-        entries.map(|view| view.profile.address).collect()
+        let peers = entries.map(|view| PossiblePeer {
+            host: view.profile.host,
+            address: view.profile.address,
+            is_reached: view.state != MemberState::Candidate,
+        });
+        peers.collect()
     }
 
     /// Whether the records of the hosts have been read.
--- a/crates/oleander-cluster/src/streams.rs
+++ b/crates/oleander-cluster/src/streams.rs
@@ -6,12 +6,12 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use futures_util::{StreamExt, stream::FuturesUnordered};
-use oleander_core::{HostId, hash};
+use oleander_core::hash;
 use oleander_relay::{StreamAnswer, StreamQuery, VersionStreams};
 use tokio::{sync::mpsc::UnboundedReceiver, time};
 
 use crate::{
-    cluster::Cluster,
+    cluster::{Cluster, PossiblePeer},
     message::{PeerRequest, PeerResponse},
 };
 
@@ -33,16 +33,18 @@
     }
 
     fn send_announcement(&self, announced: &[VersionStreams]) {
-        for (host, address) in self.replicas() {
+        for PossiblePeer { host, address, .. } in self.replicas() {
             self.tell(&host, address, PeerRequest::Streams(announced.to_vec()));
         }
     }
 
-    /// The hosts that keep the streams of this one, by rendezvous hashing.
-    fn replicas(&self) -> Vec<(HostId, SocketAddr)> {
-        let peers = self.peers().into_iter();
-        let mut peers: Vec<_> = peers.map(|(host, _, address)| (host, address)).collect();
-        peers.sort_by_key(|(host, _)| hash::hash_parts(&[self.local.host.as_str(), host.as_str()]));
+    /// The hosts that keep the streams of this one, by rendezvous hashing; hosts that have not been
+    /// reached yet are used if there are too few others, as shortly after the start.
+    fn replicas(&self) -> Vec<PossiblePeer> {
+        let mut peers = self.possible_peers();
+        let local = self.local.host.as_str();
+        peers
+            .sort_by_key(|peer| (!peer.is_reached, hash::hash_parts(&[local, peer.host.as_str()])));
         peers.truncate(REPLICAS);
         peers
     }
@@ -70,7 +72,7 @@
         let request: PeerRequest<()> =
             PeerRequest::StreamVersion(query.service.clone(), query.stream);
         let peers = self.possible_peers();
-        let calls = peers.iter().map(|address| self.ask(*address, &request));
+        let calls = peers.iter().map(|peer| self.ask(peer.address, &request));
         let mut calls: FuturesUnordered<_> = calls.collect();
         let mut answers = Vec::new();
         while let Some(answer) = calls.next().await {
--- a/crates/oleander-cluster/tests/streams/hosts.rs
+++ b/crates/oleander-cluster/tests/streams/hosts.rs
@@ -67,6 +67,11 @@
     Hosts::start(Arc::new(VersionTargets), count, listed).await
 }
 
+/// Starts hosts with these targets that have not reached each other by probes.
+pub(crate) async fn start_unprobed(count: usize, listed: Vec<TargetEntry>) -> Hosts {
+    Hosts::start_unprobed(Arc::new(VersionTargets), count, listed).await
+}
+
 /// Sends a request to the targets of a host; returns the events of the response.
 pub(crate) async fn forward(
     host: &Host<VersionTargets>,
--- a/crates/oleander-cluster/tests/streams/main.rs
+++ b/crates/oleander-cluster/tests/streams/main.rs
@@ -9,7 +9,8 @@
 use rand::{Rng, SeedableRng, rngs::SmallRng, seq::IndexedRandom};
 
 use hosts::{
-    EVENTS, Hosts, LAST_BEFORE, OLD, beginning, forward, list_at_some, resuming, start, targets,
+    EVENTS, Hosts, LAST_BEFORE, OLD, beginning, forward, list_at_some, resuming, start,
+    start_unprobed, targets,
 };
 
 /// Seeds of the rollouts, unless `STREAM_SEEDS` names another number of them.
@@ -127,6 +128,14 @@
     resume(&hosts, &[0, 1, 2], &begun).await;
 }
 
+#[tokio::test]
+async fn streams_of_a_host_that_has_not_reached_others_by_probes_are_not_lost_with_it() {
+    let mut hosts = start_unprobed(HOSTS, two_versions()).await;
+    let begun = begin(&hosts, &[0], "unprobed").await;
+    hosts.kill(0);
+    assert_eq!(resume(&hosts, &[1, 2, 3, 4, 5], &begun).await, STREAMS);
+}
+
 /// Guards against a host that restarts just after the last target of a version left, and takes the
 /// service for one of a single version.
 #[tokio::test]
--- a/crates/oleander-cluster/tests/support/hosts.rs
+++ b/crates/oleander-cluster/tests/support/hosts.rs
@@ -31,6 +31,12 @@
 const PAUSE: Duration = Duration::from_millis(50);
 const LIMIT: Duration = Duration::from_secs(20);
 
+/// An address that is free now.
+fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    listener.local_addr().expect("address")
+}
+
 /// What reaches the caller.
 #[derive(Default)]
 struct Caller {
@@ -130,23 +136,40 @@
     addresses: Vec<SocketAddr>,
     listed: Vec<TargetEntry>,
     starts: u64,
+    /// Whether hosts probe each other.
+    probes: bool,
     hosts: Vec<Option<Host<T>>>,
 }
 
 impl<T: TargetTransport> Hosts<T> {
     /// Starts `count` hosts with these targets, and waits until each reaches all others.
     pub(crate) async fn start(transport: Arc<T>, count: usize, listed: Vec<TargetEntry>) -> Self {
-        let listeners = (0..count).map(|_| TcpListener::bind("127.0.0.1:0").expect("a port"));
-        let listeners: Vec<TcpListener> = listeners.collect();
-        let addresses = listeners.iter().map(|one| one.local_addr().expect("address")).collect();
-        drop(listeners);
-        let (store, hosts) = (MemoryPlatform::new(), (0..count).map(|_| None).collect());
-        let mut started = Self { transport, store, addresses, listed, starts: 0, hosts };
+        let mut hosts = Self::new(transport, count, listed);
         for index in 0..count {
-            started.start_host(index).await;
+            hosts.start_host(index).await;
         }
-        started.wait_until_connected().await;
-        started
+        hosts.wait_until_connected().await;
+        hosts
+    }
+
+    /// Starts hosts that answer each other but have not reached each other by probes.
+    pub(crate) async fn start_unprobed(
+        transport: Arc<T>,
+        count: usize,
+        listed: Vec<TargetEntry>,
+    ) -> Self {
+        let mut hosts = Self { probes: false, ..Self::new(transport, count, listed) };
+        for index in 0..count {
+            hosts.start_host(index).await;
+        }
+        hosts.wait_until_connected().await;
+        hosts
+    }
+
+    fn new(transport: Arc<T>, count: usize, listed: Vec<TargetEntry>) -> Self {
+        let addresses = (0..count).map(|_| free_address()).collect();
+        let (store, hosts) = (MemoryPlatform::new(), (0..count).map(|_| None).collect());
+        Self { transport, store, addresses, listed, starts: 0, probes: true, hosts }
     }
 
     /// Starts a host that is gone, with nothing of what it knew.
@@ -168,14 +191,16 @@
         let cluster = Cluster::new(local, key, Arc::clone(&pools));
         let store = FailoverStore::<_, Cluster>::new(self.store.clone());
         let server = cluster.serve(Arc::new(NoApplication), store).expect("a free address");
-        let tasks = vec![
+        let mut tasks = vec![
             tokio::spawn(Arc::clone(&cluster).follow_records(self.store.clone())),
-            tokio::spawn(Arc::clone(&cluster).run_probes()),
             tokio::spawn(Arc::clone(&cluster).announce_streams()),
             tokio::spawn(Arc::clone(&cluster).share_quarantine(self.store.clone())),
             tokio::spawn(Arc::clone(&cluster).share_rates()),
             tokio::spawn(Arc::clone(&cluster).ask_about_streams(pools.streams.queries())),
         ];
+        if self.probes {
+            tasks.push(tokio::spawn(Arc::clone(&cluster).run_probes()));
+        }
         let relay = Arc::new(Relay::new(pools, Arc::clone(&self.transport)));
         let host = Host { relay, cluster, server: Some(server), tasks };
         update(&host, &self.listed);
