Give each host of the tests an address of its own

Six of 48 runs of the test of streams, six at a time, failed with 'Address in use': a port was asked for, freed and taken by another test before the host listened.

--- a/crates/oleander-cluster/tests/support/hosts.rs
+++ b/crates/oleander-cluster/tests/support/hosts.rs
@@ -3,8 +3,11 @@
 #![allow(dead_code)]
 
 use std::{
-    net::{SocketAddr, TcpListener},
-    sync::Arc,
+    net::{Ipv4Addr, SocketAddr},
+    sync::{
+        Arc,
+        atomic::{AtomicU16, Ordering},
+    },
     time::Duration,
 };
 
@@ -31,10 +34,16 @@
 const PAUSE: Duration = Duration::from_millis(50);
 const LIMIT: Duration = Duration::from_secs(20);
 
-/// An address that is free now.
+/// Number of addresses that this process has handed out.
+static ADDRESSES: AtomicU16 = AtomicU16::new(0);
+
+/// An address that no other host of any test uses: a port that is free on a loopback address of
+/// this process could otherwise be taken by another test before the host listens.
 fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-    listener.local_addr().expect("address")
+    let [low, high, ..] = std::process::id().to_le_bytes();
+    let [first, second] = ADDRESSES.fetch_add(1, Ordering::Relaxed).to_le_bytes();
+    let ip = Ipv4Addr::new(127, 1 + high % 250, low, 1 + first % 250);
+    SocketAddr::from((ip, 20_000 + u16::from(second)))
 }
 
 /// What reaches the caller.
