Do not let suspected requests wait for a target that is not used for now

Seen while a test of hosts without probes took 29 s in place of 5: requests with a suspected part all go to one target, and a sound one among them waited for it, up to its deadline, while this host had ejected that target. Ejected targets are now left out when the one is selected. The new test fails without the change: no target within 120 ms.

Three more tests of the quarantine, green before: no second request beside a silent target, a resumed stream that is blocked, and a stream whose parts are blocked while it runs.

--- a/crates/oleander-relay/src/pool/restrict.rs
+++ b/crates/oleander-relay/src/pool/restrict.rs
@@ -5,7 +5,7 @@
 use oleander_core::{PromptPart, Span, TargetId, hash};
 use oleander_host::clock;
 use oleander_quarantine::Standing;
-use oleander_routing::Pick;
+use oleander_routing::{Pick, TargetState};
 
 use super::{Pool, VersionChoice};
 use crate::target_list::TargetEntry;
@@ -31,6 +31,7 @@
         excluded.extend(self.crashed(&targets));
         if let Standing::Suspect { part, .. } = standing {
             excluded.extend(pick.exclude.iter().cloned());
+            excluded.extend(self.ejected());
             excluded = all_but_one(&targets, *part, excluded);
         }
         if excluded.is_empty() {
@@ -57,6 +58,13 @@
         }
     }
 
+    /// Targets that this host does not use for now.
+    fn ejected(&self) -> Vec<TargetId> {
+        let statuses = self.router.lock().snapshot().into_iter();
+        let ejected = statuses.filter(|status| status.state == TargetState::Ejected);
+        ejected.map(|status| status.name).collect()
+    }
+
     /// Targets that have crashed and may still be listed.
     fn crashed(&self, targets: &HashMap<TargetId, TargetEntry>) -> Vec<TargetId> {
         if self.quarantine.is_empty() {
