Tell crashes also to hosts that have not been reached yet

The same cause as that of lost announcements of streams: shortly after the start of all hosts, or on a busy machine, membership counts none as live, and news of crashes went nowhere, so that each host had to see three crashes itself.

Also a test of a host that was cut off from the platform and the others, and comes back; green before.

--- a/crates/oleander-cluster/src/cluster.rs
+++ b/crates/oleander-cluster/src/cluster.rs
@@ -59,6 +59,7 @@
 }
 
 /// Another entry host that may run.
+#[derive(Debug, Clone)]
 pub(crate) struct PossiblePeer {
     pub(crate) host: HostId,
     pub(crate) address: SocketAddr,
--- a/crates/oleander-cluster/src/quarantine.rs
+++ b/crates/oleander-cluster/src/quarantine.rs
@@ -5,9 +5,9 @@
 //! started anew, were paused or were cut off. Blocks are stored at the platform as well, for the
 //! case that all hosts end; a host reads them once, when it starts.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
-use oleander_core::{HostId, Revision, ServiceId, Span, Time, hash, value};
+use oleander_core::{Revision, ServiceId, Span, Time, hash, value};
 use oleander_host::clock;
 use oleander_platform::{Created, ObjectStore, StoreError, decode_value, encode_value};
 use oleander_quarantine::{BlockNews, QuarantineNews};
@@ -16,7 +16,7 @@
 use tokio::time;
 
 use crate::{
-    cluster::Cluster,
+    cluster::{Cluster, PossiblePeer},
     message::{PeerRequest, ServiceQuarantine},
 };
 
@@ -70,8 +70,7 @@
     fn send_news(&self) {
         let news = self.quarantine(|pool| pool.quarantine.take_news());
         if !news.is_empty() {
-            let peers = self.peers().into_iter();
-            self.send_quarantine(peers.map(|(host, _, address)| (host, address)), &news);
+            self.send_quarantine(&self.possible_peers(), &news);
         }
     }
 
@@ -80,10 +79,10 @@
         if known.is_empty() {
             return;
         }
-        let peers: Vec<_> =
-            self.peers().into_iter().map(|(host, _, address)| (host, address)).collect();
-        let some = peers.choose_multiple(&mut rand::rng(), REPEAT_HOSTS);
-        self.send_quarantine(some.cloned(), &known);
+        let peers = self.possible_peers();
+        let some: Vec<PossiblePeer> =
+            peers.choose_multiple(&mut rand::rng(), REPEAT_HOSTS).cloned().collect();
+        self.send_quarantine(&some, &known);
     }
 
     /// What `read` says of each service, where it is not empty.
@@ -93,13 +92,9 @@
         news.filter(|one| !one.news.is_empty()).collect()
     }
 
-    fn send_quarantine(
-        &self,
-        hosts: impl Iterator<Item = (HostId, SocketAddr)>,
-        news: &[ServiceQuarantine],
-    ) {
-        for (host, address) in hosts {
-            self.tell(&host, address, PeerRequest::Quarantine(news.to_vec()));
+    fn send_quarantine(&self, hosts: &[PossiblePeer], news: &[ServiceQuarantine]) {
+        for PossiblePeer { host, address, .. } in hosts {
+            self.tell(host, *address, PeerRequest::Quarantine(news.to_vec()));
         }
     }
 
--- a/crates/oleander-cluster/tests/crashes/main.rs
+++ b/crates/oleander-cluster/tests/crashes/main.rs
@@ -79,6 +79,29 @@
     }
 }
 
+#[tokio::test]
+async fn a_host_that_was_cut_off_does_not_send_a_part_that_others_have_blocked_meanwhile() {
+    for seed in 0..seeds() {
+        let mut fleet = Fleet::start(seed, HOSTS, TARGETS).await;
+        fleet.run(WARM_UP, 0).await;
+        fleet.hosts.cut_off(0);
+        fleet.run(Duration::from_secs(3), 200).await;
+        fleet.hosts.reconnect(0);
+        fleet.hosts.wait_until_connected().await;
+        sleep(CONTACT * 2).await;
+        assert_eq!(fleet.send_bad(4 * HOSTS).await, 0, "seed {seed}");
+    }
+}
+
+#[tokio::test]
+async fn hosts_that_have_not_reached_each_other_by_probes_share_what_crashes_targets() {
+    let mut fleet = Fleet::start_unprobed(0, HOSTS, TARGETS).await;
+    fleet.run(WARM_UP, 0).await;
+    fleet.run(Duration::from_secs(1), 200).await;
+    sleep(CONTACT).await;
+    assert_eq!(fleet.send_bad(4 * HOSTS).await, 0);
+}
+
 #[tokio::test]
 async fn after_a_restart_of_all_hosts_a_blocked_part_is_not_forgotten() {
     for seed in 0..seeds() {
--- a/crates/oleander-cluster/tests/crashes/traffic.rs
+++ b/crates/oleander-cluster/tests/crashes/traffic.rs
@@ -52,6 +52,26 @@
 
 impl Fleet {
     pub(crate) async fn start(seed: u64, hosts: usize, count: usize) -> Self {
+        Self::start_with(seed, count, |transport, listed| Hosts::start(transport, hosts, listed))
+            .await
+    }
+
+    /// Starts hosts that have not reached each other by probes.
+    pub(crate) async fn start_unprobed(seed: u64, hosts: usize, count: usize) -> Self {
+        Self::start_with(seed, count, |transport, listed| {
+            Hosts::start_unprobed(transport, hosts, listed)
+        })
+        .await
+    }
+
+    async fn start_with<F>(
+        seed: u64,
+        count: usize,
+        start: impl FnOnce(Arc<CrashTargets>, Vec<TargetEntry>) -> F,
+    ) -> Self
+    where
+        F: Future<Output = Hosts<CrashTargets>>,
+    {
         let crashing = CrashTargets::new(BAD);
         let listed: Vec<TargetEntry> = targets(&vec!["v1"; count], Span::from_secs(60))
             .into_iter()
@@ -59,7 +79,7 @@
             .collect();
         listed.iter().for_each(|target| crashing.start(&target.id));
         let transport = Arc::new(crashing.clone());
-        let hosts = Hosts::start(transport, hosts, listed).await;
+        let hosts = start(transport, listed).await;
         let random = SmallRng::seed_from_u64(seed);
         Self { hosts, crashing, random, sent: 0, started: count as u16 }
     }
--- a/crates/oleander-cluster/tests/support/hosts.rs
+++ b/crates/oleander-cluster/tests/support/hosts.rs
@@ -105,6 +105,30 @@
 }
 
 impl<T: TargetTransport> Host<T> {
+    /// Lets the host reach the platform and the other hosts, and be reached by them.
+    fn connect(&mut self, platform: &MemoryPlatform, probes: bool) {
+        let (cluster, pools) = (&self.cluster, &self.relay.pools);
+        let store = FailoverStore::<_, Cluster>::new(platform.clone());
+        let server = cluster.serve(Arc::new(NoApplication), store);
+        self.server = Some(server.expect("a free address"));
+        self.tasks = vec![
+            tokio::spawn(Arc::clone(cluster).follow_records(platform.clone())),
+            tokio::spawn(Arc::clone(cluster).announce_streams()),
+            tokio::spawn(Arc::clone(cluster).share_quarantine(platform.clone())),
+            tokio::spawn(Arc::clone(cluster).share_rates()),
+            tokio::spawn(Arc::clone(cluster).ask_about_streams(pools.streams.queries())),
+        ];
+        if probes {
+            self.tasks.push(tokio::spawn(Arc::clone(cluster).run_probes()));
+        }
+    }
+
+    /// Cuts the host off from the platform and the other hosts, but not from callers and targets.
+    fn cut_off(&mut self) {
+        self.tasks.drain(..).for_each(|task| task.abort());
+        self.server = None;
+    }
+
     /// Reports the host's load to the others, by which targets are assigned to hosts.
     pub(crate) fn publish_load(&mut self) {
         self.tasks.push(tokio::spawn(Arc::clone(&self.cluster).publish_load()));
@@ -198,20 +222,9 @@
         let pools = Arc::new(pools);
         let key = LinkKey::from_secret(b"a secret of the tests").expect("long enough");
         let cluster = Cluster::new(local, key, Arc::clone(&pools));
-        let store = FailoverStore::<_, Cluster>::new(self.store.clone());
-        let server = cluster.serve(Arc::new(NoApplication), store).expect("a free address");
-        let mut tasks = vec![
-            tokio::spawn(Arc::clone(&cluster).follow_records(self.store.clone())),
-            tokio::spawn(Arc::clone(&cluster).announce_streams()),
-            tokio::spawn(Arc::clone(&cluster).share_quarantine(self.store.clone())),
-            tokio::spawn(Arc::clone(&cluster).share_rates()),
-            tokio::spawn(Arc::clone(&cluster).ask_about_streams(pools.streams.queries())),
-        ];
-        if self.probes {
-            tasks.push(tokio::spawn(Arc::clone(&cluster).run_probes()));
-        }
         let relay = Arc::new(Relay::new(pools, Arc::clone(&self.transport)));
-        let host = Host { relay, cluster, server: Some(server), tasks };
+        let mut host = Host { relay, cluster, server: None, tasks: Vec::new() };
+        host.connect(&self.store, self.probes);
         update(&host, &self.listed);
         self.hosts[index] = Some(host);
     }
@@ -267,6 +280,17 @@
         self.hosts[index].as_mut().expect("a live host")
     }
 
+    /// Cuts a host off from the platform and the other hosts.
+    pub(crate) fn cut_off(&mut self, index: usize) {
+        self.host_mut(index).cut_off();
+    }
+
+    /// Ends the cut of a host.
+    pub(crate) fn reconnect(&mut self, index: usize) {
+        let (store, probes) = (self.store.clone(), self.probes);
+        self.host_mut(index).connect(&store, probes);
+    }
+
     /// Makes all live hosts report their load.
     pub(crate) fn publish_load(&mut self) {
         self.hosts.iter_mut().flatten().for_each(Host::publish_load);
