--- a/crates/oleander-relay/src/lib.rs
+++ b/crates/oleander-relay/src/lib.rs
@@ -10,6 +10,7 @@
 //! service behind a router, shared by online requests and batch items.
 
 mod attempt;
+mod crash;
 mod events;
 mod follow;
 mod lease;
@@ -25,13 +26,16 @@
 mod sending;
 mod sink;
 mod streams;
+mod summary;
 mod table;
 mod takeover;
 mod target_list;
+mod timed_sink;
 mod transport;
 mod version;
 
-pub use attempt::{Attempt, AttemptOutcome, AttemptTimeouts, request_parts, run_attempt};
+pub use attempt::{Attempt, AttemptOutcome, AttemptTimeouts, run_attempt};
+pub use crash::request_parts;
 pub use events::{Event, EventReader, ParsedEvents, event_data};
 pub use follow::{ParseTarget, follow_routes, follow_targets};
 pub use lease::{TargetLease, TargetLoad};
@@ -39,7 +43,7 @@
 pub use pools::Pools;
 pub use quarantine::SharedQuarantine;
 pub use rates::{RateNews, Sender, TargetRates};
-pub use relay::{Relay, RequestSummary};
+pub use relay::Relay;
 pub use request::{Request, ResponseHead};
 pub use retry::{NextStep, RetryState};
 pub use route::{RetryPolicy, Route, RouteError, RouteKind, TrafficShare};
@@ -49,6 +53,7 @@
 pub use streams::{
     StreamAnswer, StreamId, StreamQuery, StreamRegister, StreamVersions, VersionStreams,
 };
+pub use summary::RequestSummary;
 pub use table::RouteTable;
 pub use target_list::{TargetEntry, TargetList};
 pub use transport::{
--- a/crates/oleander-relay/src/pool.rs
+++ b/crates/oleander-relay/src/pool.rs
@@ -1,5 +1,6 @@
 //! The targets of one service, behind the router that selects among them.
 
+mod error;
 mod limits;
 mod restrict;
 
@@ -7,7 +8,7 @@
 
 use oleander_core::{HostId, Span, TargetId, Time, ZoneId};
 use oleander_host::clock;
-use oleander_quarantine::{PartSet, RequestParts, Standing};
+use oleander_quarantine::{RequestParts, Standing};
 use oleander_routing::{
     BatchExcess, Class, Decision, LeaseId, LoadReport, Observation, PeerCount, Pick, Router,
     RouterConfig, Target, TicketId, preferred_targets,
@@ -15,6 +16,7 @@
 use parking_lot::{Mutex, RwLock};
 use tokio::sync::{Notify, mpsc::UnboundedSender};
 
+pub use self::error::AcquireError;
 use crate::{
     lease::{TargetLease, TargetLoad},
     quarantine::SharedQuarantine,
@@ -63,25 +65,6 @@
     pub holders: Vec<(HostId, u32)>,
 }
 
-/// Why a request gets no target.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum AcquireError {
-    /// No target has capacity in time; a retry may succeed after this time.
-    NoCapacity(Span),
-    /// The request has parts that crash targets, and is refused for this time.
-    Blocked(PartSet, Span),
-}
-
-impl AcquireError {
-    /// Time after which a retry may succeed.
-    #[must_use]
-    pub const fn retry_after(&self) -> Span {
-        match self {
-            Self::NoCapacity(after) | Self::Blocked(_, after) => *after,
-        }
-    }
-}
-
 /// The targets of one service.
 pub struct Pool {
     /// What is known of requests that crash targets.
--- /dev/null
+++ b/crates/oleander-relay/src/pool/error.rs
@@ -0,0 +1,23 @@
+//! Why a request gets no target.
+
+use oleander_core::Span;
+use oleander_quarantine::PartSet;
+
+/// Why a request gets no target.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum AcquireError {
+    /// No target has capacity in time; a retry may succeed after this time.
+    NoCapacity(Span),
+    /// The request has parts that crash targets, and is refused for this time.
+    Blocked(PartSet, Span),
+}
+
+impl AcquireError {
+    /// Time after which a retry may succeed.
+    #[must_use]
+    pub const fn retry_after(&self) -> Span {
+        match self {
+            Self::NoCapacity(after) | Self::Blocked(_, after) => *after,
+        }
+    }
+}
--- a/crates/oleander-relay/src/relay.rs
+++ b/crates/oleander-relay/src/relay.rs
@@ -2,8 +2,7 @@
 
 use std::sync::Arc;
 
-use bytes::Bytes;
-use oleander_core::{PromptPart, Span, Time};
+use oleander_core::{Span, Time};
 use oleander_host::clock;
 use oleander_quarantine::{RequestParts, Standing};
 use oleander_routing::{Pick, TicketId};
@@ -11,22 +10,22 @@
 use tokio::time::{self, Instant};
 
 use crate::{
-    attempt::{
-        Attempt, AttemptOutcome, AttemptTimeouts, check_target, forward, interrupt_stalled,
-        request_parts,
-    },
+    attempt::{Attempt, AttemptOutcome, AttemptTimeouts, forward, interrupt_stalled},
+    crash::{check_target, request_parts},
     events::EventReader,
     lease::{TargetLease, Ticket},
     pool::{AcquireError, Pool, VersionChoice},
     pools::Pools,
-    request::{Request, ResponseHead},
+    request::Request,
     retry::{NextStep, RetryState},
     route::{RetryPolicy, Route},
     sending::{Peeked, Sending},
-    sink::{Refusal, RefusalReason, ResponseSink, SinkClosed},
+    sink::{Refusal, RefusalReason, ResponseSink},
+    summary::RequestSummary,
     table::RouteTable,
     takeover::{AttemptEnd, Successor, Takeover},
     target_list::TargetEntry,
+    timed_sink::TimedSink,
     transport::TargetTransport,
     version::SoftwareVersion,
 };
@@ -48,27 +47,6 @@
     pub transport: Arc<T>,
 }
 
-/// The result of a request, for its log line.
-#[derive(Debug, Clone)]
-pub struct RequestSummary {
-    /// Name of the route.
-    pub route: String,
-    /// Parts of the prompt that other requests may share.
-    pub parts: Vec<PromptPart>,
-    /// Attempts, each with the target, its load when it was selected, and the outcome.
-    pub attempts: Vec<String>,
-    /// Time spent waiting for a target.
-    pub waited: Span,
-    /// Time from the arrival of the request to the first byte forwarded.
-    pub first_byte: Option<Span>,
-    /// The refusal, if the request was refused.
-    pub refusal: Option<Refusal>,
-    /// Whether the response was aborted after its head.
-    pub interrupted: bool,
-    /// Whether the caller disconnected before the end of the response.
-    pub disconnected: bool,
-}
-
 impl<T: TargetTransport> Relay<T> {
     /// Creates a relay without routes.
     #[must_use]
@@ -119,7 +97,7 @@
             parts,
         };
         let remaining = deadline.since(clock::steady()).to_duration();
-        let mut timed = TimedSink { sink, head_at: None };
+        let mut timed = TimedSink::new(sink);
         let step = time::timeout_at(Instant::now() + remaining, pending.run(&mut timed)).await;
         pending.head_sent = timed.head_at.is_some();
         pending.summary.first_byte = timed.head_at.map(|at| at.since(request.received));
@@ -128,21 +106,6 @@
     }
 }
 
-impl RequestSummary {
-    fn new(route: &str, parts: Vec<PromptPart>) -> Self {
-        Self {
-            route: route.to_owned(),
-            parts,
-            attempts: Vec::new(),
-            waited: Span::ZERO,
-            first_byte: None,
-            refusal: None,
-            interrupted: false,
-            disconnected: false,
-        }
-    }
-}
-
 /// A request in progress.
 struct PendingRequest<'a, T> {
     relay: &'a Relay<T>,
@@ -398,24 +361,3 @@
         self.summary
     }
 }
-
-/// Records when the response head is forwarded, also if its attempt is dropped at the deadline.
-struct TimedSink<'a, S> {
-    sink: &'a mut S,
-    head_at: Option<Time>,
-}
-
-impl<S: ResponseSink> ResponseSink for TimedSink<'_, S> {
-    fn head(&mut self, head: ResponseHead) {
-        self.head_at.get_or_insert_with(clock::steady);
-        self.sink.head(head);
-    }
-
-    fn chunk(&mut self, bytes: Bytes) -> impl Future<Output = Result<(), SinkClosed>> + Send {
-        self.sink.chunk(bytes)
-    }
-
-    fn closed(&self) -> impl Future<Output = ()> + Send {
-        self.sink.closed()
-    }
-}
--- a/crates/oleander-relay/src/takeover.rs
+++ b/crates/oleander-relay/src/takeover.rs
@@ -14,7 +14,8 @@
 use tokio::time::{self, Instant};
 
 use crate::{
-    attempt::{AttemptOutcome, AttemptTimeouts, check_target, observe_outcome},
+    attempt::{AttemptOutcome, AttemptTimeouts, observe_outcome},
+    crash::check_target,
     lease::{TargetLease, Ticket},
     pool::{Pool, VersionChoice},
     progress::Progress,
