Rename what a newcomer would have to look up

A transport says whether a target refuses connections; a host that may send to limited targets is no channel's sender; what explains a crash is said where it is decided.

--- a/crates/oleander-cluster/src/cluster.rs
+++ b/crates/oleander-cluster/src/cluster.rs
@@ -17,7 +17,7 @@
     HostList, MemberAction, MemberEvent, MemberRole, MemberState, Members, MembersConfig, Profile,
 };
 use oleander_platform::{Change, FollowEvent, Follower, ObjectStore};
-use oleander_relay::{Pools, Sender};
+use oleander_relay::{Pools, SendingHost};
 use parking_lot::{Mutex, RwLock};
 use serde::{Serialize, de::DeserializeOwned};
 
@@ -344,12 +344,12 @@
     }
 
     /// The [`live_entry_hosts`](Self::live_entry_hosts) with their data centres.
-    pub(crate) fn senders(&self) -> Vec<Sender> {
+    pub(crate) fn senders(&self) -> Vec<SendingHost> {
         let live = self.live_entry_hosts();
         let records = self.records.read();
         let senders = live.into_iter().filter_map(|host| {
             let zone = records.get(&host)?.zone.clone();
-            Some(Sender { host, zone })
+            Some(SendingHost { host, zone })
         });
         senders.collect()
     }
--- a/crates/oleander-cluster/tests/crashes/targets.rs
+++ b/crates/oleander-cluster/tests/crashes/targets.rs
@@ -107,7 +107,7 @@
         parts
     }
 
-    async fn refuses(&self, target: &TargetEntry) -> bool {
+    async fn refuses_connections(&self, target: &TargetEntry) -> bool {
         !self.is_running(&target.id)
     }
 }
--- a/crates/oleander-quarantine/src/quarantine/decide.rs
+++ b/crates/oleander-quarantine/src/quarantine/decide.rs
@@ -1,4 +1,7 @@
 //! Decides which parts are blocked.
+//!
+//! Blocked parts explain a crash if one of its suspects has all of them; the other requests that
+//! were there are then no suspects of it.
 
 use std::collections::BTreeSet;
 
--- a/crates/oleander-relay/src/crash.rs
+++ b/crates/oleander-relay/src/crash.rs
@@ -26,7 +26,7 @@
     drop(lease);
     let transport = Arc::clone(transport);
     let check = async move {
-        let ended = transport.refuses(&target).await;
+        let ended = transport.refuses_connections(&target).await;
         log::info!(target:% = target.id, address:% = target.address, ended; "target broke off");
         if ended {
             pool.record_crash(&target);
--- a/crates/oleander-relay/src/lib.rs
+++ b/crates/oleander-relay/src/lib.rs
@@ -42,7 +42,7 @@
 pub use pool::{AcquireError, Pool, VersionChoice, YieldRequest, batch_pick};
 pub use pools::Pools;
 pub use quarantine::SharedQuarantine;
-pub use rates::{RateNews, Sender, TargetRates};
+pub use rates::{RateNews, SendingHost, TargetRates};
 pub use relay::Relay;
 pub use request::{Request, ResponseHead};
 pub use retry::{NextStep, RetryState};
--- a/crates/oleander-relay/src/pool/limits.rs
+++ b/crates/oleander-relay/src/pool/limits.rs
@@ -7,7 +7,7 @@
 
 use super::Pool;
 use crate::{
-    rates::{RateNews, Sender},
+    rates::{RateNews, SendingHost},
     target_list::TargetEntry,
 };
 
@@ -47,7 +47,7 @@
     }
 
     /// Replaces the hosts that may send requests.
-    pub fn set_senders(&self, senders: Vec<Sender>) {
+    pub fn set_senders(&self, senders: Vec<SendingHost>) {
         let changed = self.rates.lock().set_senders(senders);
         if changed {
             self.update_rates();
--- a/crates/oleander-relay/src/rates.rs
+++ b/crates/oleander-relay/src/rates.rs
@@ -34,7 +34,7 @@
 
     /// A host that may send requests.
     #[derive(PartialOrd, Ord)]
-    pub struct Sender {
+    pub struct SendingHost {
         /// The host.
         pub host: HostId,
         /// Its data centre.
@@ -53,7 +53,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct TargetRates {
     statements: BTreeMap<TargetRun, Statement>,
-    senders: Vec<Sender>,
+    senders: Vec<SendingHost>,
 }
 
 impl TargetRates {
@@ -125,7 +125,7 @@
     }
 
     /// Replaces the hosts that may send requests; returns whether they changed.
-    pub fn set_senders(&mut self, mut senders: Vec<Sender>) -> bool {
+    pub fn set_senders(&mut self, mut senders: Vec<SendingHost>) -> bool {
         senders.sort();
         let changed = self.senders != senders;
         self.senders = senders;
--- a/crates/oleander-relay/src/relay.rs
+++ b/crates/oleander-relay/src/relay.rs
@@ -154,10 +154,11 @@
             self.current = None;
             let target = lease.target.id.clone();
             self.record_attempt(&lease, &outcome);
-            let began = lease.has_output || !matches!(outcome, AttemptOutcome::Interrupted { .. });
+            let has_begun =
+                lease.has_output || !matches!(outcome, AttemptOutcome::Interrupted { .. });
             check_target(&self.relay.transport, lease).await;
             match self.retry.end(&target, ran_before, outcome) {
-                NextStep::Retry if !began && next.is_none() && self.crashes_targets(&pool) => {
+                NextStep::Retry if !has_begun && next.is_none() && self.crashes_targets(&pool) => {
                     return self.give_up();
                 }
                 NextStep::Retry => successor = next,
--- a/crates/oleander-relay/src/transport.rs
+++ b/crates/oleander-relay/src/transport.rs
@@ -104,7 +104,7 @@
     }
 
     /// Whether the target refuses connections, so that its process has ended.
-    fn refuses(&self, _target: &TargetEntry) -> impl Future<Output = bool> + Send {
+    fn refuses_connections(&self, _target: &TargetEntry) -> impl Future<Output = bool> + Send {
         async { false }
     }
 }
--- a/crates/oleander-relay/tests/rates.rs
+++ b/crates/oleander-relay/tests/rates.rs
@@ -2,7 +2,7 @@
 
 use oleander_core::{HostId, Span, Time, ZoneId};
 use oleander_quarantine::TargetRun;
-use oleander_relay::{RateNews, Sender, TargetRates};
+use oleander_relay::{RateNews, SendingHost, TargetRates};
 use oleander_routing::{RateShare, RequestRate};
 use quickcheck::{Gen, QuickCheck};
 
@@ -23,15 +23,15 @@
 }
 
 /// Hosts of two data centres.
-fn senders(near: usize, far: usize) -> Vec<Sender> {
-    let all = (0..near + far).map(|number| Sender {
+fn senders(near: usize, far: usize) -> Vec<SendingHost> {
+    let all = (0..near + far).map(|number| SendingHost {
         host: host(number),
         zone: zone(if number < near { "near" } else { "far" }),
     });
     all.collect()
 }
 
-fn knowing(text: &str, senders: Vec<Sender>) -> TargetRates {
+fn knowing(text: &str, senders: Vec<SendingHost>) -> TargetRates {
     let mut rates = TargetRates::default();
     rates.record(Time(2), &run(1), Time(1), Some(rate(text)));
     rates.set_senders(senders);
