Take over the hosts that a peer knows before its document

Beside a compile the test fails in 3 of 40 runs, four at a time, and always at the last entry.

Cause: a host that starts while the platform is unreachable knows only the peers whose statuses have reached it. It had the document from the first of them, and the next host was stopped before the status of the others had arrived. So entry 0 knew only entry 1, entry 1 only entry 0, and nobody sent a status to entry 2 when it started. No status names other hosts.

Change: a host without a document asks a peer for the link addresses that it exchanges statuses with, before it takes its document; entry and batch hosts. A host that has the document from a peer then knows all hosts that the peer knew. The two new messages stand last, so that the encoding of the others is unchanged.

The new test holds an entry still while the others restart, and failed each time on the code before.

--- a/crates/oleander-batch/src/background.rs
+++ b/crates/oleander-batch/src/background.rs
@@ -48,6 +48,9 @@
     if app.document.revision() >= status.revision {
         return;
     }
+    if app.document.revision().is_none() {
+        fetch_hosts(app, &status.contact.link).await;
+    }
     let request = PeerRequest::Document(peers::known_revision(app));
     let response = app.call_peer(&status.contact.link, &request, DOCUMENT_TIMEOUT).await;
     if let Ok(PeerResponse::Document(Some((revision, text)))) = response {
@@ -55,6 +58,16 @@
     }
 }
 
+/// Adds the hosts that a peer knows: a host that has started in an outage of the platform may
+/// otherwise know only that peer, and be known to no other.
+async fn fetch_hosts(app: &App, link: &str) {
+    match app.call_peer(link, &PeerRequest::Hosts, STATUS_TIMEOUT).await {
+        Ok(PeerResponse::Hosts(links)) => app.peers.lock().add_listed(links),
+        Ok(_) => log::warn!("peer {link} does not tell its hosts"),
+        Err(error) => log::warn!("asking {link} for its hosts failed: {error}"),
+    }
+}
+
 /// Puts a document in force if it is newer than the current one.
 fn apply_document(app: &App, revision: Revision, bytes: &[u8]) {
     let Some(document) = app.document.update_if_newer(revision, bytes) else { return };
--- a/crates/oleander-batch/src/peers.rs
+++ b/crates/oleander-batch/src/peers.rs
@@ -43,6 +43,13 @@
         self.listed = links;
     }
 
+    /// Adds link addresses that a peer named, until the platform lists the hosts again.
+    pub(crate) fn add_listed(&mut self, links: Vec<String>) {
+        self.listed.extend(links);
+        self.listed.sort();
+        self.listed.dedup();
+    }
+
     /// Records a peer's status and removes expired ones.
     pub(crate) fn record_status(&mut self, now: Time, status: &Status) {
         let known =
@@ -87,6 +94,7 @@
             PeerResponse::Status(app.status())
         }
         PeerRequest::Document(known) => PeerResponse::Document(app.document.newer_than(known)),
+        PeerRequest::Hosts => PeerResponse::Hosts(app.peers.lock().links()),
         PeerRequest::Yield(target, count) => {
             app.yield_items(&target, count);
             PeerResponse::Done
--- a/crates/oleander-check/tests/config.rs
+++ b/crates/oleander-check/tests/config.rs
@@ -75,22 +75,44 @@
     assert_eq!(first.json()["revision"], again.json()["revision"]);
 }
 
-#[tokio::test(flavor = "multi_thread")]
-async fn a_restart_in_an_outage_takes_the_document_from_a_peer() {
-    let mut deployment = Deployment::start("restart", &DeploymentOptions::new()).await;
+/// Applies another document and waits until it is in force on all hosts; returns its revision.
+async fn apply_new_document(deployment: &Deployment) -> u64 {
     let base = deployment.revision(0).await.unwrap();
-    let body = json!({"base": base, "document": new_document(&deployment, 77)});
+    let body = json!({"base": base, "document": new_document(deployment, 77)});
     let response = deployment.call_admin(0, Method::POST, "admin/apply", &body).await.unwrap();
     let revision = response.json()["revision"].as_u64().unwrap();
-    wait_for_revision(&deployment, revision).await;
+    wait_for_revision(deployment, revision).await;
+    revision
+}
+
+/// Kills and restarts an entry, and waits until it has the document.
+async fn restart_entry(deployment: &mut Deployment, entry: usize, revision: u64) {
+    deployment.entries[entry].kill().await;
+    deployment.entries[entry].restart();
+    eventually("the document comes from a peer", TIMEOUT, || async {
+        (deployment.revision(entry).await == Some(revision)).then_some(())
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_restart_in_an_outage_takes_the_document_from_a_peer() {
+    let mut deployment = Deployment::start("restart", &DeploymentOptions::new()).await;
+    let revision = apply_new_document(&deployment).await;
     deployment.set_platform_faults(&json!({"down": true})).await;
     for entry in 0..3 {
-        deployment.entries[entry].kill().await;
-        deployment.entries[entry].restart();
-        eventually("the document comes from a peer", TIMEOUT, || async {
-            (deployment.revision(entry).await == Some(revision)).then_some(())
-        })
-        .await;
+        restart_entry(&mut deployment, entry, revision).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_entry_that_was_silent_while_the_others_restarted_in_an_outage_is_not_forgotten() {
+    let mut deployment = Deployment::start("silent", &DeploymentOptions::new()).await;
+    let revision = apply_new_document(&deployment).await;
+    deployment.set_platform_faults(&json!({"down": true})).await;
+    deployment.entries[2].signal("STOP").await;
+    for entry in 0..3 {
+        restart_entry(&mut deployment, entry, revision).await;
     }
 }
 
--- a/crates/oleander-entry/src/background.rs
+++ b/crates/oleander-entry/src/background.rs
@@ -71,6 +71,9 @@
     if own_revision >= Some(peer_revision) {
         return;
     }
+    if own_revision.is_none() {
+        fetch_hosts(app, &link).await;
+    }
     let request = PeerRequest::Document(own_revision.unwrap_or(Revision(0)));
     let response = app.call_peer(&link, &request, DOCUMENT_TIMEOUT).await;
     if let Ok(PeerResponse::Document(Some((revision, text)))) = response {
@@ -78,6 +81,16 @@
     }
 }
 
+/// Adds the hosts that a peer knows: a host that has started in an outage of the platform may
+/// otherwise know only that peer, and be known to no other.
+async fn fetch_hosts(app: &App, link: &str) {
+    match app.call_peer(link, &PeerRequest::Hosts, STATUS_TIMEOUT).await {
+        Ok(PeerResponse::Hosts(links)) => app.hosts.lock().add_listed(links),
+        Ok(_) => log::warn!("peer {link} does not tell its hosts"),
+        Err(error) => log::warn!("asking {link} for its hosts failed: {error}"),
+    }
+}
+
 /// Puts a document in force if it is newer than the current one.
 pub(crate) fn apply_document(app: &App, revision: Revision, bytes: &[u8]) {
     let Some(document) = app.document.update_if_newer(revision, bytes) else { return };
--- a/crates/oleander-entry/src/hosts.rs
+++ b/crates/oleander-entry/src/hosts.rs
@@ -52,6 +52,13 @@
         self.listed = links;
     }
 
+    /// Adds link addresses that a peer named, until the platform lists the hosts again.
+    pub(crate) fn add_listed(&mut self, links: Vec<String>) {
+        self.listed.extend(links);
+        self.listed.sort();
+        self.listed.dedup();
+    }
+
     /// Records the status of a host, which counts as live from now on.
     pub(crate) fn record_status(&mut self, now: Time, status: Status) {
         let host = status.contact.host.clone();
--- a/crates/oleander-entry/src/peers.rs
+++ b/crates/oleander-entry/src/peers.rs
@@ -42,6 +42,7 @@
             PeerResponse::Status(app.status())
         }
         PeerRequest::Document(known) => PeerResponse::Document(app.document.newer_than(known)),
+        PeerRequest::Hosts => PeerResponse::Hosts(app.hosts.lock().links()),
         PeerRequest::Yield(..) | PeerRequest::Cancelled(_) | PeerRequest::Members(_) => {
             PeerResponse::Refused("an entry does not serve this request".to_owned())
         }
--- a/crates/oleander-peer/src/message.rs
+++ b/crates/oleander-peer/src/message.rs
@@ -32,6 +32,8 @@
         Cancelled(JobId),
         /// An encoded membership message.
         Members(Vec<u8>),
+        /// Asks for the link addresses of the hosts that the receiver exchanges statuses with.
+        Hosts,
     }
 
     /// A request to the owner of a shard.
@@ -64,6 +66,8 @@
         Status(Status),
         /// The request can't be served by this host; the reason.
         Refused(String),
+        /// Link addresses of the hosts that the responding host exchanges statuses with.
+        Hosts(Vec<String>),
     }
 
     /// New output and state of a run.
