--- /dev/null
+++ b/crates/oleander-check/tests/crashes.rs
@@ -0,0 +1,102 @@
+//! System tests of calls that crash engines: a message that many calls share ends each engine that
+//! runs one of them.
+
+#![allow(clippy::unwrap_used)]
+
+use std::time::{Duration, Instant};
+
+use http::StatusCode;
+use oleander_check::{Deployment, DeploymentOptions, Process};
+use serde_json::{Value, json};
+
+/// Text that ends an engine.
+const DEADLY: &str = "calibrate";
+/// Crashes after which the message is known, and calls with it that may still reach engines.
+const MAX_CRASHES: u32 = 5 + 3;
+const RUN_TIME: Duration = Duration::from_secs(8);
+/// Last part of the run, in which no engine may end.
+const QUIET_TIME: Duration = Duration::from_secs(3);
+const CALL_INTERVAL: Duration = Duration::from_millis(150);
+const RESTART_TIME: Duration = Duration::from_millis(400);
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
+const ENTRIES: usize = 3;
+
+/// A chat whose first message all calls share.
+fn chat(second: &str, number: u32) -> Value {
+    json!({"model": "llm", "messages": [
+        {"role": "system", "content": "You read the marks of silver."},
+        {"role": "user", "content": second},
+        {"role": "user", "content": format!("mark {number}")},
+    ]})
+}
+
+/// Restarts engines that end; returns the times of their ends.
+async fn keep_running(mut engines: Vec<Process>, start: Instant) -> Vec<Duration> {
+    let mut ends = Vec::new();
+    let mut down: Vec<Option<Instant>> = vec![None; engines.len()];
+    while start.elapsed() < RUN_TIME {
+        for (engine, down) in engines.iter_mut().zip(&mut down) {
+            match *down {
+                None if engine.has_exited() => {
+                    ends.push(start.elapsed());
+                    *down = Some(Instant::now());
+                }
+                Some(since) if since.elapsed() >= RESTART_TIME => {
+                    engine.restart();
+                    *down = None;
+                }
+                None | Some(_) => {}
+            }
+        }
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+    ends
+}
+
+/// Sends calls with these second messages through all entries; returns when each was sent and its
+/// status.
+async fn send_calls(
+    deployment: &Deployment,
+    name: &str,
+    second: &str,
+    start: Instant,
+) -> Vec<(Duration, StatusCode)> {
+    let mut statuses = Vec::new();
+    let mut number = 0;
+    while start.elapsed() < RUN_TIME {
+        let (sent, key) = (start.elapsed(), format!("{name}-{number}"));
+        let body = chat(second, number);
+        let entry = number as usize % ENTRIES;
+        let response = deployment.post(entry, "v1/chat/completions", &key, &body).await.unwrap();
+        statuses.push((sent, response.status));
+        number += 1;
+        tokio::time::sleep(CALL_INTERVAL).await;
+    }
+    statuses
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn calls_with_a_message_that_crashes_engines_are_refused_and_the_others_served() {
+    let options = DeploymentOptions::new().engine_args(&["--die-on", DEADLY]);
+    let mut deployment = Deployment::start("crashes", &options).await;
+    let engines = std::mem::take(&mut deployment.engines);
+    let start = Instant::now();
+    let (ends, deadly, others) = tokio::join!(
+        keep_running(engines, start),
+        send_calls(&deployment, "deadly", DEADLY, start),
+        send_calls(&deployment, "other", "weigh", start),
+    );
+    let quiet = RUN_TIME - QUIET_TIME;
+    assert!(ends.len() as u32 <= MAX_CRASHES, "{} ends of engines: {ends:?}", ends.len());
+    assert!(ends.iter().all(|end| *end < quiet), "late ends of engines: {ends:?}");
+    let late = |calls: &[(Duration, StatusCode)]| -> Vec<StatusCode> {
+        calls.iter().filter(|(sent, _)| *sent >= quiet).map(|(_, status)| *status).collect()
+    };
+    let refused = late(&deadly);
+    assert!(!refused.is_empty());
+    let unavailable = StatusCode::SERVICE_UNAVAILABLE;
+    assert!(refused.iter().all(|status| *status == unavailable), "{refused:?}");
+    let served = late(&others);
+    assert!(!served.is_empty());
+    assert!(served.iter().all(|status| *status == StatusCode::OK), "{served:?}");
+}
