Keep calls that crash targets away from targets in the product's own interface

Callers saw engines end one after the other: calls that share a message which ends each engine were sent on at every entry, at up to four engines each.

Change: the pool of a service at an entry has a quarantine like that of the users' platform. The parts of a call are all its messages but the last one, and the call as a whole; an operation of a plain service has only the latter. A target that breaks off is connected to; if it refuses, the calls without output are suspects. Suspects go to one target, a call under which two targets crashed is given up, and blocked calls get 503 with the rest of the block as Retry-After. Entries tell each other at once, and repeat it to one of them twice a second. Targets of this interface state no start time, so their runs are told apart by the number of their crashes.

Not done: these blocks are not stored at the platform, so a restart of all entries forgets them.

--- a/crates/oleander-batch/src/peers.rs
+++ b/crates/oleander-batch/src/peers.rs
@@ -103,7 +103,10 @@
             app.stop_job(&job);
             PeerResponse::Done
         }
-        PeerRequest::Shard(..) | PeerRequest::Follow { .. } | PeerRequest::Members(_) => {
+        PeerRequest::Shard(..)
+        | PeerRequest::Follow { .. }
+        | PeerRequest::Members(_)
+        | PeerRequest::Quarantine(_) => {
             PeerResponse::Refused("a batch host does not serve this request".to_owned())
         }
     }
--- a/crates/oleander-check/tests/crashes.rs
+++ b/crates/oleander-check/tests/crashes.rs
@@ -31,7 +31,7 @@
 }
 
 /// Restarts engines that end; returns the times of their ends.
-async fn keep_running(mut engines: Vec<Process>, start: Instant) -> Vec<Duration> {
+async fn keep_running(engines: &mut [Process], start: Instant) -> Vec<Duration> {
     let mut ends = Vec::new();
     let mut down: Vec<Option<Instant>> = vec![None; engines.len()];
     while start.elapsed() < RUN_TIME {
@@ -53,50 +53,59 @@
     ends
 }
 
-/// Sends calls with these second messages through all entries; returns when each was sent and its
-/// status.
+/// Response to a call that was sent at this time of the run.
+struct Answer {
+    sent: Duration,
+    status: StatusCode,
+    body: String,
+}
+
+/// Sends calls with this second message through all entries.
 async fn send_calls(
     deployment: &Deployment,
     name: &str,
     second: &str,
     start: Instant,
-) -> Vec<(Duration, StatusCode)> {
-    let mut statuses = Vec::new();
+) -> Vec<Answer> {
+    let mut answers = Vec::new();
     let mut number = 0;
     while start.elapsed() < RUN_TIME {
         let (sent, key) = (start.elapsed(), format!("{name}-{number}"));
         let body = chat(second, number);
         let entry = number as usize % ENTRIES;
         let response = deployment.post(entry, "v1/chat/completions", &key, &body).await.unwrap();
-        statuses.push((sent, response.status));
+        answers.push(Answer { sent, status: response.status, body: response.body.clone() });
         number += 1;
         tokio::time::sleep(CALL_INTERVAL).await;
     }
-    statuses
+    answers
+}
+
+/// Responses with another status, to calls that were sent in the last part of the run.
+fn late_others(answers: &[Answer], status: StatusCode) -> Vec<String> {
+    let late: Vec<&Answer> =
+        answers.iter().filter(|answer| answer.sent >= RUN_TIME - QUIET_TIME).collect();
+    assert!(!late.is_empty(), "no calls in the last part of the run");
+    let others = late.into_iter().filter(|answer| answer.status != status);
+    others.map(|answer| format!("{:?} {} {}", answer.sent, answer.status, answer.body)).collect()
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn calls_with_a_message_that_crashes_engines_are_refused_and_the_others_served() {
     let options = DeploymentOptions::new().engine_args(&["--die-on", DEADLY]);
     let mut deployment = Deployment::start("crashes", &options).await;
-    let engines = std::mem::take(&mut deployment.engines);
+    let mut engines = std::mem::take(&mut deployment.engines);
     let start = Instant::now();
     let (ends, deadly, others) = tokio::join!(
-        keep_running(engines, start),
+        keep_running(&mut engines, start),
         send_calls(&deployment, "deadly", DEADLY, start),
         send_calls(&deployment, "other", "weigh", start),
     );
     let quiet = RUN_TIME - QUIET_TIME;
     assert!(ends.len() as u32 <= MAX_CRASHES, "{} ends of engines: {ends:?}", ends.len());
     assert!(ends.iter().all(|end| *end < quiet), "late ends of engines: {ends:?}");
-    let late = |calls: &[(Duration, StatusCode)]| -> Vec<StatusCode> {
-        calls.iter().filter(|(sent, _)| *sent >= quiet).map(|(_, status)| *status).collect()
-    };
-    let refused = late(&deadly);
-    assert!(!refused.is_empty());
-    let unavailable = StatusCode::SERVICE_UNAVAILABLE;
-    assert!(refused.iter().all(|status| *status == unavailable), "{refused:?}");
-    let served = late(&others);
-    assert!(!served.is_empty());
-    assert!(served.iter().all(|status| *status == StatusCode::OK), "{served:?}");
+    let sent = late_others(&deadly, StatusCode::SERVICE_UNAVAILABLE);
+    assert!(sent.is_empty(), "{sent:#?}");
+    let unserved = late_others(&others, StatusCode::OK);
+    assert!(unserved.is_empty(), "{unserved:#?}");
 }
--- a/crates/oleander-entry/src/background.rs
+++ b/crates/oleander-entry/src/background.rs
@@ -6,8 +6,9 @@
 use oleander_core::{EventKind, JobId, Revision, Span};
 use oleander_host::clock;
 use oleander_node::DOCUMENT_KEY;
-use oleander_peer::{PeerRequest, PeerResponse, Status};
+use oleander_peer::{PeerRequest, PeerResponse, ServiceCrashes, Status};
 use oleander_platform::{ObjectStore as _, Platform as _, Role};
+use rand::seq::IndexedRandom as _;
 use tokio::sync::mpsc;
 
 use crate::app::App;
@@ -16,6 +17,9 @@
 /// Maximum time between two statuses, changed or not.
 const KEEPALIVE_INTERVAL: Span = Span::from_millis(500);
 const STATUS_TIMEOUT: Duration = Duration::from_millis(800);
+const CRASHES_INTERVAL: Duration = Duration::from_millis(50);
+/// One in so many times, one entry is told all that is known of crashes.
+const CRASHES_REPEAT: u32 = 10;
 const CANCEL_TIMEOUT: Duration = Duration::from_secs(1);
 const HOSTS_POLL_INTERVAL: Duration = Duration::from_secs(1);
 const LOAD_POLL_INTERVAL: Duration = Duration::from_millis(500);
@@ -26,6 +30,7 @@
 pub(crate) fn start(app: &Arc<App>, cancelled_jobs: mpsc::Receiver<JobId>) {
     tokio::spawn(forward_cancellations(Arc::clone(app), cancelled_jobs));
     tokio::spawn(exchange_statuses(Arc::clone(app)));
+    tokio::spawn(share_crashes(Arc::clone(app)));
     tokio::spawn(poll_hosts(Arc::clone(app)));
     tokio::spawn(poll_loads(Arc::clone(app)));
     tokio::spawn(watch_document(Arc::clone(app)));
@@ -48,6 +53,35 @@
     }
 }
 
+/// Tells the other entries of crashes: all of them what is new, and now and then one of them all
+/// that is known.
+async fn share_crashes(app: Arc<App>) {
+    for tick in 1_u32.. {
+        tokio::time::sleep(CRASHES_INTERVAL).await;
+        let (pools, links) = (app.pools.all(), app.hosts.lock().entry_links());
+        let news: Vec<_> = pools.iter().filter_map(|pool| pool.take_crashes()).collect();
+        for link in &links {
+            tell_crashes(&app, link, news.clone());
+        }
+        if tick.is_multiple_of(CRASHES_REPEAT)
+            && let Some(link) = links.choose(&mut rand::rng())
+        {
+            let known = pools.iter().filter_map(|pool| pool.known_crashes()).collect();
+            tell_crashes(&app, link, known);
+        }
+    }
+}
+
+fn tell_crashes(app: &Arc<App>, link: &str, crashes: Vec<ServiceCrashes>) {
+    if crashes.is_empty() {
+        return;
+    }
+    let (app, link) = (Arc::clone(app), link.to_owned());
+    let request = PeerRequest::Quarantine(crashes);
+    // What is lost is told again.
+    tokio::spawn(async move { app.call_peer(&link, &request, STATUS_TIMEOUT).await });
+}
+
 fn is_due(last: &Status, status: &Status) -> bool {
     let same = last.revision == status.revision
         && last.draining == status.draining
--- a/crates/oleander-entry/src/call.rs
+++ b/crates/oleander-entry/src/call.rs
@@ -7,11 +7,13 @@
 
 use bytes::Bytes;
 use oleander_core::{
-    ApiError, AttemptId, CallId, DigestId, ErrorCode, EventKind, HostId, Ran, ServiceId, Span, Time,
+    ApiError, AttemptId, CallId, DigestId, ErrorCode, EventKind, HostId, Ran, ServiceId, Span,
+    Time, hash,
 };
 use oleander_host::clock;
 use oleander_ledger::{Claim, Outcome, ShardReply};
 use oleander_peer::{PeerRequest, PeerResponse, RunState, ShardRequest};
+use oleander_quarantine::RequestParts;
 
 use crate::{active_run::ActiveRun, app::App, chat::ChatBody, dispatch};
 
@@ -65,6 +67,18 @@
     pub(crate) deadline: Time,
 }
 
+impl CallRequest {
+    /// Parts by which a crash of its target is attributed: all messages but the last one, and the
+    /// request as a whole.
+    pub(crate) fn parts(&self) -> RequestParts {
+        let shared = match &self.work {
+            Work::Chat(body) => body.shared_messages(),
+            Work::Operation { .. } => Vec::new(),
+        };
+        RequestParts::new(shared, hash::hash_parts(&[self.service.as_str(), self.digest.as_str()]))
+    }
+}
+
 /// Result of a run on this host.
 pub(crate) enum RunResult {
     /// An outcome to record.
--- a/crates/oleander-entry/src/chat.rs
+++ b/crates/oleander-entry/src/chat.rs
@@ -1,6 +1,6 @@
 //! Request and response bodies of chat/completions.
 
-use oleander_core::{DigestId, RequestId, hash};
+use oleander_core::{DigestId, PromptPart, RequestId, hash};
 use serde::{Deserialize, Serialize};
 use serde_json::{Map, Value, json};
 
@@ -93,6 +93,14 @@
         hash::digest(&self.to_json())
     }
 
+    /// Hashes of the messages that other calls may share: all but the last one.
+    pub(crate) fn shared_messages(&self) -> Vec<PromptPart> {
+        let shared = &self.messages[..self.messages.len().saturating_sub(1)];
+        let hash =
+            |message: &Message| hash::hash_parts(&[&message.role, &message.content.to_string()]);
+        shared.iter().map(|message| PromptPart(hash(message))).collect()
+    }
+
     /// Hash of the model and the first [`PREFIX_BYTES`] bytes of the prompt.
     pub(crate) fn prefix_hash(&self) -> u64 {
         let mut text = String::new();
--- a/crates/oleander-entry/src/dispatch.rs
+++ b/crates/oleander-entry/src/dispatch.rs
@@ -8,6 +8,7 @@
 use oleander_core::{ApiError, ErrorCode, EventKind, Span, TargetId};
 use oleander_host::clock;
 use oleander_peer::PeerRequest;
+use oleander_quarantine::RequestParts;
 use oleander_routing::{Failure, Pick, TicketId};
 use oleander_target::TargetError;
 
@@ -15,11 +16,13 @@
     active_run::ActiveRun,
     app::App,
     call::{CallRequest, RunResult, Work},
-    pool::{Pool, TargetLease},
+    pool::{AcquireError, Pool, TargetLease},
 };
 
 /// Maximum number of targets that one call is sent to.
 const MAX_DISPATCHES: u32 = 4;
+/// Targets that may crash at one call before it is given up.
+const MAX_CRASHES: u32 = 2;
 const YIELD_TIMEOUT: Duration = Duration::from_millis(500);
 /// `Retry-After` of a call whose targets failed.
 const TARGET_RETRY_AFTER: Span = Span::from_secs(1);
@@ -48,16 +51,30 @@
     request: &'a CallRequest,
     pool: Arc<Pool>,
     ticket: TicketId,
+    parts: Arc<RequestParts>,
     failed: Vec<TargetId>,
     dispatches: u32,
+    /// Targets that crashed before they sent output for this call.
+    crashes: u32,
     /// Whether a target may have executed the call.
     may_have_run: bool,
 }
 
 impl<'a> Dispatcher<'a> {
     fn new(app: &'a Arc<App>, request: &'a CallRequest, pool: Arc<Pool>) -> Self {
-        let ticket = pool.ticket();
-        Self { app, request, pool, ticket, failed: Vec::new(), dispatches: 0, may_have_run: false }
+        let (ticket, parts) = (pool.ticket(), Arc::new(request.parts()));
+        let failed = Vec::new();
+        Self {
+            app,
+            request,
+            pool,
+            ticket,
+            parts,
+            failed,
+            dispatches: 0,
+            crashes: 0,
+            may_have_run: false,
+        }
     }
 
     /// Waits for a target that has not failed this call.
@@ -66,6 +83,10 @@
     ///
     /// Fails if no further target may be tried or none has free capacity before the deadline.
     async fn acquire_target(&mut self, prefix_hash: Option<u64>) -> Result<TargetLease, ApiError> {
+        if self.crashes >= MAX_CRASHES {
+            let text = "targets have crashed at this call";
+            return Err(self.error(ErrorCode::TargetFailed, text).retry_after(TARGET_RETRY_AFTER));
+        }
         if self.dispatches > 0
             && (self.dispatches >= MAX_DISPATCHES || !self.pool.try_withdraw_retry())
         {
@@ -76,15 +97,19 @@
         let mut pick =
             Pick::online(self.ticket).exclude(self.failed.clone()).deadline(self.request.deadline);
         pick.prefix = prefix_hash;
-        match self.pool.acquire(&pick).await {
+        match self.pool.acquire(&pick, &self.parts).await {
             Ok(lease) => {
                 self.record_dispatch(&lease);
                 Ok(lease)
             }
-            Err(retry_after) => {
+            Err(AcquireError::NoCapacity(retry_after)) => {
                 let text = "no target has free capacity before the deadline";
                 Err(self.error(ErrorCode::Overloaded, text).retry_after(retry_after))
             }
+            Err(AcquireError::Blocked(remaining)) => {
+                let text = "targets have crashed at calls with the same messages";
+                Err(self.error(ErrorCode::Unavailable, text).retry_after(remaining))
+            }
         }
     }
 
@@ -118,7 +143,9 @@
     }
 
     /// Records that a target failed and excludes it from further attempts.
-    fn record_failure(&mut self, target: &TargetId, error: &TargetError) {
+    async fn record_failure(&mut self, lease: &TargetLease, error: &TargetError) {
+        let target = &lease.target;
+        self.crashes += u32::from(lease.has_crashed_target(error).await);
         self.may_have_run |= error.may_have_run();
         self.failed.push(target.clone());
         self.record_event(EventKind::TargetFailed, format!("target {target}: {error}"));
--- a/crates/oleander-entry/src/dispatch/operation.rs
+++ b/crates/oleander-entry/src/dispatch/operation.rs
@@ -34,10 +34,11 @@
             Err(error) => {
                 lease.observe(Observation::Failed(routing_failure(&error)));
                 if let Some(result) = final_result(&error, repeatable) {
+                    lease.has_crashed_target(&error).await;
                     dispatcher.record_event(EventKind::TargetFailed, error.to_string());
                     return result;
                 }
-                dispatcher.record_failure(&lease.target, &error);
+                dispatcher.record_failure(&lease, &error).await;
             }
         }
     }
--- a/crates/oleander-entry/src/peers.rs
+++ b/crates/oleander-entry/src/peers.rs
@@ -4,7 +4,7 @@
 
 use oleander_core::{AttemptId, CallId, Span};
 use oleander_link::{LinkError, Server};
-use oleander_peer::{PeerRequest, PeerResponse, RunState, RunUpdate};
+use oleander_peer::{PeerRequest, PeerResponse, RunState, RunUpdate, ServiceCrashes};
 
 use crate::{app::App, background};
 
@@ -43,12 +43,24 @@
         }
         PeerRequest::Document(known) => PeerResponse::Document(app.document.newer_than(known)),
         PeerRequest::Hosts => PeerResponse::Hosts(app.hosts.lock().links()),
+        PeerRequest::Quarantine(crashes) => {
+            merge_crashes(app, crashes);
+            PeerResponse::Done
+        }
         PeerRequest::Yield(..) | PeerRequest::Cancelled(_) | PeerRequest::Members(_) => {
             PeerResponse::Refused("an entry does not serve this request".to_owned())
         }
     }
 }
 
+fn merge_crashes(app: &App, crashes: Vec<ServiceCrashes>) {
+    for ServiceCrashes { service, news } in crashes {
+        if let Some(pool) = app.pools.get(&service) {
+            pool.merge_quarantine(news);
+        }
+    }
+}
+
 async fn follow(
     app: &App,
     call: &CallId,
--- a/crates/oleander-entry/src/pool.rs
+++ b/crates/oleander-entry/src/pool.rs
@@ -1,12 +1,15 @@
 //! The targets of one service and the router that selects among them.
 
+mod quarantine;
+
 use std::{collections::HashMap, sync::Arc};
 
-use oleander_core::{HostId, Span, TargetId, Time};
+use oleander_core::{HostId, ServiceId, Span, TargetId, Time};
 use oleander_document::{OnlineLimits, Service};
 use oleander_host::clock;
 use oleander_node::{ServicePool, peer_counts, router_targets, target_addresses, target_counts};
 use oleander_peer::TargetCount;
+use oleander_quarantine::{Quarantine, RequestParts, Standing, TargetRun};
 use oleander_routing::{
     Decision, LeaseId, LoadReport, Observation, Pick, RetryBudget, Router, RouterConfig,
     TargetStatus, TicketId,
@@ -23,7 +26,18 @@
     router: Mutex<Router>,
     retries: Mutex<RetryBudget>,
     changed: Notify,
+    name: ServiceId,
     service: RwLock<ServiceConfig>,
+    quarantine: Mutex<Quarantine>,
+}
+
+/// Why no target takes a call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum AcquireError {
+    /// None has free capacity in time; the time after which to retry.
+    NoCapacity(Span),
+    /// Parts of the call crash targets; the time for which such calls are refused.
+    Blocked(Span),
 }
 
 #[derive(Debug, Clone)]
@@ -43,6 +57,9 @@
     pub(crate) address: String,
     /// Number of batch items that must yield at the target.
     pub(crate) yields: u32,
+    run: TargetRun,
+    parts: Arc<RequestParts>,
+    has_output: bool,
 }
 
 impl ServicePool for Pool {
@@ -56,6 +73,8 @@
             router: Mutex::new(Router::new(config, seed)),
             retries: Mutex::new(RetryBudget::new()),
             changed: Notify::new(),
+            name: service.name.clone(),
+            quarantine: Mutex::default(),
             service: RwLock::new(ServiceConfig::from(service)),
         };
         pool.set_service(service);
@@ -104,22 +123,33 @@
         self.retries.lock().try_withdraw(clock::now())
     }
 
-    /// Waits until the router selects a target.
+    /// Waits until the router selects a target for a call with these parts.
     ///
     /// # Errors
     ///
-    /// Returns the time after which to retry if no target has free capacity in time.
-    pub(crate) async fn acquire(self: &Arc<Self>, pick: &Pick) -> Result<TargetLease, Span> {
+    /// Fails if no target has free capacity in time, or if the parts are blocked.
+    pub(crate) async fn acquire(
+        self: &Arc<Self>,
+        pick: &Pick,
+        parts: &Arc<RequestParts>,
+    ) -> Result<TargetLease, AcquireError> {
         loop {
             let changed = self.changed.notified();
             tokio::pin!(changed);
             changed.as_mut().enable();
-            let (decision, wake) = self.decide(pick);
+            let standing = self.quarantine.lock().standing(clock::steady(), parts);
+            if let Standing::Blocked { remaining, .. } = standing {
+                return Err(AcquireError::Blocked(remaining));
+            }
+            let (decision, wake) = self.decide(&self.restrict(pick, &standing));
             match decision {
                 Decision::Send { target, lease, yields } => {
-                    return self.grant(target, lease, yields).ok_or(MAX_WAIT);
+                    let lease = self.grant(target, lease, yields, parts);
+                    return lease.ok_or(AcquireError::NoCapacity(MAX_WAIT));
+                }
+                Decision::Refuse { retry_after } => {
+                    return Err(AcquireError::NoCapacity(retry_after));
                 }
-                Decision::Refuse { retry_after } => return Err(retry_after),
                 Decision::Wait => {
                     let wait = wake.unwrap_or(MAX_WAIT).min(MAX_WAIT);
                     let _ = tokio::time::timeout(wait.to_duration(), changed).await;
@@ -141,13 +171,25 @@
         target: TargetId,
         lease: LeaseId,
         yields: u32,
+        parts: &Arc<RequestParts>,
     ) -> Option<TargetLease> {
         let Some(address) = self.service.read().addresses.get(&target).cloned() else {
             self.observe(lease, Observation::Cancelled);
             return None;
         };
-        let pool = Arc::clone(self);
-        Some(TargetLease { pool, id: lease, ended: false, target, address, yields })
+        let (pool, parts) = (Arc::clone(self), Arc::clone(parts));
+        let run = self.quarantine.lock().present_run(clock::steady(), &target);
+        Some(TargetLease {
+            pool,
+            id: lease,
+            ended: false,
+            target,
+            address,
+            yields,
+            run,
+            parts,
+            has_output: false,
+        })
     }
 
     fn observe(&self, lease: LeaseId, observation: Observation) {
@@ -194,6 +236,10 @@
         if self.ended {
             return;
         }
+        if !self.has_output && matches!(observation, Observation::FirstOutput | Observation::Done) {
+            self.has_output = true;
+            self.pool.record_output(&self.parts);
+        }
         self.ended = observation.is_final();
         self.pool.observe(self.id, observation);
     }
--- /dev/null
+++ b/crates/oleander-entry/src/pool/quarantine.rs
@@ -0,0 +1,113 @@
+//! Calls that crash targets are kept away from them.
+
+use std::{borrow::Cow, time::Duration};
+
+use oleander_core::hash;
+use oleander_host::clock;
+use oleander_peer::ServiceCrashes;
+use oleander_quarantine::{QuarantineNews, RequestParts, Standing};
+use oleander_routing::Pick;
+use oleander_target::{TargetError, refuses_connections};
+
+use super::{Pool, TargetLease};
+
+/// Connections after which a target that still takes them has not crashed.
+const MAX_CONNECTIONS: u32 = 3;
+/// Time between them; a process that ends may close its listener last.
+const CONNECTION_INTERVAL: Duration = Duration::from_millis(30);
+
+impl Pool {
+    /// Excludes targets that have just crashed and, for a suspected call, all targets but one.
+    pub(super) fn restrict<'a>(&self, pick: &'a Pick, standing: &Standing) -> Cow<'a, Pick> {
+        let quarantine = self.quarantine.lock();
+        if quarantine.is_empty() {
+            return Cow::Borrowed(pick);
+        }
+        let now = clock::steady();
+        let service = self.service.read();
+        let (down, up): (Vec<_>, Vec<_>) =
+            service.addresses.keys().partition(|target| quarantine.is_down(now, target));
+        let mut restricted = pick.clone();
+        restricted.exclude.extend(down.into_iter().cloned());
+        if let Standing::Suspect { part, .. } = standing {
+            let usable = up.iter().copied().filter(|target| !pick.exclude.contains(target));
+            let one = hash::rendezvous(&part.to_string(), usable);
+            let others = up.iter().filter(|target| Some(**target) != one);
+            restricted.exclude.extend(others.map(|target| (*target).clone()));
+        }
+        Cow::Owned(restricted)
+    }
+
+    /// Records that a target sent output for a call with these parts.
+    pub(super) fn record_output(&self, parts: &RequestParts) {
+        self.quarantine.lock().record_output(clock::steady(), parts);
+    }
+
+    /// Applies what another host knows.
+    pub(crate) fn merge_quarantine(&self, news: QuarantineNews) {
+        if self.quarantine.lock().merge(clock::steady(), news) {
+            self.changed.notify_waiters();
+        }
+    }
+
+    /// What other hosts have to learn, since the last call.
+    pub(crate) fn take_crashes(&self) -> Option<ServiceCrashes> {
+        let news = self.quarantine.lock().take_news(clock::steady());
+        self.crashes(news)
+    }
+
+    /// All that this host knows of crashes.
+    pub(crate) fn known_crashes(&self) -> Option<ServiceCrashes> {
+        let news = self.quarantine.lock().snapshot(clock::steady());
+        self.crashes(news)
+    }
+
+    fn crashes(&self, news: QuarantineNews) -> Option<ServiceCrashes> {
+        (!news.is_empty()).then(|| ServiceCrashes { service: self.name.clone(), news })
+    }
+
+    fn record_crash(&self, lease: &TargetLease) {
+        let now = clock::steady();
+        let mut quarantine = self.quarantine.lock();
+        let is_new = quarantine.record_crash(now, &lease.run);
+        for block in quarantine.take_begun(now) {
+            log::warn!(service:% = self.name, parts:% = block.parts,
+                for_s = block.remaining.as_secs_f64(); "parts of prompts are blocked: they crash targets");
+            metrics::counter!("blocked_parts_total").increment(1);
+        }
+        drop(quarantine);
+        if is_new {
+            log::info!(target:% = lease.target, service:% = self.name; "target has crashed");
+            metrics::counter!("target_crashes_total").increment(1);
+            self.changed.notify_waiters();
+        }
+    }
+}
+
+impl TargetLease {
+    /// Finds out whether a target that broke off has crashed, and records it; returns whether this
+    /// call may be the cause.
+    pub(crate) async fn has_crashed_target(&self, error: &TargetError) -> bool {
+        if !matches!(error, TargetError::Interrupted(_)) {
+            return false;
+        }
+        if !self.has_output {
+            self.pool.quarantine.lock().record_break(clock::steady(), &self.run, &self.parts);
+        }
+        let has_ended = self.refuses_connections().await;
+        if has_ended {
+            self.pool.record_crash(self);
+        }
+        has_ended && !self.has_output
+    }
+
+    async fn refuses_connections(&self) -> bool {
+        for _ in 0..MAX_CONNECTIONS {
+            if refuses_connections(&self.address).await {
+                return true;
+            }
+            tokio::time::sleep(CONNECTION_INTERVAL).await;
+        }
+        false
+    }
+}
--- a/crates/oleander-peer/src/lib.rs
+++ b/crates/oleander-peer/src/lib.rs
@@ -6,6 +6,6 @@
 mod message;
 
 pub use message::{
-    Contact, PeerRequest, PeerResponse, RunState, RunUpdate, ShardRequest, Status, TargetCount,
-    TargetEvent,
+    Contact, PeerRequest, PeerResponse, RunState, RunUpdate, ServiceCrashes, ShardRequest, Status,
+    TargetCount, TargetEvent,
 };
--- a/crates/oleander-peer/src/message.rs
+++ b/crates/oleander-peer/src/message.rs
@@ -1,10 +1,11 @@
 //! Requests and responses that hosts exchange over links.
 
 use oleander_core::{
-    AttemptId, CallId, DigestId, HostId, JobId, Revision, ShardId, Span, TargetId, Time, ZoneId,
-    value,
+    AttemptId, CallId, DigestId, HostId, JobId, Revision, ServiceId, ShardId, Span, TargetId, Time,
+    ZoneId, value,
 };
 use oleander_ledger::{CallRecord, Claim, Outcome, ShardReply};
+use oleander_quarantine::QuarantineNews;
 
 value! {
     /// A request from one host to another.
@@ -34,6 +35,16 @@
         Members(Vec<u8>),
         /// Asks for the link addresses of the hosts that the receiver exchanges statuses with.
         Hosts,
+        /// Crashes of targets, and the calls that are kept away from them.
+        Quarantine(Vec<ServiceCrashes>),
+    }
+
+    /// What a host knows of the crashes of a service's targets.
+    pub struct ServiceCrashes {
+        /// The service.
+        pub service: ServiceId,
+        /// Crashes and blocked parts.
+        pub news: QuarantineNews,
     }
 
     /// A request to the owner of a shard.
--- a/crates/oleander-quarantine/src/quarantine.rs
+++ b/crates/oleander-quarantine/src/quarantine.rs
@@ -1,6 +1,7 @@
 //! The crashes and blocked parts that one host knows of one service.
 
 mod decide;
+mod runs;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
--- /dev/null
+++ b/crates/oleander-quarantine/tests/runs.rs
@@ -0,0 +1,67 @@
+//! Runs of targets that do not state when they started.
+
+use oleander_core::{PromptPart, Span, TargetId, Time};
+use oleander_quarantine::{Quarantine, RequestParts, Standing};
+
+const BAD: u64 = 0xbad;
+/// Longer than a target is taken to be down.
+const RESTART: Span = Span::from_secs(2);
+
+fn target() -> TargetId {
+    "engine-0".parse().expect("target")
+}
+
+fn request(content: u64) -> RequestParts {
+    RequestParts::new(vec![PromptPart(BAD)], content)
+}
+
+/// A crash of the target that a host notices by itself.
+fn crash(host: &mut Quarantine, now: Time, content: u64) {
+    let run = host.present_run(now, &target());
+    host.record_break(now, &run, &request(content));
+    host.record_crash(now, &run);
+}
+
+/// A host that had output for other parts for a long time.
+fn long_running() -> Quarantine {
+    let mut host = Quarantine::default();
+    host.record_output(Time(0), &RequestParts::new(vec![PromptPart(0xf)], 0xf));
+    host
+}
+
+#[test]
+fn crashes_of_one_target_without_a_start_time_count_each() {
+    let mut host = long_running();
+    let mut now = Time(60_000_000);
+    for content in 0..3 {
+        assert!(!matches!(host.standing(now, &request(9)), Standing::Blocked { .. }));
+        crash(&mut host, now, content);
+        now = now + RESTART;
+    }
+    assert!(matches!(host.standing(now, &request(9)), Standing::Blocked { .. }));
+}
+
+#[test]
+fn a_crash_that_several_hosts_notice_counts_once() {
+    let now = Time(60_000_000);
+    let mut hosts = [long_running(), long_running(), long_running()];
+    for (content, host) in (0..).zip(&mut hosts) {
+        crash(host, now, content);
+    }
+    let [mut first, mut second, mut third] = hosts;
+    let later = now + Span::from_millis(300);
+    first.merge(later, second.take_news(later));
+    first.merge(later + Span::from_millis(300), third.take_news(later));
+    let standing = first.standing(later + RESTART, &request(9));
+    assert!(matches!(standing, Standing::Suspect { crashes: 1, .. }), "{standing:?}");
+}
+
+#[test]
+fn a_target_is_down_only_for_a_while_after_its_crash() {
+    let mut host = long_running();
+    let now = Time(60_000_000);
+    assert!(!host.is_down(now, &target()));
+    crash(&mut host, now, 1);
+    assert!(host.is_down(now + Span::from_millis(500), &target()));
+    assert!(!host.is_down(now + RESTART, &target()));
+}
--- a/crates/oleander-target/src/client.rs
+++ b/crates/oleander-target/src/client.rs
@@ -1,6 +1,6 @@
 //! HTTP calls to targets.
 
-use std::{collections::HashMap, sync::Arc, time::Duration};
+use std::{collections::HashMap, io::ErrorKind, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http::{Method, Request, Response, header};
@@ -11,6 +11,7 @@
     rt::TokioExecutor,
 };
 use parking_lot::Mutex;
+use tokio::net::TcpStream;
 
 use crate::{chat::ChatStream, error::TargetError};
 
@@ -61,6 +62,12 @@
     }
 }
 
+/// Whether nothing listens at an address, so that the process there has ended.
+pub async fn refuses_connections(address: &str) -> bool {
+    let connecting = tokio::time::timeout(Timeouts::new().connect, TcpStream::connect(address));
+    matches!(connecting.await, Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused)
+}
+
 /// The connection that a call uses.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ConnectionMode {
