Go back to a target that was left when no further one may be reached

Callers saw a stream aborted, or 502 before its head, while the first target was sound: it was silent for 200 ms, the second target had not responded after 250 ms and so had taken over, and it then refused. max_attempts were used up.

Cause: the limit counts targets that are reached, and the target that was left was never used again, although going back to it reaches no further one.

Change: a target that is left because it made no progress is remembered. When the limit is reached, the request goes back to it once, after the last event.

--- a/crates/oleander-relay/src/pool.rs
+++ b/crates/oleander-relay/src/pool.rs
@@ -266,6 +266,11 @@
         targets.values().any(|target| target.version == *version && !target.leaving)
     }
 
+    /// All targets but one.
+    pub(crate) fn all_but(&self, target: &TargetId) -> Vec<TargetId> {
+        self.targets.read().keys().filter(|id| *id != target).cloned().collect()
+    }
+
     /// Completes on a change that may have freed capacity.
     pub async fn changed(&self) {
         self.changed.notified().await;
--- a/crates/oleander-relay/src/relay.rs
+++ b/crates/oleander-relay/src/relay.rs
@@ -253,7 +253,11 @@
         let ticket = Ticket::new(pool);
         let started = clock::steady();
         let pick = self.pick(started, ticket.id, pool.service_time());
-        let excluding = pick.clone().exclude(self.retry.failed_targets().to_vec());
+        let excluded = match self.retry.take_left() {
+            Some(target) => pool.all_but(&target),
+            None => self.retry.failed_targets().to_vec(),
+        };
+        let excluding = pick.clone().exclude(excluded);
         let versions = self.versions();
         let mut lease = pool.acquire_version(&excluding, &versions, &self.parts).await;
         if lease.is_err() && self.head_sent {
@@ -332,7 +336,11 @@
         if self.head_sent {
             self.version.get_or_insert(target.version);
         }
-        (outcome.unwrap_or_else(|| interrupt_stalled(lease, &progress)), successor)
+        let outcome = outcome.unwrap_or_else(|| {
+            self.retry.record_left(&lease.target.id);
+            interrupt_stalled(lease, &progress)
+        });
+        (outcome, successor)
     }
 
     fn timed_out(&mut self) -> NextStep {
--- a/crates/oleander-relay/src/retry.rs
+++ b/crates/oleander-relay/src/retry.rs
@@ -2,7 +2,8 @@
 //!
 //! The final response must be correct: "not run" only if no target can have run any attempt. A
 //! route limits the number of targets that a request reaches; a failed connection does not count
-//! towards that limit, since the target was not reached.
+//! towards that limit, since the target was not reached. A target that was left because it made no
+//! progress may be sound: the request may go back to it once, which reaches no further target.
 
 use bytes::Bytes;
 use http::StatusCode;
@@ -50,6 +51,8 @@
     /// Whether a target that has not taken over may have run the request.
     rejected_ran: bool,
     failed: Vec<TargetId>,
+    /// The target that was left because it made no progress.
+    left: Option<TargetId>,
 }
 
 impl RetryState {
@@ -64,6 +67,7 @@
             may_have_run: false,
             rejected_ran: false,
             failed: Vec::new(),
+            left: None,
         }
     }
 
@@ -91,6 +95,19 @@
         self.policy != RetryPolicy::Never && self.sent + 1 < self.max_attempts
     }
 
+    /// Records that a target was left for another one because it made no progress.
+    pub fn record_left(&mut self, target: &TargetId) {
+        self.left = Some(target.clone());
+    }
+
+    /// The target that the next attempt goes back to, if no further one may be reached.
+    pub fn take_left(&mut self) -> Option<TargetId> {
+        if self.sent < self.max_attempts {
+            return None;
+        }
+        self.left.take()
+    }
+
     /// Records that an attempt is about to be sent; until it ends, the target may be running it.
     pub const fn begin(&mut self) {
         self.may_have_run = true;
@@ -120,7 +137,7 @@
             AttemptOutcome::NotRun(_) => {
                 self.sent += 1;
                 self.may_have_run = ran_before || self.rejected_ran;
-                if self.sent < self.max_attempts {
+                if self.sent < self.max_attempts || self.left.is_some() {
                     NextStep::Retry
                 } else {
                     self.refuse(NO_CAPACITY_RETRY_AFTER)
@@ -168,6 +185,7 @@
     }
 
     fn can_retry(&self) -> bool {
-        self.policy != RetryPolicy::Never && self.sent < self.max_attempts
+        let has_target = self.sent < self.max_attempts || self.left.is_some();
+        self.policy != RetryPolicy::Never && has_target
     }
 }
