Send the longest requests to targets that name a rate

Cause: a rate counts requests, slots count their time, and requests were spread over both regardless of their length.

One that reaches the running mean goes to a limited target if that takes one now; while requests wait, the longest ones take what the rates permit and the others the slots, in their order. Without limited targets nothing changes. Where no size is stated, all count as the mean.

The two new tests of the router don't compile on the code before, which knows no sizes.

--- a/crates/oleander-relay/src/relay.rs
+++ b/crates/oleander-relay/src/relay.rs
@@ -272,7 +272,7 @@
     ///
     /// A stream whose head has been sent has no latency goal any more, and may be short.
     fn pick(&self, now: Time, ticket: TicketId, service_time: Span) -> Pick {
-        let pick = Pick::online(ticket);
+        let pick = Pick::online(ticket).size(self.relay.transport.size(self.request));
         if self.head_sent {
             return pick.deadline(self.deadline);
         }
--- a/crates/oleander-relay/src/transport.rs
+++ b/crates/oleander-relay/src/transport.rs
@@ -103,6 +103,11 @@
         Vec::new()
     }
 
+    /// Work of a request in output tokens, if it states it.
+    fn size(&self, _request: &Request) -> Option<u32> {
+        None
+    }
+
     /// Whether the target refuses connections, so that its process has ended.
     fn refuses_connections(&self, _target: &TargetEntry) -> impl Future<Output = bool> + Send {
         async { false }
--- a/crates/oleander-routing/src/lib.rs
+++ b/crates/oleander-routing/src/lib.rs
@@ -22,6 +22,7 @@
 mod rate;
 mod router;
 mod share;
+mod size;
 mod target;
 mod workspace;
 
--- a/crates/oleander-routing/src/pick.rs
+++ b/crates/oleander-routing/src/pick.rs
@@ -48,6 +48,8 @@
     pub goal: Option<Time>,
     /// Latest time at which the request may be sent.
     pub deadline: Option<Time>,
+    /// Work of the request in output tokens, if known.
+    pub size: Option<u32>,
 }
 
 impl Pick {
@@ -77,6 +79,7 @@
             ticket: None,
             goal: None,
             deadline: None,
+            size: None,
         }
     }
 
@@ -122,6 +125,13 @@
         self.deadline = Some(deadline);
         self
     }
+
+    /// Sets the work of the request in output tokens, if known.
+    #[must_use]
+    pub const fn size(mut self, size: Option<u32>) -> Self {
+        self.size = size;
+        self
+    }
 }
 
 /// What to do with a request.
--- a/crates/oleander-routing/src/queue.rs
+++ b/crates/oleander-routing/src/queue.rs
@@ -5,11 +5,14 @@
 //! more arrives than the slots can serve, order of arrival alone would make every request late;
 //! this order keeps most in time and serves the others when the load falls, before their deadlines.
 
-use std::collections::BTreeMap;
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BTreeSet},
+};
 
 use oleander_core::{Span, Time};
 
-use crate::pick::TicketId;
+use crate::pick::{Pick, TicketId};
 
 /// Time after its deadline at which a request that was not picked or cancelled is dropped.
 const EXPIRY_GRACE: Span = Span::from_secs(1);
@@ -21,6 +24,7 @@
 struct Waiting {
     goal: Option<Time>,
     deadline: Time,
+    size: Option<u32>,
 }
 
 impl Waiting {
@@ -64,14 +68,45 @@
         self.service_time
     }
 
-    /// Number of queued requests ahead of the one with `ticket` and `goal`.
+    /// Number of queued requests ahead of `request`, which has `ticket`.
     #[must_use]
-    pub fn ahead(&self, now: Time, ticket: TicketId, goal: Option<Time>) -> u32 {
-        let place = (is_late(goal, now), ticket);
-        let places = self.waiting.iter().map(|(ticket, waiting)| (waiting.is_late(now), *ticket));
+    pub fn ahead(&self, now: Time, ticket: TicketId, request: &Pick) -> u32 {
+        self.ahead_without(now, ticket, request, &BTreeSet::new())
+    }
+
+    /// Number of queued requests ahead of `request` that are not among `others`.
+    #[must_use]
+    pub fn ahead_without(
+        &self,
+        now: Time,
+        ticket: TicketId,
+        request: &Pick,
+        others: &BTreeSet<TicketId>,
+    ) -> u32 {
+        let place = (is_late(request.goal, now), ticket);
+        let counted = self.waiting.iter().filter(|(ticket, _)| !others.contains(ticket));
+        let places = counted.map(|(ticket, waiting)| (waiting.is_late(now), *ticket));
         places.filter(|other| *other < place).count() as u32
     }
 
+    /// The `count` longest ones of the queued requests and `request`, which has `ticket`; those
+    /// that can still be in time come first.
+    #[must_use]
+    pub fn longest(
+        &self,
+        now: Time,
+        ticket: TicketId,
+        request: &Pick,
+        count: u32,
+    ) -> BTreeSet<TicketId> {
+        let own = (is_late(request.goal, now), Reverse(request.size), ticket);
+        let queued = self.waiting.iter().filter(|(other, _)| **other != ticket);
+        let queued =
+            queued.map(|(ticket, w)| (w.is_late(now), Reverse(w.size), *ticket)).chain([own]);
+        let order: BTreeSet<_> = queued.collect();
+        order.into_iter().take(count as usize).map(|(_, _, ticket)| ticket).collect()
+    }
+
     /// Number of queued requests.
     #[must_use]
     pub fn len(&self) -> u32 {
@@ -96,9 +131,10 @@
         self.len() >= self.limit
     }
 
-    /// Queues the request with `ticket` until `deadline`; it is late from `goal` on.
-    pub fn insert(&mut self, ticket: TicketId, goal: Option<Time>, deadline: Time) {
-        self.waiting.insert(ticket, Waiting { goal, deadline });
+    /// Queues `request`, which has `ticket`, until `deadline`.
+    pub fn insert(&mut self, ticket: TicketId, request: &Pick, deadline: Time) {
+        let Pick { goal, size, .. } = *request;
+        self.waiting.insert(ticket, Waiting { goal, deadline, size });
     }
 
     /// Removes the request with `ticket`, if it is queued.
--- a/crates/oleander-routing/src/router.rs
+++ b/crates/oleander-routing/src/router.rs
@@ -31,6 +31,7 @@
     pick::{Class, LeaseId, TicketId},
     prefix::PrefixIndex,
     queue::WaitQueue,
+    size::MeanSize,
     target::{Target, TargetState, TargetStatus},
 };
 
@@ -71,6 +72,7 @@
     next_lease: u64,
     next_ticket: u64,
     queue: WaitQueue,
+    mean_size: MeanSize,
     ejector: Ejector,
     prefixes: PrefixIndex,
     peers: Peers,
@@ -101,6 +103,7 @@
             next_lease: 0,
             next_ticket: 0,
             queue: WaitQueue::new(config.queue_limit),
+            mean_size: MeanSize::default(),
             ejector: Ejector::new(config.ejection),
             prefixes: PrefixIndex::default(),
             peers: Peers::default(),
--- a/crates/oleander-routing/src/router/admit.rs
+++ b/crates/oleander-routing/src/router/admit.rs
@@ -36,24 +36,41 @@
         if self.queue.is_expired(now, ticket) || request.deadline.is_some_and(|d| d <= now) {
             return self.refuse(ticket, self.predict_wait(request, self.queue.len()));
         }
-        let usable = self.usable(now, request);
-        let free: u32 =
-            usable.iter().map(|index| self.free_online_slots(now, &self.backends[*index])).sum();
-        let ahead = self.queue.ahead(now, ticket, request.goal);
-        if free <= ahead {
-            return self.wait_or_refuse(now, request, ticket);
-        }
-        let available = usable
-            .into_iter()
-            .filter(|index| self.free_online_slots(now, &self.backends[*index]) > 0);
-        let candidates = self.candidates(now, request, available.collect());
+        let available = self.available(now, ticket, request);
+        let candidates = self.candidates(now, request, available);
         let Some(chosen) = self.chooser.choose(&mut self.rng, &candidates) else {
             return self.wait_or_refuse(now, request, ticket);
         };
         self.queue.remove(ticket);
+        self.mean_size.record(request.size);
         self.send(now, request, chosen.index)
     }
 
+    /// Targets to which a request may be sent before those that are queued.
+    ///
+    /// The rate of a target counts requests, whatever their size, and leaves its slots idle, so the
+    /// longest requests go there and the slots of the other targets serve more of the short ones.
+    fn available(&self, now: Time, ticket: TicketId, request: &Pick) -> Vec<usize> {
+        let free = |index: &usize| self.free_online_slots(now, &self.backends[*index]);
+        let usable = self.usable(now, request).into_iter().filter(|index| free(index) > 0);
+        let (limited, others): (Vec<usize>, Vec<usize>) =
+            usable.partition(|index| self.backends[*index].rate.is_some());
+        let slots: u32 = others.iter().map(free).sum();
+        let ahead = self.queue.ahead(now, ticket, request);
+        if limited.is_empty() {
+            return if slots > ahead { others } else { Vec::new() };
+        }
+        let longest = self.queue.longest(now, ticket, request, limited.len() as u32);
+        let is_long = self.mean_size.is_reached_by(request.size);
+        if longest.contains(&ticket) && (is_long || slots <= ahead) {
+            return limited;
+        }
+        if slots > self.queue.ahead_without(now, ticket, request, &longest) {
+            return others;
+        }
+        Vec::new()
+    }
+
     fn pick_batch(&mut self, now: Time, request: &Pick) -> Decision {
         if self.config.policy == Policy::Managed && !self.queue.is_empty() {
             return Decision::Wait;
@@ -125,7 +142,7 @@
             return self.refuse(ticket, wait);
         }
         if request.ticket.is_some() {
-            self.queue.insert(ticket, request.goal, deadline);
+            self.queue.insert(ticket, request, deadline);
         }
         Decision::Wait
     }
--- a/crates/oleander-routing/tests/rate_shares.rs
+++ b/crates/oleander-routing/tests/rate_shares.rs
@@ -98,6 +98,60 @@
     assert_eq!(at(&mut router, later), Decision::Wait);
 }
 
+/// Sends a request of this size; returns its target.
+fn send_sized(router: &mut Router, now: Time, size: u32) -> Option<TargetId> {
+    let pick = Pick::online(router.ticket()).size(Some(size)).deadline(now + INTERVAL * 10);
+    match router.pick(now, &pick) {
+        Decision::Send { target, .. } => Some(target),
+        _ => None,
+    }
+}
+
+#[test]
+fn short_requests_leave_the_share_of_a_limited_target_to_long_ones() {
+    let mut router = router(&["a", "b"]);
+    for size in [100, 900].repeat(20) {
+        let now = Time(0);
+        let pick = Pick::online(router.ticket()).size(Some(size));
+        let Decision::Send { lease, .. } = router.pick(now, &pick) else { panic!("not sent") };
+        router.observe(now, lease, Observation::Done);
+    }
+    router.set_rate_share(Time(0), &id("a"), Some(PACED));
+    let now = Time(0) + INTERVAL * 2;
+    assert_eq!(send_sized(&mut router, now, 100), Some(id("b")));
+    assert_eq!(send_sized(&mut router, now, 900), Some(id("a")));
+    assert_eq!(send_sized(&mut router, now, 900), Some(id("b")), "the share is used up");
+}
+
+#[test]
+fn the_longest_waiting_request_takes_the_share_and_the_first_one_the_free_slot() {
+    let mut router = router(&["a", "b"]);
+    router.set_rate_share(Time(0), &id("a"), Some(PACED));
+    let mut leases = Vec::new();
+    for _ in 0..8 {
+        let pick = Pick::online(router.ticket());
+        let Decision::Send { lease, .. } = router.pick(Time(0), &pick) else { panic!("not sent") };
+        leases.push(lease);
+    }
+    let deadline = Time(0) + INTERVAL * 10;
+    let picks: Vec<Pick> = [300, 100, 900]
+        .map(|size| Pick::online(router.ticket()).size(Some(size)).deadline(deadline))
+        .into();
+    for pick in &picks {
+        assert_eq!(router.pick(Time(0), pick), Decision::Wait);
+    }
+    let now = Time(0) + INTERVAL * 2;
+    let sent = |router: &mut Router, pick: &Pick| match router.pick(now, pick) {
+        Decision::Send { target, .. } => Some(target),
+        _ => None,
+    };
+    assert_eq!(sent(&mut router, &picks[0]), None, "the share is for the longest one");
+    assert_eq!(sent(&mut router, &picks[2]), Some(id("a")));
+    router.observe(now, leases[0], Observation::Done);
+    assert_eq!(sent(&mut router, &picks[1]), None, "the slot is for the first one");
+    assert_eq!(sent(&mut router, &picks[0]), Some(id("b")));
+}
+
 #[test]
 fn a_request_that_a_rate_lets_wait_too_long_is_refused_at_once() {
     let mut router = router(&["a"]);
