Limit the bytes without content from stores and the product's own targets

The clients of the users' store, of our own platform and of our own targets read informational responses and chunk extensions for as long as they came: 100 MB in 6.4 s at the store, beyond 40 s at the platform. Only the client of the users' targets had a limit.

Change: that limit moves to a crate of its own, with a connector that any client of hyper-util can use; each piece of content lets the connection read on.

--- a/platform/src/read_limit.rs
+++ b/crates/oleander-http/src/read_limit.rs
@@ -24,13 +24,13 @@
 
 /// Counts the bytes that a connection reads; clones share the count.
 #[derive(Debug, Clone, Default)]
-pub(crate) struct ReadLimit {
+pub struct ReadLimit {
     bytes: Arc<AtomicUsize>,
 }
 
 impl ReadLimit {
     /// Starts counting again, after content or for a new response.
-    pub(crate) fn reset(&self) {
+    pub fn reset(&self) {
         self.bytes.store(0, Ordering::Relaxed);
     }
 
@@ -45,16 +45,25 @@
 
 /// A connection whose reads fail once its limit is exceeded.
 #[derive(Debug)]
-pub(crate) struct LimitedStream {
+pub struct LimitedStream {
     stream: TcpStream,
     limit: ReadLimit,
 }
 
 impl LimitedStream {
     /// Limits the reads of `stream`.
-    pub(crate) const fn new(stream: TcpStream, limit: ReadLimit) -> Self {
+    #[must_use]
+    pub const fn new(stream: TcpStream, limit: ReadLimit) -> Self {
         Self { stream, limit }
     }
+
+    pub(crate) const fn stream(&self) -> &TcpStream {
+        &self.stream
+    }
+
+    pub(crate) const fn limit(&self) -> &ReadLimit {
+        &self.limit
+    }
 }
 
 impl AsyncRead for LimitedStream {
--- a/crates/oleander-platform/src/client.rs
+++ b/crates/oleander-platform/src/client.rs
@@ -10,6 +10,7 @@
     rt::TokioExecutor,
 };
 use oleander_core::Revision;
+use oleander_http::{LimitedConnector, count_content};
 use serde::Deserialize;
 
 use crate::{
@@ -30,7 +31,7 @@
 /// Client of the platform at one address.
 #[derive(Debug, Clone)]
 pub struct HttpPlatform {
-    client: Client<HttpConnector, Full<Bytes>>,
+    client: Client<LimitedConnector, Full<Bytes>>,
     base: String,
 }
 
@@ -56,7 +57,7 @@
         let client = Client::builder(TokioExecutor::new())
             .pool_idle_timeout(IDLE_TIMEOUT)
             .retry_canceled_requests(false)
-            .build(connector);
+            .build(LimitedConnector::new(connector));
         Self { client, base: format!("http://{address}/v1") }
     }
 
@@ -75,6 +76,7 @@
             request.body(Full::new(body)).map_err(|e| PlatformError::Rejected(e.to_string()))?;
         let exchange = async {
             let response = self.client.request(request).await.map_err(client_error)?;
+            let response = count_content(response);
             let (parts, body) = response.into_parts();
             let body = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
             let body = body.map_err(no_response)?.to_bytes();
@@ -101,7 +103,7 @@
             .await
             .map_err(no_response)?
             .map_err(client_error)?;
-        let mut body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES);
+        let mut body = Limited::new(count_content(response).into_body(), MAX_RESPONSE_BYTES);
         let mut buffer = Vec::new();
         loop {
             let frame =
--- a/crates/oleander-target/src/chat.rs
+++ b/crates/oleander-target/src/chat.rs
@@ -20,6 +20,7 @@
 use futures_util::{Stream, StreamExt};
 use http_body_util::BodyDataStream;
 use hyper::body::Incoming;
+use oleander_http::CountedBody;
 use serde::{Deserialize, Serialize};
 
 use crate::{client::Timeouts, error::TargetError};
@@ -79,7 +80,7 @@
 
 /// A body that fails once an event exceeds [`MAX_EVENT_BYTES`].
 struct LimitedBody {
-    body: BodyDataStream<Incoming>,
+    body: BodyDataStream<CountedBody<Incoming>>,
     /// Bytes read since the last event.
     pending: Arc<AtomicUsize>,
 }
@@ -126,7 +127,7 @@
 
 impl ChatStream {
     pub(crate) fn new(
-        body: Incoming,
+        body: CountedBody<Incoming>,
         request_id: &str,
         resume_from: u64,
         timeouts: Timeouts,
--- a/crates/oleander-target/src/client.rs
+++ b/crates/oleander-target/src/client.rs
@@ -10,6 +10,7 @@
     client::legacy::{Client, connect::HttpConnector},
     rt::TokioExecutor,
 };
+use oleander_http::{CountedBody, LimitedConnector, count_content};
 use parking_lot::Mutex;
 use tokio::net::TcpStream;
 
@@ -21,7 +22,7 @@
 const MAX_BODY_BYTES: usize = 16 << 20;
 const MAX_IDLE_CONNECTIONS: usize = 64;
 
-pub(crate) type HttpClient = Client<HttpConnector, Full<Bytes>>;
+pub(crate) type HttpClient = Client<LimitedConnector, Full<Bytes>>;
 
 /// Time limits of calls to targets.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -174,13 +175,13 @@
         address: &str,
         request: Request<Full<Bytes>>,
         connection: ConnectionMode,
-    ) -> Result<Response<Incoming>, TargetError> {
+    ) -> Result<Response<CountedBody<Incoming>>, TargetError> {
         let client = match connection {
             ConnectionMode::Pooled => self.pool(address),
             ConnectionMode::Dedicated => new_client(&self.timeouts, 0),
         };
         match tokio::time::timeout(self.timeouts.first_byte, client.request(request)).await {
-            Ok(Ok(response)) => Ok(response),
+            Ok(Ok(response)) => Ok(count_content(response)),
             Ok(Err(error)) if error.is_connect() => Err(TargetError::Connect(error.to_string())),
             Ok(Err(error)) => Err(TargetError::Interrupted(error.to_string())),
             Err(_) => {
@@ -193,7 +194,7 @@
     async fn read(
         &self,
         address: &str,
-        response: Response<Incoming>,
+        response: Response<CountedBody<Incoming>>,
     ) -> Result<TargetResponse, TargetError> {
         let status = response.status().as_u16();
         let body = Limited::new(response.into_body(), MAX_BODY_BYTES).collect();
@@ -226,7 +227,7 @@
         .pool_idle_timeout(timeouts.pool_idle)
         .pool_max_idle_per_host(max_idle)
         .retry_canceled_requests(false)
-        .build(connector)
+        .build(LimitedConnector::new(connector))
 }
 
 fn post_request(
