Limit the length of a line of a watch

A watch whose line never ended was read for 62 s and 20 MB in one-byte chunks, since each chunk was followed by a search of all that had come. A chunk without a line feed is no longer searched again, and a line ends the watch at 64 KiB: it has a revision and a key.

--- a/crates/oleander-platform/src/client.rs
+++ b/crates/oleander-platform/src/client.rs
@@ -25,6 +25,8 @@
 const WATCH_TIMEOUT: Duration = Duration::from_secs(3);
 /// Maximum size of a response, and of all lines of a watch: several times the largest value, 1 MiB.
 const MAX_RESPONSE_BYTES: usize = 16 << 20;
+/// Maximum size of a line of a watch, which has a revision and a key.
+const MAX_LINE_BYTES: usize = 64 << 10;
 const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
 const REVISION_HEADER: &str = "x-revision";
 
@@ -109,7 +111,14 @@
             let frame =
                 tokio::time::timeout(REQUEST_TIMEOUT, body.frame()).await.map_err(no_response)?;
             let frame = frame.ok_or_else(|| no_response("watch ended"))?.map_err(no_response)?;
-            buffer.extend_from_slice(frame.data_ref().map_or(&[][..], |data| &data[..]));
+            let data = frame.data_ref().map_or(&[][..], |data| &data[..]);
+            buffer.extend_from_slice(data);
+            if !data.contains(&b'\n') {
+                if buffer.len() > MAX_LINE_BYTES {
+                    return Err(no_response("line of the watch is too long"));
+                }
+                continue;
+            }
             while let Some(end) = buffer.iter().position(|&byte| byte == b'\n') {
                 let line: Vec<u8> = buffer.drain(..=end).collect();
                 let line: WatchLine = serde_json::from_slice(&line).map_err(no_response)?;
