Limit an event of the product's own targets to 256 KiB

An event that never ends in one-byte chunks was read for 2.6 to 3.2 s, to 1 MiB; the bound is 2.5 s. Such an event has one token, so 256 KiB are plenty.

--- a/crates/oleander-target/src/chat.rs
+++ b/crates/oleander-target/src/chat.rs
@@ -26,8 +26,9 @@
 use crate::{client::Timeouts, error::TargetError};
 
 const END_MARKER: &str = "[DONE]";
-/// Maximum size of an event; limits the memory that a target can make this host use.
-const MAX_EVENT_BYTES: usize = 1 << 20;
+/// Maximum size of an event, which has one token; limits the memory that a target can make this
+/// host use.
+const MAX_EVENT_BYTES: usize = 256 << 10;
 
 /// Token counts of a completion.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
