--- a/crates/oleander-relay/tests/quarantine.rs
+++ b/crates/oleander-relay/tests/quarantine.rs
@@ -37,6 +37,12 @@
 /// Pools that know of `crashes` of other targets under requests like the one of the tests.
 async fn suspecting_pools(crashes: u64) -> Arc<Pools> {
     let pools = pools(3);
+    add_crashes(&pools, crashes).await;
+    pools
+}
+
+/// Crashes of other targets under requests like the one of the tests, one after the other.
+async fn add_crashes(pools: &Pools, crashes: u64) {
     let parts = parts();
     for number in 0..crashes {
         let target = format!("crashed-{number}").parse().expect("target");
@@ -49,7 +55,6 @@
         pools.merge_quarantine(&service(), news);
         tokio::time::sleep(MOMENT).await;
     }
-    pools
 }
 
 #[tokio::test]
@@ -78,6 +83,21 @@
     assert_eq!(forwarded.caller.text, format!("{FIRST}{SECOND}"), "{:?}", forwarded.summary);
 }
 
+#[tokio::test]
+async fn a_stream_whose_like_is_suspected_since_its_output_goes_on() {
+    let pools = pools(3);
+    let mut first = Step::pause(&[FIRST], MOMENT * 4, &[]);
+    first.end = BodyEnd::Broken;
+    let crashing = Arc::clone(&pools);
+    tokio::spawn(async move {
+        tokio::time::sleep(MOMENT / 2).await;
+        add_crashes(&crashing, 2).await;
+    });
+    let route = route(RetryPolicy::Resume, 2);
+    let forwarded = forward_to(pools, route, vec![first, Step::complete(&[SECOND])]).await;
+    assert_eq!(forwarded.caller.text, format!("{FIRST}{SECOND}"), "{:?}", forwarded.summary);
+}
+
 #[tokio::test]
 async fn a_request_whose_parts_are_blocked_is_refused_at_once_as_not_run() {
     let route = route(RetryPolicy::Resume, 2);
