--- a/crates/oleander-cluster/src/cluster.rs
+++ b/crates/oleander-cluster/src/cluster.rs
@@ -1,5 +1,7 @@
 //! This host's view of all hosts, and requests between them.
 
+mod hosts;
+
 use std::{
     collections::BTreeMap,
     net::SocketAddr,
@@ -10,19 +12,20 @@
     time::Duration,
 };
 
-use oleander_core::{HostId, Revision, Span, Time, ZoneId, hash};
+use oleander_core::{HostId, Revision, Span, Time, hash};
 use oleander_host::clock;
 use oleander_link::{Link, LinkError, LinkKey, Peer, Server};
 use oleander_members::{
     HostList, MemberAction, MemberEvent, MemberRole, MemberState, Members, MembersConfig, Profile,
 };
 use oleander_platform::{Change, FollowEvent, Follower, ObjectStore};
-use oleander_relay::{Pools, SendingHost};
+use oleander_relay::Pools;
 use parking_lot::{Mutex, RwLock};
 use serde::{Serialize, de::DeserializeOwned};
 
+pub use self::hosts::Liveness;
+pub(crate) use self::hosts::PossiblePeer;
 use crate::{
-    directory::{Directory, EntryHost},
     failover::FailoverStore,
     message::{PeerRequest, PeerResponse},
     record::{HostRecord, PREFIX},
@@ -47,25 +50,6 @@
 /// The record of this process.
 pub type Identity = HostRecord;
 
-/// Whether one run of a process is still live.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Liveness {
-    /// Running, or not known to have stopped.
-    Live,
-    /// Running and about to stop.
-    Leaving,
-    /// Stopped, or failed to respond.
-    Ended,
-}
-
-/// Another entry host that may run.
-#[derive(Debug, Clone)]
-pub(crate) struct PossiblePeer {
-    pub(crate) host: HostId,
-    pub(crate) address: SocketAddr,
-    pub(crate) is_reached: bool,
-}
-
 /// Handles the application's requests from peers.
 pub trait Handler<Q, A>: Send + Sync + 'static {
     /// Handles a request.
@@ -285,122 +269,4 @@
     pub fn is_leaving(&self) -> bool {
         self.leaving.load(Ordering::Relaxed)
     }
-
-    /// Selects addresses for a caller in `zone`.
-    #[must_use]
-    pub fn directory(&self, zone: &ZoneId, max_ttl: Span) -> Directory {
-        Directory::select(&self.entry_hosts(), zone, max_ttl)
-    }
-
-    fn entry_hosts(&self) -> Vec<EntryHost> {
-        let members = self.members.lock();
-        let records = self.records.read();
-        let others = records.values().filter(|record| record.host != self.local.host);
-        let others = others.filter_map(|record| {
-            let state = members.state(&record.host).unwrap_or(MemberState::Candidate);
-            Some(EntryHost { address: record.callers?, zone: record.zone.clone(), state })
-        });
-        let mut hosts: Vec<EntryHost> = others.collect();
-        if let (Some(address), false) = (self.local.callers, self.is_leaving()) {
-            let zone = self.local.zone.clone();
-            hosts.push(EntryHost { address, zone, state: MemberState::Live });
-        }
-        hosts
-    }
-
-    /// Whether the run of `host` that started at `started` is live.
-    #[must_use]
-    pub fn liveness(&self, host: &HostId, started: Time) -> Liveness {
-        if *host == self.local.host {
-            return if started == self.local.started { Liveness::Live } else { Liveness::Ended };
-        }
-        let members = self.members.lock();
-        let records = self.records.read();
-        let restarted = records.get(host).is_some_and(|record| record.started > started);
-        match members.state(host) {
-            _ if restarted => Liveness::Ended,
-            Some(MemberState::Failed) => Liveness::Ended,
-            Some(MemberState::Leaving) => Liveness::Leaving,
-            Some(_) => Liveness::Live,
-            None if records.contains_key(host) => Liveness::Live,
-            None => Liveness::Ended,
-        }
-    }
-
-    /// Live hosts that serve callers, including this one unless it is leaving.
-    #[must_use]
-    pub fn live_entry_hosts(&self) -> Vec<HostId> {
-        let members = self.members.lock();
-        let records = self.records.read();
-        let entries = records.values().filter(|record| record.role == MemberRole::Entry);
-        let live = entries.filter(|record| {
-            if record.host == self.local.host {
-                return !self.is_leaving();
-            }
-            let state = members.state(&record.host);
-            matches!(state, Some(MemberState::Live | MemberState::Candidate))
-        });
-        live.map(|record| record.host.clone()).collect()
-    }
-
-    /// The [`live_entry_hosts`](Self::live_entry_hosts) with their data centres.
-    pub(crate) fn senders(&self) -> Vec<SendingHost> {
-        let live = self.live_entry_hosts();
-        let records = self.records.read();
-        let senders = live.into_iter().filter_map(|host| {
-            let zone = records.get(&host)?.zone.clone();
-            Some(SendingHost { host, zone })
-        });
-        senders.collect()
-    }
-
-    /// The [`live_entry_hosts`](Self::live_entry_hosts) in `zone`.
-    pub(crate) fn live_entry_hosts_in(&self, zone: &ZoneId) -> Vec<HostId> {
-        let mut live = self.live_entry_hosts();
-        let records = self.records.read();
-        live.retain(|host| records.get(host).is_some_and(|record| record.zone == *zone));
-        live
-    }
-
-    /// Whether `host` is listed in this host's data centre.
-    #[must_use]
-    pub fn is_same_zone(&self, host: &HostId) -> bool {
-        self.records.read().get(host).is_some_and(|record| record.zone == self.local.zone)
-    }
-
-    /// The other reachable entry hosts, with their data centres and addresses.
-    pub(crate) fn peers(&self) -> Vec<(HostId, ZoneId, SocketAddr)> {
-        let members = self.members.lock();
-        let live = members.view().filter(|view| {
-            matches!(view.state, MemberState::Live | MemberState::Suspect | MemberState::Leaving)
-        });
-        let entries = live.filter(|view| view.profile.role == MemberRole::Entry);
-        let peers =
-            entries.map(|view| (view.profile.host, view.profile.zone, view.profile.address));
-        peers.collect()
-    }
-
-    /// The other entry hosts that are not known to have failed, also those that have not been
-    /// reached yet.
-    pub(crate) fn possible_peers(&self) -> Vec<PossiblePeer> {
-        let members = self.members.lock();
-        let running = members.view().filter(|view| view.state != MemberState::Failed);
-        let entries = running.filter(|view| view.profile.role == MemberRole::Entry);
-        let peers = entries.map(|view| PossiblePeer {
-            host: view.profile.host,
-            address: view.profile.address,
-            is_reached: view.state != MemberState::Candidate,
-        });
-        peers.collect()
-    }
-
-    /// Whether the records of the hosts have been read.
-    pub(crate) fn is_listed(&self) -> bool {
-        self.records.read().contains_key(&self.local.host)
-    }
-
-    fn address(&self, host: &HostId) -> Option<SocketAddr> {
-        let record = self.records.read().get(host).map(|record| record.link);
-        record.or_else(|| self.members.lock().address(host))
-    }
 }
