Do not hold a final answer for the check of a target that broke off

Found by reading the diff: an operation that must not be repeated waited for the check of its target, up to three connect timeouts, before its caller got the answer. The check now takes 100 ms at most and runs beside the answer.

--- a/crates/oleander-entry/src/dispatch/operation.rs
+++ b/crates/oleander-entry/src/dispatch/operation.rs
@@ -34,8 +34,8 @@
             Err(error) => {
                 lease.observe(Observation::Failed(routing_failure(&error)));
                 if let Some(result) = final_result(&error, repeatable) {
-                    lease.has_crashed_target(&error).await;
                     dispatcher.record_event(EventKind::TargetFailed, error.to_string());
+                    tokio::spawn(async move { lease.has_crashed_target(&error).await });
                     return result;
                 }
                 dispatcher.record_failure(&lease, &error).await;
--- a/crates/oleander-entry/src/pool/quarantine.rs
+++ b/crates/oleander-entry/src/pool/quarantine.rs
@@ -11,9 +11,10 @@
 
 use super::{Pool, TargetLease};
 
-/// Connections after which a target that still takes them has not crashed.
-const MAX_CONNECTIONS: u32 = 3;
-/// Time between them; a process that ends may close its listener last.
+/// Time for which a target that broke off is checked; a process that ends may close its listener
+/// last.
+const CHECK_TIME: Duration = Duration::from_millis(100);
+/// Time between two connections of the check.
 const CONNECTION_INTERVAL: Duration = Duration::from_millis(30);
 
 impl Pool {
@@ -102,12 +103,11 @@
     }
 
     async fn refuses_connections(&self) -> bool {
-        for _ in 0..MAX_CONNECTIONS {
-            if refuses_connections(&self.address).await {
-                return true;
+        let refused = async {
+            while !refuses_connections(&self.address).await {
+                tokio::time::sleep(CONNECTION_INTERVAL).await;
             }
-            tokio::time::sleep(CONNECTION_INTERVAL).await;
-        }
-        false
+        };
+        tokio::time::timeout(CHECK_TIME, refused).await.is_ok()
     }
 }
