Go back to a target that was left only if the other one refuses

A run at the same target is a run: now it goes back only if the other target did not run it, so that the number of runs stays the same.

--- a/crates/oleander-relay/src/retry.rs
+++ b/crates/oleander-relay/src/retry.rs
@@ -3,7 +3,8 @@
 //! The final response must be correct: "not run" only if no target can have run any attempt. A
 //! route limits the number of targets that a request reaches; a failed connection does not count
 //! towards that limit, since the target was not reached. A target that was left because it made no
-//! progress may be sound: the request may go back to it once, which reaches no further target.
+//! progress may be sound: if the other one refuses, the request may go back to it, which reaches no
+//! further target and adds no run.
 
 use bytes::Bytes;
 use http::StatusCode;
@@ -185,7 +186,6 @@
     }
 
     fn can_retry(&self) -> bool {
-        let has_target = self.sent < self.max_attempts || self.left.is_some();
-        self.policy != RetryPolicy::Never && has_target
+        self.policy != RetryPolicy::Never && self.sent < self.max_attempts
     }
 }
