Check targets of the product's own interface beside streams that go on

Found by reading the diff: a stream with output waited for the check of the target that broke off before it went on; a suspected call waited for the one target of its part although this host did not use it for the moment, as on the users' platform before; blocks that followed from what others told were logged with the next crash only.

--- a/crates/oleander-entry/src/dispatch.rs
+++ b/crates/oleander-entry/src/dispatch.rs
@@ -143,12 +143,16 @@
     }
 
     /// Records that a target failed and excludes it from further attempts.
-    async fn record_failure(&mut self, lease: &TargetLease, error: &TargetError) {
+    async fn record_failure(&mut self, lease: TargetLease, error: TargetError) {
         let target = &lease.target;
-        self.crashes += u32::from(lease.has_crashed_target(error).await);
         self.may_have_run |= error.may_have_run();
         self.failed.push(target.clone());
         self.record_event(EventKind::TargetFailed, format!("target {target}: {error}"));
+        if lease.has_output() {
+            check_target(lease, error);
+        } else {
+            self.crashes += u32::from(lease.has_crashed_target(&error).await);
+        }
     }
 
     fn cancel_ticket(&self) {
@@ -156,6 +160,11 @@
     }
 }
 
+/// Finds out in the background whether a target that broke off has crashed.
+fn check_target(lease: TargetLease, error: TargetError) {
+    tokio::spawn(async move { lease.has_crashed_target(&error).await });
+}
+
 /// Asks the batch hosts with items at a target to yield `yields` items in total.
 fn signal_yield(app: &Arc<App>, target: &TargetId, mut yields: u32) {
     let batch_hosts = app.hosts.lock().batch_hosts_at(clock::now(), target);
--- a/crates/oleander-entry/src/dispatch/chat.rs
+++ b/crates/oleander-entry/src/dispatch/chat.rs
@@ -47,7 +47,7 @@
                 if error.is_request_fault() {
                     return RunResult::Outcome(rejected_outcome(&error));
                 }
-                dispatcher.record_failure(&lease, &error).await;
+                dispatcher.record_failure(lease, error).await;
             }
             Err(_) => {
                 cancel_at_target(dispatcher, &lease, &id);
--- a/crates/oleander-entry/src/dispatch/operation.rs
+++ b/crates/oleander-entry/src/dispatch/operation.rs
@@ -10,7 +10,7 @@
 use oleander_routing::Observation;
 use oleander_target::{ConnectionMode, TargetError, TargetResponse};
 
-use super::{Dispatcher, chat::rejected_outcome, routing_failure};
+use super::{Dispatcher, chat::rejected_outcome, check_target, routing_failure};
 use crate::{call::RunResult, pool::TargetLease};
 
 /// Runs an operation until a target responds or the operation must not be sent again.
@@ -35,10 +35,10 @@
                 lease.observe(Observation::Failed(routing_failure(&error)));
                 if let Some(result) = final_result(&error, repeatable) {
                     dispatcher.record_event(EventKind::TargetFailed, error.to_string());
-                    tokio::spawn(async move { lease.has_crashed_target(&error).await });
+                    check_target(lease, error);
                     return result;
                 }
-                dispatcher.record_failure(&lease, &error).await;
+                dispatcher.record_failure(lease, error).await;
             }
         }
     }
--- a/crates/oleander-entry/src/pool/quarantine.rs
+++ b/crates/oleander-entry/src/pool/quarantine.rs
@@ -2,11 +2,11 @@
 
 use std::{borrow::Cow, time::Duration};
 
-use oleander_core::hash;
+use oleander_core::{TargetId, hash};
 use oleander_host::clock;
 use oleander_peer::ServiceCrashes;
-use oleander_quarantine::{QuarantineNews, RequestParts, Standing};
-use oleander_routing::Pick;
+use oleander_quarantine::{BlockNews, QuarantineNews, RequestParts, Standing};
+use oleander_routing::{Pick, TargetState};
 use oleander_target::{TargetError, refuses_connections};
 
 use super::{Pool, TargetLease};
@@ -20,25 +20,38 @@
 impl Pool {
     /// Excludes targets that have just crashed and, for a suspected call, all targets but one.
     pub(super) fn restrict<'a>(&self, pick: &'a Pick, standing: &Standing) -> Cow<'a, Pick> {
-        let quarantine = self.quarantine.lock();
-        if quarantine.is_empty() {
+        if self.quarantine.lock().is_empty() {
             return Cow::Borrowed(pick);
         }
-        let now = clock::steady();
-        let service = self.service.read();
-        let (down, up): (Vec<_>, Vec<_>) =
-            service.addresses.keys().partition(|target| quarantine.is_down(now, target));
         let mut restricted = pick.clone();
-        restricted.exclude.extend(down.into_iter().cloned());
+        restricted.exclude.extend(self.down());
         if let Standing::Suspect { part, .. } = standing {
-            let usable = up.iter().copied().filter(|target| !pick.exclude.contains(target));
+            let mut unusable = restricted.exclude.clone();
+            unusable.extend(self.ejected());
+            let service = self.service.read();
+            let targets = service.addresses.keys();
+            let usable = targets.clone().filter(|target| !unusable.contains(target));
             let one = hash::rendezvous(&part.to_string(), usable);
-            let others = up.iter().filter(|target| Some(**target) != one);
-            restricted.exclude.extend(others.map(|target| (*target).clone()));
+            restricted.exclude = targets.filter(|target| Some(*target) != one).cloned().collect();
         }
         Cow::Owned(restricted)
     }
 
+    /// Targets that have just crashed.
+    fn down(&self) -> Vec<TargetId> {
+        let (now, quarantine) = (clock::steady(), self.quarantine.lock());
+        let service = self.service.read();
+        let targets = service.addresses.keys();
+        targets.filter(|target| quarantine.is_down(now, target)).cloned().collect()
+    }
+
+    /// Targets that this host does not use for now.
+    fn ejected(&self) -> Vec<TargetId> {
+        let statuses = self.snapshot().into_iter();
+        let ejected = statuses.filter(|status| status.state == TargetState::Ejected);
+        ejected.map(|status| status.name).collect()
+    }
+
     /// Records that a target sent output for a call with these parts.
     pub(super) fn record_output(&self, parts: &RequestParts) {
         self.quarantine.lock().record_output(clock::steady(), parts);
@@ -53,7 +66,15 @@
 
     /// What other hosts have to learn, since the last call.
     pub(crate) fn take_crashes(&self) -> Option<ServiceCrashes> {
-        let news = self.quarantine.lock().take_news(clock::steady());
+        let now = clock::steady();
+        let mut quarantine = self.quarantine.lock();
+        let (begun, news) = (quarantine.take_begun(now), quarantine.take_news(now));
+        drop(quarantine);
+        for BlockNews { parts, remaining, .. } in begun {
+            log::warn!(service:% = self.name, parts:% = parts, for_s = remaining.as_secs_f64();
+                "parts of prompts are blocked: they crash targets");
+            metrics::counter!("blocked_parts_total").increment(1);
+        }
         self.crashes(news)
     }
 
@@ -68,16 +89,7 @@
     }
 
     fn record_crash(&self, lease: &TargetLease) {
-        let now = clock::steady();
-        let mut quarantine = self.quarantine.lock();
-        let is_new = quarantine.record_crash(now, &lease.run);
-        for block in quarantine.take_begun(now) {
-            log::warn!(service:% = self.name, parts:% = block.parts,
-                for_s = block.remaining.as_secs_f64(); "parts of prompts are blocked: they crash targets");
-            metrics::counter!("blocked_parts_total").increment(1);
-        }
-        drop(quarantine);
-        if is_new {
+        if self.quarantine.lock().record_crash(clock::steady(), &lease.run) {
             log::info!(target:% = lease.target, service:% = self.name; "target has crashed");
             metrics::counter!("target_crashes_total").increment(1);
             self.changed.notify_waiters();
@@ -86,6 +98,11 @@
 }
 
 impl TargetLease {
+    /// Whether the target has sent output.
+    pub(crate) const fn has_output(&self) -> bool {
+        self.has_output
+    }
+
     /// Finds out whether a target that broke off has crashed, and records it; returns whether this
     /// call may be the cause.
     pub(crate) async fn has_crashed_target(&self, error: &TargetError) -> bool {
