--- a/crates/oleander-check/tests/crashes.rs
+++ b/crates/oleander-check/tests/crashes.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use http::StatusCode;
-use oleander_check::{Deployment, DeploymentOptions, Process};
+use oleander_check::{Deployment, DeploymentOptions, Process, Response, eventually};
 use serde_json::{Value, json};
 
 /// Text that ends an engine.
@@ -20,6 +20,9 @@
 const RESTART_TIME: Duration = Duration::from_millis(400);
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 const ENTRIES: usize = 3;
+/// Time in which an entry that starts learns what the others know.
+const LEARN_TIME: Duration = Duration::from_secs(4);
+const START_TIMEOUT: Duration = Duration::from_secs(20);
 
 /// A chat whose first message all calls share.
 fn chat(second: &str, number: u32) -> Value {
@@ -30,6 +33,14 @@
     ]})
 }
 
+/// A deployment, and its engines, which end at calls with [`DEADLY`].
+async fn start_fragile(name: &str) -> (Deployment, Vec<Process>) {
+    let options = DeploymentOptions::new().engine_args(&["--die-on", DEADLY]);
+    let mut deployment = Deployment::start(name, &options).await;
+    let engines = std::mem::take(&mut deployment.engines);
+    (deployment, engines)
+}
+
 /// Restarts engines that end; returns the times of their ends.
 async fn keep_running(engines: &mut [Process], start: Instant) -> Vec<Duration> {
     let mut ends = Vec::new();
@@ -92,9 +103,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn calls_with_a_message_that_crashes_engines_are_refused_and_the_others_served() {
-    let options = DeploymentOptions::new().engine_args(&["--die-on", DEADLY]);
-    let mut deployment = Deployment::start("crashes", &options).await;
-    let mut engines = std::mem::take(&mut deployment.engines);
+    let (deployment, mut engines) = start_fragile("crashes").await;
     let start = Instant::now();
     let (ends, deadly, others) = tokio::join!(
         keep_running(&mut engines, start),
@@ -109,3 +118,40 @@
     let unserved = late_others(&others, StatusCode::OK);
     assert!(unserved.is_empty(), "{unserved:#?}");
 }
+
+/// Sends a call that ends an engine.
+async fn send_deadly(deployment: &Deployment, entry: usize, number: u32) -> Response {
+    let key = format!("deadly-{number}");
+    let body = chat(DEADLY, number);
+    deployment.post(entry, "v1/chat/completions", &key, &body).await.unwrap()
+}
+
+fn is_blocked(response: &Response) -> bool {
+    response.status == StatusCode::SERVICE_UNAVAILABLE
+        && response.json()["error"]["code"] == "unavailable"
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_entry_that_starts_anew_refuses_calls_with_a_message_that_crashed_engines() {
+    let (mut deployment, mut engines) = start_fragile("anew").await;
+    let mut number = 0;
+    while !is_blocked(&send_deadly(&deployment, number as usize % 2, number).await) {
+        assert!(number < MAX_CRASHES, "the message is not known after {number} calls");
+        tokio::time::sleep(RESTART_TIME).await;
+        for engine in &mut engines {
+            if engine.has_exited() {
+                engine.restart();
+            }
+        }
+        number += 1;
+    }
+    deployment.entries[2].kill().await;
+    deployment.entries[2].restart();
+    eventually("the entry has the document", START_TIMEOUT, || async {
+        deployment.revision(2).await
+    })
+    .await;
+    tokio::time::sleep(LEARN_TIME).await;
+    let response = send_deadly(&deployment, 2, number + 1).await;
+    assert!(is_blocked(&response), "{} {}", response.status, response.body);
+}
