--- a/crates/oleander-cluster/tests/crashes/targets.rs
+++ b/crates/oleander-cluster/tests/crashes/targets.rs
@@ -31,7 +31,7 @@
     pub(crate) is_bad: bool,
 }
 
-/// Targets of which each ends with all its streams when it begins to write for the bad part.
+/// Targets that crash, with all their streams, when they start output for the bad part.
 ///
 /// Clones are the same targets.
 #[derive(Debug, Clone)]
--- a/crates/oleander-quarantine/tests/quarantine.rs
+++ b/crates/oleander-quarantine/tests/quarantine.rs
@@ -72,7 +72,7 @@
         host.output(&request(&[FIRST, SOUND], 10 + number));
     }
     assert!(host.is_blocked(&request(&[FIRST, BAD], 100)));
-    assert!(host.is_blocked(&request(&[BAD, 0xd, FIRST], 101)), "whatever else it holds");
+    assert!(host.is_blocked(&request(&[BAD, 0xd, FIRST], 101)), "with another part");
     assert_eq!(host.standing(&request(&[FIRST, SOUND], 102)), Standing::Clear);
 }
 
