Log the content of each request and the suspects of each crash

Repeats of one request could not be found in the logs, nor which crash suspects what, nor which host reported a crash to the others. The record of a request names its content beside its shared parts; lines on crashes name the suspects; a crash that another host reports is logged where it arrives.

--- a/crates/oleander-quarantine/src/parts.rs
+++ b/crates/oleander-quarantine/src/parts.rs
@@ -50,7 +50,9 @@
 pub struct RequestParts {
     /// Parts that other requests may share.
     pub shared: Vec<PromptPart>,
-    /// All parts: the shared ones and the content as a whole.
+    /// The content as a whole, which only the same request has again.
+    pub content: Option<PromptPart>,
+    /// All parts: the shared ones and the content.
     pub all: PartSet,
 }
 
@@ -58,7 +60,8 @@
     /// Parts of a request with these shared parts and this hash of its whole content.
     #[must_use]
     pub fn new(shared: Vec<PromptPart>, content: u64) -> Self {
-        let all = shared.iter().copied().chain([PromptPart(content)]).collect();
-        Self { shared, all: PartSet(all) }
+        let content = PromptPart(content);
+        let all = shared.iter().copied().chain([content]).collect();
+        Self { shared, content: Some(content), all: PartSet(all) }
     }
 }
--- a/crates/oleander-quarantine/src/quarantine.rs
+++ b/crates/oleander-quarantine/src/quarantine.rs
@@ -110,6 +110,21 @@
         self.crashes.get(run).is_some_and(|crash| now.since(crash.known_at) < age)
     }
 
+    /// Whether a crash of this run of a target is known.
+    #[must_use]
+    pub fn knows_crash(&self, run: &TargetRun) -> bool {
+        self.crashes.contains_key(run)
+    }
+
+    /// Requests that had no output from a crashed run of a target.
+    #[must_use]
+    pub fn suspects(&self, run: &TargetRun) -> Vec<PartSet> {
+        self.crashes
+            .get(run)
+            .map(|crash| crash.suspects.iter().cloned().collect())
+            .unwrap_or_default()
+    }
+
     /// Whether neither a crash nor a block is known.
     #[must_use]
     pub fn is_empty(&self) -> bool {
--- a/crates/oleander-relay/src/crash.rs
+++ b/crates/oleander-relay/src/crash.rs
@@ -27,7 +27,8 @@
     let transport = Arc::clone(transport);
     let check = async move {
         let ended = transport.refuses_connections(&target).await;
-        log::info!(target:% = target.id, address:% = target.address, ended; "target broke off");
+        log::info!(target:% = target.id, address:% = target.address, has_output, ended;
+            "target broke off");
         if ended {
             pool.record_crash(&target);
         }
--- a/crates/oleander-relay/src/pool.rs
+++ b/crates/oleander-relay/src/pool.rs
@@ -318,7 +318,9 @@
     /// Records that the process of a target has ended without notice.
     pub(crate) fn record_crash(&self, target: &TargetEntry) {
         if self.quarantine.record_crash(&target.run()) {
-            log::info!(target:% = target.id, service:% = target.service; "target has crashed");
+            let suspects = self.quarantine.suspects(&target.run());
+            log::info!(target:% = target.id, service:% = target.service, suspects:? = suspects;
+                "target has crashed");
             metrics::counter!("target_crashes_total").increment(1);
             self.changed.notify_waiters();
         }
--- a/crates/oleander-relay/src/quarantine.rs
+++ b/crates/oleander-relay/src/quarantine.rs
@@ -40,6 +40,11 @@
         self.state.lock().has_crashed(clock::steady(), run, age)
     }
 
+    /// Requests that had no output from a crashed run of a target, as far as known.
+    pub(crate) fn suspects(&self, run: &TargetRun) -> Vec<PartSet> {
+        self.state.lock().suspects(run)
+    }
+
     /// Records that a target sent output for a request.
     pub(crate) fn record_output(&self, request: &RequestParts) {
         self.state.lock().record_output(clock::steady(), request);
@@ -63,6 +68,10 @@
     pub fn merge(&self, news: QuarantineNews) {
         let blocks: Vec<PartSet> = news.blocks.iter().map(|block| block.parts.clone()).collect();
         let mut state = self.state.lock();
+        for crash in news.crashes.iter().filter(|crash| !state.knows_crash(&crash.run)) {
+            log::info!(target:% = crash.run.target, started:? = crash.run.started,
+                suspects:? = crash.suspects; "another host reports a crash");
+        }
         let known = state.blocks();
         let is_new = state.merge(clock::steady(), news);
         drop(state);
--- a/crates/oleander-relay/src/relay.rs
+++ b/crates/oleander-relay/src/relay.rs
@@ -93,7 +93,7 @@
             head_sent: false,
             version: None,
             current: None,
-            summary: RequestSummary::new(&route.name, parts.shared.clone()),
+            summary: RequestSummary::new(&route.name, &parts),
             parts,
         };
         let remaining = deadline.since(clock::steady()).to_duration();
--- a/crates/oleander-relay/src/summary.rs
+++ b/crates/oleander-relay/src/summary.rs
@@ -1,6 +1,7 @@
 //! What became of a request.
 
 use oleander_core::{PromptPart, Span};
+use oleander_quarantine::RequestParts;
 
 use crate::sink::Refusal;
 
@@ -11,6 +12,8 @@
     pub route: String,
     /// Parts of the prompt that other requests may share.
     pub parts: Vec<PromptPart>,
+    /// Content of the request as a whole; the same request that comes again has the same.
+    pub content: Option<PromptPart>,
     /// Attempts, each with the target, its load when it was selected, and the outcome.
     pub attempts: Vec<String>,
     /// Time spent waiting for a target.
@@ -26,10 +29,11 @@
 }
 
 impl RequestSummary {
-    pub(crate) fn new(route: &str, parts: Vec<PromptPart>) -> Self {
+    pub(crate) fn new(route: &str, parts: &RequestParts) -> Self {
         Self {
             route: route.to_owned(),
-            parts,
+            parts: parts.shared.clone(),
+            content: parts.content,
             attempts: Vec::new(),
             waited: Span::ZERO,
             first_byte: None,
