--- a/crates/oleander-cluster/tests/crashes/main.rs
+++ b/crates/oleander-cluster/tests/crashes/main.rs
@@ -1,5 +1,7 @@
 //! Requests at several hosts, of which some have a part in their prompts that crashes targets.
 
+mod cuts;
+mod repeats;
 #[path = "../support/hosts.rs"]
 mod support;
 mod targets;
--- a/crates/oleander-cluster/tests/crashes/targets.rs
+++ b/crates/oleander-cluster/tests/crashes/targets.rs
@@ -21,6 +21,8 @@
 /// Time before the first event of a stream, and between two of them.
 const FIRST_EVENT: Duration = Duration::from_millis(40);
 const EVENT_INTERVAL: Duration = Duration::from_millis(25);
+/// Time after which a connection that hangs is given up.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 /// Events of a stream.
 pub(crate) const EVENTS: u64 = 6;
 
@@ -29,6 +31,22 @@
 pub(crate) struct Run {
     pub(crate) at: Instant,
     pub(crate) is_bad: bool,
+    pub(crate) request: String,
+    pub(crate) target: TargetId,
+    pub(crate) host: usize,
+}
+
+/// How the links of a host to all targets fail.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Cut {
+    /// Open streams and new connections hang.
+    Silent,
+    /// Open streams break off, and new connections are refused.
+    Refused,
+    /// Open streams break off, and new connections are reset.
+    Reset,
+    /// Open streams go on, and new connections are refused.
+    NewRefused,
 }
 
 /// Targets that crash, with all their streams, when they start output for the bad part.
@@ -40,11 +58,38 @@
     running: Arc<Mutex<HashMap<TargetId, watch::Sender<bool>>>>,
     runs: Arc<Mutex<Vec<Run>>>,
     crashes: Arc<Mutex<Vec<Instant>>>,
+    /// The host that sends to the targets.
+    host: usize,
+    cuts: watch::Sender<HashMap<usize, Cut>>,
 }
 
 impl CrashTargets {
     pub(crate) fn new(bad: PromptPart) -> Self {
-        Self { bad, running: Arc::default(), runs: Arc::default(), crashes: Arc::default() }
+        Self {
+            bad,
+            running: Arc::default(),
+            runs: Arc::default(),
+            crashes: Arc::default(),
+            host: 0,
+            cuts: watch::Sender::new(HashMap::new()),
+        }
+    }
+
+    /// The same targets as a host reaches them.
+    pub(crate) fn seen_by(&self, host: usize) -> Self {
+        Self { host, ..self.clone() }
+    }
+
+    /// Cuts a host off from all targets, or ends its cut.
+    pub(crate) fn set_cut(&self, host: usize, cut: Option<Cut>) {
+        self.cuts.send_modify(|cuts| match cut {
+            Some(cut) => drop(cuts.insert(host, cut)),
+            None => drop(cuts.remove(&host)),
+        });
+    }
+
+    fn cut(&self) -> Option<Cut> {
+        self.cuts.borrow().get(&self.host).copied()
     }
 
     /// Starts a target.
@@ -90,11 +135,25 @@
     async fn send(&self, dispatch: Dispatch) -> Result<TargetResponse<CrashBody>, SendError> {
         let target = dispatch.target.id.clone();
         let running = self.running.lock().get(&target).map(watch::Sender::subscribe);
+        match self.cut() {
+            Some(Cut::Silent) => {
+                sleep(CONNECT_TIMEOUT).await;
+                return Err(SendError::NotSent("timed out".to_owned()));
+            }
+            Some(Cut::Reset) => return Err(SendError::NotSent("connection reset".to_owned())),
+            Some(Cut::Refused | Cut::NewRefused) => {
+                return Err(SendError::Refused("connection refused".to_owned()));
+            }
+            None => {}
+        }
         let Some(running) = running else {
-            return Err(SendError::NotSent("connection refused".to_owned()));
+            return Err(SendError::Refused("connection refused".to_owned()));
         };
         let is_bad = parts(&dispatch.request).contains(&self.bad);
-        self.runs.lock().push(Run { at: Instant::now(), is_bad });
+        let request = dispatch.request.id.clone();
+        let run =
+            Run { at: Instant::now(), is_bad, request, target: target.clone(), host: self.host };
+        self.runs.lock().push(run);
         let next = dispatch.resume_after.unwrap_or(0) + 1;
         let body = CrashBody { targets: self.clone(), target, is_bad, running, next, sent: 0 };
         let head = ResponseHead { status: StatusCode::OK, headers: HeaderMap::new() };
@@ -108,7 +167,11 @@
     }
 
     async fn refuses_connections(&self, target: &TargetEntry) -> bool {
-        !self.is_running(&target.id)
+        match self.cut() {
+            Some(Cut::Refused | Cut::NewRefused) => true,
+            Some(Cut::Silent | Cut::Reset) => false,
+            None => !self.is_running(&target.id),
+        }
     }
 }
 
@@ -128,12 +191,18 @@
             return None;
         }
         let pause = if self.sent == 0 { FIRST_EVENT } else { EVENT_INTERVAL };
+        let (mut cuts, host) = (self.targets.cuts.subscribe(), self.targets.host);
+        let ended =
+            |cuts: &HashMap<usize, Cut>| matches!(cuts.get(&host), Some(Cut::Refused | Cut::Reset));
         tokio::select! {
             () = sleep(pause) => {}
             _ = self.running.wait_for(|running| !running) => {
                 return Some(Err(BodyError("end of file".to_owned())));
             }
+            _ = cuts.wait_for(ended) => return Some(Err(BodyError("reset".to_owned()))),
         }
+        // A silent cut holds what the target sends until its end.
+        let _ = cuts.wait_for(|cuts| cuts.get(&host) != Some(&Cut::Silent)).await;
         if self.is_bad {
             self.targets.crash(&self.target);
             return Some(Err(BodyError("end of file".to_owned())));
--- a/crates/oleander-cluster/tests/crashes/traffic.rs
+++ b/crates/oleander-cluster/tests/crashes/traffic.rs
@@ -11,7 +11,7 @@
 use tokio::{task::JoinSet, time::sleep};
 
 use crate::{
-    support::{Hosts, beginning, route, targets},
+    support::{CallerOf, Hosts, beginning, route, targets},
     targets::{CrashTargets, EVENTS, PARTS},
 };
 
@@ -52,8 +52,11 @@
 
 impl Fleet {
     pub(crate) async fn start(seed: u64, hosts: usize, count: usize) -> Self {
-        Self::start_with(seed, count, |transport, listed| Hosts::start(transport, hosts, listed))
-            .await
+        Self::start_with(seed, count, |transport, listed| {
+            let seen_by = |host| Arc::new(transport.seen_by(host));
+            Hosts::start_each((0..hosts).map(seen_by).collect(), listed)
+        })
+        .await
     }
 
     /// Starts hosts that have not reached each other by probes.
@@ -92,6 +95,46 @@
         }
     }
 
+    /// Sends the same request, whose own part is `own`, at these hosts at one moment; each caller
+    /// repeats it once. Returns what the callers got, after `time` with other requests.
+    pub(crate) async fn send_copies(
+        &mut self,
+        own: u64,
+        hosts: &[usize],
+        time: Duration,
+    ) -> Vec<Served> {
+        let mut copies = JoinSet::new();
+        for host in hosts {
+            copies.spawn(self.copy(own, *host));
+        }
+        self.run(time, 0).await;
+        copies.join_all().await.into_iter().flatten().collect()
+    }
+
+    /// The request whose own part is `own`, at one target of a host.
+    pub(crate) fn send_once(&mut self, own: u64, host: usize) -> impl Future<Output = ()> + use<> {
+        self.sent += 1;
+        let (id, parts) = (format!("once-{}", self.sent), format!("{FIRST:x},{own:x}"));
+        let caller = self.hosts.caller(host);
+        async move {
+            let route = Route { max_attempts: 1, ..resumable() };
+            caller.forward(request(&id, &parts), &route).await;
+        }
+    }
+
+    /// The request whose own part is `own`, at a host and, if its response is lost, at the next.
+    pub(crate) fn copy(
+        &mut self,
+        own: u64,
+        host: usize,
+    ) -> impl Future<Output = Vec<Served>> + use<> {
+        self.sent += 1;
+        let (id, parts) = (format!("copy-{}", self.sent), format!("{FIRST:x},{own:x}"));
+        let repeat = (host + 1) % self.hosts.live_indexes().len();
+        let callers = [self.hosts.caller(host), self.hosts.caller(repeat)];
+        call(callers, id, parts, own == BAD.0)
+    }
+
     /// Sends bad requests at all hosts, one after the other; returns how many were sent to targets.
     pub(crate) async fn send_bad(&mut self, count: usize) -> usize {
         let before = self.crashing.runs().len();
@@ -135,24 +178,8 @@
         self.sent += 1;
         let live = self.hosts.live_indexes();
         let mut at = || live[self.random.random_range(0..live.len())];
-        let (first_host, second_host) = (self.hosts.caller(at()), self.hosts.caller(at()));
-        let id = format!("r-{}", self.sent);
-        requests.spawn(async move {
-            let mut served = Vec::new();
-            for (host, id) in [(first_host, id.clone()), (second_host, format!("{id}-again"))] {
-                let at = Instant::now();
-                let (summary, text) = host.forward(request(&id, &parts), &resumable()).await;
-                let is_whole = text.matches("data:").count() as u64 == EVENTS;
-                let is_lost = summary.interrupted
-                    || summary.refusal.is_some_and(|one| one.reason == RefusalReason::ResponseLost);
-                let is_repeat = !served.is_empty();
-                served.push(Served { at, is_bad, is_repeat, is_whole, summary });
-                if !is_lost {
-                    break;
-                }
-            }
-            served
-        });
+        let callers = [self.hosts.caller(at()), self.hosts.caller(at())];
+        requests.spawn(call(callers, format!("r-{}", self.sent), parts, is_bad));
     }
 
     /// Lists a new target at all hosts for each that has ended a while ago.
@@ -178,6 +205,29 @@
     }
 }
 
+/// Sends a request at the first host and, if its response is lost, again at the second.
+async fn call(
+    callers: [CallerOf<CrashTargets>; 2],
+    id: String,
+    parts: String,
+    is_bad: bool,
+) -> Vec<Served> {
+    let mut served = Vec::new();
+    for (host, id) in callers.into_iter().zip([id.clone(), format!("{id}-again")]) {
+        let at = Instant::now();
+        let (summary, text) = host.forward(request(&id, &parts), &resumable()).await;
+        let is_whole = text.matches("data:").count() as u64 == EVENTS;
+        let is_lost = summary.interrupted
+            || summary.refusal.is_some_and(|one| one.reason == RefusalReason::ResponseLost);
+        let is_repeat = !served.is_empty();
+        served.push(Served { at, is_bad, is_repeat, is_whole, summary });
+        if !is_lost {
+            break;
+        }
+    }
+    served
+}
+
 fn request(id: &str, parts: &str) -> Arc<Request> {
     let mut request = Request::clone(&beginning(id));
     request.headers.insert(PARTS, parts.parse().expect("header value"));
--- a/crates/oleander-cluster/tests/support/hosts.rs
+++ b/crates/oleander-cluster/tests/support/hosts.rs
@@ -164,7 +164,8 @@
 
 /// Several hosts with one platform, of which any may be gone.
 pub(crate) struct Hosts<T> {
-    transport: Arc<T>,
+    /// The way to the targets, by host.
+    transports: Vec<Arc<T>>,
     store: MemoryPlatform,
     addresses: Vec<SocketAddr>,
     listed: Vec<TargetEntry>,
@@ -177,8 +178,13 @@
 impl<T: TargetTransport> Hosts<T> {
     /// Starts `count` hosts with these targets, and waits until each reaches all others.
     pub(crate) async fn start(transport: Arc<T>, count: usize, listed: Vec<TargetEntry>) -> Self {
-        let mut hosts = Self::new(transport, count, listed);
-        for index in 0..count {
+        Self::start_each(vec![transport; count], listed).await
+    }
+
+    /// Starts a host for each of these ways to the targets.
+    pub(crate) async fn start_each(transports: Vec<Arc<T>>, listed: Vec<TargetEntry>) -> Self {
+        let mut hosts = Self::new(transports, listed);
+        for index in 0..hosts.hosts.len() {
             hosts.start_host(index).await;
         }
         hosts.wait_until_connected().await;
@@ -191,7 +197,7 @@
         count: usize,
         listed: Vec<TargetEntry>,
     ) -> Self {
-        let mut hosts = Self { probes: false, ..Self::new(transport, count, listed) };
+        let mut hosts = Self { probes: false, ..Self::new(vec![transport; count], listed) };
         for index in 0..count {
             hosts.start_host(index).await;
         }
@@ -199,10 +205,11 @@
         hosts
     }
 
-    fn new(transport: Arc<T>, count: usize, listed: Vec<TargetEntry>) -> Self {
+    fn new(transports: Vec<Arc<T>>, listed: Vec<TargetEntry>) -> Self {
+        let count = transports.len();
         let addresses = (0..count).map(|_| free_address()).collect();
         let (store, hosts) = (MemoryPlatform::new(), (0..count).map(|_| None).collect());
-        Self { transport, store, addresses, listed, starts: 0, probes: true, hosts }
+        Self { transports, store, addresses, listed, starts: 0, probes: true, hosts }
     }
 
     /// Starts a host that is gone, with nothing of what it knew.
@@ -222,7 +229,7 @@
         let pools = Arc::new(pools);
         let key = LinkKey::from_secret(b"a secret of the tests").expect("long enough");
         let cluster = Cluster::new(local, key, Arc::clone(&pools));
-        let relay = Arc::new(Relay::new(pools, Arc::clone(&self.transport)));
+        let relay = Arc::new(Relay::new(pools, Arc::clone(&self.transports[index])));
         let mut host = Host { relay, cluster, server: None, tasks: Vec::new() };
         host.connect(&self.store, self.probes);
         update(&host, &self.listed);
