Do not take links that a host has lost for crashes of targets

Callers saw requests refused, and jobs failed items, for parts that had crashed nothing; hosts that reached a target left it out. The class: a fault of the observer taken for a fault of what it observes.

A refused connection is now a crash only if another target accepts one of the same host at that moment. Output of a run on a connection from before a report refutes the report at all hosts (a part of the run's own among the cleared ones, so that messages keep their form). A host tries a target whose crash another host reports, and goes on with it if it accepts. A crash after a refuted report is one of a later run, as is one while the list still shows the run before.

--- a/crates/oleander-cluster/tests/crashes/cuts.rs
+++ b/crates/oleander-cluster/tests/crashes/cuts.rs
@@ -5,6 +5,7 @@
     time::{Duration, Instant},
 };
 
+use futures_util::future::join_all;
 use oleander_core::TargetId;
 
 use crate::{HOSTS, TARGETS, WARM_UP, seeds, support::service, targets::Cut, traffic::Fleet};
@@ -46,10 +47,18 @@
 
 #[tokio::test]
 async fn links_that_a_host_has_lost_to_all_targets_are_no_crashes_of_targets() {
+    let cuts = [Cut::Silent, Cut::Refused, Cut::Reset, Cut::NewRefused];
     for seed in 0..seeds() {
-        for cut in [Cut::Silent, Cut::Refused, Cut::Reset, Cut::NewRefused] {
-            cut_in_series(seed, cut, &[0]).await;
-            cut_in_series(seed, cut, &[0, 1, 2]).await;
-        }
+        let one = cuts.map(|cut| cut_in_series(seed, cut, &[0]));
+        let most = cuts.map(|cut| cut_in_series(seed, cut, &[0, 1, 2]));
+        join_all(one.into_iter().chain(most)).await;
+    }
+}
+
+#[tokio::test]
+async fn links_that_a_host_has_lost_to_some_targets_are_no_crashes_of_targets() {
+    for seed in 0..seeds() {
+        let cuts = [&[0][..], &[0, 1, 2]].map(|hosts| cut_in_series(seed, Cut::SomeRefused, hosts));
+        join_all(cuts).await;
     }
 }
--- a/crates/oleander-cluster/tests/crashes/targets.rs
+++ b/crates/oleander-cluster/tests/crashes/targets.rs
@@ -8,9 +8,9 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, StatusCode};
-use oleander_core::{PromptPart, TargetId};
+use oleander_core::{PromptPart, TargetId, hash};
 use oleander_relay::{
-    BodyError, Dispatch, Request, ResponseBody, ResponseHead, SendError, TargetEntry,
+    BodyError, Dispatch, Reach, Request, ResponseBody, ResponseHead, SendError, TargetEntry,
     TargetResponse, TargetTransport,
 };
 use parking_lot::Mutex;
@@ -47,6 +47,8 @@
     Reset,
     /// Open streams go on, and new connections are refused.
     NewRefused,
+    /// As [`Cut::Refused`], at half of the targets.
+    SomeRefused,
 }
 
 /// Targets that crash, with all their streams, when they start output for the bad part.
@@ -88,8 +90,9 @@
         });
     }
 
-    fn cut(&self) -> Option<Cut> {
-        self.cuts.borrow().get(&self.host).copied()
+    /// How the links of the host to a target fail.
+    fn cut(&self, target: &TargetId) -> Option<Cut> {
+        cut_at(&self.cuts.borrow(), self.host, target)
     }
 
     /// Starts a target.
@@ -124,6 +127,15 @@
     }
 }
 
+fn cut_at(cuts: &HashMap<usize, Cut>, host: usize, target: &TargetId) -> Option<Cut> {
+    match cuts.get(&host).copied() {
+        Some(Cut::SomeRefused) => {
+            hash::hash_parts(&[target.as_str()]).is_multiple_of(2).then_some(Cut::Refused)
+        }
+        cut => cut,
+    }
+}
+
 fn parts(request: &Request) -> Vec<PromptPart> {
     let text = request.headers.get(PARTS).and_then(|value| value.to_str().ok()).unwrap_or("");
     text.split(',').filter_map(|part| part.parse().ok()).collect()
@@ -135,13 +147,13 @@
     async fn send(&self, dispatch: Dispatch) -> Result<TargetResponse<CrashBody>, SendError> {
         let target = dispatch.target.id.clone();
         let running = self.running.lock().get(&target).map(watch::Sender::subscribe);
-        match self.cut() {
+        match self.cut(&target) {
             Some(Cut::Silent) => {
                 sleep(CONNECT_TIMEOUT).await;
                 return Err(SendError::NotSent("timed out".to_owned()));
             }
             Some(Cut::Reset) => return Err(SendError::NotSent("connection reset".to_owned())),
-            Some(Cut::Refused | Cut::NewRefused) => {
+            Some(Cut::Refused | Cut::NewRefused | Cut::SomeRefused) => {
                 return Err(SendError::Refused("connection refused".to_owned()));
             }
             None => {}
@@ -166,11 +178,12 @@
         parts
     }
 
-    async fn refuses_connections(&self, target: &TargetEntry) -> bool {
-        match self.cut() {
-            Some(Cut::Refused | Cut::NewRefused) => true,
-            Some(Cut::Silent | Cut::Reset) => false,
-            None => !self.is_running(&target.id),
+    async fn connect(&self, target: &TargetEntry) -> Reach {
+        match self.cut(&target.id) {
+            Some(Cut::Refused | Cut::NewRefused | Cut::SomeRefused) => Reach::Refused,
+            Some(Cut::Silent | Cut::Reset) => Reach::Failed,
+            None if self.is_running(&target.id) => Reach::Accepted,
+            None => Reach::Refused,
         }
     }
 }
@@ -202,7 +215,7 @@
             _ = cuts.wait_for(ended) => return Some(Err(BodyError("reset".to_owned()))),
         }
         // A silent cut holds what the target sends until its end.
-        let _ = cuts.wait_for(|cuts| cuts.get(&host) != Some(&Cut::Silent)).await;
+        let _ = cuts.wait_for(|cuts| cut_at(cuts, host, &self.target) != Some(Cut::Silent)).await;
         if self.is_bad {
             self.targets.crash(&self.target);
             return Some(Err(BodyError("end of file".to_owned())));
--- a/crates/oleander-cluster/tests/support/hosts.rs
+++ b/crates/oleander-cluster/tests/support/hosts.rs
@@ -115,6 +115,7 @@
             tokio::spawn(Arc::clone(cluster).follow_records(platform.clone())),
             tokio::spawn(Arc::clone(cluster).announce_streams()),
             tokio::spawn(Arc::clone(cluster).share_quarantine(platform.clone())),
+            tokio::spawn(Arc::clone(&self.relay).verify_crashes()),
             tokio::spawn(Arc::clone(cluster).share_rates()),
             tokio::spawn(Arc::clone(cluster).ask_about_streams(pools.streams.queries())),
         ];
--- a/crates/oleander-quarantine/src/crash.rs
+++ b/crates/oleander-quarantine/src/crash.rs
@@ -4,7 +4,7 @@
 
 use oleander_core::{PromptPart, Time};
 
-use crate::parts::PartSet;
+use crate::parts::{PartSet, TargetRun};
 
 /// A crash of a target.
 #[derive(Debug, Clone)]
@@ -15,11 +15,31 @@
     pub(crate) suspects: BTreeSet<PartSet>,
     /// Parts with output from another target since then.
     pub(crate) cleared: PartSet,
+    /// Whether the target accepts connections of this host, whatever others report.
+    pub(crate) is_reached: bool,
 }
 
 impl Crash {
     pub(crate) const fn new(now: Time) -> Self {
-        Self { known_at: now, suspects: BTreeSet::new(), cleared: PartSet(BTreeSet::new()) }
+        let cleared = PartSet(BTreeSet::new());
+        Self { known_at: now, suspects: BTreeSet::new(), cleared, is_reached: false }
+    }
+
+    /// Whether a host has shown that `run`, which is this one, goes on.
+    pub(crate) fn is_refuted(&self, run: &TargetRun) -> bool {
+        self.cleared.0.contains(&run.refutation())
+    }
+
+    /// Whether the target may still be down after the end of `run`, which is this one.
+    pub(crate) fn may_last(&self, run: &TargetRun) -> bool {
+        !self.is_reached && !self.is_refuted(run)
+    }
+
+    /// Records that `run`, which is this one, goes on, so that its suspects are none.
+    pub(crate) fn refute(&mut self, run: &TargetRun) {
+        let suspected = self.suspected();
+        self.cleared.0.extend(suspected);
+        self.cleared.0.insert(run.refutation());
     }
 
     /// Parts of suspects that are not cleared.
--- a/crates/oleander-quarantine/src/parts.rs
+++ b/crates/oleander-quarantine/src/parts.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeSet, fmt};
 
-use oleander_core::{PromptPart, TargetId, value};
+use oleander_core::{PromptPart, TargetId, hash, value};
 use serde::{Deserialize, Serialize};
 
 value! {
@@ -16,6 +16,14 @@
     }
 }
 
+impl TargetRun {
+    /// The part that hosts clear, beside those of the requests, to say that this run goes on.
+    pub(crate) fn refutation(&self) -> PromptPart {
+        let started = self.started.map_or_else(String::new, |started| started.to_string());
+        PromptPart(hash::hash_parts(&["run goes on", self.target.as_str(), &started]))
+    }
+}
+
 /// A set of parts.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(transparent)]
--- a/crates/oleander-quarantine/src/quarantine.rs
+++ b/crates/oleander-quarantine/src/quarantine.rs
@@ -104,12 +104,6 @@
         }
     }
 
-    /// Whether this run of a target crashed less than `age` ago.
-    #[must_use]
-    pub fn has_crashed(&self, now: Time, run: &TargetRun, age: Span) -> bool {
-        self.crashes.get(run).is_some_and(|crash| now.since(crash.known_at) < age)
-    }
-
     /// Whether a crash of this run of a target is known.
     #[must_use]
     pub fn knows_crash(&self, run: &TargetRun) -> bool {
@@ -219,6 +213,9 @@
         let room = MAX_SUSPECTS.saturating_sub(before.0);
         crash.suspects.extend(suspects.into_iter().take(room));
         crash.cleared.0.extend(cleared.0);
+        if crash.is_refuted(&run) {
+            crash.refute(&run);
+        }
         is_new || before != (crash.suspects.len(), crash.cleared.0.len())
     }
 
@@ -292,6 +289,9 @@
         let Some((_, requests)) = self.breaks.remove(run) else { return };
         let Some(crash) = self.crashes.get_mut(run) else { return };
         crash.suspects.extend(requests);
+        if crash.is_refuted(run) {
+            crash.refute(run);
+        }
         self.changed_crashes.insert(run.clone());
     }
 
--- a/crates/oleander-quarantine/tests/runs.rs
+++ b/crates/oleander-quarantine/tests/runs.rs
@@ -1,7 +1,7 @@
 //! Runs of targets that do not state when they started.
 
 use oleander_core::{PromptPart, Span, TargetId, Time};
-use oleander_quarantine::{Quarantine, RequestParts, Standing};
+use oleander_quarantine::{Quarantine, RequestParts, Standing, TargetRun};
 
 const BAD: u64 = 0xbad;
 /// Longer than a target is taken to be down.
@@ -65,3 +65,51 @@
     assert!(host.is_down(now + Span::from_millis(500), &target()));
     assert!(!host.is_down(now + RESTART, &target()));
 }
+
+/// A run that states its start.
+fn listed() -> TargetRun {
+    TargetRun { target: target(), started: Some(1_000) }
+}
+
+/// Two hosts of which the first has reported a crash to the second.
+fn reported(now: Time) -> [Quarantine; 2] {
+    let [mut first, mut second] = [long_running(), long_running()];
+    first.record_break(now, &listed(), &request(1));
+    first.record_crash(now, &listed());
+    second.merge(now, first.take_news(now));
+    [first, second]
+}
+
+#[test]
+fn a_report_of_a_crash_is_refuted_by_output_on_a_connection_from_before() {
+    let now = Time(60_000_000);
+    let [mut first, mut second] = reported(now);
+    let later = now + Span::from_millis(400);
+    second.record_life(later, &listed(), Time(59_900_000));
+    first.merge(later, second.take_news(later));
+    for host in [&first, &second] {
+        assert!(!host.has_crashed(later, &listed(), Span::from_secs(3)));
+        assert_eq!(host.standing(later, &request(1)), Standing::Clear);
+    }
+}
+
+#[test]
+fn output_that_may_come_from_a_later_run_refutes_no_crash() {
+    let now = Time(60_000_000);
+    let [_, mut second] = reported(now);
+    second.record_life(now + Span::from_millis(100), &listed(), Time(59_900_000));
+    second.record_life(now + RESTART, &listed(), now + Span::from_secs(1));
+    assert!(second.has_crashed(now + RESTART, &listed(), Span::from_secs(3)));
+}
+
+#[test]
+fn a_crash_after_a_refuted_report_counts() {
+    let now = Time(60_000_000);
+    let [_, mut host] = reported(now);
+    let later = now + RESTART;
+    host.record_life(later, &listed(), Time(59_900_000));
+    let run = host.run_after(later, &listed());
+    host.record_break(later, &run, &request(1));
+    assert!(host.record_crash(later, &run), "new");
+    assert!(host.has_crashed(later, &listed(), Span::from_secs(3)));
+}
--- a/crates/oleander-relay/src/attempt.rs
+++ b/crates/oleander-relay/src/attempt.rs
@@ -162,7 +162,7 @@
             return AttemptOutcome::NotSent(reason);
         }
         Err(SendError::Refused(reason)) => {
-            lease.record_crash();
+            lease.is_refused = true;
             lease.observe(Observation::Failed(Failure::Connect));
             return AttemptOutcome::NotSent(reason);
         }
--- a/crates/oleander-relay/src/crash.rs
+++ b/crates/oleander-relay/src/crash.rs
@@ -5,7 +5,19 @@
 use oleander_core::{Span, hash};
 use oleander_quarantine::RequestParts;
 
-use crate::{lease::TargetLease, request::Request, transport::TargetTransport};
+use crate::{
+    lease::TargetLease,
+    pool::Pool,
+    pools::CrashReport,
+    relay::Relay,
+    request::Request,
+    target_list::TargetEntry,
+    transport::{Reach, TargetTransport},
+};
+
+/// Other targets that are tried when one refuses connections: a host that reaches none of them has
+/// lost its own links.
+const CONTROLS: usize = 3;
 
 /// The parts of a request, by which a crash of its target is attributed.
 pub fn request_parts<T: TargetTransport>(transport: &T, request: &Request) -> Arc<RequestParts> {
@@ -14,23 +26,30 @@
     Arc::new(RequestParts::new(transport.shared_parts(request), content))
 }
 
-/// Finds out whether a target that broke off has crashed, or only a connection failed.
+/// Finds out whether a target that broke off or refused a connection has crashed, or only a
+/// connection failed.
 ///
 /// A request without output waits for the result, since its next target depends on it.
 pub(crate) async fn check_target<T: TargetTransport>(transport: &Arc<T>, lease: TargetLease) {
-    let TargetLease { pool, target, has_output, .. } = &lease;
-    if !lease.broke_off || pool.quarantine.has_crashed(&target.run(), Span(u64::MAX)) {
+    let TargetLease { pool, run, has_output, .. } = &lease;
+    let has_failed = lease.broke_off || lease.is_refused;
+    if !has_failed || pool.quarantine.has_crashed(run, Span(u64::MAX)) {
         return;
     }
-    let (pool, target, has_output) = (Arc::clone(pool), target.clone(), *has_output);
+    let (run, has_output) = (run.clone(), *has_output);
+    let check = Check {
+        transport: Arc::clone(transport),
+        pool: Arc::clone(pool),
+        target: lease.target.clone(),
+        is_refused: lease.is_refused,
+    };
     drop(lease);
-    let transport = Arc::clone(transport);
     let check = async move {
-        let ended = transport.refuses_connections(&target).await;
-        log::info!(target:% = target.id, address:% = target.address, has_output, ended;
+        let ended = check.has_ended().await;
+        log::info!(target:% = run.target, address:% = check.target.address, has_output, ended;
             "target broke off");
         if ended {
-            pool.record_crash(&target);
+            check.pool.record_crash(&run);
         }
     };
     if has_output {
@@ -39,3 +58,49 @@
         check.await;
     }
 }
+
+/// The check of a target that failed.
+struct Check<T> {
+    transport: Arc<T>,
+    pool: Arc<Pool>,
+    target: TargetEntry,
+    /// Whether the target has refused a connection already.
+    is_refused: bool,
+}
+
+impl<T: TargetTransport> Check<T> {
+    /// Whether the target's process has ended: it refuses connections, and another target does not.
+    async fn has_ended(&self) -> bool {
+        if !self.is_refused && self.transport.connect(&self.target).await != Reach::Refused {
+            return false;
+        }
+        let others = self.pool.others(&self.target.id, CONTROLS);
+        for other in &others {
+            if self.transport.connect(other).await == Reach::Accepted {
+                return true;
+            }
+        }
+        // A host that reaches no target can't tell; without another target, the refusal decides.
+        others.is_empty()
+    }
+}
+
+impl<T: TargetTransport> Relay<T> {
+    /// Tries the targets whose crashes other hosts report, which may have lost their links only;
+    /// never returns.
+    pub async fn verify_crashes(self: Arc<Self>) {
+        loop {
+            for report in self.pools.crash_reports().await {
+                tokio::spawn(verify(Arc::clone(&self.transport), report));
+            }
+        }
+    }
+}
+
+async fn verify<T: TargetTransport>(transport: Arc<T>, report: CrashReport) {
+    let CrashReport { pool, run, target } = report;
+    if transport.connect(&target).await == Reach::Accepted {
+        log::info!(target:% = run.target; "target accepts connections, though another host reports its crash");
+        pool.quarantine.record_reached(&run);
+    }
+}
--- a/crates/oleander-relay/src/lease.rs
+++ b/crates/oleander-relay/src/lease.rs
@@ -23,6 +23,10 @@
     pub(crate) has_output: bool,
     /// Whether the target broke off, rather than that it was left because it was silent.
     pub(crate) broke_off: bool,
+    /// Whether the target refused the connection.
+    pub(crate) is_refused: bool,
+    /// The run that it was in when it was selected.
+    pub(crate) run: TargetRun,
     /// The target.
     pub target: TargetEntry,
     /// Load of the target when it was selected, including this request.
@@ -85,7 +89,7 @@
             Observation::Failed(Failure::BrokenStream | Failure::Timeout | Failure::IdleTimeout)
         );
         if was_left && !self.has_output && !self.target.leaving {
-            self.pool.quarantine.record_break(&self.run(), &self.parts);
+            self.pool.quarantine.record_break(&self.run, &self.parts);
         }
         self.pool.observe(self.id, observation);
     }
@@ -95,6 +99,7 @@
         if !std::mem::replace(&mut self.has_output, true) {
             self.pool.quarantine.record_output(&self.parts);
         }
+        self.pool.quarantine.record_life(&self.run, self.sent);
     }
 
     /// Records the rate that the target names in its response.
@@ -103,16 +108,6 @@
         self.pool.record_rate(&self.target, self.sent, rate);
     }
 
-    /// Records that the target's process has ended.
-    pub(crate) fn record_crash(&self) {
-        self.pool.record_crash(&self.target);
-    }
-
-    /// The run of the target.
-    pub(crate) fn run(&self) -> TargetRun {
-        self.target.run()
-    }
-
     /// Updates the load that the target reported.
     pub fn update_load(&self, load: LoadReport) {
         self.pool.update_load(&self.target.id, load);
--- a/crates/oleander-relay/src/lib.rs
+++ b/crates/oleander-relay/src/lib.rs
@@ -57,6 +57,6 @@
 pub use table::RouteTable;
 pub use target_list::{TargetEntry, TargetList};
 pub use transport::{
-    BodyError, Dispatch, ResponseBody, SendError, TargetResponse, TargetTransport,
+    BodyError, Dispatch, Reach, ResponseBody, SendError, TargetResponse, TargetTransport,
 };
 pub use version::{EmptyVersion, SoftwareVersion};
--- a/crates/oleander-relay/src/pool.rs
+++ b/crates/oleander-relay/src/pool.rs
@@ -8,7 +8,7 @@
 
 use oleander_core::{HostId, Span, TargetId, Time, ZoneId};
 use oleander_host::clock;
-use oleander_quarantine::{RequestParts, Standing};
+use oleander_quarantine::{RequestParts, Standing, TargetRun};
 use oleander_routing::{
     BatchExcess, Class, Decision, LeaseId, LoadReport, Observation, PeerCount, Pick, Router,
     RouterConfig, Target, TicketId, preferred_targets,
@@ -260,6 +260,11 @@
         }
     }
 
+    /// A target of the service.
+    pub(crate) fn target(&self, id: &TargetId) -> Option<TargetEntry> {
+        self.targets.read().get(id).cloned()
+    }
+
     /// Whether a target of this version takes requests.
     pub fn serves_version(&self, version: &SoftwareVersion) -> bool {
         let targets = self.targets.read();
@@ -300,6 +305,7 @@
             limit: status.limit,
         });
         let load = load.unwrap_or_default();
+        let run = self.quarantine.run_after(&target.run());
         let (pool, parts) = (Arc::clone(self), Arc::clone(parts));
         Some(TargetLease {
             pool,
@@ -310,16 +316,18 @@
             rate_limit: None,
             has_output: false,
             broke_off: false,
+            is_refused: false,
+            run,
             target,
             load,
         })
     }
 
     /// Records that the process of a target has ended without notice.
-    pub(crate) fn record_crash(&self, target: &TargetEntry) {
-        if self.quarantine.record_crash(&target.run()) {
-            let suspects = self.quarantine.suspects(&target.run());
-            log::info!(target:% = target.id, service:% = target.service, suspects:? = suspects;
+    pub(crate) fn record_crash(&self, run: &TargetRun) {
+        if self.quarantine.record_crash(run) {
+            let suspects = self.quarantine.suspects(run);
+            log::info!(target:% = run.target, started:? = run.started, suspects:? = suspects;
                 "target has crashed");
             metrics::counter!("target_crashes_total").increment(1);
             self.changed.notify_waiters();
--- a/crates/oleander-relay/src/pool/restrict.rs
+++ b/crates/oleander-relay/src/pool/restrict.rs
@@ -76,6 +76,18 @@
         crashed.map(|target| target.id.clone()).collect()
     }
 
+    /// Other targets of the service that have not crashed lately, the same ones for each call.
+    pub(crate) fn others(&self, target: &TargetId, count: usize) -> Vec<TargetEntry> {
+        let targets = self.targets.read();
+        let crashed = self.crashed(&targets);
+        let others = targets.values().filter(|other| other.id != *target && !other.leaving);
+        let mut others: Vec<TargetEntry> =
+            others.filter(|other| !crashed.contains(&other.id)).cloned().collect();
+        others.sort_by_key(|other| hash::hash_parts(&[target.as_str(), other.id.as_str()]));
+        others.truncate(count);
+        others
+    }
+
     /// Targets of new versions; none if there are no others.
     fn new_targets(&self, targets: &HashMap<TargetId, TargetEntry>) -> Vec<TargetId> {
         let versions = self.versions.lock();
--- a/crates/oleander-relay/src/pools.rs
+++ b/crates/oleander-relay/src/pools.rs
@@ -7,8 +7,8 @@
 
 use oleander_core::{HostId, ServiceId, Span, Time, ZoneId};
 use oleander_host::clock;
-use oleander_quarantine::QuarantineNews;
-use parking_lot::RwLock;
+use oleander_quarantine::{QuarantineNews, TargetRun};
+use parking_lot::{Mutex, RwLock};
 use tokio::sync::{
     Notify,
     mpsc::{self, UnboundedReceiver, UnboundedSender},
@@ -32,6 +32,16 @@
     pools: RwLock<HashMap<ServiceId, Arc<Pool>>>,
     /// Signals that other hosts have something to learn of crashes.
     news: Arc<Notify>,
+    /// Crashes that other hosts reported last.
+    reports: Mutex<Vec<CrashReport>>,
+    reported: Notify,
+}
+
+/// A crash that another host reports.
+pub(crate) struct CrashReport {
+    pub(crate) pool: Arc<Pool>,
+    pub(crate) run: TargetRun,
+    pub(crate) target: TargetEntry,
 }
 
 impl Pools {
@@ -41,7 +51,8 @@
         let (yields, receiver) = mpsc::unbounded_channel();
         let streams = StreamVersions::default();
         let (pools, news) = (RwLock::default(), Arc::new(Notify::new()));
-        (Self { streams, host, zone, seed, yields, pools, news }, receiver)
+        let (reports, reported) = (Mutex::default(), Notify::new());
+        (Self { streams, host, zone, seed, yields, pools, news, reports, reported }, receiver)
     }
 
     /// Updates the targets of all pools; existing pools keep their state.
@@ -74,7 +85,24 @@
         let pool = pools.entry(service.clone()).or_insert_with(|| Arc::new(self.new_pool()));
         let pool = Arc::clone(pool);
         drop(pools);
-        pool.quarantine.merge(news);
+        let reported = pool.quarantine.merge(news);
+        let reports = reported.into_iter().filter_map(|run| {
+            let target = pool.target(&run.target)?;
+            Some(CrashReport { pool: Arc::clone(&pool), run, target })
+        });
+        self.reports.lock().extend(reports);
+        self.reported.notify_one();
+    }
+
+    /// Waits for crashes that other hosts report.
+    pub(crate) async fn crash_reports(&self) -> Vec<CrashReport> {
+        loop {
+            let reports = std::mem::take(&mut *self.reports.lock());
+            if !reports.is_empty() {
+                return reports;
+            }
+            self.reported.notified().await;
+        }
     }
 
     /// Completes when other hosts may have something to learn of crashes.
--- a/crates/oleander-relay/src/quarantine.rs
+++ b/crates/oleander-relay/src/quarantine.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use oleander_core::Span;
+use oleander_core::{Span, Time};
 use oleander_host::clock;
 use oleander_quarantine::{
     BlockNews, PartSet, Quarantine, QuarantineNews, RequestParts, Standing, TargetRun,
@@ -40,6 +40,17 @@
         self.state.lock().has_crashed(clock::steady(), run, age)
     }
 
+    /// The run that a target is in, by the run that is listed.
+    pub(crate) fn run_after(&self, listed: &TargetRun) -> TargetRun {
+        self.state.lock().run_after(clock::steady(), listed)
+    }
+
+    /// Records output of a run for a request that was sent at `sent`.
+    pub(crate) fn record_life(&self, run: &TargetRun, sent: Time) {
+        self.state.lock().record_life(clock::steady(), run, sent);
+        self.signal();
+    }
+
     /// Requests that had no output from a crashed run of a target, as far as known.
     pub(crate) fn suspects(&self, run: &TargetRun) -> Vec<PartSet> {
         self.state.lock().suspects(run)
@@ -64,25 +75,34 @@
         is_new
     }
 
-    /// Applies what another host knows.
-    pub fn merge(&self, news: QuarantineNews) {
+    /// Records that a target whose crash was reported accepts connections of this host.
+    pub(crate) fn record_reached(&self, run: &TargetRun) {
+        self.state.lock().record_reached(run);
+        self.waiting.notify_waiters();
+    }
+
+    /// Applies what another host knows; returns the runs whose crashes are new.
+    pub fn merge(&self, news: QuarantineNews) -> Vec<TargetRun> {
         let blocks: Vec<PartSet> = news.blocks.iter().map(|block| block.parts.clone()).collect();
         let mut state = self.state.lock();
+        let mut reported = Vec::new();
         for crash in news.crashes.iter().filter(|crash| !state.knows_crash(&crash.run)) {
             log::info!(target:% = crash.run.target, started:? = crash.run.started,
                 suspects:? = crash.suspects; "another host reports a crash");
+            reported.push(crash.run.clone());
         }
         let known = state.blocks();
         let is_new = state.merge(clock::steady(), news);
         drop(state);
         if !is_new {
-            return;
+            return reported;
         }
         for parts in blocks.iter().filter(|parts| !known.contains(parts)) {
             log::warn!(parts:% = parts; "another host has blocked parts of prompts");
         }
         self.waiting.notify_waiters();
         self.signal();
+        reported
     }
 
     /// What other hosts have to learn, since the last call.
--- a/crates/oleander-relay/src/transport.rs
+++ b/crates/oleander-relay/src/transport.rs
@@ -52,7 +52,7 @@
 pub enum SendError {
     /// Nothing was sent; the target has not run the request.
     NotSent(String),
-    /// Nothing was sent, as the target refuses connections: its process has ended.
+    /// Nothing was sent, as the connection was refused: the target's process may have ended.
     Refused(String),
     /// The request was sent in full or in part; the target may have run it.
     NoResponse(String),
@@ -84,6 +84,17 @@
     }
 }
 
+/// What a new connection to a target meets.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reach {
+    /// The target accepts it.
+    Accepted,
+    /// It is refused: nothing listens at the address, or the way there is closed to this host.
+    Refused,
+    /// It hangs or fails in another way.
+    Failed,
+}
+
 /// Sends requests to targets.
 ///
 /// Implementations send a request at most once. Dropping the future of a send, or a body, closes
@@ -108,8 +119,8 @@
         None
     }
 
-    /// Whether the target refuses connections, so that its process has ended.
-    fn refuses_connections(&self, _target: &TargetEntry) -> impl Future<Output = bool> + Send {
-        async { false }
+    /// Tries a new connection to a target.
+    fn connect(&self, _target: &TargetEntry) -> impl Future<Output = Reach> + Send {
+        async { Reach::Accepted }
     }
 }
