Let a request that was at three crashed targets run alone, and block it after the next crash

Copies of a request that crashes targets ended one target after the other, and sound requests that were at three crashed targets were refused for ten minutes. Cause: a whole request was judged like a part that many requests share. Crashes within 100 ms counted once, so copies at several hosts at once did not add up; and three crashes blocked it, though nobody else's output can clear a content.

A content counts each crashed target. From the third on it runs alone: at one target, one at a time on a host, hosts spread over eight slots of 150 ms, and is not sent again. One more crash, later and without another request of that kind, blocks it; output clears it. It needs no shared part, no output of others and no warm-up, and crashes that another block explains count towards running alone.

--- a/crates/oleander-quarantine/src/crash.rs
+++ b/crates/oleander-quarantine/src/crash.rs
@@ -60,6 +60,12 @@
         !self.cleared.0.contains(&part) && self.suspects.iter().any(|parts| parts.0.contains(&part))
     }
 
+    /// Whether a request is a suspect with a part that is not cleared.
+    pub(crate) fn is_open_for(&self, request: &PartSet) -> bool {
+        self.suspects.contains(request)
+            && request.0.iter().any(|part| !self.cleared.0.contains(part))
+    }
+
     /// Clears parts; returns whether any was suspected.
     pub(crate) fn clear(&mut self, parts: &PartSet) -> bool {
         let cleared: Vec<PromptPart> =
--- a/crates/oleander-quarantine/src/quarantine.rs
+++ b/crates/oleander-quarantine/src/quarantine.rs
@@ -1,13 +1,14 @@
 //! The crashes and blocked parts that one host knows of one service.
 
 mod decide;
+mod repeats;
 mod runs;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use oleander_core::{PromptPart, Span, Time};
 
-use self::decide::BLOCKING_CRASHES;
+use self::{decide::BLOCKING_CRASHES, repeats::ISOLATING_CRASHES};
 use crate::{
     block::Block,
     crash::Crash,
@@ -47,6 +48,11 @@
         /// Crashes that suspect it.
         crashes: usize,
     },
+    /// To one target only, and not while the same request runs: it was at several crashed targets.
+    Alone {
+        /// The content of the request.
+        content: PromptPart,
+    },
     /// Not at all, for this time.
     Blocked {
         /// Parts that crash targets.
@@ -92,6 +98,10 @@
             }
             probation = parts.0.first().copied();
         }
+        let isolated = |content: &PromptPart| self.crashes_with(*content) >= ISOLATING_CRASHES;
+        if let Some(content) = request.content.filter(isolated) {
+            return Standing::Alone { content };
+        }
         let suspects = request.all.0.iter().filter_map(|part| {
             let crashes = self.suspicion(*part);
             let is_suspect = crashes > 1 || (crashes == 1 && !self.is_established(now, *part));
--- a/crates/oleander-quarantine/src/quarantine/decide.rs
+++ b/crates/oleander-quarantine/src/quarantine/decide.rs
@@ -15,7 +15,7 @@
 /// The same for parts that a target wrote for shortly before: many requests may have them.
 const BLOCKING_CRASHES_ESTABLISHED: usize = 5;
 /// Crashes within this time after the first of them count once.
-const SAME_MOMENT: Span = Span::from_millis(100);
+pub(super) const SAME_MOMENT: Span = Span::from_millis(100);
 /// Time since its first output in which a host may not know which parts are established.
 const WARM_UP: Span = Span::from_millis(250);
 
@@ -90,10 +90,18 @@
         sets.iter().filter(is_largest).cloned().collect()
     }
 
+    /// The parts to block for the crashes that suspect `part`, if these are enough.
+    fn set_to_block(&self, now: Time, part: PromptPart) -> Option<PartSet> {
+        match self.only_request(part) {
+            Some(request) => self.is_cause(&request).then(|| self.common_parts(part)).flatten(),
+            None => self.shared_set_to_block(now, part),
+        }
+    }
+
     /// The parts that all crashes which suspect `part` have in common, if these are enough.
     ///
     /// For parts that many requests may have, only crashes count that no blocked parts explain.
-    fn set_to_block(&self, now: Time, part: PromptPart) -> Option<PartSet> {
+    fn shared_set_to_block(&self, now: Time, part: PromptPart) -> Option<PartSet> {
         let crashes: Vec<&Crash> = self.suspecting(part).collect();
         let sets = crashes.iter().map(|crash| crash.suspected_with(part));
         let common = PartSet(sets.reduce(|common, other| &common & &other)?);
--- a/crates/oleander-relay/src/crash.rs
+++ b/crates/oleander-relay/src/crash.rs
@@ -30,7 +30,8 @@
 /// connection failed.
 ///
 /// A request without output waits for the result, since its next target depends on it.
-pub(crate) async fn check_target<T: TargetTransport>(transport: &Arc<T>, lease: TargetLease) {
+pub(crate) async fn check_target<T: TargetTransport>(transport: &Arc<T>, mut lease: TargetLease) {
+    let alone = lease.alone.take();
     let TargetLease { pool, run, has_output, .. } = &lease;
     let has_failed = lease.broke_off || lease.is_refused;
     if !has_failed || pool.quarantine.has_crashed(run, Span(u64::MAX)) {
@@ -51,6 +52,7 @@
         if ended {
             check.pool.record_crash(&run);
         }
+        drop(alone);
     };
     if has_output {
         tokio::spawn(check);
--- a/crates/oleander-relay/src/lease.rs
+++ b/crates/oleander-relay/src/lease.rs
@@ -6,7 +6,7 @@
 use oleander_quarantine::{RequestParts, TargetRun};
 use oleander_routing::{Failure, LeaseId, LoadReport, Observation, RequestRate, TicketId};
 
-use crate::{pool::Pool, target_list::TargetEntry};
+use crate::{pool::Pool, quarantine::AloneRun, target_list::TargetEntry};
 
 /// A target reserved for one request; the reservation ends on drop.
 pub struct TargetLease {
@@ -25,6 +25,8 @@
     pub(crate) broke_off: bool,
     /// Whether the target refused the connection.
     pub(crate) is_refused: bool,
+    /// Keeps the same request from running here meanwhile, if it may only run alone.
+    pub(crate) alone: Option<AloneRun>,
     /// The run that it was in when it was selected.
     pub(crate) run: TargetRun,
     /// The target.
@@ -98,6 +100,7 @@
     pub(crate) fn record_output(&mut self) {
         if !std::mem::replace(&mut self.has_output, true) {
             self.pool.quarantine.record_output(&self.parts);
+            self.alone = None;
         }
         self.pool.quarantine.record_life(&self.run, self.sent);
     }
--- a/crates/oleander-relay/src/pool.rs
+++ b/crates/oleander-relay/src/pool.rs
@@ -19,7 +19,7 @@
 pub use self::error::AcquireError;
 use crate::{
     lease::{TargetLease, TargetLoad},
-    quarantine::SharedQuarantine,
+    quarantine::{SharedQuarantine, alone_delay},
     rates::TargetRates,
     target_list::TargetEntry,
     version::SoftwareVersion,
@@ -190,20 +190,38 @@
         versions: &VersionChoice,
         parts: &Arc<RequestParts>,
     ) -> Result<TargetLease, AcquireError> {
+        let mut has_waited = false;
+        let mut alone = None;
         loop {
             let changed = self.changed.notified();
             tokio::pin!(changed);
             changed.as_mut().enable();
             let standing = self.quarantine.standing(parts);
-            if let Standing::Blocked { parts, remaining } = standing {
-                return Err(AcquireError::Blocked(parts, remaining));
+            match &standing {
+                Standing::Blocked { parts, remaining } => {
+                    return Err(AcquireError::Blocked(parts.clone(), *remaining));
+                }
+                Standing::Alone { content } if !std::mem::replace(&mut has_waited, true) => {
+                    tokio::time::sleep(alone_delay(&self.host, *content).to_duration()).await;
+                    continue;
+                }
+                Standing::Alone { content } => {
+                    alone = alone.or_else(|| self.quarantine.run_alone(*content));
+                    if alone.is_none() {
+                        let _ = tokio::time::timeout(MAX_WAIT.to_duration(), changed).await;
+                        continue;
+                    }
+                }
+                Standing::Clear | Standing::Suspect { .. } => {}
             }
             let (decision, wake) = self.decide(&self.restrict(pick, versions, &standing));
             match decision {
                 Decision::Send { target, lease, yields } => {
                     self.request_yields(&target, yields);
                     let lease = self.create_lease(&target, lease, parts);
-                    return lease.ok_or(AcquireError::NoCapacity(MAX_WAIT));
+                    let mut lease = lease.ok_or(AcquireError::NoCapacity(MAX_WAIT))?;
+                    lease.alone = alone;
+                    return Ok(lease);
                 }
                 Decision::Refuse { retry_after } => {
                     return Err(AcquireError::NoCapacity(retry_after));
@@ -317,6 +335,7 @@
             has_output: false,
             broke_off: false,
             is_refused: false,
+            alone: None,
             run,
             target,
             load,
--- a/crates/oleander-relay/src/pool/restrict.rs
+++ b/crates/oleander-relay/src/pool/restrict.rs
@@ -29,7 +29,7 @@
         let targets = self.targets.read();
         let mut excluded = self.other_versions(&targets, versions);
         excluded.extend(self.crashed(&targets));
-        if let Standing::Suspect { part, .. } = standing {
+        if let Standing::Suspect { part, .. } | Standing::Alone { content: part } = standing {
             excluded.extend(pick.exclude.iter().cloned());
             excluded.extend(self.ejected());
             excluded = all_but_one(&targets, *part, excluded);
--- a/crates/oleander-relay/src/quarantine.rs
+++ b/crates/oleander-relay/src/quarantine.rs
@@ -1,8 +1,8 @@
 //! The quarantine of one service, shared by its requests and the exchange between hosts.
 
-use std::sync::Arc;
+use std::{collections::HashSet, sync::Arc};
 
-use oleander_core::{Span, Time};
+use oleander_core::{HostId, PromptPart, Span, Time, hash};
 use oleander_host::clock;
 use oleander_quarantine::{
     BlockNews, PartSet, Quarantine, QuarantineNews, RequestParts, Standing, TargetRun,
@@ -10,6 +10,18 @@
 use parking_lot::Mutex;
 use tokio::sync::Notify;
 
+/// Slots of time among which hosts spread their runs of a request that may only run alone.
+const ALONE_SLOTS: u64 = 8;
+/// Duration of a slot, in which a target crashes and all hosts learn of it.
+const ALONE_SLOT: Span = Span::from_millis(150);
+
+/// Time that a host waits before it runs a request alone, so that copies at several hosts run one
+/// after the other.
+pub(crate) fn alone_delay(host: &HostId, content: PromptPart) -> Span {
+    let slot = hash::hash_parts(&[host.as_str(), &content.to_string()]) % ALONE_SLOTS;
+    ALONE_SLOT * slot
+}
+
 /// The quarantine of one service.
 #[derive(Debug)]
 pub struct SharedQuarantine {
@@ -18,11 +30,35 @@
     waiting: Arc<Notify>,
     /// Signals that other hosts have something to learn.
     news: Arc<Notify>,
+    /// Contents of this host's requests that run alone.
+    alone: Arc<Mutex<HashSet<PromptPart>>>,
+}
+
+/// A run of a request alone at this host; ends on drop.
+#[derive(Debug)]
+pub(crate) struct AloneRun {
+    content: PromptPart,
+    alone: Arc<Mutex<HashSet<PromptPart>>>,
+    waiting: Arc<Notify>,
+}
+
+impl Drop for AloneRun {
+    fn drop(&mut self) {
+        self.alone.lock().remove(&self.content);
+        self.waiting.notify_waiters();
+    }
 }
 
 impl SharedQuarantine {
     pub(crate) fn new(waiting: Arc<Notify>, news: Arc<Notify>) -> Self {
-        Self { state: Mutex::default(), waiting, news }
+        Self { state: Mutex::default(), waiting, news, alone: Arc::default() }
+    }
+
+    /// Begins to run a request alone; `None` while the same one runs at this host.
+    pub(crate) fn run_alone(&self, content: PromptPart) -> Option<AloneRun> {
+        let (alone, waiting) = (Arc::clone(&self.alone), Arc::clone(&self.waiting));
+        let is_first = alone.lock().insert(content);
+        is_first.then_some(AloneRun { content, alone, waiting })
     }
 
     /// Whether a request with these parts may be sent.
--- a/crates/oleander-relay/src/relay.rs
+++ b/crates/oleander-relay/src/relay.rs
@@ -183,13 +183,12 @@
     /// Whether several targets have crashed under requests like this one, so that another run
     /// would most likely end one more.
     fn crashes_targets(&mut self, pool: &Pool) -> bool {
-        let Standing::Suspect { part, crashes } = pool.quarantine.standing(&self.parts) else {
-            return false;
+        let part = match pool.quarantine.standing(&self.parts) {
+            Standing::Suspect { part, crashes } if crashes >= MAX_CRASHES => part,
+            Standing::Alone { content } => content,
+            Standing::Clear | Standing::Suspect { .. } | Standing::Blocked { .. } => return false,
         };
-        if crashes < MAX_CRASHES {
-            return false;
-        }
-        let text = format!("not sent again: {crashes} targets have crashed under {part}");
+        let text = format!("not sent again: several targets have crashed under {part}");
         self.summary.attempts.push(text);
         true
     }
