Do not fail items whose parts are blocked

Items are placed whatever is blocked or suspected, are no suspects of crashes, and clear parts by their output as before. After a crash without output an item waits twice as long each time, four seconds at most, which also bounds what an item that did crash targets would cost.

--- a/crates/oleander-relay/src/lease.rs
+++ b/crates/oleander-relay/src/lease.rs
@@ -2,9 +2,9 @@
 
 use std::{fmt, sync::Arc};
 
-use oleander_core::Time;
+use oleander_core::{Span, Time};
 use oleander_quarantine::{RequestParts, TargetRun};
-use oleander_routing::{Failure, LeaseId, LoadReport, Observation, RequestRate, TicketId};
+use oleander_routing::{Class, Failure, LeaseId, LoadReport, Observation, RequestRate, TicketId};
 
 use crate::{pool::Pool, quarantine::AloneRun, target_list::TargetEntry};
 
@@ -23,6 +23,8 @@
     pub(crate) has_output: bool,
     /// Whether the target broke off, rather than that it was left because it was silent.
     pub(crate) broke_off: bool,
+    /// Whether it is an online request or a batch item, which crashes no targets.
+    pub(crate) class: Class,
     /// Whether the target refused the connection.
     pub(crate) is_refused: bool,
     /// Keeps the same request from running here meanwhile, if it may only run alone.
@@ -78,7 +80,28 @@
     }
 }
 
+/// Tells whether the run of a target that a lease was for has crashed.
+#[derive(Clone)]
+pub struct CrashWatch {
+    pool: Arc<Pool>,
+    run: TargetRun,
+}
+
+impl CrashWatch {
+    /// Whether the run is known to have crashed.
+    #[must_use]
+    pub fn has_crashed(&self) -> bool {
+        self.pool.quarantine.has_crashed(&self.run, Span(u64::MAX))
+    }
+}
+
 impl TargetLease {
+    /// Tells whether the target crashes, also after the end of the lease.
+    #[must_use]
+    pub fn crash_watch(&self) -> CrashWatch {
+        CrashWatch { pool: Arc::clone(&self.pool), run: self.run.clone() }
+    }
+
     /// Records an observation of the request.
     pub fn observe(&mut self, observation: Observation) {
         if self.ended {
@@ -90,7 +113,8 @@
             observation,
             Observation::Failed(Failure::BrokenStream | Failure::Timeout | Failure::IdleTimeout)
         );
-        if was_left && !self.has_output && !self.target.leaving {
+        let may_be_cause = self.class == Class::Online && !self.has_output;
+        if was_left && may_be_cause && !self.target.leaving {
             self.pool.quarantine.record_break(&self.run, &self.parts);
         }
         self.pool.observe(self.id, observation);
--- a/crates/oleander-relay/src/lib.rs
+++ b/crates/oleander-relay/src/lib.rs
@@ -38,7 +38,7 @@
 pub use crash::request_parts;
 pub use events::{Event, EventReader, ParsedEvents, event_data};
 pub use follow::{ParseTarget, follow_routes, follow_targets};
-pub use lease::{TargetLease, TargetLoad};
+pub use lease::{CrashWatch, TargetLease, TargetLoad};
 pub use pool::{AcquireError, Pool, VersionChoice, YieldRequest, batch_pick};
 pub use pools::Pools;
 pub use quarantine::SharedQuarantine;
--- a/crates/oleander-relay/src/pool.rs
+++ b/crates/oleander-relay/src/pool.rs
@@ -261,19 +261,19 @@
     }
 
     /// Leases a target of a permitted version for a batch item with these parts, if one has
-    /// capacity now.
+    /// capacity now. Items are no cause of crashes, so that blocks don't hold them.
     pub fn try_acquire_batch_version(
         self: &Arc<Self>,
         pick: &Pick,
         versions: &VersionChoice,
         parts: &Arc<RequestParts>,
     ) -> Option<TargetLease> {
-        let standing = self.quarantine.standing(parts);
-        if matches!(standing, Standing::Blocked { .. }) {
-            return None;
-        }
-        match self.decide(&self.restrict(pick, versions, &standing)).0 {
-            Decision::Send { target, lease, .. } => self.create_lease(&target, lease, parts),
+        match self.decide(&self.restrict(pick, versions, &Standing::Clear)).0 {
+            Decision::Send { target, lease, .. } => {
+                let mut lease = self.create_lease(&target, lease, parts)?;
+                lease.class = Class::Batch;
+                Some(lease)
+            }
             Decision::Wait | Decision::Refuse { .. } => None,
         }
     }
@@ -334,6 +334,7 @@
             rate_limit: None,
             has_output: false,
             broke_off: false,
+            class: Class::Online,
             is_refused: false,
             alone: None,
             run,
--- a/crates/oleander-worklist/src/item.rs
+++ b/crates/oleander-worklist/src/item.rs
@@ -40,6 +40,8 @@
     Impossible,
     /// The run was refused, lost or interrupted; the item can resume at another target.
     Interrupted,
+    /// The target crashed and had sent nothing for the item, which waits longer each time.
+    Crashed,
 }
 
 /// Status of an item of an open job.
@@ -72,6 +74,8 @@
     parts: OnceLock<Arc<RequestParts>>,
     pub(crate) status: ItemStatus,
     pub(crate) failures: u32,
+    /// Targets that crashed one after the other without output for the item.
+    pub(crate) crashes: u32,
     pub(crate) not_before: Time,
     pub(crate) avoid: Option<TargetId>,
     pub(crate) progress: Progress,
@@ -131,6 +135,7 @@
             parts: OnceLock::new(),
             status: ItemStatus::Waiting,
             failures: 0,
+            crashes: 0,
             not_before: Time(0),
             avoid: None,
             progress: Progress::default(),
--- a/crates/oleander-worklist/src/job.rs
+++ b/crates/oleander-worklist/src/job.rs
@@ -16,8 +16,11 @@
     record::{ItemOutcome, ItemResult, JobRecord, Segment},
 };
 
-/// Delay before an item runs again after a failed or interrupted run.
+/// Delay before an item runs again after a failed or interrupted run; doubles with each target that
+/// crashes.
 const RETRY_DELAY: Span = Span::from_millis(150);
+/// Maximum delay: an item under which targets crash is still owed.
+const MAX_RETRY_DELAY: Span = Span::from_secs(4);
 /// Divisor of a job's due time; in this first part, items run only in this host's data centre.
 const LOCAL_DIVISOR: u64 = 12;
 /// Maximum output bytes in one segment; leaves room in an object for the JSON encoding.
@@ -158,7 +161,8 @@
         }
         item.progress = progress;
         item.avoid = Some(target);
-        item.not_before = now + RETRY_DELAY;
+        item.crashes = if *outcome == RunOutcome::Crashed { item.crashes + 1 } else { 0 };
+        item.not_before = now + retry_delay(item.crashes);
         item.status = match outcome {
             RunOutcome::Completed => ItemStatus::Finished(ItemOutcome::Completed),
             RunOutcome::Impossible => ItemStatus::Finished(ItemOutcome::Failed),
@@ -170,7 +174,7 @@
                     ItemStatus::Waiting
                 }
             }
-            RunOutcome::Interrupted => ItemStatus::Waiting,
+            RunOutcome::Interrupted | RunOutcome::Crashed => ItemStatus::Waiting,
         };
     }
 
@@ -262,6 +266,12 @@
     fits.map(|(_, result)| Arc::clone(result)).collect()
 }
 
+/// Delay before an item runs again after this number of crashes in sequence.
+fn retry_delay(crashes: u32) -> Span {
+    let doublings = crashes.min(MAX_RETRY_DELAY.0.ilog2());
+    MAX_RETRY_DELAY.min(RETRY_DELAY * (1 << doublings))
+}
+
 fn is_startable(item: &Item, now: Time) -> bool {
     item.status == ItemStatus::Waiting && item.not_before <= now
 }
--- a/crates/oleander-worklist/src/runner.rs
+++ b/crates/oleander-worklist/src/runner.rs
@@ -10,7 +10,7 @@
 use oleander_core::{ServiceId, Span, TargetId, Time};
 use oleander_host::clock;
 use oleander_platform::ObjectStore;
-use oleander_quarantine::{RequestParts, Standing};
+use oleander_quarantine::RequestParts;
 use oleander_relay::{
     Attempt, AttemptOutcome, AttemptTimeouts, Pool, ResponseHead, ResponseSink, SinkClosed,
     TargetEntry, TargetLease, TargetTransport, VersionChoice, batch_pick, event_data, run_attempt,
@@ -110,15 +110,6 @@
             let Some(service) = route.service(&item.request.id) else { continue };
             let Some(pool) = self.relay.pools.get(service) else { continue };
             let parts = item.parts(self.relay.transport.as_ref());
-            let standing = pool.quarantine.standing(&parts);
-            if let Standing::Blocked { parts, .. } = standing {
-                let id = item.request.id.clone();
-                log::warn!(request:% = id, job:% = job.record.job, parts:% = parts;
-                    "item failed: its parts crash targets");
-                job.fail_item(&id);
-                loaded.finished.notify_one();
-                return Placement::Placed;
-            }
             let versions = permitted_versions(now, &pool, item);
             let requirement = (service.clone(), versions.clone());
             if full.contains(&requirement) {
@@ -126,9 +117,7 @@
             }
             let avoid = item.avoid.clone();
             let Some(granted) = reserve_slot(&pool, avoid, local_only, &versions, &parts) else {
-                if standing == Standing::Clear {
-                    full.insert(requirement);
-                }
+                full.insert(requirement);
                 continue;
             };
             if versions == VersionChoice::Any {
@@ -174,10 +163,15 @@
         };
         let started = clock::steady();
         let TargetEntry { id: target, version, .. } = granted.target.clone();
+        let crash = granted.crash_watch();
         let attempt_outcome =
             run_attempt(&self.relay.transport, granted, parameters, &mut sink).await;
         self.runs.lock().retain(|other| other.number != run.number);
-        let outcome = run_outcome(&attempt_outcome);
+        let mut outcome = run_outcome(&attempt_outcome);
+        if outcome == RunOutcome::Interrupted && events.last_id() == resumed && crash.has_crashed()
+        {
+            outcome = RunOutcome::Crashed;
+        }
         let now = clock::steady();
         let parts = self.relay.transport.shared_parts(&next.request);
         log::info!(request:% = next.request.id, parts:? = parts, target:% = target, after:? = resumed,
@@ -245,6 +239,7 @@
         RunOutcome::Failed => "failed",
         RunOutcome::Impossible => "impossible",
         RunOutcome::Interrupted => "interrupted",
+        RunOutcome::Crashed => "crashed",
     }
 }
 
--- a/crates/oleander-worklist/tests/job.rs
+++ b/crates/oleander-worklist/tests/job.rs
@@ -185,3 +185,24 @@
     assert!(backlog.admit(Tokens(401), Some(Tokens(1_000))).is_err());
     assert!(backlog.admit(Tokens(u64::MAX), None).is_ok());
 }
+
+#[test]
+fn an_item_under_which_targets_crash_is_run_again_after_four_seconds_at_most() {
+    let mut job = job(1);
+    let mut now = NOW;
+    let mut delays = Vec::new();
+    let mut ended = now;
+    for _ in 0..40 {
+        let next = loop {
+            if let Some(next) = job.start_next(now) {
+                break next;
+            }
+            now = now + Span::from_millis(50);
+        };
+        delays.push(now.since(ended));
+        ended = now;
+        job.finish_run(now, next.index, &RunOutcome::Crashed, next.progress, target());
+    }
+    assert!(delays.iter().all(|delay| *delay <= Span::from_secs(4)), "{delays:?}");
+    assert!(delays[1] < delays[2] && delays[2] < delays[3], "{delays:?}");
+}
