Take a single response without any byte for broken off if only its connection ends it

A target that crashes after its head closed a connection that had neither a length nor chunks, and the caller got an empty 200 as a whole answer; no crash was looked for, so the same request could come again and again. The test failed before (empty 200).

--- a/crates/oleander-relay/src/attempt.rs
+++ b/crates/oleander-relay/src/attempt.rs
@@ -306,6 +306,10 @@
                 () = self.sink.closed() => return AttemptOutcome::Cancelled,
             };
             let bytes = match chunk {
+                // As in a stream, a target that crashes may close its connection.
+                None if size == 0 && !body.is_framed() => {
+                    return self.interrupted("connection ended before the first byte");
+                }
                 None => break,
                 Some(Err(error)) => return self.interrupted(&error.0),
                 Some(Ok(bytes)) => bytes,
--- a/crates/oleander-relay/tests/relay.rs
+++ b/crates/oleander-relay/tests/relay.rs
@@ -10,7 +10,7 @@
 use std::time::{Duration, Instant};
 
 use http::StatusCode;
-use oleander_relay::{RetryPolicy, batch_pick};
+use oleander_relay::{RefusalReason, RetryPolicy, RouteKind, batch_pick};
 
 use crate::support::{FIRST, SECOND, Step, forward, pools, route, service};
 
@@ -65,6 +65,21 @@
     assert_eq!(caller.text, "failed");
 }
 
+#[tokio::test]
+async fn a_single_response_whose_connection_ends_before_the_first_byte_is_not_complete() {
+    let mut always = route(RetryPolicy::Always, 2);
+    always.kind = RouteKind::Single;
+    let steps = vec![Step::closed(&[]), Step::closed(&["whole"])];
+    let (summary, caller, dispatches) = forward(always, steps).await;
+    assert_eq!((caller.text.as_str(), dispatches.len()), ("whole", 2), "{summary:?}");
+
+    let mut never = route(RetryPolicy::Never, 1);
+    never.kind = RouteKind::Single;
+    let (summary, caller, _) = forward(never, vec![Step::closed(&[])]).await;
+    let reason = summary.refusal.map(|refusal| refusal.reason);
+    assert_eq!((reason, caller.status), (Some(RefusalReason::ResponseLost), None), "{summary:?}");
+}
+
 /// With one of eight slots kept free for online requests, an eighth of the fleet stood idle between
 /// bursts while items waited.
 #[tokio::test]
--- a/crates/oleander-relay/tests/support/mod.rs
+++ b/crates/oleander-relay/tests/support/mod.rs
@@ -52,6 +52,8 @@
 pub enum BodyEnd {
     Complete,
     Broken,
+    /// The end of the connection, without a length or chunks that tell the end of the body.
+    Closed,
     /// A byte now and then that completes no event.
     Drip,
     /// Nothing.
@@ -68,6 +70,11 @@
         Self::respond(200, chunks, BodyEnd::Broken)
     }
 
+    /// Sends these chunks and closes the connection, which alone tells the end of the body.
+    pub fn closed(chunks: &[&'static str]) -> Self {
+        Self::respond(200, chunks, BodyEnd::Closed)
+    }
+
     pub fn complete(chunks: &[&'static str]) -> Self {
         Self::respond(200, chunks, BodyEnd::Complete)
     }
@@ -147,6 +154,10 @@
 }
 
 impl ResponseBody for ScriptBody {
+    fn is_framed(&self) -> bool {
+        self.end != BodyEnd::Closed
+    }
+
     async fn next_chunk(&mut self) -> Option<Result<Bytes, BodyError>> {
         loop {
             match self.parts.front().copied() {
@@ -166,7 +177,7 @@
             }
         }
         match self.end {
-            BodyEnd::Complete => {
+            BodyEnd::Complete | BodyEnd::Closed => {
                 self.open = None;
                 None
             }
