Count a crash that only the list of targets shows

A target that hangs first, or starts anew before the check, broke off requests and crashed nobody's count. A run that another one follows at its name or address, and that broke off requests of this host in the last ten seconds, has crashed.

--- a/crates/oleander-quarantine/src/quarantine.rs
+++ b/crates/oleander-quarantine/src/quarantine.rs
@@ -26,8 +26,9 @@
 const MAX_BLOCKS: usize = 256;
 /// Time for which a block is kept after its end; a crash in that time blocks its parts again.
 const PROBATION: Span = Span::from_secs(60 * 60);
-/// Time for which a break is kept until the target is known to have crashed.
-const BREAK_RETENTION: Span = Span::from_secs(5);
+/// Time for which a break is kept until the target is known to have crashed; the list may show only
+/// its restart.
+const BREAK_RETENTION: Span = Span::from_secs(10);
 /// Time since the last output for a part within which it counts as established, so that one crash
 /// makes it no suspect.
 const ESTABLISHED: Span = Span::from_secs(10);
@@ -157,6 +158,9 @@
                 self.outputs.retain(|_, at| now.since(*at) < ESTABLISHED);
             }
         }
+        for (_, requests) in self.breaks.values_mut() {
+            requests.remove(&request.all);
+        }
         for (run, crash) in &mut self.crashes {
             if crash.clear(&request.all) {
                 self.changed_crashes.insert(run.clone());
--- a/crates/oleander-quarantine/src/quarantine/runs.rs
+++ b/crates/oleander-quarantine/src/quarantine/runs.rs
@@ -63,6 +63,13 @@
         self.changed_crashes.insert(run.clone());
     }
 
+    /// Records that another run has followed `run`, which is a crash if it broke off requests of
+    /// this host; returns whether that is new.
+    pub fn record_replaced(&mut self, now: Time, run: &TargetRun) -> bool {
+        let broke_off = self.breaks.get(run).is_some_and(|(_, requests)| !requests.is_empty());
+        broke_off && self.record_crash(now, run)
+    }
+
     /// Records that a target whose crash was reported accepts connections of this host.
     ///
     /// The host uses it again; whether a run has ended before is not known from that.
--- a/crates/oleander-quarantine/tests/runs.rs
+++ b/crates/oleander-quarantine/tests/runs.rs
@@ -113,3 +113,23 @@
     assert!(host.record_crash(later, &run), "new");
     assert!(host.has_crashed(later, &listed(), Span::from_secs(3)));
 }
+
+#[test]
+fn a_run_that_another_has_followed_has_crashed_if_it_broke_off_requests() {
+    let now = Time(60_000_000);
+    let mut host = long_running();
+    assert!(!host.record_replaced(now, &listed()), "it may have stopped as planned");
+    host.record_break(now, &listed(), &request(1));
+    assert!(host.record_replaced(now + Span::from_secs(6), &listed()));
+    assert!(matches!(host.standing(now + RESTART, &request(1)), Standing::Suspect { .. }));
+}
+
+#[test]
+fn a_request_that_had_output_since_a_target_broke_off_is_no_suspect_of_its_crash() {
+    let now = Time(60_000_000);
+    let mut host = long_running();
+    host.record_break(now, &listed(), &request(1));
+    host.record_output(now + Span::from_millis(300), &request(1));
+    host.record_crash(now + RESTART, &listed());
+    assert_eq!(host.standing(now + RESTART, &request(1)), Standing::Clear);
+}
--- a/crates/oleander-relay/src/pool.rs
+++ b/crates/oleander-relay/src/pool.rs
@@ -119,6 +119,7 @@
         }
         drop(router);
         self.set_versions(&entries);
+        self.record_replaced(&entries);
         let entries = entries.into_iter().map(|entry| (entry.id.clone(), entry));
         *self.targets.write() = entries.collect();
         *self.assigned.lock() = None;
@@ -126,6 +127,18 @@
         self.changed.notify_waiters();
     }
 
+    /// Records the crashes that a new list shows: runs that others have followed.
+    fn record_replaced(&self, entries: &[TargetEntry]) {
+        let targets = self.targets.read();
+        let running = targets.values().filter(|target| !target.leaving);
+        let replaced = running.filter(|old| entries.iter().any(|new| new.follows(old)));
+        for run in replaced.map(TargetEntry::run) {
+            if self.quarantine.record_replaced(&run) {
+                log::info!(target:% = run.target; "target has crashed, by the list");
+            }
+        }
+    }
+
     fn set_versions(&self, entries: &[TargetEntry]) {
         let now = clock::steady();
         let mut versions = self.versions.lock();
--- a/crates/oleander-relay/src/quarantine.rs
+++ b/crates/oleander-relay/src/quarantine.rs
@@ -111,6 +111,13 @@
         is_new
     }
 
+    /// Records that another run has followed this one; returns whether a crash is new.
+    pub(crate) fn record_replaced(&self, run: &TargetRun) -> bool {
+        let is_new = self.state.lock().record_replaced(clock::steady(), run);
+        self.signal();
+        is_new
+    }
+
     /// Records that a target whose crash was reported accepts connections of this host.
     pub(crate) fn record_reached(&self, run: &TargetRun) {
         self.state.lock().record_reached(run);
--- a/crates/oleander-relay/src/target_list.rs
+++ b/crates/oleander-relay/src/target_list.rs
@@ -40,6 +40,12 @@
 }
 
 impl TargetEntry {
+    /// Whether this run began where `other` ran, after it.
+    pub(crate) fn follows(&self, other: &Self) -> bool {
+        let is_same_place = self.id == other.id || self.address == other.address;
+        is_same_place && self.started_at > other.started_at
+    }
+
     /// The run of the target's process.
     #[must_use]
     pub fn run(&self) -> TargetRun {
