--- a/crates/oleander-cluster/tests/crashes/main.rs
+++ b/crates/oleander-cluster/tests/crashes/main.rs
@@ -2,6 +2,7 @@
 
 mod cuts;
 mod repeats;
+mod stranded;
 #[path = "../support/hosts.rs"]
 mod support;
 mod targets;
--- a/crates/oleander-cluster/tests/crashes/traffic.rs
+++ b/crates/oleander-cluster/tests/crashes/traffic.rs
@@ -35,6 +35,8 @@
 #[derive(Debug, Clone)]
 pub(crate) struct Served {
     pub(crate) at: Instant,
+    /// The host that got it.
+    pub(crate) host: usize,
     pub(crate) is_bad: bool,
     pub(crate) is_repeat: bool,
     pub(crate) is_whole: bool,
@@ -131,7 +133,7 @@
         self.sent += 1;
         let (id, parts) = (format!("copy-{}", self.sent), format!("{FIRST:x},{own:x}"));
         let repeat = (host + 1) % self.hosts.live_indexes().len();
-        let callers = [self.hosts.caller(host), self.hosts.caller(repeat)];
+        let callers = [host, repeat].map(|host| (host, self.hosts.caller(host)));
         call(callers, id, parts, own == BAD.0)
     }
 
@@ -178,7 +180,7 @@
         self.sent += 1;
         let live = self.hosts.live_indexes();
         let mut at = || live[self.random.random_range(0..live.len())];
-        let callers = [self.hosts.caller(at()), self.hosts.caller(at())];
+        let callers = [at(), at()].map(|host| (host, self.hosts.caller(host)));
         requests.spawn(call(callers, format!("r-{}", self.sent), parts, is_bad));
     }
 
@@ -207,20 +209,20 @@
 
 /// Sends a request at the first host and, if its response is lost, again at the second.
 async fn call(
-    callers: [CallerOf<CrashTargets>; 2],
+    callers: [(usize, CallerOf<CrashTargets>); 2],
     id: String,
     parts: String,
     is_bad: bool,
 ) -> Vec<Served> {
     let mut served = Vec::new();
-    for (host, id) in callers.into_iter().zip([id.clone(), format!("{id}-again")]) {
+    for ((host, caller), id) in callers.into_iter().zip([id.clone(), format!("{id}-again")]) {
         let at = Instant::now();
-        let (summary, text) = host.forward(request(&id, &parts), &resumable()).await;
+        let (summary, text) = caller.forward(request(&id, &parts), &resumable()).await;
         let is_whole = text.matches("data:").count() as u64 == EVENTS;
         let is_lost = summary.interrupted
             || summary.refusal.is_some_and(|one| one.reason == RefusalReason::ResponseLost);
         let is_repeat = !served.is_empty();
-        served.push(Served { at, is_bad, is_repeat, is_whole, summary });
+        served.push(Served { at, host, is_bad, is_repeat, is_whole, summary });
         if !is_lost {
             break;
         }
