Send requests through other hosts while this one reaches no target

Callers of hosts that had lost their links to all targets got 503 or waited out their deadlines: each request met four dead connections, since such a host took every failure for one target's and had no way to targets but its own.

--- a/crates/oleander-cluster/src/cluster.rs
+++ b/crates/oleander-cluster/src/cluster.rs
@@ -29,6 +29,7 @@
     failover::FailoverStore,
     message::{PeerRequest, PeerResponse},
     record::{HostRecord, PREFIX},
+    stranded::StrandedHosts,
     zone_load::ZoneLoad,
 };
 
@@ -68,6 +69,7 @@
     pub(crate) direct_until: Mutex<Time>,
     records: RwLock<BTreeMap<HostId, HostRecord>>,
     leaving: AtomicBool,
+    pub(crate) stranded: Mutex<StrandedHosts>,
 }
 
 impl Cluster {
@@ -90,6 +92,7 @@
             direct_until: Mutex::new(Time(0)),
             records: RwLock::default(),
             leaving: AtomicBool::new(false),
+            stranded: Mutex::default(),
             pools,
             local,
         })
@@ -133,6 +136,10 @@
                         cluster.pools.streams.merge(announced);
                         PeerResponse::Noted
                     }
+                    PeerRequest::Stranded(services) => {
+                        cluster.receive_stranded(&peer, services);
+                        PeerResponse::Noted
+                    }
                     PeerRequest::Quarantine(news) => {
                         cluster.receive_quarantine(news);
                         PeerResponse::Noted
--- a/crates/oleander-cluster/src/cluster/hosts.rs
+++ b/crates/oleander-cluster/src/cluster/hosts.rs
@@ -41,16 +41,28 @@
         let others = records.values().filter(|record| record.host != self.local.host);
         let others = others.filter_map(|record| {
             let state = members.state(&record.host).unwrap_or(MemberState::Candidate);
+            let state = self.state_for_callers(&record.host, state);
             Some(EntryHost { address: record.callers?, zone: record.zone.clone(), state })
         });
         let mut hosts: Vec<EntryHost> = others.collect();
         if let (Some(address), false) = (self.local.callers, self.is_leaving()) {
             let zone = self.local.zone.clone();
-            hosts.push(EntryHost { address, zone, state: MemberState::Live });
+            let state = self.state_for_callers(&self.local.host, MemberState::Live);
+            hosts.push(EntryHost { address, zone, state });
         }
         hosts
     }
 
+    /// The state of a host for callers: one that reaches no targets is left out while there are others.
+    fn state_for_callers(&self, host: &HostId, state: MemberState) -> MemberState {
+        match state {
+            MemberState::Live | MemberState::Candidate if self.is_stranded(host) => {
+                MemberState::Suspect
+            }
+            state => state,
+        }
+    }
+
     /// Whether the run of `host` that started at `started` is live.
     #[must_use]
     pub fn liveness(&self, host: &HostId, started: Time) -> Liveness {
@@ -86,11 +98,11 @@
         live.map(|record| record.host.clone()).collect()
     }
 
-    /// The [`live_entry_hosts`](Self::live_entry_hosts) with their data centres.
+    /// The [`serving_hosts`](Self::serving_hosts) with their data centres.
     pub(crate) fn senders(&self) -> Vec<SendingHost> {
-        let live = self.live_entry_hosts();
+        let serving = self.serving_hosts();
         let records = self.records.read();
-        let senders = live.into_iter().filter_map(|host| {
+        let senders = serving.into_iter().filter_map(|host| {
             let zone = records.get(&host)?.zone.clone();
             Some(SendingHost { host, zone })
         });
--- a/crates/oleander-cluster/src/lib.rs
+++ b/crates/oleander-cluster/src/lib.rs
@@ -20,6 +20,7 @@
 mod record;
 mod retirement;
 mod sharing;
+mod stranded;
 mod streams;
 mod zone_load;
 
@@ -32,4 +33,5 @@
 pub use message::{PeerRequest, PeerResponse, ServiceLoad, ServiceQuarantine, ServiceRates};
 pub use record::{HostRecord, PREFIX as HOST_PREFIX};
 pub use retirement::RetirementStore;
+pub use stranded::forward_address;
 pub use zone_load::{ZoneLoad, select_reporter};
--- a/crates/oleander-cluster/src/message.rs
+++ b/crates/oleander-cluster/src/message.rs
@@ -66,6 +66,8 @@
     Quarantine(Vec<ServiceQuarantine>),
     /// Rates that targets name, as far as the sender knows.
     Rates(Vec<ServiceRates>),
+    /// Services whose targets the sender does not reach.
+    Stranded(Vec<ServiceId>),
 }
 
 /// The response to a request; `A` is the application's response type.
--- a/crates/oleander-cluster/src/sharing.rs
+++ b/crates/oleander-cluster/src/sharing.rs
@@ -30,7 +30,10 @@
         for round in 0_u64.. {
             let zone_hosts = self.live_entry_hosts_in(&self.local.zone);
             time::sleep(local_interval(zone_hosts.len())).await;
-            self.assign_targets(&zone_hosts);
+            let serving = self.serving_hosts();
+            let serving: Vec<HostId> =
+                zone_hosts.iter().filter(|host| serving.contains(host)).cloned().collect();
+            self.assign_targets(&serving);
             self.assign_senders();
             let (local, remote): (Vec<_>, Vec<_>) =
                 self.peers().into_iter().partition(|(_, zone, _)| *zone == self.local.zone);
--- a/crates/oleander-cluster/tests/crashes/targets.rs
+++ b/crates/oleander-cluster/tests/crashes/targets.rs
@@ -2,6 +2,8 @@
 
 use std::{
     collections::HashMap,
+    future::poll_fn,
+    net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -9,12 +11,20 @@
 use bytes::Bytes;
 use http::{HeaderMap, StatusCode};
 use oleander_core::{PromptPart, TargetId, hash};
+use oleander_host::clock;
 use oleander_relay::{
-    BodyError, Dispatch, Reach, Request, ResponseBody, ResponseHead, SendError, TargetEntry,
-    TargetResponse, TargetTransport,
+    BodyError, ChannelSink, Dispatch, HostDispatch, HostResponse, Origin, Reach, Request,
+    ResponseBody, ResponseChunks, ResponseHead, SendError, TargetEntry, TargetResponse,
+    TargetTransport, response_channel,
 };
 use parking_lot::Mutex;
-use tokio::{sync::watch, time::sleep};
+use tokio::{
+    sync::{
+        mpsc::{self, UnboundedReceiver, UnboundedSender},
+        watch,
+    },
+    time::sleep,
+};
 
 /// Header that lists the parts of a prompt, the request's own part last.
 pub(crate) const PARTS: &str = "x-parts";
@@ -51,6 +61,13 @@
     SomeRefused,
 }
 
+/// A request of another host.
+pub(crate) struct HostCall {
+    pub(crate) origin: Origin,
+    pub(crate) request: Arc<Request>,
+    pub(crate) sink: ChannelSink,
+}
+
 /// Targets that crash, with all their streams, when they start output for the bad part.
 ///
 /// Clones are the same targets.
@@ -63,6 +80,8 @@
     /// The host that sends to the targets.
     host: usize,
     cuts: watch::Sender<HashMap<usize, Cut>>,
+    /// The hosts to which others may send requests, by address.
+    helpers: Arc<Mutex<HashMap<SocketAddr, UnboundedSender<HostCall>>>>,
 }
 
 impl CrashTargets {
@@ -74,6 +93,7 @@
             crashes: Arc::default(),
             host: 0,
             cuts: watch::Sender::new(HashMap::new()),
+            helpers: Arc::default(),
         }
     }
 
@@ -82,6 +102,13 @@
         Self { host, ..self.clone() }
     }
 
+    /// Lets other hosts send requests to the host at `address`; returns what receives them.
+    pub(crate) fn add_helper(&self, address: SocketAddr) -> UnboundedReceiver<HostCall> {
+        let (sender, receiver) = mpsc::unbounded_channel();
+        self.helpers.lock().insert(address, sender);
+        receiver
+    }
+
     /// Cuts a host off from all targets, or ends its cut.
     pub(crate) fn set_cut(&self, host: usize, cut: Option<Cut>) {
         self.cuts.send_modify(|cuts| match cut {
@@ -167,9 +194,42 @@
             Run { at: Instant::now(), is_bad, request, target: target.clone(), host: self.host };
         self.runs.lock().push(run);
         let next = dispatch.resume_after.unwrap_or(0) + 1;
-        let body = CrashBody { targets: self.clone(), target, is_bad, running, next, sent: 0 };
+        let body = TargetBody { targets: self.clone(), target, is_bad, running, next, sent: 0 };
         let head = ResponseHead { status: StatusCode::OK, headers: HeaderMap::new() };
-        Ok(TargetResponse { head, not_run: false, load: None, rate_limit: None, body })
+        Ok(TargetResponse {
+            head,
+            not_run: false,
+            load: None,
+            rate_limit: None,
+            body: CrashBody::Target(body),
+        })
+    }
+
+    async fn send_to_host(
+        &self,
+        dispatch: HostDispatch,
+    ) -> Result<HostResponse<CrashBody>, SendError> {
+        let HostDispatch { request, budget, resume_after, version, sent, address } = dispatch;
+        let helper = self.helpers.lock().get(&address).cloned();
+        let origin = Origin { is_forwarded: true, version, sent };
+        let received = clock::steady();
+        let request =
+            Request { budget: Some(budget), resume_after, received, ..(*request).clone() };
+        let (sink, head, chunks) = response_channel();
+        let call = HostCall { origin, request: Arc::new(request), sink };
+        if helper.is_none_or(|helper| helper.send(call).is_err()) {
+            return Err(SendError::NotSent("connection refused".to_owned()));
+        }
+        match head.await {
+            Ok(Ok(head)) => {
+                let body = CrashBody::Host(chunks);
+                let response =
+                    TargetResponse { head, not_run: false, load: None, rate_limit: None, body };
+                Ok(HostResponse::Target(response))
+            }
+            Ok(Err(refusal)) => Ok(HostResponse::Refused(refusal)),
+            Err(_) => Err(SendError::NoResponse("the host has ended".to_owned())),
+        }
     }
 
     fn shared_parts(&self, request: &Request) -> Vec<PromptPart> {
@@ -188,8 +248,27 @@
     }
 }
 
+/// The body of a response.
 #[derive(Debug)]
-pub(crate) struct CrashBody {
+pub(crate) enum CrashBody {
+    Target(TargetBody),
+    Host(ResponseChunks),
+}
+
+impl ResponseBody for CrashBody {
+    async fn next_chunk(&mut self) -> Option<Result<Bytes, BodyError>> {
+        match self {
+            Self::Target(body) => body.next_chunk().await,
+            Self::Host(chunks) => {
+                let chunk = poll_fn(|context| chunks.poll_recv(context)).await;
+                chunk.map(|chunk| chunk.map_err(|_| BodyError("broken off".to_owned())))
+            }
+        }
+    }
+}
+
+#[derive(Debug)]
+pub(crate) struct TargetBody {
     targets: CrashTargets,
     target: TargetId,
     is_bad: bool,
@@ -198,7 +277,7 @@
     sent: u64,
 }
 
-impl ResponseBody for CrashBody {
+impl TargetBody {
     async fn next_chunk(&mut self) -> Option<Result<Bytes, BodyError>> {
         if self.next > EVENTS {
             return None;
--- a/crates/oleander-cluster/tests/crashes/traffic.rs
+++ b/crates/oleander-cluster/tests/crashes/traffic.rs
@@ -1,18 +1,20 @@
 //! Callers of several hosts, and an operator that starts a new target for each that has ended.
 
 use std::{
-    sync::Arc,
+    sync::{Arc, Weak},
     time::{Duration, Instant},
 };
 
 use oleander_core::{PromptPart, Span};
-use oleander_relay::{RefusalReason, Request, RequestSummary, RetryPolicy, Route, TargetEntry};
+use oleander_relay::{
+    Refusal, RefusalReason, Relay, Request, RequestSummary, RetryPolicy, Route, TargetEntry,
+};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
-use tokio::{task::JoinSet, time::sleep};
+use tokio::{sync::mpsc::UnboundedReceiver, task::JoinSet, time::sleep};
 
 use crate::{
     support::{CallerOf, Hosts, beginning, route, targets},
-    targets::{CrashTargets, EVENTS, PARTS},
+    targets::{CrashTargets, EVENTS, HostCall, PARTS},
 };
 
 /// The part that crashes targets.
@@ -85,6 +87,10 @@
         listed.iter().for_each(|target| crashing.start(&target.id));
         let transport = Arc::new(crashing.clone());
         let hosts = start(transport, listed).await;
+        for host in hosts.live() {
+            let calls = crashing.add_helper(host.forward_address());
+            tokio::spawn(help(calls, Arc::downgrade(&host.relay)));
+        }
         let random = SmallRng::seed_from_u64(seed);
         Self { hosts, crashing, random, sent: 0, started: count as u16 }
     }
@@ -207,6 +213,23 @@
     }
 }
 
+/// Serves the requests of other hosts while the host exists.
+async fn help(mut calls: UnboundedReceiver<HostCall>, relay: Weak<Relay<CrashTargets>>) {
+    while let (Some(call), Some(relay)) = (calls.recv().await, relay.upgrade()) {
+        let HostCall { origin, request, mut sink } = call;
+        tokio::spawn(async move {
+            let summary = relay.forward_for_host(origin, &request, &resumable(), &mut sink).await;
+            match summary.refusal {
+                Some(refusal) => sink.refuse(refusal).await,
+                None if summary.interrupted => {
+                    sink.refuse(Refusal::new(RefusalReason::ResponseLost)).await;
+                }
+                None => sink.finish(),
+            }
+        });
+    }
+}
+
 /// Sends a request at the first host and, if its response is lost, again at the second.
 async fn call(
     callers: [(usize, CallerOf<CrashTargets>); 2],
--- a/crates/oleander-cluster/tests/support/hosts.rs
+++ b/crates/oleander-cluster/tests/support/hosts.rs
@@ -116,6 +116,8 @@
             tokio::spawn(Arc::clone(cluster).announce_streams()),
             tokio::spawn(Arc::clone(cluster).share_quarantine(platform.clone())),
             tokio::spawn(Arc::clone(&self.relay).verify_crashes()),
+            tokio::spawn(Arc::clone(&self.relay).watch_links()),
+            tokio::spawn(Arc::clone(cluster).share_links()),
             tokio::spawn(Arc::clone(cluster).share_rates()),
             tokio::spawn(Arc::clone(cluster).ask_about_streams(pools.streams.queries())),
         ];
@@ -149,6 +151,11 @@
         self.caller().forward(request, route).await
     }
 
+    /// Address for the requests of other hosts.
+    pub(crate) fn forward_address(&self) -> SocketAddr {
+        self.cluster.local.forward_address()
+    }
+
     /// Number of other hosts that answer this one.
     async fn reached(&self) -> usize {
         let (queries, receiver) = mpsc::unbounded_channel();
--- a/crates/oleander-relay/src/attempt.rs
+++ b/crates/oleander-relay/src/attempt.rs
@@ -11,6 +11,7 @@
 use crate::{
     crash::check_target,
     events::EventReader,
+    host::Reservation,
     lease::TargetLease,
     progress::Progress,
     request::{Request, ResponseHead},
@@ -133,7 +134,7 @@
         Progress::new(now, self.head_sent, self.last_event())
     }
 
-    fn last_event(&self) -> Option<u64> {
+    pub(crate) fn last_event(&self) -> Option<u64> {
         self.events.as_ref().and_then(|events| events.last_id())
     }
 }
@@ -158,19 +159,23 @@
     let response = match sent {
         Ok(response) => response,
         Err(SendError::NotSent(reason)) => {
+            lease.record_link_failure();
             lease.observe(Observation::Failed(Failure::Connect));
             return AttemptOutcome::NotSent(reason);
         }
         Err(SendError::Refused(reason)) => {
+            lease.record_link_failure();
             lease.is_refused = true;
             lease.observe(Observation::Failed(Failure::Connect));
             return AttemptOutcome::NotSent(reason);
         }
         Err(SendError::NoResponse(reason)) => {
+            lease.record_link_failure();
             lease.observe(Observation::Failed(Failure::BrokenStream));
             return AttemptOutcome::Interrupted { reason, head_sent: attempt.head_sent };
         }
     };
+    lease.record_sign();
     if let Some(load) = &response.load {
         lease.update_load(load.clone());
     }
@@ -211,8 +216,8 @@
     lease.observe(observation);
 }
 
-async fn forward_response<B: ResponseBody, S: ResponseSink>(
-    lease: &mut TargetLease,
+pub(crate) async fn forward_response<L: Reservation, B: ResponseBody, S: ResponseSink>(
+    lease: &mut L,
     attempt: &mut Attempt<'_>,
     response: TargetResponse<B>,
     progress: &Progress,
@@ -248,15 +253,15 @@
 }
 
 /// Forwards one response.
-struct Forwarder<'a, S> {
-    lease: &'a mut TargetLease,
+struct Forwarder<'a, L, S> {
+    lease: &'a mut L,
     sink: &'a mut S,
     progress: &'a Progress,
     /// The head, until it is forwarded.
     head: Option<ResponseHead>,
 }
 
-impl<S: ResponseSink> Forwarder<'_, S> {
+impl<L: Reservation, S: ResponseSink> Forwarder<'_, L, S> {
     async fn stream<B: ResponseBody>(
         &mut self,
         body: &mut B,
@@ -269,7 +274,7 @@
             };
             let bytes = match chunk {
                 // A target that crashes may close its connection before the first event.
-                None if !body.is_framed() && !self.lease.has_output => {
+                None if !body.is_framed() && !self.lease.has_output() => {
                     return self.interrupted("connection ended before the first event");
                 }
                 None if events.at_boundary() => {
--- a/crates/oleander-relay/src/lease.rs
+++ b/crates/oleander-relay/src/lease.rs
@@ -127,6 +127,17 @@
             self.alone = None;
         }
         self.pool.quarantine.record_life(&self.run, self.sent);
+        self.record_sign();
+    }
+
+    /// Records that the target is reached.
+    pub(crate) fn record_sign(&self) {
+        self.pool.record_sign();
+    }
+
+    /// Records that the target may not be reached.
+    pub(crate) fn record_link_failure(&self) {
+        self.pool.record_link_failure();
     }
 
     /// Records the rate that the target names in its response.
--- a/crates/oleander-relay/src/lib.rs
+++ b/crates/oleander-relay/src/lib.rs
@@ -13,7 +13,11 @@
 mod crash;
 mod events;
 mod follow;
+mod forwarding;
+mod host;
 mod lease;
+mod link_check;
+mod links;
 mod pool;
 mod pools;
 mod progress;
@@ -38,7 +42,11 @@
 pub use crash::request_parts;
 pub use events::{Event, EventReader, ParsedEvents, event_data};
 pub use follow::{ParseTarget, follow_routes, follow_targets};
+pub use host::{
+    Helper, HostDispatch, HostResponse, Origin, SENT as SENT_HEADER, VERSION as VERSION_HEADER,
+};
 pub use lease::{CrashWatch, TargetLease, TargetLoad};
+pub use links::{LinkChange, Links};
 pub use pool::{AcquireError, Pool, VersionChoice, YieldRequest, batch_pick};
 pub use pools::Pools;
 pub use quarantine::SharedQuarantine;
--- /dev/null
+++ b/crates/oleander-relay/src/links.rs
@@ -0,0 +1,87 @@
+//! Whether this host has lost its links to the targets of a service.
+//!
+//! A silent target, a silent service and a host without links look alike from one failed request. So
+//! a failure, or no sign of any target for a while, only leads to a check: new connections to
+//! several targets at once. A host that none of them accepts is stranded, and its requests go
+//! through other hosts; it is so no more once targets have accepted in two checks in sequence, so
+//! that short cuts in series don't make it change sides each time.
+
+use oleander_core::{Span, Time};
+
+/// Time between two checks of a host that is or may be stranded.
+const CHECK_INTERVAL: Span = Span::from_millis(200);
+/// Time without output of any target after which a host with requests at targets checks its links.
+const BUSY_SILENCE: Span = Span::from_millis(300);
+/// The same for a host without requests at targets.
+const IDLE_SILENCE: Span = Span::from_millis(1_000);
+/// Checks in sequence with an accepted connection after which a host is not stranded any more.
+const RETURN_CHECKS: u32 = 2;
+
+/// What became of the links of a host.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LinkChange {
+    /// The host reaches no target any more.
+    Stranded,
+    /// The host reaches targets again, after this time.
+    Returned(Span),
+}
+
+/// The links of this host to the targets of one service.
+#[derive(Debug, Clone, Default)]
+pub struct Links {
+    /// Last sign that a target is reached.
+    sign: Option<Time>,
+    /// Whether a request has failed since the last check.
+    is_suspected: bool,
+    checked: Option<Time>,
+    stranded: Option<Time>,
+    /// Checks in sequence with an accepted connection.
+    accepted: u32,
+}
+
+impl Links {
+    /// Whether this host reaches no target.
+    #[must_use]
+    pub const fn is_stranded(&self) -> bool {
+        self.stranded.is_some()
+    }
+
+    /// Records output of a target.
+    pub const fn record_sign(&mut self, now: Time) {
+        self.sign = Some(now);
+    }
+
+    /// Records that a connection failed or that a request got no response; returns whether a check
+    /// is due that was not due before.
+    pub const fn record_failure(&mut self) -> bool {
+        !std::mem::replace(&mut self.is_suspected, true)
+    }
+
+    /// Whether new connections have to show which targets this host reaches.
+    #[must_use]
+    pub fn needs_check(&self, now: Time, is_busy: bool) -> bool {
+        if self.checked.is_some_and(|checked| now.since(checked) < CHECK_INTERVAL) {
+            return false;
+        }
+        let limit = if is_busy { BUSY_SILENCE } else { IDLE_SILENCE };
+        let is_silent = self.sign.is_none_or(|sign| now.since(sign) >= limit);
+        self.is_suspected || self.is_stranded() || is_silent
+    }
+
+    /// Records a check that began at `began`, and whether any target accepted a connection.
+    pub fn record_check(&mut self, now: Time, began: Time, accepted: bool) -> Option<LinkChange> {
+        self.checked = Some(began);
+        self.is_suspected = false;
+        if !accepted {
+            self.accepted = 0;
+            let was_stranded = self.stranded.replace(self.stranded.unwrap_or(now)).is_some();
+            return (!was_stranded).then_some(LinkChange::Stranded);
+        }
+        self.sign = Some(now);
+        self.accepted += 1;
+        if self.accepted < RETURN_CHECKS {
+            return None;
+        }
+        self.stranded.take().map(|since| LinkChange::Returned(now.since(since)))
+    }
+}
--- a/crates/oleander-relay/src/pool.rs
+++ b/crates/oleander-relay/src/pool.rs
@@ -2,6 +2,7 @@
 
 mod error;
 mod limits;
+mod links;
 mod restrict;
 
 use std::{collections::HashMap, sync::Arc};
@@ -19,6 +20,7 @@
 pub use self::error::AcquireError;
 use crate::{
     lease::{TargetLease, TargetLoad},
+    links::Links,
     quarantine::{SharedQuarantine, alone_delay},
     rates::TargetRates,
     target_list::TargetEntry,
@@ -79,6 +81,9 @@
     /// This host.
     host: HostId,
     rates: Mutex<TargetRates>,
+    links: Mutex<Links>,
+    /// Signals that links may have to be checked.
+    link_failed: Arc<Notify>,
     changed: Arc<Notify>,
 }
 
@@ -89,6 +94,7 @@
         seed: u64,
         yields: UnboundedSender<YieldRequest>,
         news: Arc<Notify>,
+        link_failed: Arc<Notify>,
     ) -> Self {
         let changed = Arc::new(Notify::new());
         let config = RouterConfig::new(host.clone(), zone.clone())
@@ -107,6 +113,8 @@
             assigned: Mutex::default(),
             host: host.clone(),
             rates: Mutex::default(),
+            links: Mutex::default(),
+            link_failed,
             changed,
         }
     }
@@ -196,7 +204,8 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if no target has capacity in time, or if the parts are blocked.
+    /// Returns an error if no target has capacity in time, if the parts are blocked, or if this host
+    /// reaches no target.
     pub async fn acquire_version(
         self: &Arc<Self>,
         pick: &Pick,
@@ -209,6 +218,9 @@
             let changed = self.changed.notified();
             tokio::pin!(changed);
             changed.as_mut().enable();
+            if self.is_stranded() {
+                return Err(AcquireError::Stranded);
+            }
             let standing = self.quarantine.standing(parts);
             match &standing {
                 Standing::Blocked { parts, remaining } => {
@@ -281,6 +293,9 @@
         versions: &VersionChoice,
         parts: &Arc<RequestParts>,
     ) -> Option<TargetLease> {
+        if self.is_stranded() {
+            return None;
+        }
         match self.decide(&self.restrict(pick, versions, &Standing::Clear)).0 {
             Decision::Send { target, lease, .. } => {
                 let mut lease = self.create_lease(&target, lease, parts)?;
--- a/crates/oleander-relay/src/pool/error.rs
+++ b/crates/oleander-relay/src/pool/error.rs
@@ -3,6 +3,9 @@
 use oleander_core::Span;
 use oleander_quarantine::PartSet;
 
+/// `Retry-After` of a host that reaches no target; callers find other hosts by then.
+const STRANDED_RETRY_AFTER: Span = Span::from_secs(1);
+
 /// Why a request gets no target.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum AcquireError {
@@ -10,6 +13,8 @@
     NoCapacity(Span),
     /// The request has parts that crash targets, and is refused for this time.
     Blocked(PartSet, Span),
+    /// This host reaches no target.
+    Stranded,
 }
 
 impl AcquireError {
@@ -18,6 +23,7 @@
     pub const fn retry_after(&self) -> Span {
         match self {
             Self::NoCapacity(after) | Self::Blocked(_, after) => *after,
+            Self::Stranded => STRANDED_RETRY_AFTER,
         }
     }
 }
--- /dev/null
+++ b/crates/oleander-relay/src/pool/links.rs
@@ -0,0 +1,52 @@
+//! Links of this host to the targets of a pool.
+
+use oleander_core::{TargetId, Time, hash};
+use oleander_host::clock;
+
+use super::Pool;
+use crate::{links::LinkChange, target_list::TargetEntry};
+
+impl Pool {
+    /// Whether this host reaches no target.
+    pub fn is_stranded(&self) -> bool {
+        self.links.lock().is_stranded()
+    }
+
+    /// Records that a target is reached.
+    pub(crate) fn record_sign(&self) {
+        self.links.lock().record_sign(clock::steady());
+    }
+
+    /// Records that a target may not be reached.
+    pub(crate) fn record_link_failure(&self) {
+        if self.links.lock().record_failure() {
+            self.link_failed.notify_one();
+        }
+    }
+
+    /// Whether new connections have to show which targets this host reaches.
+    pub(crate) fn needs_link_check(&self) -> bool {
+        let is_busy = !self.counts().is_empty();
+        !self.is_empty() && self.links.lock().needs_check(clock::steady(), is_busy)
+    }
+
+    /// The targets to which connections are tried, in another order for each `round`.
+    pub(crate) fn targets_to_check(&self, round: u64) -> Vec<TargetEntry> {
+        let targets = self.targets.read();
+        let crashed = self.crashed(&targets);
+        let sound = targets.values().filter(|target| !crashed.contains(&target.id));
+        let mut sound: Vec<TargetEntry> = sound.cloned().collect();
+        let place = |id: &TargetId| hash::hash_parts(&[id.as_str(), &round.to_string()]);
+        sound.sort_by_key(|target| place(&target.id));
+        sound
+    }
+
+    /// Records a check that began at `began`, and whether any target accepted a connection.
+    pub(crate) fn record_link_check(&self, began: Time, accepted: bool) -> Option<LinkChange> {
+        let change = self.links.lock().record_check(clock::steady(), began, accepted);
+        if change.is_some() {
+            self.changed.notify_waiters();
+        }
+        change
+    }
+}
--- a/crates/oleander-relay/src/pool/restrict.rs
+++ b/crates/oleander-relay/src/pool/restrict.rs
@@ -66,7 +66,7 @@
     }
 
     /// Targets that have crashed and may still be listed.
-    fn crashed(&self, targets: &HashMap<TargetId, TargetEntry>) -> Vec<TargetId> {
+    pub(super) fn crashed(&self, targets: &HashMap<TargetId, TargetEntry>) -> Vec<TargetId> {
         if self.quarantine.is_empty() {
             return Vec::new();
         }
--- a/crates/oleander-relay/src/pools.rs
+++ b/crates/oleander-relay/src/pools.rs
@@ -5,7 +5,7 @@
     sync::Arc,
 };
 
-use oleander_core::{HostId, ServiceId, Span, Time, ZoneId};
+use oleander_core::{HostId, ServiceId, Span, Time, ZoneId, hash};
 use oleander_host::clock;
 use oleander_quarantine::{QuarantineNews, TargetRun};
 use parking_lot::{Mutex, RwLock};
@@ -15,6 +15,7 @@
 };
 
 use crate::{
+    host::{Helper, HelperUse},
     pool::{Pool, YieldRequest},
     streams::StreamVersions,
     target_list::{TargetEntry, TargetList},
@@ -35,6 +36,11 @@
     /// Crashes that other hosts reported last.
     reports: Mutex<Vec<CrashReport>>,
     reported: Notify,
+    /// Signals that links may have to be checked.
+    link_failed: Arc<Notify>,
+    /// Signals that this host has lost its links to a service, or has them again.
+    link_changed: Notify,
+    helpers: RwLock<Vec<Helper>>,
 }
 
 /// A crash that another host reports.
@@ -51,8 +57,21 @@
         let (yields, receiver) = mpsc::unbounded_channel();
         let streams = StreamVersions::default();
         let (pools, news) = (RwLock::default(), Arc::new(Notify::new()));
-        let (reports, reported) = (Mutex::default(), Notify::new());
-        (Self { streams, host, zone, seed, yields, pools, news, reports, reported }, receiver)
+        let pools = Self {
+            streams,
+            host,
+            zone,
+            seed,
+            yields,
+            pools,
+            news,
+            reports: Mutex::default(),
+            reported: Notify::new(),
+            link_failed: Arc::default(),
+            link_changed: Notify::new(),
+            helpers: RwLock::default(),
+        };
+        (pools, receiver)
     }
 
     /// Updates the targets of all pools; existing pools keep their state.
@@ -76,7 +95,61 @@
 
     fn new_pool(&self) -> Pool {
         let (yields, news) = (self.yields.clone(), Arc::clone(&self.news));
-        Pool::new(&self.host, &self.zone, self.seed, yields, news)
+        let link_failed = Arc::clone(&self.link_failed);
+        Pool::new(&self.host, &self.zone, self.seed, yields, news, link_failed)
+    }
+
+    /// Completes when links may have to be checked.
+    pub(crate) async fn link_failed(&self) {
+        self.link_failed.notified().await;
+    }
+
+    /// Signals that this host has lost its links to a service, or has them again.
+    pub(crate) fn signal_link_change(&self) {
+        self.link_changed.notify_one();
+    }
+
+    /// Completes when this host has lost its links to a service, or has them again.
+    pub async fn link_changed(&self) {
+        self.link_changed.notified().await;
+    }
+
+    /// The services whose targets this host does not reach.
+    pub fn stranded(&self) -> Vec<ServiceId> {
+        let pools = self.pools.read();
+        let stranded = pools.iter().filter(|(_, pool)| pool.is_stranded());
+        stranded.map(|(service, _)| service.clone()).collect()
+    }
+
+    /// Whether this host reaches no target of any service.
+    pub fn is_stranded(&self) -> bool {
+        let pools = self.pools.read();
+        let mut used = pools.values().filter(|pool| !pool.is_empty()).peekable();
+        used.peek().is_some() && used.all(|pool| pool.is_stranded())
+    }
+
+    /// Replaces the hosts that reach targets; those that are known keep their requests.
+    pub fn set_helpers(&self, helpers: Vec<Helper>) {
+        let mut current = self.helpers.write();
+        let known = |helper: Helper| {
+            let known =
+                current.iter().find(|one| one.host == helper.host && one.address == helper.address);
+            known.cloned().unwrap_or(helper)
+        };
+        let helpers = helpers.into_iter().map(known).collect();
+        *current = helpers;
+    }
+
+    /// The host with the fewest requests of this one, of this data centre if equal, that is not
+    /// among `tried`; `request` decides between equal ones.
+    pub(crate) fn choose_helper(&self, tried: &[HostId], request: &str) -> Option<HelperUse> {
+        let helpers = self.helpers.read();
+        let untried = helpers.iter().filter(|helper| !tried.contains(&helper.host));
+        let order = |helper: &&Helper| {
+            let place = hash::hash_parts(&[request, helper.host.as_str()]);
+            (helper.load(), helper.zone != self.zone, place)
+        };
+        untried.min_by_key(order).cloned().map(HelperUse::new)
     }
 
     /// Applies what another host knows of crashes at the targets of a service.
--- a/crates/oleander-relay/src/relay.rs
+++ b/crates/oleander-relay/src/relay.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use oleander_core::{Span, Time};
+use oleander_core::{HostId, Span, Time};
 use oleander_host::clock;
 use oleander_quarantine::{RequestParts, Standing};
 use oleander_routing::{Pick, TicketId};
@@ -13,6 +13,7 @@
     attempt::{Attempt, AttemptOutcome, AttemptTimeouts, forward, interrupt_stalled},
     crash::{check_target, request_parts},
     events::EventReader,
+    host::{HostSink, Origin},
     lease::{TargetLease, Ticket},
     pool::{AcquireError, Pool, VersionChoice},
     pools::Pools,
@@ -79,6 +80,29 @@
         request: &Arc<Request>,
         route: &Route,
         sink: &mut S,
+    ) -> RequestSummary {
+        self.forward_from(Origin::default(), request, route, sink).await
+    }
+
+    /// Forwards a request of another host as [`forward`](Self::forward) does one of a caller; the
+    /// head says of which version the target is.
+    pub async fn forward_for_host<S: ResponseSink>(
+        &self,
+        origin: Origin,
+        request: &Arc<Request>,
+        route: &Route,
+        sink: &mut S,
+    ) -> RequestSummary {
+        metrics::counter!("helped_total").increment(1);
+        self.forward_from(origin, request, route, &mut HostSink::new(sink)).await
+    }
+
+    async fn forward_from<S: ResponseSink>(
+        &self,
+        origin: Origin,
+        request: &Arc<Request>,
+        route: &Route,
+        sink: &mut S,
     ) -> RequestSummary {
         let budget = request.budget.map_or(route.timeout, |budget| budget.min(route.timeout));
         let deadline = request.received + budget;
@@ -88,11 +112,13 @@
             request,
             route,
             deadline,
-            retry: RetryState::new(route),
+            retry: RetryState::new(route).after(origin.sent),
             events: route.is_stream().then(|| EventReader::after(request.resume_after)),
             head_sent: false,
-            version: None,
+            version: origin.version.clone(),
             current: None,
+            origin,
+            tried_hosts: Vec::new(),
             summary: RequestSummary::new(&route.name, &parts),
             parts,
         };
@@ -107,20 +133,23 @@
 }
 
 /// A request in progress.
-struct PendingRequest<'a, T> {
-    relay: &'a Relay<T>,
-    request: &'a Arc<Request>,
-    route: &'a Route,
-    deadline: Time,
-    retry: RetryState,
+pub(crate) struct PendingRequest<'a, T> {
+    pub(crate) relay: &'a Relay<T>,
+    pub(crate) request: &'a Arc<Request>,
+    pub(crate) route: &'a Route,
+    pub(crate) deadline: Time,
+    pub(crate) retry: RetryState,
     parts: Arc<RequestParts>,
-    events: Option<EventReader>,
-    head_sent: bool,
+    pub(crate) events: Option<EventReader>,
+    pub(crate) head_sent: bool,
     /// Version that began the stream; `None` before its first event.
-    version: Option<SoftwareVersion>,
-    /// Target of the attempt in progress.
-    current: Option<String>,
-    summary: RequestSummary,
+    pub(crate) version: Option<SoftwareVersion>,
+    /// Target, or other host, of the attempt in progress.
+    pub(crate) current: Option<String>,
+    pub(crate) origin: Origin,
+    /// Other hosts that have got the request.
+    pub(crate) tried_hosts: Vec<HostId>,
+    pub(crate) summary: RequestSummary,
 }
 
 impl<T: TargetTransport> PendingRequest<'_, T> {
@@ -129,7 +158,7 @@
         let Some(pool) = service.and_then(|service| self.relay.pools.get(service)) else {
             return self.retry.refuse(NO_TARGETS_RETRY_AFTER);
         };
-        if self.route.is_stream() && self.request.resume_after.is_some() {
+        if self.route.is_stream() && self.request.resume_after.is_some() && self.version.is_none() {
             tokio::select! {
                 version = self.resolve_version(&pool) => self.version = version,
                 () = sink.closed() => return NextStep::Cancelled,
@@ -140,13 +169,24 @@
         }
         let mut successor = None;
         loop {
+            if successor.is_none() && self.goes_through_host(&pool) {
+                match self.send_through_host(sink).await {
+                    NextStep::Retry => continue,
+                    NextStep::Refuse(_) | NextStep::Forward(..) if self.head_sent => {
+                        return NextStep::Abort;
+                    }
+                    step => return step,
+                }
+            }
             let (mut lease, sending) = match successor.take() {
                 Some(Successor { lease, sending }) => (lease, Some(sending)),
                 None => match self.acquire_next(&pool, sink).await {
                     Ok(lease) => (lease, None),
+                    Err(_) if self.goes_through_host(&pool) => continue,
                     Err(step) => return step,
                 },
             };
+            sink.attempt(&lease.target.version, self.retry.sent() + 1);
             let ran_before = self.retry.may_have_run();
             self.retry.begin();
             self.current = Some(lease.to_string());
@@ -215,6 +255,7 @@
                     format!("no capacity: {waiting} requests wait for {targets} targets")
                 }
                 AcquireError::Blocked(parts, _) => format!("blocked: {parts} crash targets"),
+                AcquireError::Stranded => "no target is reached".to_owned(),
             };
             self.summary.attempts.push(text);
             let retry_after = error.retry_after();
--- a/crates/oleander-relay/src/retry.rs
+++ b/crates/oleander-relay/src/retry.rs
@@ -123,6 +123,11 @@
         outcome: AttemptOutcome,
     ) -> NextStep {
         self.failed.push(target.clone());
+        self.follow(ran_before, outcome)
+    }
+
+    /// Decides what follows an attempt, also one through another host.
+    pub(crate) fn follow(&mut self, ran_before: bool, outcome: AttemptOutcome) -> NextStep {
         match outcome {
             AttemptOutcome::Complete => NextStep::Done,
             AttemptOutcome::Cancelled => NextStep::Cancelled,
@@ -165,6 +170,32 @@
         }
     }
 
+    /// Decides what follows the refusal of another host to which the request was sent.
+    pub(crate) fn end_refused(&mut self, ran_before: bool, refusal: Refusal) -> NextStep {
+        self.may_have_run = ran_before || refusal.reason != RefusalReason::NotRun;
+        if self.may_have_run {
+            return NextStep::Refuse(Refusal::new(refusal.reason.after_run()));
+        }
+        NextStep::Refuse(refusal)
+    }
+
+    /// Whether a further target may get the request.
+    pub(crate) const fn may_send(&self) -> bool {
+        self.sent < self.max_attempts
+    }
+
+    /// Records that another host had sent the request to all but the last of `sent` targets.
+    pub(crate) fn record_sent_before(&mut self, sent: u32) {
+        self.sent = self.sent.max(sent.saturating_sub(1));
+    }
+
+    /// Counts the targets to which another host has sent the request.
+    #[must_use]
+    pub(crate) const fn after(mut self, sent: u32) -> Self {
+        self.sent = sent;
+        self
+    }
+
     /// Records a target that got the request beside another one, and has not taken over.
     pub fn record_rejected(&mut self, target: &TargetId, outcome: &AttemptOutcome) {
         self.failed.push(target.clone());
--- a/crates/oleander-relay/src/sink.rs
+++ b/crates/oleander-relay/src/sink.rs
@@ -13,7 +13,7 @@
 use oleander_core::Span;
 use tokio::sync::{mpsc, oneshot};
 
-use crate::request::ResponseHead;
+use crate::{request::ResponseHead, version::SoftwareVersion};
 
 /// Chunks of a response that are queued for a caller that reads slowly.
 const MAX_QUEUED_CHUNKS: usize = 16;
@@ -68,6 +68,10 @@
 
 /// Receives a response, head first.
 pub trait ResponseSink: Send {
+    /// Receives the version of the target to which the request is sent next, and the number of
+    /// targets that it will have been sent to then.
+    fn attempt(&mut self, _version: &SoftwareVersion, _sent: u32) {}
+
     /// Receives the head.
     fn head(&mut self, head: ResponseHead);
 
--- a/crates/oleander-relay/src/takeover.rs
+++ b/crates/oleander-relay/src/takeover.rs
@@ -85,6 +85,10 @@
                 outcome = forwarding.as_mut() => return AttemptEnd::of(outcome, None),
                 () = progress.stalled(self.timeouts(), checked) => {}
             }
+            if self.pool.is_stranded() {
+                return AttemptEnd { outcome: None, successor: None };
+            }
+            self.pool.record_link_failure();
             let mark = progress.last();
             let mut candidate = None;
             let accepted = tokio::select! {
--- a/crates/oleander-relay/src/timed_sink.rs
+++ b/crates/oleander-relay/src/timed_sink.rs
@@ -7,6 +7,7 @@
 use crate::{
     request::ResponseHead,
     sink::{ResponseSink, SinkClosed},
+    version::SoftwareVersion,
 };
 
 /// Records when the response head is forwarded, also if its attempt is dropped at the deadline.
@@ -22,6 +23,10 @@
 }
 
 impl<S: ResponseSink> ResponseSink for TimedSink<'_, S> {
+    fn attempt(&mut self, version: &SoftwareVersion, sent: u32) {
+        self.sink.attempt(version, sent);
+    }
+
     fn head(&mut self, head: ResponseHead) {
         self.head_at.get_or_insert_with(clock::steady);
         self.sink.head(head);
--- a/crates/oleander-relay/src/transport.rs
+++ b/crates/oleander-relay/src/transport.rs
@@ -7,6 +7,7 @@
 use oleander_routing::{LoadReport, RequestRate};
 
 use crate::{
+    host::{HostDispatch, HostResponse},
     request::{Request, ResponseHead},
     target_list::TargetEntry,
 };
@@ -109,6 +110,14 @@
         dispatch: Dispatch,
     ) -> impl Future<Output = Result<TargetResponse<Self::Body>, SendError>> + Send;
 
+    /// Sends a request to a target through another host.
+    fn send_to_host(
+        &self,
+        _dispatch: HostDispatch,
+    ) -> impl Future<Output = Result<HostResponse<Self::Body>, SendError>> + Send {
+        async { Err(SendError::NotSent("no other hosts".to_owned())) }
+    }
+
     /// The parts of a request's prompt that other requests may share.
     fn shared_parts(&self, _request: &Request) -> Vec<PromptPart> {
         Vec::new()
--- a/crates/oleander-worklist/src/handover.rs
+++ b/crates/oleander-worklist/src/handover.rs
@@ -40,7 +40,7 @@
 
     /// Releases the loaded jobs that have no running items or pending results, or `all` loaded
     /// ones; returns whether this process still owns any of them.
-    async fn release_jobs(self: &Arc<Self>, all: bool) -> bool {
+    pub(crate) async fn release_jobs(self: &Arc<Self>, all: bool) -> bool {
         let loaded: Vec<(JobId, Arc<LoadedJob>)> = self
             .loaded
             .lock()
@@ -72,7 +72,7 @@
             Ok(Some(at)) => {
                 log::info!(job:% = id, revision = at.0; "job given away");
                 self.apply_record(at, released);
-                if let Some(next) = next_owner(id, &self.cluster.live_entry_hosts()) {
+                if let Some(next) = next_owner(id, &self.cluster.serving_hosts()) {
                     self.notify_changed(next.clone(), id.clone());
                 }
             }
--- a/crates/oleander-worklist/src/takeover.rs
+++ b/crates/oleander-worklist/src/takeover.rs
@@ -47,6 +47,10 @@
             if !self.is_ready() || self.is_draining() {
                 continue;
             }
+            if self.has_helpers_only() {
+                self.release_jobs(false).await;
+                continue;
+            }
             for (revision, record) in self.orphans() {
                 let former = record.owner.clone();
                 let taken = JobRecord { owner: Some(self.local.clone()), ..record };
@@ -69,6 +73,12 @@
         }
     }
 
+    /// Whether this host reaches no target and others do, which then run its jobs.
+    fn has_helpers_only(&self) -> bool {
+        let serving = self.cluster.serving_hosts();
+        self.relay.pools.is_stranded() && !serving.contains(&self.local.host)
+    }
+
     /// Reads a record again that may have changed; returns whether it could be read.
     pub(crate) async fn refresh(self: &Arc<Self>, job: &JobId) -> bool {
         match self.store.record(job).await {
@@ -96,7 +106,7 @@
     /// Open jobs without a running owner process that this host takes over next, up to
     /// [`MAX_TAKEOVERS`].
     fn orphans(&self) -> Vec<(Revision, JobRecord)> {
-        let live = self.cluster.live_entry_hosts();
+        let live = self.cluster.serving_hosts();
         let index = self.index.lock();
         let is_gone = |owner: &Owner| {
             let liveness = self.cluster.liveness(&owner.host, owner.started);
