Send nothing new to a target that says in a response that it is about to stop

Read for online requests, items and second requests; the run gets nothing new from this host, whatever an older list says, and what it has goes on. Another run under the same name or address is used.

--- a/crates/oleander-cluster/tests/crashes/targets.rs
+++ b/crates/oleander-cluster/tests/crashes/targets.rs
@@ -201,6 +201,7 @@
             not_run: false,
             load: None,
             rate_limit: None,
+            is_leaving: false,
             body: CrashBody::Target(body),
         })
     }
@@ -223,8 +224,14 @@
         match head.await {
             Ok(Ok(head)) => {
                 let body = CrashBody::Host(chunks);
-                let response =
-                    TargetResponse { head, not_run: false, load: None, rate_limit: None, body };
+                let response = TargetResponse {
+                    head,
+                    not_run: false,
+                    load: None,
+                    rate_limit: None,
+                    is_leaving: false,
+                    body,
+                };
                 Ok(HostResponse::Target(response))
             }
             Ok(Err(refusal)) => Ok(HostResponse::Refused(refusal)),
--- a/crates/oleander-cluster/tests/limits/targets.rs
+++ b/crates/oleander-cluster/tests/limits/targets.rs
@@ -60,7 +60,7 @@
         let rate_limit = rate_limit.filter(|_| self.is_limited(&target));
         let head = ResponseHead { status: StatusCode::OK, headers: HeaderMap::new() };
         let body = OneEvent { is_sent: false };
-        Ok(TargetResponse { head, not_run: false, load: None, rate_limit, body })
+        Ok(TargetResponse { head, not_run: false, load: None, rate_limit, is_leaving: false, body })
     }
 }
 
--- a/crates/oleander-relay/src/attempt.rs
+++ b/crates/oleander-relay/src/attempt.rs
@@ -176,6 +176,9 @@
         }
     };
     lease.record_sign();
+    if response.is_leaving {
+        lease.record_leaving();
+    }
     if let Some(load) = &response.load {
         lease.update_load(load.clone());
     }
--- a/crates/oleander-relay/src/lease.rs
+++ b/crates/oleander-relay/src/lease.rs
@@ -135,6 +135,11 @@
         self.pool.record_sign();
     }
 
+    /// Records that the target says that it is about to stop.
+    pub(crate) fn record_leaving(&self) {
+        self.pool.record_leaving(&self.target);
+    }
+
     /// Records that the target may not be reached.
     pub(crate) fn record_link_failure(&self) {
         self.pool.record_link_failure();
--- a/crates/oleander-relay/src/pool.rs
+++ b/crates/oleander-relay/src/pool.rs
@@ -1,6 +1,7 @@
 //! The targets of one service, behind the router that selects among them.
 
 mod error;
+mod leaving;
 mod limits;
 mod links;
 mod restrict;
@@ -18,6 +19,7 @@
 use tokio::sync::{Notify, mpsc::UnboundedSender};
 
 pub use self::error::AcquireError;
+use self::leaving::LeavingRuns;
 use crate::{
     lease::{TargetLease, TargetLoad},
     links::Links,
@@ -82,6 +84,8 @@
     host: HostId,
     rates: Mutex<TargetRates>,
     links: Mutex<Links>,
+    /// Runs of targets that have said that they are about to stop.
+    leaving: Mutex<LeavingRuns>,
     /// Signals that links may have to be checked.
     link_failed: Arc<Notify>,
     changed: Arc<Notify>,
@@ -114,12 +118,14 @@
             host: host.clone(),
             rates: Mutex::default(),
             links: Mutex::default(),
+            leaving: Mutex::default(),
             link_failed,
             changed,
         }
     }
 
-    pub(crate) fn set_targets(&self, entries: Vec<TargetEntry>) {
+    pub(crate) fn set_targets(&self, mut entries: Vec<TargetEntry>) {
+        self.leaving.lock().mark(clock::steady(), &mut entries);
         let mut router = self.router.lock();
         router.set_targets(entries.iter().map(limits).collect());
         for entry in &entries {
--- a/crates/oleander-relay/src/sending.rs
+++ b/crates/oleander-relay/src/sending.rs
@@ -29,8 +29,9 @@
 impl<B: ResponseBody> Peeked<B> {
     /// A response of which only the head has been read.
     pub(crate) fn unread(response: TargetResponse<B>) -> TargetResponse<Self> {
-        let TargetResponse { head, not_run, load, rate_limit, body } = response;
-        TargetResponse { head, not_run, load, rate_limit, body: Self { first: None, body } }
+        let TargetResponse { head, not_run, load, rate_limit, is_leaving, body } = response;
+        let body = Self { first: None, body };
+        TargetResponse { head, not_run, load, rate_limit, is_leaving, body }
     }
 
     /// Reads the first chunk of a successful response.
@@ -83,6 +84,11 @@
         self.wait().await
     }
 
+    /// Whether the target has said that it is about to stop.
+    pub(crate) fn is_leaving(&self) -> bool {
+        matches!(&self.result, Some(Ok(response)) if response.is_leaving)
+    }
+
     /// The outcome of a request whose response is not used.
     pub(crate) fn into_outcome(mut self) -> AttemptOutcome {
         match self.result.take() {
--- a/crates/oleander-relay/src/takeover.rs
+++ b/crates/oleander-relay/src/takeover.rs
@@ -165,6 +165,9 @@
     /// Records a target that has not taken over.
     fn reject(&mut self, candidate: Successor<T::Body>) {
         let Successor { mut lease, sending } = candidate;
+        if sending.is_leaving() {
+            lease.record_leaving();
+        }
         let outcome = sending.into_outcome();
         self.retry.record_rejected(&lease.target.id, &outcome);
         observe_outcome(&mut lease, &outcome);
--- a/crates/oleander-relay/src/transport.rs
+++ b/crates/oleander-relay/src/transport.rs
@@ -36,6 +36,8 @@
     pub load: Option<LoadReport>,
     /// Rate that the target takes from all hosts together, if it limits it.
     pub rate_limit: Option<RequestRate>,
+    /// Whether the target states that it is about to stop.
+    pub is_leaving: bool,
     /// Body.
     pub body: B,
 }
--- a/crates/oleander-relay/tests/silence.rs
+++ b/crates/oleander-relay/tests/silence.rs
@@ -203,6 +203,7 @@
             not_run: false,
             load: None,
             rate_limit: None,
+            is_leaving: false,
             body: SocketBody(stream),
         })
     }
--- a/crates/oleander-relay/tests/support/mod.rs
+++ b/crates/oleander-relay/tests/support/mod.rs
@@ -35,6 +35,8 @@
     pub status: u16,
     /// Whether it states that it has not run the request.
     pub not_run: bool,
+    /// Whether it states that it is about to stop.
+    pub is_leaving: bool,
     pub body: Vec<Part>,
     pub end: BodyEnd,
 }
@@ -63,7 +65,7 @@
 impl Step {
     fn respond(status: u16, chunks: &[&'static str], end: BodyEnd) -> Self {
         let body = chunks.iter().copied().map(Part::Chunk).collect();
-        Self { delay: Duration::ZERO, status, not_run: false, body, end }
+        Self { delay: Duration::ZERO, status, not_run: false, is_leaving: false, body, end }
     }
 
     pub fn broken(chunks: &[&'static str]) -> Self {
@@ -104,6 +106,12 @@
         step
     }
 
+    /// States that the target is about to stop.
+    pub const fn leaving(mut self) -> Self {
+        self.is_leaving = true;
+        self
+    }
+
     /// Delays the response head.
     pub const fn delayed(mut self, delay: Duration) -> Self {
         self.delay = delay;
@@ -222,7 +230,14 @@
         let status = StatusCode::from_u16(step.status).expect("status");
         let head = ResponseHead { status, headers: HeaderMap::new() };
         let body = ScriptBody { parts: step.body.into(), end: step.end, open: Some(open) };
-        Ok(TargetResponse { head, not_run: step.not_run, load: None, rate_limit: None, body })
+        Ok(TargetResponse {
+            head,
+            not_run: step.not_run,
+            load: None,
+            rate_limit: None,
+            is_leaving: step.is_leaving,
+            body,
+        })
     }
 }
 
