Remember at the platform which software versions served side by side lately

Callers who resumed a stream after a loss of all hosts could get its rest from another version than its first part: the hosts had all forgotten that a version left just before, and took the only listed one for that of the stream. While a service has targets of several versions, one host writes when each was last listed, at each change and every five seconds; a host that starts reads it, and until then takes no listed version for the only one. A write per rollout step, none without.

--- a/crates/oleander-cluster/src/lib.rs
+++ b/crates/oleander-cluster/src/lib.rs
@@ -22,6 +22,7 @@
 mod sharing;
 mod stranded;
 mod streams;
+mod versions;
 mod zone_load;
 
 pub use breaker::CircuitBreaker;
--- a/crates/oleander-cluster/tests/support/hosts.rs
+++ b/crates/oleander-cluster/tests/support/hosts.rs
@@ -119,6 +119,7 @@
             tokio::spawn(Arc::clone(&self.relay).watch_links()),
             tokio::spawn(Arc::clone(cluster).share_links()),
             tokio::spawn(Arc::clone(cluster).share_rates()),
+            tokio::spawn(Arc::clone(cluster).share_versions(platform.clone())),
             tokio::spawn(Arc::clone(cluster).ask_about_streams(pools.streams.queries())),
         ];
         if probes {
--- a/crates/oleander-relay/src/streams.rs
+++ b/crates/oleander-relay/src/streams.rs
@@ -13,7 +13,10 @@
 
 mod register;
 
-use std::{collections::BTreeSet, fmt};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    fmt,
+};
 
 use oleander_core::{ServiceId, Span, Time, hash, value};
 use oleander_host::clock;
@@ -105,6 +108,8 @@
     register: Mutex<StreamRegister>,
     queries: Mutex<Option<UnboundedSender<StreamQuery>>>,
     announced: Notify,
+    /// Signals that the list of targets has been updated.
+    listed: Notify,
 }
 
 impl StreamVersions {
@@ -186,6 +191,35 @@
     ) {
         self.register.lock().set_listed(clock::steady(), service, listed, youngest);
         self.announced.notify_one();
+        self.listed.notify_one();
+    }
+
+    /// Completes when the versions of a service may have changed.
+    pub async fn versions_changed(&self) {
+        self.listed.notified().await;
+    }
+
+    /// The services with targets of several versions, with these.
+    #[must_use]
+    pub fn mixed(&self) -> Vec<(ServiceId, BTreeSet<SoftwareVersion>)> {
+        self.register.lock().mixed()
+    }
+
+    /// Announces that versions of earlier processes will be [recalled](Self::recall); until
+    /// [`end_recall`](Self::end_recall), no listed version is taken for the only one.
+    pub fn expect_recall(&self) {
+        self.register.lock().expect_recall(true);
+    }
+
+    /// Records versions that were listed in the time of earlier processes, and how long ago they
+    /// left at the least.
+    pub fn recall(&self, service: &ServiceId, ages: BTreeMap<SoftwareVersion, Span>) {
+        self.register.lock().recall(clock::steady(), service, ages);
+    }
+
+    /// All versions of earlier processes are recalled.
+    pub fn end_recall(&self) {
+        self.register.lock().expect_recall(false);
     }
 
     pub(crate) fn confirm(&self) {
--- a/crates/oleander-relay/src/streams/register.rs
+++ b/crates/oleander-relay/src/streams/register.rs
@@ -29,6 +29,10 @@
     streams: HashMap<StreamId, Registered>,
     services: HashMap<ServiceId, ServiceVersions>,
     pending: BTreeMap<SoftwareVersion, Vec<StreamId>>,
+    /// Versions that were listed in the time of earlier processes, and when they left.
+    recalled: HashMap<ServiceId, BTreeMap<SoftwareVersion, Time>>,
+    /// Whether more of them may follow.
+    expects_recall: bool,
     expired_at: Time,
 }
 
@@ -102,13 +106,14 @@
         youngest: Span,
     ) {
         let was_settled = self.settled(now, service).is_some();
+        let recalled = &self.recalled;
         let known = self.services.entry(service.clone()).or_insert_with(|| {
             let since = Time(now.0.saturating_sub(youngest.0));
             ServiceVersions {
                 listed: listed.clone(),
                 since,
                 first: now,
-                left: BTreeMap::new(),
+                left: recalled.get(service).cloned().unwrap_or_default(),
                 confirmed: now,
                 longest: MIN_LIFETIME,
             }
@@ -127,6 +132,39 @@
         }
     }
 
+    /// The services with listed targets of several versions, with these.
+    #[must_use]
+    pub fn mixed(&self) -> Vec<(ServiceId, BTreeSet<SoftwareVersion>)> {
+        let services = self.services.iter().filter(|(_, versions)| versions.listed.len() > 1);
+        services.map(|(service, versions)| (service.clone(), versions.listed.clone())).collect()
+    }
+
+    /// Sets whether versions of earlier processes may still be recalled.
+    pub const fn expect_recall(&mut self, expected: bool) {
+        self.expects_recall = expected;
+    }
+
+    /// Records versions that were listed in the time of earlier processes, and how long ago they
+    /// left at the least.
+    pub fn recall(
+        &mut self,
+        now: Time,
+        service: &ServiceId,
+        ages: BTreeMap<SoftwareVersion, Span>,
+    ) {
+        let left: BTreeMap<SoftwareVersion, Time> = ages
+            .into_iter()
+            .map(|(version, age)| (version, Time(now.0.saturating_sub(age.0))))
+            .collect();
+        if let Some(versions) = self.services.get_mut(service) {
+            for (version, at) in &left {
+                let known = versions.left.entry(version.clone()).or_insert(*at);
+                *known = (*known).max(*at);
+            }
+        }
+        self.recalled.insert(service.clone(), left);
+    }
+
     /// Records that the lists of all services are complete.
     pub fn confirm(&mut self, now: Time) {
         self.services.values_mut().for_each(|versions| versions.confirmed = now);
@@ -242,7 +280,10 @@
         let own = versions.listed.first().filter(|_| !versions.is_mixed(now))?;
         let settled = answers.iter().any(|answer| *answer == StreamAnswer::Settled(own.clone()));
         let all_answered = !answers.contains(&StreamAnswer::Unreached);
-        let assumed = all_answered && versions.is_current(now) && versions.assumed(now).is_some();
+        let assumed = all_answered
+            && !self.expects_recall
+            && versions.is_current(now)
+            && versions.assumed(now).is_some();
         let differs = answers.iter().any(|answer| match answer {
             StreamAnswer::Mixed => true,
             StreamAnswer::Settled(version) => version != own,
