Find out whether a host reaches targets before its requests are refused

In short cuts in series 11 of 192 first tries were refused: four connections fail within a millisecond, before the check of the links has ended. A request whose connection fails waits for the check that this causes, which takes one connection if another target accepts, and goes through another host if none does.

--- a/crates/oleander-cluster/tests/crashes/main.rs
+++ b/crates/oleander-cluster/tests/crashes/main.rs
@@ -1,6 +1,7 @@
 //! Requests at several hosts, of which some have a part in their prompts that crashes targets.
 
 mod cuts;
+mod helpers;
 mod repeats;
 mod stranded;
 #[path = "../support/hosts.rs"]
--- a/crates/oleander-cluster/tests/crashes/targets.rs
+++ b/crates/oleander-cluster/tests/crashes/targets.rs
@@ -109,6 +109,11 @@
         receiver
     }
 
+    /// Ends a host for the requests of others, with those that it has.
+    pub(crate) fn lose_helper(&self, address: SocketAddr) {
+        self.helpers.lock().remove(&address);
+    }
+
     /// Cuts a host off from all targets, or ends its cut.
     pub(crate) fn set_cut(&self, host: usize, cut: Option<Cut>) {
         self.cuts.send_modify(|cuts| match cut {
--- a/crates/oleander-cluster/tests/crashes/traffic.rs
+++ b/crates/oleander-cluster/tests/crashes/traffic.rs
@@ -39,6 +39,7 @@
     pub(crate) at: Instant,
     /// The host that got it.
     pub(crate) host: usize,
+    pub(crate) took: Duration,
     pub(crate) is_bad: bool,
     pub(crate) is_repeat: bool,
     pub(crate) is_whole: bool,
@@ -245,7 +246,7 @@
         let is_lost = summary.interrupted
             || summary.refusal.is_some_and(|one| one.reason == RefusalReason::ResponseLost);
         let is_repeat = !served.is_empty();
-        served.push(Served { at, host, is_bad, is_repeat, is_whole, summary });
+        served.push(Served { at, host, took: at.elapsed(), is_bad, is_repeat, is_whole, summary });
         if !is_lost {
             break;
         }
--- a/crates/oleander-relay/src/links.rs
+++ b/crates/oleander-relay/src/links.rs
@@ -10,6 +10,8 @@
 
 /// Time between two checks of a host that is or may be stranded.
 const CHECK_INTERVAL: Span = Span::from_millis(200);
+/// The same after a request has failed, which waits for the result.
+const FAILURE_INTERVAL: Span = Span::from_millis(50);
 /// Time without output of any target after which a host with requests at targets checks its links.
 const BUSY_SILENCE: Span = Span::from_millis(300);
 /// The same for a host without requests at targets.
@@ -46,6 +48,12 @@
         self.stranded.is_some()
     }
 
+    /// Whether a request has failed since the last check.
+    #[must_use]
+    pub const fn is_suspected(&self) -> bool {
+        self.is_suspected
+    }
+
     /// Records output of a target.
     pub const fn record_sign(&mut self, now: Time) {
         self.sign = Some(now);
@@ -60,7 +68,9 @@
     /// Whether new connections have to show which targets this host reaches.
     #[must_use]
     pub fn needs_check(&self, now: Time, is_busy: bool) -> bool {
-        if self.checked.is_some_and(|checked| now.since(checked) < CHECK_INTERVAL) {
+        let has_failed = self.is_suspected && !self.is_stranded();
+        let interval = if has_failed { FAILURE_INTERVAL } else { CHECK_INTERVAL };
+        if self.checked.is_some_and(|checked| now.since(checked) < interval) {
             return false;
         }
         let limit = if is_busy { BUSY_SILENCE } else { IDLE_SILENCE };
--- a/crates/oleander-relay/src/pool.rs
+++ b/crates/oleander-relay/src/pool.rs
@@ -84,6 +84,8 @@
     host: HostId,
     rates: Mutex<TargetRates>,
     links: Mutex<Links>,
+    /// Signals that links have been checked.
+    links_checked: Notify,
     /// Runs of targets that have said that they are about to stop.
     leaving: Mutex<LeavingRuns>,
     /// Signals that links may have to be checked.
@@ -118,6 +120,7 @@
             host: host.clone(),
             rates: Mutex::default(),
             links: Mutex::default(),
+            links_checked: Notify::new(),
             leaving: Mutex::default(),
             link_failed,
             changed,
--- a/crates/oleander-relay/src/pool/links.rs
+++ b/crates/oleander-relay/src/pool/links.rs
@@ -1,11 +1,18 @@
 //! Links of this host to the targets of a pool.
 
+use std::time::Duration;
+
 use oleander_core::{TargetId, Time, hash};
 use oleander_host::clock;
 
+use tokio::time;
+
 use super::Pool;
 use crate::{links::LinkChange, target_list::TargetEntry};
 
+/// Maximum wait for a check: two rounds of connections that hang.
+const MAX_CHECK_TIME: Duration = Duration::from_millis(450);
+
 impl Pool {
     /// Whether this host reaches no target.
     pub fn is_stranded(&self) -> bool {
@@ -24,6 +31,21 @@
         }
     }
 
+    /// Waits until a check has shown whether failed requests are due to the links of this host.
+    pub(crate) async fn settle_links(&self) {
+        let settled = async {
+            loop {
+                let checked = self.links_checked.notified();
+                if !self.links.lock().is_suspected() {
+                    return;
+                }
+                checked.await;
+            }
+        };
+        // A check that takes longer, or that nobody makes, says nothing.
+        let _ = time::timeout(MAX_CHECK_TIME, settled).await;
+    }
+
     /// Whether new connections have to show which targets this host reaches.
     pub(crate) fn needs_link_check(&self) -> bool {
         let is_busy = !self.counts().is_empty();
@@ -44,6 +66,7 @@
     /// Records a check that began at `began`, and whether any target accepted a connection.
     pub(crate) fn record_link_check(&self, began: Time, accepted: bool) -> Option<LinkChange> {
         let change = self.links.lock().record_check(clock::steady(), began, accepted);
+        self.links_checked.notify_waiters();
         if change.is_some() {
             self.changed.notify_waiters();
         }
--- a/crates/oleander-relay/src/relay.rs
+++ b/crates/oleander-relay/src/relay.rs
@@ -196,8 +196,13 @@
             self.record_attempt(&lease, &outcome);
             let has_begun =
                 lease.has_output || !matches!(outcome, AttemptOutcome::Interrupted { .. });
+            let is_unreached = matches!(outcome, AttemptOutcome::NotSent(_));
             check_target(&self.relay.transport, lease).await;
+            if is_unreached && !self.origin.is_forwarded {
+                pool.settle_links().await;
+            }
             match self.retry.end(&target, ran_before, outcome) {
+                NextStep::Refuse(_) if is_unreached && self.goes_through_host(&pool) => {}
                 NextStep::Retry if !has_begun && next.is_none() && self.crashes_targets(&pool) => {
                     return self.give_up();
                 }
