--- a/crates/oleander-cluster/src/cluster.rs
+++ b/crates/oleander-cluster/src/cluster.rs
@@ -26,10 +26,10 @@
 pub use self::hosts::Liveness;
 pub(crate) use self::hosts::PossiblePeer;
 use crate::{
+    disconnected::DisconnectedHosts,
     failover::FailoverStore,
     message::{PeerRequest, PeerResponse},
     record::{HostRecord, PREFIX},
-    stranded::StrandedHosts,
     zone_load::ZoneLoad,
 };
 
@@ -69,7 +69,7 @@
     pub(crate) direct_until: Mutex<Time>,
     records: RwLock<BTreeMap<HostId, HostRecord>>,
     leaving: AtomicBool,
-    pub(crate) stranded: Mutex<StrandedHosts>,
+    pub(crate) disconnected: Mutex<DisconnectedHosts>,
 }
 
 impl Cluster {
@@ -92,7 +92,7 @@
             direct_until: Mutex::new(Time(0)),
             records: RwLock::default(),
             leaving: AtomicBool::new(false),
-            stranded: Mutex::default(),
+            disconnected: Mutex::default(),
             pools,
             local,
         })
@@ -136,8 +136,8 @@
                         cluster.pools.streams.merge(announced);
                         PeerResponse::Noted
                     }
-                    PeerRequest::Stranded(services) => {
-                        cluster.receive_stranded(&peer, services);
+                    PeerRequest::Disconnected(services) => {
+                        cluster.receive_disconnected(&peer, services);
                         PeerResponse::Noted
                     }
                     PeerRequest::Quarantine(news) => {
--- a/crates/oleander-cluster/src/cluster/hosts.rs
+++ b/crates/oleander-cluster/src/cluster/hosts.rs
@@ -56,7 +56,7 @@
     /// The state of a host for callers: one that reaches no targets is left out while there are others.
     fn state_for_callers(&self, host: &HostId, state: MemberState) -> MemberState {
         match state {
-            MemberState::Live | MemberState::Candidate if self.is_stranded(host) => {
+            MemberState::Live | MemberState::Candidate if self.is_disconnected(host) => {
                 MemberState::Suspect
             }
             state => state,
--- a/crates/oleander-cluster/src/stranded.rs
+++ b/crates/oleander-cluster/src/disconnected.rs
@@ -18,20 +18,20 @@
     record::HostRecord,
 };
 
-/// Interval at which a stranded host repeats that it is.
+/// Interval at which a disconnected host repeats that it is.
 const REPEAT_INTERVAL: Duration = Duration::from_millis(500);
-/// Time for which it counts as stranded after it has said so.
+/// Time for which it counts as disconnected after it has said so.
 const TTL: Span = Span::from_millis(1_600);
 /// Offset from the port of a host's link to that for the requests of other hosts' callers.
 const FORWARD_PORT_OFFSET: u16 = 2;
 
 /// Hosts that reach no targets of some services.
 #[derive(Debug, Default)]
-pub(crate) struct StrandedHosts {
+pub(crate) struct DisconnectedHosts {
     hosts: HashMap<HostId, (Time, Vec<ServiceId>)>,
 }
 
-impl StrandedHosts {
+impl DisconnectedHosts {
     /// Records what a host says; returns whether that is new.
     fn record(&mut self, now: Time, host: &HostId, services: Vec<ServiceId>) -> bool {
         if services.is_empty() {
@@ -64,9 +64,9 @@
                 () = self.pools.link_changed() => true,
                 _ = repeat.tick() => false,
             };
-            let stranded = self.pools.stranded();
-            if is_change || !stranded.is_empty() {
-                self.tell_all(&PeerRequest::Stranded(stranded));
+            let disconnected = self.pools.disconnected();
+            if is_change || !disconnected.is_empty() {
+                self.tell_all(&PeerRequest::Disconnected(disconnected));
                 self.choose_helpers();
             }
         }
@@ -79,9 +79,9 @@
         }
     }
 
-    pub(crate) fn receive_stranded(&self, host: &HostId, services: Vec<ServiceId>) {
+    pub(crate) fn receive_disconnected(&self, host: &HostId, services: Vec<ServiceId>) {
         log::debug!(host:% = host, services:? = services; "links of another host");
-        let is_new = self.stranded.lock().record(clock::steady(), host, services.clone());
+        let is_new = self.disconnected.lock().record(clock::steady(), host, services.clone());
         if is_new {
             log::info!(host:% = host, services:? = services; "another host has told which targets it does not reach");
             self.choose_helpers();
@@ -89,11 +89,11 @@
     }
 
     /// Whether a host reaches no target, as far as known.
-    pub(crate) fn is_stranded(&self, host: &HostId) -> bool {
+    pub(crate) fn is_disconnected(&self, host: &HostId) -> bool {
         if *host == self.local.host {
-            return self.pools.is_stranded();
+            return self.pools.is_disconnected();
         }
-        self.stranded.lock().contains(clock::steady(), host)
+        self.disconnected.lock().contains(clock::steady(), host)
     }
 
     /// The [`live_entry_hosts`](Self::live_entry_hosts) that reach targets; all of them if none does.
@@ -101,7 +101,7 @@
     pub fn serving_hosts(&self) -> Vec<HostId> {
         let live = self.live_entry_hosts();
         let serving: Vec<HostId> =
-            live.iter().filter(|host| !self.is_stranded(host)).cloned().collect();
+            live.iter().filter(|host| !self.is_disconnected(host)).cloned().collect();
         if serving.is_empty() { live } else { serving }
     }
 
@@ -111,7 +111,7 @@
         let entries = live.filter(|view| view.profile.role == MemberRole::Entry);
         let profiles: Vec<_> = entries.map(|view| view.profile).collect();
         drop(members);
-        let helpers = profiles.into_iter().filter(|profile| !self.is_stranded(&profile.host));
+        let helpers = profiles.into_iter().filter(|profile| !self.is_disconnected(&profile.host));
         let helpers = helpers.map(|profile| {
             Helper::new(profile.host, profile.zone, forward_address(profile.address))
         });
--- a/crates/oleander-cluster/src/message.rs
+++ b/crates/oleander-cluster/src/message.rs
@@ -67,7 +67,7 @@
     /// Rates that targets name, as far as the sender knows.
     Rates(Vec<ServiceRates>),
     /// Services whose targets the sender does not reach.
-    Stranded(Vec<ServiceId>),
+    Disconnected(Vec<ServiceId>),
 }
 
 /// The response to a request; `A` is the application's response type.
--- a/crates/oleander-cluster/tests/crashes/main.rs
+++ b/crates/oleander-cluster/tests/crashes/main.rs
@@ -1,9 +1,9 @@
 //! Requests at several hosts, of which some have a part in their prompts that crashes targets.
 
 mod cuts;
+mod disconnected;
 mod helpers;
 mod repeats;
-mod stranded;
 #[path = "../support/hosts.rs"]
 mod support;
 mod targets;
--- a/crates/oleander-relay/src/forwarding.rs
+++ b/crates/oleander-relay/src/forwarding.rs
@@ -40,7 +40,7 @@
 impl<T: TargetTransport> PendingRequest<'_, T> {
     /// Whether the request goes through another host.
     pub(crate) fn goes_through_host(&self, pool: &Pool) -> bool {
-        !self.origin.is_forwarded && pool.is_stranded()
+        !self.origin.is_forwarded && pool.is_disconnected()
     }
 
     /// Sends the request through another host; returns what follows.
@@ -58,7 +58,7 @@
         self.current = Some(format!("through {host}"));
         let outcome = self.attempt_at_host(&mut helper, sink).await;
         self.current = None;
-        metrics::counter!("forwarded_total").increment(1);
+        metrics::counter!("requests_forwarded_total").increment(1);
         match outcome {
             HostOutcome::Refused(refusal) => {
                 self.summary.attempts.push(format!("through {host}: {}", refusal.reason));
--- a/crates/oleander-relay/src/host.rs
+++ b/crates/oleander-relay/src/host.rs
@@ -1,6 +1,6 @@
 //! Requests that go to targets through another host.
 //!
-//! A host that is stranded sends a request to a host that reaches targets, which decides on it like
+//! A host that is disconnected sends a request to a host that reaches targets, which decides on it like
 //! on one of its own callers: routes, limits, blocks and leaving targets are those that it knows.
 //! There is one hop at most. Both hosts share the time and the targets that the request may use, and
 //! the outcome says truthfully whether the request may have run.
--- a/crates/oleander-relay/src/link_check.rs
+++ b/crates/oleander-relay/src/link_check.rs
@@ -18,7 +18,7 @@
 const LOOK_INTERVAL: Duration = Duration::from_millis(50);
 /// Targets to which connections are tried at once.
 const TRIED_TARGETS: usize = 3;
-/// Rounds of connections, each to other targets, after which a host is stranded.
+/// Rounds of connections, each to other targets, after which a host is disconnected.
 const ROUNDS: usize = 2;
 
 impl<T: TargetTransport> Relay<T> {
@@ -54,9 +54,9 @@
         accepted = accepted || accepts_any(&relay, some).await;
     }
     match pool.record_link_check(began, accepted) {
-        Some(LinkChange::Stranded) => {
+        Some(LinkChange::Disconnected) => {
             log::warn!(service:% = service, targets = targets.len(); "no target is reached");
-            metrics::counter!("stranded_total").increment(1);
+            metrics::counter!("links_lost_total").increment(1);
         }
         Some(LinkChange::Returned(span)) => {
             log::info!(service:% = service, after_ms = span.as_millis(); "targets are reached again");
--- a/crates/oleander-relay/src/links.rs
+++ b/crates/oleander-relay/src/links.rs
@@ -2,13 +2,13 @@
 //!
 //! A silent target, a silent service and a host without links look alike from one failed request. So
 //! a failure, or no sign of any target for a while, only leads to a check: new connections to
-//! several targets at once. A host that none of them accepts is stranded, and its requests go
+//! several targets at once. A host that none of them accepts is disconnected, and its requests go
 //! through other hosts; it is so no more once targets have accepted in two checks in sequence, so
 //! that short cuts in series don't make it change sides each time.
 
 use oleander_core::{Span, Time};
 
-/// Time between two checks of a host that is or may be stranded.
+/// Time between two checks of a host that is or may be disconnected.
 const CHECK_INTERVAL: Span = Span::from_millis(200);
 /// The same after a request has failed, which waits for the result.
 const FAILURE_INTERVAL: Span = Span::from_millis(50);
@@ -16,14 +16,14 @@
 const BUSY_SILENCE: Span = Span::from_millis(300);
 /// The same for a host without requests at targets.
 const IDLE_SILENCE: Span = Span::from_millis(1_000);
-/// Checks in sequence with an accepted connection after which a host is not stranded any more.
+/// Checks in sequence with an accepted connection after which a host is not disconnected any more.
 const RETURN_CHECKS: u32 = 2;
 
 /// What became of the links of a host.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum LinkChange {
     /// The host reaches no target any more.
-    Stranded,
+    Disconnected,
     /// The host reaches targets again, after this time.
     Returned(Span),
 }
@@ -36,7 +36,7 @@
     /// Whether a request has failed since the last check.
     is_suspected: bool,
     checked: Option<Time>,
-    stranded: Option<Time>,
+    disconnected: Option<Time>,
     /// Checks in sequence with an accepted connection.
     accepted: u32,
 }
@@ -44,8 +44,8 @@
 impl Links {
     /// Whether this host reaches no target.
     #[must_use]
-    pub const fn is_stranded(&self) -> bool {
-        self.stranded.is_some()
+    pub const fn is_disconnected(&self) -> bool {
+        self.disconnected.is_some()
     }
 
     /// Whether a request has failed since the last check.
@@ -68,14 +68,14 @@
     /// Whether new connections have to show which targets this host reaches.
     #[must_use]
     pub fn needs_check(&self, now: Time, is_busy: bool) -> bool {
-        let has_failed = self.is_suspected && !self.is_stranded();
+        let has_failed = self.is_suspected && !self.is_disconnected();
         let interval = if has_failed { FAILURE_INTERVAL } else { CHECK_INTERVAL };
         if self.checked.is_some_and(|checked| now.since(checked) < interval) {
             return false;
         }
         let limit = if is_busy { BUSY_SILENCE } else { IDLE_SILENCE };
         let is_silent = self.sign.is_none_or(|sign| now.since(sign) >= limit);
-        self.is_suspected || self.is_stranded() || is_silent
+        self.is_suspected || self.is_disconnected() || is_silent
     }
 
     /// Records a check that began at `began`, and whether any target accepted a connection.
@@ -84,14 +84,15 @@
         self.is_suspected = false;
         if !accepted {
             self.accepted = 0;
-            let was_stranded = self.stranded.replace(self.stranded.unwrap_or(now)).is_some();
-            return (!was_stranded).then_some(LinkChange::Stranded);
+            let was_disconnected =
+                self.disconnected.replace(self.disconnected.unwrap_or(now)).is_some();
+            return (!was_disconnected).then_some(LinkChange::Disconnected);
         }
         self.sign = Some(now);
         self.accepted += 1;
         if self.accepted < RETURN_CHECKS {
             return None;
         }
-        self.stranded.take().map(|since| LinkChange::Returned(now.since(since)))
+        self.disconnected.take().map(|since| LinkChange::Returned(now.since(since)))
     }
 }
--- a/crates/oleander-relay/src/pool.rs
+++ b/crates/oleander-relay/src/pool.rs
@@ -227,8 +227,8 @@
             let changed = self.changed.notified();
             tokio::pin!(changed);
             changed.as_mut().enable();
-            if self.is_stranded() {
-                return Err(AcquireError::Stranded);
+            if self.is_disconnected() {
+                return Err(AcquireError::Disconnected);
             }
             let standing = self.quarantine.standing(parts);
             match &standing {
@@ -302,7 +302,7 @@
         versions: &VersionChoice,
         parts: &Arc<RequestParts>,
     ) -> Option<TargetLease> {
-        if self.is_stranded() {
+        if self.is_disconnected() {
             return None;
         }
         match self.decide(&self.restrict(pick, versions, &Standing::Clear)).0 {
--- a/crates/oleander-relay/src/pool/error.rs
+++ b/crates/oleander-relay/src/pool/error.rs
@@ -4,7 +4,7 @@
 use oleander_quarantine::PartSet;
 
 /// `Retry-After` of a host that reaches no target; callers find other hosts by then.
-const STRANDED_RETRY_AFTER: Span = Span::from_secs(1);
+const DISCONNECTED_RETRY_AFTER: Span = Span::from_secs(1);
 
 /// Why a request gets no target.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -14,7 +14,7 @@
     /// The request has parts that crash targets, and is refused for this time.
     Blocked(PartSet, Span),
     /// This host reaches no target.
-    Stranded,
+    Disconnected,
 }
 
 impl AcquireError {
@@ -23,7 +23,7 @@
     pub const fn retry_after(&self) -> Span {
         match self {
             Self::NoCapacity(after) | Self::Blocked(_, after) => *after,
-            Self::Stranded => STRANDED_RETRY_AFTER,
+            Self::Disconnected => DISCONNECTED_RETRY_AFTER,
         }
     }
 }
--- a/crates/oleander-relay/src/pool/links.rs
+++ b/crates/oleander-relay/src/pool/links.rs
@@ -15,8 +15,8 @@
 
 impl Pool {
     /// Whether this host reaches no target.
-    pub fn is_stranded(&self) -> bool {
-        self.links.lock().is_stranded()
+    pub fn is_disconnected(&self) -> bool {
+        self.links.lock().is_disconnected()
     }
 
     /// Records that a target is reached.
--- a/crates/oleander-relay/src/pools.rs
+++ b/crates/oleander-relay/src/pools.rs
@@ -115,17 +115,17 @@
     }
 
     /// The services whose targets this host does not reach.
-    pub fn stranded(&self) -> Vec<ServiceId> {
+    pub fn disconnected(&self) -> Vec<ServiceId> {
         let pools = self.pools.read();
-        let stranded = pools.iter().filter(|(_, pool)| pool.is_stranded());
-        stranded.map(|(service, _)| service.clone()).collect()
+        let disconnected = pools.iter().filter(|(_, pool)| pool.is_disconnected());
+        disconnected.map(|(service, _)| service.clone()).collect()
     }
 
     /// Whether this host reaches no target of any service.
-    pub fn is_stranded(&self) -> bool {
+    pub fn is_disconnected(&self) -> bool {
         let pools = self.pools.read();
         let mut used = pools.values().filter(|pool| !pool.is_empty()).peekable();
-        used.peek().is_some() && used.all(|pool| pool.is_stranded())
+        used.peek().is_some() && used.all(|pool| pool.is_disconnected())
     }
 
     /// Replaces the hosts that reach targets; those that are known keep their requests.
--- a/crates/oleander-relay/src/relay.rs
+++ b/crates/oleander-relay/src/relay.rs
@@ -93,7 +93,7 @@
         route: &Route,
         sink: &mut S,
     ) -> RequestSummary {
-        metrics::counter!("helped_total").increment(1);
+        metrics::counter!("requests_of_hosts_total").increment(1);
         self.forward_from(origin, request, route, &mut HostSink::new(sink)).await
     }
 
@@ -260,7 +260,7 @@
                     format!("no capacity: {waiting} requests wait for {targets} targets")
                 }
                 AcquireError::Blocked(parts, _) => format!("blocked: {parts} crash targets"),
-                AcquireError::Stranded => "no target is reached".to_owned(),
+                AcquireError::Disconnected => "no target is reached".to_owned(),
             };
             self.summary.attempts.push(text);
             let retry_after = error.retry_after();
--- a/crates/oleander-relay/src/takeover.rs
+++ b/crates/oleander-relay/src/takeover.rs
@@ -85,7 +85,7 @@
                 outcome = forwarding.as_mut() => return AttemptEnd::of(outcome, None),
                 () = progress.stalled(self.timeouts(), checked) => {}
             }
-            if self.pool.is_stranded() {
+            if self.pool.is_disconnected() {
                 return AttemptEnd { outcome: None, successor: None };
             }
             self.pool.record_link_failure();
--- a/crates/oleander-worklist/src/runner.rs
+++ b/crates/oleander-worklist/src/runner.rs
@@ -73,7 +73,7 @@
     /// Starts as many items as possible, those of the job that is due first before all others;
     /// returns whether any job had waiting items.
     fn start_items(self: &Arc<Self>) -> bool {
-        if self.is_draining() || self.relay.pools.is_stranded() {
+        if self.is_draining() || self.relay.pools.is_disconnected() {
             return false;
         }
         let mut jobs: Vec<Arc<LoadedJob>> = self.loaded.lock().values().cloned().collect();
--- a/crates/oleander-worklist/src/takeover.rs
+++ b/crates/oleander-worklist/src/takeover.rs
@@ -76,7 +76,7 @@
     /// Whether this host reaches no target and others do, which then run its jobs.
     fn has_helpers_only(&self) -> bool {
         let serving = self.cluster.serving_hosts();
-        self.relay.pools.is_stranded() && !serving.contains(&self.local.host)
+        self.relay.pools.is_disconnected() && !serving.contains(&self.local.host)
     }
 
     /// Reads a record again that may have changed; returns whether it could be read.
