Keep the jobs of a host without links to targets if no other host is known

Found by reading beside its test, which covers that such a host gives its jobs away: before the list of hosts is read, none is known, and the jobs were given to nobody. The test of the second case failed before: no owner was left.

--- a/crates/oleander-worklist/src/takeover.rs
+++ b/crates/oleander-worklist/src/takeover.rs
@@ -47,7 +47,7 @@
             if !self.is_ready() || self.is_draining() {
                 continue;
             }
-            if self.has_helpers_only() {
+            if self.is_served_by_others() {
                 self.release_jobs(false).await;
                 continue;
             }
@@ -74,9 +74,10 @@
     }
 
     /// Whether this host reaches no target and others do, which then run its jobs.
-    fn has_helpers_only(&self) -> bool {
+    fn is_served_by_others(&self) -> bool {
         let serving = self.cluster.serving_hosts();
-        self.relay.pools.is_disconnected() && !serving.contains(&self.local.host)
+        let others_serve = !serving.is_empty() && !serving.contains(&self.local.host);
+        self.relay.pools.is_disconnected() && others_serve
     }
 
     /// Reads a record again that may have changed; returns whether it could be read.
--- a/crates/oleander-worklist/tests/manager/fixture.rs
+++ b/crates/oleander-worklist/tests/manager/fixture.rs
@@ -19,8 +19,9 @@
     Changes, Created, Listing, MemoryPlatform, Object, ObjectStore, Page, PlatformError, Updated,
 };
 use oleander_relay::{
-    BodyError, Dispatch, Pools, Relay, ResponseBody, ResponseHead, RetryPolicy, Route, RouteKind,
-    RouteTable, SendError, TargetEntry, TargetList, TargetResponse, TargetTransport, TrafficShare,
+    BodyError, Dispatch, Pools, Reach, Relay, ResponseBody, ResponseHead, RetryPolicy, Route,
+    RouteKind, RouteTable, SendError, TargetEntry, TargetList, TargetResponse, TargetTransport,
+    TrafficShare,
 };
 use oleander_worklist::{JobManager, JobManagerConfig, NewItem, Submission};
 
@@ -106,6 +107,8 @@
 pub(crate) struct EchoTargets {
     pub(crate) requests: AtomicUsize,
     paused: Arc<AtomicBool>,
+    /// Whether the host has lost its links to them.
+    pub(crate) unreachable: AtomicBool,
 }
 
 impl EchoTargets {
@@ -132,7 +135,14 @@
 impl TargetTransport for EchoTargets {
     type Body = OneEventBody;
 
+    async fn connect(&self, _: &TargetEntry) -> Reach {
+        if self.unreachable.load(Ordering::Relaxed) { Reach::Refused } else { Reach::Accepted }
+    }
+
     async fn send(&self, dispatch: Dispatch) -> Result<TargetResponse<OneEventBody>, SendError> {
+        if self.unreachable.load(Ordering::Relaxed) {
+            return Err(SendError::Refused("connection refused".to_owned()));
+        }
         self.requests.fetch_add(1, Ordering::Relaxed);
         let head = ResponseHead { status: StatusCode::OK, headers: HeaderMap::new() };
         let event = format!("id: 1\ndata: done {}\n\n", dispatch.request.id);
@@ -193,6 +203,24 @@
     (manager, targets)
 }
 
+/// Lists an entry host that the others may reach.
+pub(crate) async fn list_host(store: &MemoryPlatform, name: &str) {
+    let record = record_of(name);
+    let body = Bytes::from(serde_json::to_vec(&record).expect("encodable"));
+    drop(store.create(&format!("hosts/{name}"), body).await);
+}
+
+fn record_of(name: &str) -> HostRecord {
+    HostRecord {
+        host: host(name),
+        zone: zone(),
+        role: MemberRole::Entry,
+        link: ([127, 0, 0, 1], 2).into(),
+        callers: None,
+        started: Time(7),
+    }
+}
+
 pub(crate) fn start_manager(
     name: &str,
     store: SlowStore,
@@ -214,18 +242,13 @@
     let targets = Arc::new(EchoTargets::default());
     let relay = Arc::new(Relay::new(Arc::clone(&pools), Arc::clone(&targets)));
     relay.set_table(RouteTable::new(1, vec![route()]));
-    let local = HostRecord {
-        host: host(name),
-        zone: zone(),
-        role: MemberRole::Entry,
-        link: ([127, 0, 0, 1], 2).into(),
-        callers: None,
-        started: Time(7),
-    };
+    let local = record_of(name);
     let key = LinkKey::from_secret(b"a secret of the tests").expect("long enough");
     let cluster = Cluster::new(local, key, Arc::clone(&pools));
     let id_header = HeaderName::from_static("x-id");
     let config = JobManagerConfig { id_header, object_bytes: 1 << 20, loaded_bytes: 1 << 20 };
+    tokio::spawn(Arc::clone(&relay).watch_links());
+    tokio::spawn(Arc::clone(&cluster).follow_records(store.clone()));
     let manager = JobManager::new(config, store, relay, cluster);
     tokio::spawn(Arc::clone(&manager).follow_jobs());
     tokio::spawn(Arc::clone(&manager).dispatch());
--- a/crates/oleander-worklist/tests/manager/main.rs
+++ b/crates/oleander-worklist/tests/manager/main.rs
@@ -16,8 +16,9 @@
 };
 
 use fixture::{
-    CALL_LATENCY, CREATE_LATENCY, EchoTargets, SlowStore, host, job, manager, manager_and_targets,
-    route, start_manager, submission, submission_of, wait_for_results, wait_until_ready,
+    CALL_LATENCY, CREATE_LATENCY, EchoTargets, SlowStore, host, job, list_host, manager,
+    manager_and_targets, route, start_manager, submission, submission_of, wait_for_results,
+    wait_until_ready,
 };
 
 #[tokio::test]
@@ -230,3 +231,29 @@
     assert_eq!(completed.count(), 3, "{:?}", read.results);
     assert_eq!(targets.requests.load(Ordering::Relaxed), 3, "each item is sent once");
 }
+
+/// The owner of the job after a host without links to targets has had time to give it away.
+async fn owner_at_a_host_without_targets(hosts: &[&str]) -> Option<Owner> {
+    let store = MemoryPlatform::new();
+    for host in hosts {
+        list_host(&store, host).await;
+    }
+    let (manager, targets, pools) = start_manager("entry-1", SlowStore::new(store.clone()));
+    tokio::spawn(Arc::clone(&manager).take_over());
+    targets.unreachable.store(true, Ordering::Relaxed);
+    wait_until_ready(&manager).await;
+    while !pools.is_disconnected() {
+        tokio::time::sleep(CALL_LATENCY).await;
+    }
+    assert_eq!(manager.submit(submission(10), &route()).await, Ok(()));
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    assert_eq!(targets.requests.load(Ordering::Relaxed), 0, "no item is sent");
+    let (_, record) = JobStore::new(store).record(&job()).await.expect("up").expect("accepted");
+    record.owner
+}
+
+#[tokio::test]
+async fn a_host_without_links_to_targets_gives_its_jobs_to_hosts_that_have_them() {
+    assert_eq!(owner_at_a_host_without_targets(&["entry-1", "entry-2"]).await, None);
+    assert!(owner_at_a_host_without_targets(&["entry-1"]).await.is_some(), "nobody else runs it");
+}
