--- a/crates/oleander-cluster/tests/crashes/targets.rs
+++ b/crates/oleander-cluster/tests/crashes/targets.rs
@@ -201,14 +201,7 @@
         let next = dispatch.resume_after.unwrap_or(0) + 1;
         let body = TargetBody { targets: self.clone(), target, is_bad, running, next, sent: 0 };
         let head = ResponseHead { status: StatusCode::OK, headers: HeaderMap::new() };
-        Ok(TargetResponse {
-            head,
-            not_run: false,
-            load: None,
-            rate_limit: None,
-            is_leaving: false,
-            body: CrashBody::Target(body),
-        })
+        Ok(TargetResponse::new(head, CrashBody::Target(body)))
     }
 
     async fn send_to_host(
@@ -229,14 +222,7 @@
         match head.await {
             Ok(Ok(head)) => {
                 let body = CrashBody::Host(chunks);
-                let response = TargetResponse {
-                    head,
-                    not_run: false,
-                    load: None,
-                    rate_limit: None,
-                    is_leaving: false,
-                    body,
-                };
+                let response = TargetResponse::new(head, body);
                 Ok(HostResponse::Target(response))
             }
             Ok(Err(refusal)) => Ok(HostResponse::Refused(refusal)),
--- a/crates/oleander-cluster/tests/streams/hosts.rs
+++ b/crates/oleander-cluster/tests/streams/hosts.rs
@@ -58,14 +58,7 @@
         let end = if dispatch.resume_after.is_some() { EVENTS } else { LAST_BEFORE };
         let next = dispatch.resume_after.unwrap_or(0) + 1;
         let body = VersionBody { version: dispatch.target.version.to_string(), next, end };
-        Ok(TargetResponse {
-            head,
-            not_run: false,
-            load: None,
-            rate_limit: None,
-            is_leaving: false,
-            body,
-        })
+        Ok(TargetResponse::new(head, body))
     }
 }
 
--- a/crates/oleander-relay/src/pool.rs
+++ b/crates/oleander-relay/src/pool.rs
@@ -1,5 +1,6 @@
 //! The targets of one service, behind the router that selects among them.
 
+mod acquire;
 mod error;
 mod leaving;
 mod limits;
@@ -10,7 +11,7 @@
 
 use oleander_core::{HostId, Span, TargetId, Time, ZoneId};
 use oleander_host::clock;
-use oleander_quarantine::{RequestParts, Standing, TargetRun};
+use oleander_quarantine::{RequestParts, TargetRun};
 use oleander_routing::{
     BatchExcess, Class, Decision, LeaseId, LoadReport, Observation, PeerCount, Pick, Router,
     RouterConfig, Target, TicketId, preferred_targets,
@@ -23,7 +24,7 @@
 use crate::{
     lease::{TargetLease, TargetLoad},
     links::Links,
-    quarantine::{SharedQuarantine, alone_delay},
+    quarantine::SharedQuarantine,
     rates::TargetRates,
     target_list::TargetEntry,
     version::SoftwareVersion,
@@ -200,75 +201,6 @@
         self.changed.notify_waiters();
     }
 
-    /// Waits for a target with capacity.
-    ///
-    /// # Errors
-    ///
-    /// Returns the time after which a retry may succeed, if no target has capacity in time.
-    pub async fn acquire(self: &Arc<Self>, pick: &Pick) -> Result<TargetLease, AcquireError> {
-        self.acquire_version(pick, &VersionChoice::Any, &Arc::default()).await
-    }
-
-    /// Waits for a target of a permitted version with capacity, for a request with these parts.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if no target has capacity in time, if the parts are blocked, or if this host
-    /// reaches no target.
-    pub async fn acquire_version(
-        self: &Arc<Self>,
-        pick: &Pick,
-        versions: &VersionChoice,
-        parts: &Arc<RequestParts>,
-    ) -> Result<TargetLease, AcquireError> {
-        let mut has_waited = false;
-        let mut alone = None;
-        loop {
-            let changed = self.changed.notified();
-            tokio::pin!(changed);
-            changed.as_mut().enable();
-            if self.is_disconnected() {
-                return Err(AcquireError::Disconnected);
-            }
-            let standing = self.quarantine.standing(parts);
-            match &standing {
-                Standing::Blocked { parts, remaining } => {
-                    return Err(AcquireError::Blocked(parts.clone(), *remaining));
-                }
-                Standing::Alone { content } if !std::mem::replace(&mut has_waited, true) => {
-                    tokio::time::sleep(alone_delay(&self.host, *content).to_duration()).await;
-                    continue;
-                }
-                Standing::Alone { content } => {
-                    alone = alone.or_else(|| self.quarantine.run_alone(*content));
-                    if alone.is_none() {
-                        let _ = tokio::time::timeout(MAX_WAIT.to_duration(), changed).await;
-                        continue;
-                    }
-                }
-                Standing::Clear | Standing::Suspect { .. } => {}
-            }
-            let (decision, wake) = self.decide(&self.restrict(pick, versions, &standing));
-            match decision {
-                Decision::Send { target, lease, yields } => {
-                    self.request_yields(&target, yields);
-                    let lease = self.create_lease(&target, lease, parts);
-                    let mut lease = lease.ok_or(AcquireError::NoCapacity(MAX_WAIT))?;
-                    lease.alone = alone;
-                    return Ok(lease);
-                }
-                Decision::Refuse { retry_after } => {
-                    return Err(AcquireError::NoCapacity(retry_after));
-                }
-                Decision::Wait => {
-                    let wait = wake.unwrap_or(MAX_WAIT).min(MAX_WAIT);
-                    // The router is asked again after a change or a timeout alike.
-                    let _ = tokio::time::timeout(wait.to_duration(), changed).await;
-                }
-            }
-        }
-    }
-
     fn request_yields(&self, target: &TargetId, count: u32) {
         if count == 0 {
             return;
@@ -289,32 +221,6 @@
         self.router.lock().batch_holders(target)
     }
 
-    /// Leases a target for a batch item if one has capacity now.
-    pub fn try_acquire_batch(self: &Arc<Self>, pick: &Pick) -> Option<TargetLease> {
-        self.try_acquire_batch_version(pick, &VersionChoice::Any, &Arc::default())
-    }
-
-    /// Leases a target of a permitted version for a batch item with these parts, if one has
-    /// capacity now. Items are no cause of crashes, so that blocks don't hold them.
-    pub fn try_acquire_batch_version(
-        self: &Arc<Self>,
-        pick: &Pick,
-        versions: &VersionChoice,
-        parts: &Arc<RequestParts>,
-    ) -> Option<TargetLease> {
-        if self.is_disconnected() {
-            return None;
-        }
-        match self.decide(&self.restrict(pick, versions, &Standing::Clear)).0 {
-            Decision::Send { target, lease, .. } => {
-                let mut lease = self.create_lease(&target, lease, parts)?;
-                lease.class = Class::Batch;
-                Some(lease)
-            }
-            Decision::Wait | Decision::Refuse { .. } => None,
-        }
-    }
-
     /// A target of the service.
     pub(crate) fn target(&self, id: &TargetId) -> Option<TargetEntry> {
         self.targets.read().get(id).cloned()
--- a/crates/oleander-relay/src/transport.rs
+++ b/crates/oleander-relay/src/transport.rs
@@ -43,6 +43,12 @@
 }
 
 impl<B> TargetResponse<B> {
+    /// The response of a target that says nothing beside it.
+    #[must_use]
+    pub const fn new(head: ResponseHead, body: B) -> Self {
+        Self { head, not_run: false, load: None, rate_limit: None, is_leaving: false, body }
+    }
+
     /// Whether the target runs the request and responds with its result.
     #[must_use]
     pub fn is_success(&self) -> bool {
--- a/crates/oleander-relay/tests/rollout.rs
+++ b/crates/oleander-relay/tests/rollout.rs
@@ -97,14 +97,7 @@
         }
         let head = ResponseHead { status: StatusCode::OK, headers: HeaderMap::new() };
         let body = VersionBody { version, next: dispatch.resume_after.unwrap_or(0) + 1, middle };
-        Ok(TargetResponse {
-            head,
-            not_run: false,
-            load: None,
-            rate_limit: None,
-            is_leaving: false,
-            body,
-        })
+        Ok(TargetResponse::new(head, body))
     }
 }
 
--- a/crates/oleander-relay/tests/silence.rs
+++ b/crates/oleander-relay/tests/silence.rs
@@ -198,14 +198,7 @@
         });
         let stream = TcpStream::connect(address).await.expect("connected");
         let head = ResponseHead { status: StatusCode::OK, headers: HeaderMap::new() };
-        Ok(TargetResponse {
-            head,
-            not_run: false,
-            load: None,
-            rate_limit: None,
-            is_leaving: false,
-            body: SocketBody(stream),
-        })
+        Ok(TargetResponse::new(head, SocketBody(stream)))
     }
 }
 
--- a/crates/oleander-worklist/tests/manager/fixture.rs
+++ b/crates/oleander-worklist/tests/manager/fixture.rs
@@ -148,14 +148,7 @@
         let event = format!("id: 1\ndata: done {}\n\n", dispatch.request.id);
         let body =
             OneEventBody { event: Some(Bytes::from(event)), paused: Arc::clone(&self.paused) };
-        Ok(TargetResponse {
-            head,
-            not_run: false,
-            load: None,
-            rate_limit: None,
-            is_leaving: false,
-            body,
-        })
+        Ok(TargetResponse::new(head, body))
     }
 }
 
--- a/crates/oleander-worklist/tests/versions/fixture.rs
+++ b/crates/oleander-worklist/tests/versions/fixture.rs
@@ -111,14 +111,7 @@
         let interruption = is_first.then_some(self.interruption);
         let body =
             VersionBody { version, next, interruption, interrupted: Arc::clone(&self.interrupted) };
-        Ok(TargetResponse {
-            head,
-            not_run: false,
-            load: None,
-            rate_limit: None,
-            is_leaving: false,
-            body,
-        })
+        Ok(TargetResponse::new(head, body))
     }
 }
 
