--- a/crates/oleander-relay/src/link_check.rs
+++ b/crates/oleander-relay/src/link_check.rs
@@ -16,8 +16,11 @@
 
 /// Time between two looks at the links of all services.
 const LOOK_INTERVAL: Duration = Duration::from_millis(50);
-/// Targets to which connections are tried at once.
+/// Targets to which connections are tried in one round.
 const TRIED_TARGETS: usize = 3;
+/// Time after which the next target of a round is tried, unless one has accepted: a sound one does
+/// within a few milliseconds, so that most checks open one connection.
+const TRY_INTERVAL: Duration = Duration::from_millis(20);
 /// Rounds of connections, each to other targets, after which a host is disconnected.
 const ROUNDS: usize = 2;
 
@@ -69,9 +72,12 @@
 /// Whether any of these targets accepts a connection.
 async fn accepts_any<T: TargetTransport>(relay: &Arc<Relay<T>>, targets: &[TargetEntry]) -> bool {
     let mut tries = JoinSet::new();
-    for target in targets {
+    for (target, place) in targets.iter().zip(0..) {
         let (transport, target) = (Arc::clone(&relay.transport), target.clone());
-        tries.spawn(async move { transport.connect(&target).await });
+        tries.spawn(async move {
+            time::sleep(TRY_INTERVAL * place).await;
+            transport.connect(&target).await
+        });
     }
     while let Some(reach) = tries.join_next().await {
         if matches!(reach, Ok(Reach::Accepted)) {
