--- a/crates/oleander-cluster/src/disconnected.rs
+++ b/crates/oleander-cluster/src/disconnected.rs
@@ -41,9 +41,10 @@
         known.is_none_or(|(at, known)| known != services || now.since(at) >= TTL)
     }
 
-    /// Whether a host has said lately that it reaches no targets of any service.
-    pub(crate) fn contains(&self, now: Time, host: &HostId) -> bool {
-        self.hosts.get(host).is_some_and(|(at, _)| now.since(*at) < TTL)
+    /// The services whose targets a host does not reach, as it has said lately.
+    fn lost(&self, now: Time, host: &HostId) -> Vec<ServiceId> {
+        let known = self.hosts.get(host).filter(|(at, _)| now.since(*at) < TTL);
+        known.map(|(_, services)| services.clone()).unwrap_or_default()
     }
 }
 
@@ -88,12 +89,14 @@
         }
     }
 
-    /// Whether a host reaches no target, as far as known.
+    /// Whether a host reaches no target of any service, as far as known.
     pub(crate) fn is_disconnected(&self, host: &HostId) -> bool {
         if *host == self.local.host {
             return self.pools.is_disconnected();
         }
-        self.disconnected.lock().contains(clock::steady(), host)
+        let lost = self.disconnected.lock().lost(clock::steady(), host);
+        let mut services = self.pools.services().into_iter();
+        !lost.is_empty() && services.all(|service| lost.contains(&service))
     }
 
     /// The [`live_entry_hosts`](Self::live_entry_hosts) that reach targets; all of them if none does.
@@ -111,9 +114,11 @@
         let entries = live.filter(|view| view.profile.role == MemberRole::Entry);
         let profiles: Vec<_> = entries.map(|view| view.profile).collect();
         drop(members);
-        let helpers = profiles.into_iter().filter(|profile| !self.is_disconnected(&profile.host));
-        let helpers = helpers.map(|profile| {
-            Helper::new(profile.host, profile.zone, forward_address(profile.address))
+        let now = clock::steady();
+        let disconnected = self.disconnected.lock();
+        let helpers = profiles.into_iter().map(|profile| {
+            let lost = disconnected.lost(now, &profile.host);
+            Helper::new(profile.host, profile.zone, forward_address(profile.address)).lost(lost)
         });
         self.pools.set_helpers(helpers.collect());
     }
--- a/crates/oleander-relay/src/forwarding.rs
+++ b/crates/oleander-relay/src/forwarding.rs
@@ -46,7 +46,10 @@
     /// Sends the request through another host; returns what follows.
     pub(crate) async fn send_through_host<S: ResponseSink>(&mut self, sink: &mut S) -> NextStep {
         let may_send = self.retry.may_send() && self.tried_hosts.len() < MAX_HELPERS;
-        let helper = self.relay.pools.choose_helper(&self.tried_hosts, &self.request.id);
+        let service = self.route.service(self.request.first_id());
+        let (pools, tried) = (&self.relay.pools, &self.tried_hosts);
+        let helper =
+            service.and_then(|service| pools.choose_helper(service, tried, &self.request.id));
         let Some(mut helper) = helper.filter(|_| may_send) else {
             self.summary.attempts.push("no target is reached, and no host that does".to_owned());
             return self.retry.refuse(NO_HELPER_RETRY_AFTER);
--- a/crates/oleander-relay/src/host.rs
+++ b/crates/oleander-relay/src/host.rs
@@ -15,7 +15,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue};
-use oleander_core::{HostId, Span, ZoneId};
+use oleander_core::{HostId, ServiceId, Span, ZoneId};
 use oleander_routing::Observation;
 
 use crate::{
@@ -77,6 +77,8 @@
     pub zone: ZoneId,
     /// Its address for requests of other hosts.
     pub address: SocketAddr,
+    /// Services whose targets it does not reach.
+    lost: Vec<ServiceId>,
     /// Requests of this host that it has.
     in_flight: Arc<AtomicUsize>,
 }
@@ -85,7 +87,24 @@
     /// A host without requests of this one.
     #[must_use]
     pub fn new(host: HostId, zone: ZoneId, address: SocketAddr) -> Self {
-        Self { host, zone, address, in_flight: Arc::default() }
+        Self { host, zone, address, lost: Vec::new(), in_flight: Arc::default() }
+    }
+
+    /// Sets the services whose targets it does not reach.
+    #[must_use]
+    pub fn lost(mut self, services: Vec<ServiceId>) -> Self {
+        self.lost = services;
+        self
+    }
+
+    /// Whether it reaches targets of a service.
+    pub(crate) fn reaches(&self, service: &ServiceId) -> bool {
+        !self.lost.contains(service)
+    }
+
+    /// The same host as `known` before, with the requests that it has.
+    pub(crate) fn replacing(self, known: &Self) -> Self {
+        Self { in_flight: Arc::clone(&known.in_flight), ..self }
     }
 
     pub(crate) fn load(&self) -> usize {
--- a/crates/oleander-relay/src/pools.rs
+++ b/crates/oleander-relay/src/pools.rs
@@ -121,6 +121,13 @@
         disconnected.map(|(service, _)| service.clone()).collect()
     }
 
+    /// The services with targets.
+    pub fn services(&self) -> Vec<ServiceId> {
+        let pools = self.pools.read();
+        let used = pools.iter().filter(|(_, pool)| !pool.is_empty());
+        used.map(|(service, _)| service.clone()).collect()
+    }
+
     /// Whether this host reaches no target of any service.
     pub fn is_disconnected(&self) -> bool {
         let pools = self.pools.read();
@@ -128,23 +135,32 @@
         used.peek().is_some() && used.all(|pool| pool.is_disconnected())
     }
 
-    /// Replaces the hosts that reach targets; those that are known keep their requests.
+    /// Replaces the hosts that may reach targets; those that are known keep their requests.
     pub fn set_helpers(&self, helpers: Vec<Helper>) {
         let mut current = self.helpers.write();
         let known = |helper: Helper| {
             let known =
                 current.iter().find(|one| one.host == helper.host && one.address == helper.address);
-            known.cloned().unwrap_or(helper)
+            match known {
+                Some(known) => helper.replacing(known),
+                None => helper,
+            }
         };
         let helpers = helpers.into_iter().map(known).collect();
         *current = helpers;
     }
 
-    /// The host with the fewest requests of this one, of this data centre if equal, that is not
-    /// among `tried`; `request` decides between equal ones.
-    pub(crate) fn choose_helper(&self, tried: &[HostId], request: &str) -> Option<HelperUse> {
+    /// The host that reaches targets of a service, with the fewest requests of this one, of this
+    /// data centre if equal, that is not among `tried`; `request` decides between equal ones.
+    pub(crate) fn choose_helper(
+        &self,
+        service: &ServiceId,
+        tried: &[HostId],
+        request: &str,
+    ) -> Option<HelperUse> {
         let helpers = self.helpers.read();
-        let untried = helpers.iter().filter(|helper| !tried.contains(&helper.host));
+        let reaching = helpers.iter().filter(|helper| helper.reaches(service));
+        let untried = reaching.filter(|helper| !tried.contains(&helper.host));
         let order = |helper: &&Helper| {
             let place = hash::hash_parts(&[request, helper.host.as_str()]);
             (helper.load(), helper.zone != self.zone, place)
