--- a/crates/oleander-cluster/tests/crashes/traffic.rs
+++ b/crates/oleander-cluster/tests/crashes/traffic.rs
@@ -10,7 +10,11 @@
     Refusal, RefusalReason, Relay, Request, RequestSummary, RetryPolicy, Route, TargetEntry,
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
-use tokio::{sync::mpsc::UnboundedReceiver, task::JoinSet, time::sleep};
+use tokio::{
+    sync::{Semaphore, SemaphorePermit, mpsc::UnboundedReceiver},
+    task::JoinSet,
+    time::sleep,
+};
 
 use crate::{
     support::{CallerOf, Hosts, beginning, route, targets},
@@ -46,8 +50,12 @@
     pub(crate) summary: RequestSummary,
 }
 
+/// Limits the fleets that run at once, so that tests in parallel don't slow each other down.
+static FLEETS: Semaphore = Semaphore::const_new(3);
+
 /// Hosts, their targets, and requests at all of them.
 pub(crate) struct Fleet {
+    _permit: SemaphorePermit<'static>,
     pub(crate) hosts: Hosts<CrashTargets>,
     pub(crate) crashing: CrashTargets,
     pub(crate) random: SmallRng,
@@ -80,6 +88,7 @@
     where
         F: Future<Output = Hosts<CrashTargets>>,
     {
+        let permit = FLEETS.acquire().await.expect("never closed");
         let crashing = CrashTargets::new(BAD);
         let listed: Vec<TargetEntry> = targets(&vec!["v1"; count], Span::from_secs(60))
             .into_iter()
@@ -93,7 +102,7 @@
             tokio::spawn(help(calls, Arc::downgrade(&host.relay)));
         }
         let random = SmallRng::seed_from_u64(seed);
-        Self { hosts, crashing, random, sent: 0, started: count as u16 }
+        Self { _permit: permit, hosts, crashing, random, sent: 0, started: count as u16 }
     }
 
     /// Ends half of the targets at one moment.
