Run items that waited while a host reached no target once it does

Cause: a host without links said that it had no waiting items, so its dispatcher slept until something else woke it.

--- a/crates/oleander-worklist/src/runner.rs
+++ b/crates/oleander-worklist/src/runner.rs
@@ -73,14 +73,15 @@
     /// Starts as many items as possible, those of the job that is due first before all others;
     /// returns whether any job had waiting items.
     fn start_items(self: &Arc<Self>) -> bool {
-        if self.is_draining() || self.relay.pools.is_disconnected() {
+        if self.is_draining() {
             return false;
         }
         let mut jobs: Vec<Arc<LoadedJob>> = self.loaded.lock().values().cloned().collect();
         jobs.retain(|loaded| !loaded.is_stopped() && loaded.job.lock().has_waiting());
         jobs.sort_by_key(|loaded| loaded.job.lock().record.due_at());
         let mut full = HashSet::new();
-        for loaded in &jobs {
+        let startable = if self.relay.pools.is_disconnected() { &[] } else { &jobs[..] };
+        for loaded in startable {
             while matches!(self.place_next(loaded, &mut full), Placement::Placed) {}
         }
         !jobs.is_empty()
--- a/crates/oleander-worklist/tests/manager/main.rs
+++ b/crates/oleander-worklist/tests/manager/main.rs
@@ -257,3 +257,17 @@
     assert_eq!(owner_at_a_host_without_targets(&["entry-1", "entry-2"]).await, None);
     assert!(owner_at_a_host_without_targets(&["entry-1"]).await.is_some(), "nobody else runs it");
 }
+
+#[tokio::test]
+async fn items_that_waited_while_a_host_reached_no_target_are_run_once_it_does() {
+    let (manager, targets, pools) = start_manager("entry-1", SlowStore::new(MemoryPlatform::new()));
+    targets.unreachable.store(true, Ordering::Relaxed);
+    wait_until_ready(&manager).await;
+    while !pools.is_disconnected() {
+        tokio::time::sleep(CALL_LATENCY).await;
+    }
+    assert_eq!(manager.submit(submission(10), &route()).await, Ok(()));
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    targets.unreachable.store(false, Ordering::Relaxed);
+    assert_eq!(wait_for_results(&manager).await, 3);
+}
