--- a/crates/oleander-relay/src/crash.rs
+++ b/crates/oleander-relay/src/crash.rs
@@ -15,8 +15,8 @@
     transport::{Reach, TargetTransport},
 };
 
-/// Other targets that are tried when one refuses connections: a host that reaches none of them has
-/// lost its own links.
+/// Maximum number of other targets to which a host connects when one refuses it, to tell a crash
+/// from lost links of its own.
 const CONTROLS: usize = 3;
 
 /// The parts of a request, by which a crash of its target is attributed.
--- a/crates/oleander-relay/src/link_check.rs
+++ b/crates/oleander-relay/src/link_check.rs
@@ -16,10 +16,10 @@
 
 /// Time between two looks at the links of all services.
 const LOOK_INTERVAL: Duration = Duration::from_millis(50);
-/// Targets to which connections are tried in one round.
+/// Targets in one round of connections.
 const TRIED_TARGETS: usize = 3;
-/// Time after which the next target of a round is tried, unless one has accepted: a sound one does
-/// within a few milliseconds, so that most checks open one connection.
+/// Time between two connections of a round; a sound target accepts within a few milliseconds, so
+/// most checks open one connection.
 const TRY_INTERVAL: Duration = Duration::from_millis(20);
 /// Rounds of connections, each to other targets, after which a host is disconnected.
 const ROUNDS: usize = 2;
--- a/crates/oleander-relay/src/pool/links.rs
+++ b/crates/oleander-relay/src/pool/links.rs
@@ -52,7 +52,7 @@
         !self.is_empty() && self.links.lock().needs_check(clock::steady(), is_busy)
     }
 
-    /// The targets to which connections are tried, in another order for each `round`.
+    /// The targets of a check, in another order for each `round`.
     pub(crate) fn targets_to_check(&self, round: u64) -> Vec<TargetEntry> {
         let targets = self.targets.read();
         let crashed = self.crashed(&targets);
--- a/crates/oleander-relay/src/pools.rs
+++ b/crates/oleander-relay/src/pools.rs
@@ -150,8 +150,8 @@
         *current = helpers;
     }
 
-    /// The host that reaches targets of a service, with the fewest requests of this one, of this
-    /// data centre if equal, that is not among `tried`; `request` decides between equal ones.
+    /// The host outside `tried` that reaches targets of a service and has the fewest requests of
+    /// this one; ties go to this data centre, then by hash of `request`.
     pub(crate) fn choose_helper(
         &self,
         service: &ServiceId,
