--- a/crates/oleander-relay/src/pool/acquire.rs
+++ b/crates/oleander-relay/src/pool/acquire.rs
@@ -63,6 +63,9 @@
                     self.request_yields(&target, yields);
                     let lease = self.create_lease(&target, lease, parts);
                     let mut lease = lease.ok_or(AcquireError::NoCapacity(MAX_WAIT))?;
+                    if alone.is_some() {
+                        metrics::counter!("requests_alone_total").increment(1);
+                    }
                     lease.alone = alone;
                     return Ok(lease);
                 }
--- a/crates/oleander-relay/src/pool/leaving.rs
+++ b/crates/oleander-relay/src/pool/leaving.rs
@@ -52,6 +52,7 @@
         drop(targets);
         log::info!(target:% = target.id, service:% = target.service;
             "target says that it is about to stop");
+        metrics::counter!("targets_leaving_total").increment(1);
         self.router.lock().set_leaving(&target.id, true);
         self.changed.notify_waiters();
     }
