Remember over a loss of all hosts that a request only runs alone

If all hosts ended after the third crash under a request and before the fourth, the count began anew: five copies reached targets too late, where three may. Only blocks were stored.

--- a/crates/oleander-cluster/src/quarantine.rs
+++ b/crates/oleander-cluster/src/quarantine.rs
@@ -28,6 +28,8 @@
 const REPEAT_INTERVAL: Duration = Duration::from_millis(500);
 /// Number of hosts to which it is repeated.
 const REPEAT_HOSTS: usize = 3;
+/// Time for which it is remembered that a request only runs alone.
+const ISOLATION_RETENTION: Span = Span::from_secs(15 * 60);
 /// Pause before a failed call of the platform is repeated.
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
 
@@ -102,15 +104,25 @@
     fn store_begun<S: ObjectStore>(&self, store: &S) {
         for (service, pool) in self.pools.all() {
             for block in pool.quarantine.take_begun() {
+                if block.count == 0 {
+                    log::info!(service:% = service, parts:% = block.parts;
+                        "request runs alone: it was at several crashed targets");
+                    self.spawn_store(store, &service, block);
+                    continue;
+                }
                 log::warn!(service:% = service, parts:% = block.parts, count = block.count,
                     for_s = block.remaining.as_secs_f64(); "parts of prompts are blocked: they crash targets");
                 metrics::counter!("blocked_parts_total").increment(1);
-                let stored = StoredBlock { service: service.clone(), block, stored: clock::now() };
-                tokio::spawn(store_block(store.clone(), stored));
+                self.spawn_store(store, &service, block);
             }
         }
     }
 
+    fn spawn_store<S: ObjectStore>(&self, store: &S, service: &ServiceId, block: BlockNews) {
+        let stored = StoredBlock { service: service.clone(), block, stored: clock::now() };
+        tokio::spawn(store_block(store.clone(), stored));
+    }
+
     /// Reads the stored blocks, repeating until it succeeds.
     async fn load_blocks<S: ObjectStore>(&self, store: &S) {
         loop {
@@ -134,7 +146,8 @@
         let StoredBlock { service, mut block, stored } = stored;
         let age = clock::now().since(stored);
         block.remaining = Span(block.remaining.0.saturating_sub(age.0));
-        if block.remaining == Span::ZERO {
+        let is_isolation = block.count == 0 && age < ISOLATION_RETENTION;
+        if block.remaining == Span::ZERO && !is_isolation {
             return false;
         }
         let news = QuarantineNews { crashes: Vec::new(), blocks: vec![block] };
--- a/crates/oleander-cluster/tests/crashes/repeats.rs
+++ b/crates/oleander-cluster/tests/crashes/repeats.rs
@@ -3,12 +3,13 @@
 use std::time::{Duration, Instant};
 
 use futures_util::future::join_all;
+use oleander_core::PromptPart;
 use tokio::time::sleep;
 
 use crate::{
     CONTACT, HOSTS, MAX_LATE_RUNS, TARGETS, WARM_UP, seeds,
     targets::Run,
-    traffic::{BAD, Fleet, Served},
+    traffic::{BAD, BAD_SINGLE, Fleet, Served},
 };
 
 /// Own part of a sound request.
@@ -17,11 +18,11 @@
 const PAUSE: Duration = Duration::from_millis(800);
 const WAVES: usize = 7;
 
-/// Copies that reached targets too long after the third crash.
-fn late_copies(fleet: &Fleet) -> usize {
-    let Some(third) = fleet.crashing.crashes().get(2).copied() else { return 0 };
+/// Copies of a request that reached targets too long after the third crash under it.
+fn late_copies(fleet: &Fleet, own: PromptPart) -> usize {
+    let Some(third) = fleet.crashing.crashes_under(own).get(2).copied() else { return 0 };
     let runs = fleet.crashing.runs();
-    runs.iter().filter(|run| run.is_bad && run.at > third + CONTACT).count()
+    runs.iter().filter(|run| run.own == Some(own) && run.at > third + CONTACT).count()
 }
 
 fn lost(served: &[Served]) -> Option<&Served> {
@@ -36,10 +37,53 @@
         let hosts: Vec<usize> = (0..copies).map(|copy| (wave + copy) % HOSTS).collect();
         fleet.send_copies(BAD.0, &hosts, PAUSE).await;
     }
-    let (late, crashes) = (late_copies(&fleet), fleet.crashing.crashes().len());
+    let (late, crashes) = (late_copies(&fleet, BAD), fleet.crashing.crashes().len());
     assert!(late <= MAX_LATE_RUNS, "seed {seed}, {copies} at once: {late}, {crashes} crashes");
 }
 
+#[tokio::test]
+async fn two_kinds_of_requests_that_come_again_at_once_do_not_end_one_target_after_the_other() {
+    for seed in 0..seeds() {
+        let mut fleet = Fleet::start(seed, HOSTS, TARGETS).await;
+        fleet.run(WARM_UP, 0).await;
+        for wave in 0..WAVES {
+            let single = tokio::spawn(fleet.copy(BAD_SINGLE.0, wave % HOSTS));
+            fleet.send_copies(BAD.0, &[(wave + 1) % HOSTS], PAUSE).await;
+            single.await.expect("no panic");
+        }
+        for own in [BAD, BAD_SINGLE] {
+            let (late, crashes) = (late_copies(&fleet, own), fleet.crashing.crashes_under(own));
+            assert!(late <= MAX_LATE_RUNS, "seed {seed}, {own}: {late}, {} crashes", crashes.len());
+        }
+    }
+}
+
+#[tokio::test]
+async fn after_a_restart_of_all_hosts_a_request_that_was_at_three_crashed_targets_is_not_forgotten()
+{
+    for seed in 0..seeds() {
+        let mut fleet = Fleet::start(seed, HOSTS, TARGETS).await;
+        fleet.run(WARM_UP, 0).await;
+        for host in 0..HOSTS {
+            if fleet.crashing.crashes().len() < 3 {
+                fleet.send_copies(BAD.0, &[host], Duration::from_millis(300)).await;
+            }
+        }
+        (0..HOSTS).for_each(|index| fleet.hosts.kill(index));
+        for index in 0..HOSTS {
+            fleet.hosts.start_host(index).await;
+        }
+        fleet.hosts.wait_until_connected().await;
+        fleet.run(CONTACT, 0).await;
+        for wave in 0..WAVES {
+            let hosts = [wave % HOSTS, (wave + 1) % HOSTS];
+            fleet.send_copies(BAD.0, &hosts, PAUSE).await;
+        }
+        let (late, crashes) = (late_copies(&fleet, BAD), fleet.crashing.crashes().len());
+        assert!(late <= MAX_LATE_RUNS, "seed {seed}: {late}, {crashes} crashes");
+    }
+}
+
 #[tokio::test]
 async fn a_request_that_comes_again_at_several_hosts_at_once_does_not_end_one_target_after_the_other()
  {
--- a/crates/oleander-cluster/tests/crashes/targets.rs
+++ b/crates/oleander-cluster/tests/crashes/targets.rs
@@ -41,11 +41,21 @@
 pub(crate) struct Run {
     pub(crate) at: Instant,
     pub(crate) is_bad: bool,
+    /// Part of the request's own.
+    pub(crate) own: Option<PromptPart>,
     pub(crate) request: String,
     pub(crate) target: TargetId,
     pub(crate) host: usize,
 }
 
+/// A crash of a target.
+#[derive(Debug, Clone, Copy)]
+struct Crash {
+    at: Instant,
+    /// Own part of the request that caused it.
+    own: Option<PromptPart>,
+}
+
 /// How the links of a host to all targets fail.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Cut {
@@ -73,10 +83,10 @@
 /// Clones are the same targets.
 #[derive(Debug, Clone)]
 pub(crate) struct CrashTargets {
-    bad: PromptPart,
+    bad: &'static [PromptPart],
     running: Arc<Mutex<HashMap<TargetId, watch::Sender<bool>>>>,
     runs: Arc<Mutex<Vec<Run>>>,
-    crashes: Arc<Mutex<Vec<Instant>>>,
+    crashes: Arc<Mutex<Vec<Crash>>>,
     /// The host that sends to the targets.
     host: usize,
     cuts: watch::Sender<HashMap<usize, Cut>>,
@@ -85,7 +95,7 @@
 }
 
 impl CrashTargets {
-    pub(crate) fn new(bad: PromptPart) -> Self {
+    pub(crate) fn new(bad: &'static [PromptPart]) -> Self {
         Self {
             bad,
             running: Arc::default(),
@@ -138,9 +148,9 @@
         ended.is_some_and(|running| running.send(false).is_ok() || running.is_closed())
     }
 
-    fn crash(&self, target: &TargetId) {
+    fn crash(&self, target: &TargetId, own: Option<PromptPart>) {
         if self.end(target) {
-            self.crashes.lock().push(Instant::now());
+            self.crashes.lock().push(Crash { at: Instant::now(), own });
         }
     }
 
@@ -150,7 +160,13 @@
 
     /// When targets crashed, in order.
     pub(crate) fn crashes(&self) -> Vec<Instant> {
-        self.crashes.lock().clone()
+        self.crashes.lock().iter().map(|crash| crash.at).collect()
+    }
+
+    /// When targets crashed under requests with this own part, in order.
+    pub(crate) fn crashes_under(&self, own: PromptPart) -> Vec<Instant> {
+        let crashes = self.crashes.lock();
+        crashes.iter().filter(|crash| crash.own == Some(own)).map(|crash| crash.at).collect()
     }
 
     /// Requests that reached targets, in order.
@@ -193,13 +209,16 @@
         let Some(running) = running else {
             return Err(SendError::Refused("connection refused".to_owned()));
         };
-        let is_bad = parts(&dispatch.request).contains(&self.bad);
+        let parts = parts(&dispatch.request);
+        let (own, is_bad) =
+            (parts.last().copied(), parts.iter().any(|part| self.bad.contains(part)));
         let request = dispatch.request.id.clone();
-        let run =
-            Run { at: Instant::now(), is_bad, request, target: target.clone(), host: self.host };
+        let at = Instant::now();
+        let run = Run { at, is_bad, own, request, target: target.clone(), host: self.host };
         self.runs.lock().push(run);
         let next = dispatch.resume_after.unwrap_or(0) + 1;
-        let body = TargetBody { targets: self.clone(), target, is_bad, running, next, sent: 0 };
+        let body =
+            TargetBody { targets: self.clone(), target, own, is_bad, running, next, sent: 0 };
         let head = ResponseHead { status: StatusCode::OK, headers: HeaderMap::new() };
         Ok(TargetResponse::new(head, CrashBody::Target(body)))
     }
@@ -269,6 +288,7 @@
 pub(crate) struct TargetBody {
     targets: CrashTargets,
     target: TargetId,
+    own: Option<PromptPart>,
     is_bad: bool,
     running: watch::Receiver<bool>,
     next: u64,
@@ -294,7 +314,7 @@
         // A silent cut holds what the target sends until its end.
         let _ = cuts.wait_for(|cuts| cut_at(cuts, host, &self.target) != Some(Cut::Silent)).await;
         if self.is_bad {
-            self.targets.crash(&self.target);
+            self.targets.crash(&self.target, self.own);
             return Some(Err(BodyError("end of file".to_owned())));
         }
         let event = format!("id: {0}\ndata: {0}\n\n", self.next);
--- a/crates/oleander-cluster/tests/crashes/traffic.rs
+++ b/crates/oleander-cluster/tests/crashes/traffic.rs
@@ -7,7 +7,8 @@
 
 use oleander_core::{PromptPart, Span};
 use oleander_relay::{
-    Refusal, RefusalReason, Relay, Request, RequestSummary, RetryPolicy, Route, TargetEntry,
+    Refusal, RefusalReason, Relay, Request, RequestSummary, RetryPolicy, Route, RouteKind,
+    TargetEntry,
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use tokio::{
@@ -23,6 +24,9 @@
 
 /// The part that crashes targets.
 pub(crate) const BAD: PromptPart = PromptPart(0xbad);
+/// Own part of a request without other parts, whose response is no stream, that crashes targets.
+pub(crate) const BAD_SINGLE: PromptPart = PromptPart(0xbad1);
+const ALL_BAD: &[PromptPart] = &[BAD, BAD_SINGLE];
 /// First part of most requests.
 pub(crate) const FIRST: u64 = 0xa;
 /// First part of the others.
@@ -89,7 +93,7 @@
         F: Future<Output = Hosts<CrashTargets>>,
     {
         let permit = FLEETS.acquire().await.expect("never closed");
-        let crashing = CrashTargets::new(BAD);
+        let crashing = CrashTargets::new(ALL_BAD);
         let listed: Vec<TargetEntry> = targets(&vec!["v1"; count], Span::from_secs(60))
             .into_iter()
             .map(|target| TargetEntry { slots: SLOTS, ..target })
@@ -147,10 +151,13 @@
         host: usize,
     ) -> impl Future<Output = Vec<Served>> + use<> {
         self.sent += 1;
-        let (id, parts) = (format!("copy-{}", self.sent), format!("{FIRST:x},{own:x}"));
+        let id = format!("copy-{}", self.sent);
+        let is_single = own == BAD_SINGLE.0;
+        let parts = if is_single { format!("{own:x}") } else { format!("{FIRST:x},{own:x}") };
+        let route = if is_single { single() } else { resumable() };
         let repeat = (host + 1) % self.hosts.live_indexes().len();
         let callers = [host, repeat].map(|host| (host, self.hosts.caller(host)));
-        call(callers, id, parts, own == BAD.0)
+        call(callers, route, id, parts, ALL_BAD.contains(&PromptPart(own)))
     }
 
     /// Sends bad requests at all hosts, one after the other; returns how many were sent to targets.
@@ -197,7 +204,7 @@
         let live = self.hosts.live_indexes();
         let mut at = || live[self.random.random_range(0..live.len())];
         let callers = [at(), at()].map(|host| (host, self.hosts.caller(host)));
-        requests.spawn(call(callers, format!("r-{}", self.sent), parts, is_bad));
+        requests.spawn(call(callers, resumable(), format!("r-{}", self.sent), parts, is_bad));
     }
 
     /// Lists a new target at all hosts for each that has ended a while ago.
@@ -243,6 +250,7 @@
 /// Sends a request at the first host and, if its response is lost, again at the second.
 async fn call(
     callers: [(usize, CallerOf<CrashTargets>); 2],
+    route: Route,
     id: String,
     parts: String,
     is_bad: bool,
@@ -250,7 +258,7 @@
     let mut served = Vec::new();
     for ((host, caller), id) in callers.into_iter().zip([id.clone(), format!("{id}-again")]) {
         let at = Instant::now();
-        let (summary, text) = caller.forward(request(&id, &parts), &resumable()).await;
+        let (summary, text) = caller.forward(request(&id, &parts), &route).await;
         let is_whole = text.matches("data:").count() as u64 == EVENTS;
         let is_lost = summary.interrupted
             || summary.refusal.is_some_and(|one| one.reason == RefusalReason::ResponseLost);
@@ -274,3 +282,8 @@
 fn resumable() -> Route {
     Route { retry: RetryPolicy::Resume, max_attempts: 2, ..route() }
 }
+
+/// A route of single responses, which may run again from the start.
+fn single() -> Route {
+    Route { kind: RouteKind::Single, retry: RetryPolicy::Always, max_attempts: 2, ..route() }
+}
--- a/crates/oleander-entry/src/pool/quarantine.rs
+++ b/crates/oleander-entry/src/pool/quarantine.rs
@@ -70,7 +70,8 @@
         let mut quarantine = self.quarantine.lock();
         let (begun, news) = (quarantine.take_begun(now), quarantine.take_news(now));
         drop(quarantine);
-        for BlockNews { parts, remaining, .. } in begun {
+        let blocked = begun.into_iter().filter(|block| block.count > 0);
+        for BlockNews { parts, remaining, .. } in blocked {
             log::warn!(service:% = self.name, parts:% = parts, for_s = remaining.as_secs_f64();
                 "parts of prompts are blocked: they crash targets");
             metrics::counter!("blocked_parts_total").increment(1);
--- a/crates/oleander-quarantine/src/block.rs
+++ b/crates/oleander-quarantine/src/block.rs
@@ -14,7 +14,7 @@
 pub(crate) struct Block {
     /// Parts with output since they were blocked.
     pub(crate) cleared: PartSet,
-    /// How often the parts were blocked.
+    /// How often the parts were blocked; zero for a request that runs alone.
     pub(crate) count: u32,
     pub(crate) ends: Time,
 }
@@ -26,6 +26,16 @@
         Self { cleared: PartSet::default(), count: earlier + 1, ends: now + duration }
     }
 
+    /// The record of a request that runs alone, of which the next crash begins the first block.
+    pub(crate) fn isolate(now: Time) -> Self {
+        Self { cleared: PartSet::default(), count: 0, ends: now }
+    }
+
+    /// Whether it only records that a request runs alone.
+    pub(crate) const fn is_isolation(&self) -> bool {
+        self.count == 0
+    }
+
     pub(crate) fn is_active(&self, now: Time) -> bool {
         now < self.ends
     }
--- a/crates/oleander-quarantine/src/news.rs
+++ b/crates/oleander-quarantine/src/news.rs
@@ -32,7 +32,7 @@
         pub parts: PartSet,
         /// Those with output since then.
         pub cleared: PartSet,
-        /// How often the parts were blocked.
+        /// How often the parts were blocked; zero for a request that runs alone.
         pub count: u32,
         /// Time until the block ends.
         pub remaining: Span,
--- a/crates/oleander-quarantine/src/quarantine.rs
+++ b/crates/oleander-quarantine/src/quarantine.rs
@@ -310,7 +310,9 @@
     }
 
     fn expire(&mut self, now: Time) {
-        self.blocks.retain(|_, block| now.since(block.ends) < PROBATION);
+        let retention =
+            |block: &Block| if block.is_isolation() { CRASH_RETENTION } else { PROBATION };
+        self.blocks.retain(|_, block| now.since(block.ends) < retention(block));
         while self.blocks.len() > MAX_BLOCKS {
             let first = self.blocks.iter().min_by_key(|(_, block)| block.ends);
             let Some(first) = first.map(|(parts, _)| parts.clone()) else { return };
--- a/crates/oleander-quarantine/src/quarantine/decide.rs
+++ b/crates/oleander-quarantine/src/quarantine/decide.rs
@@ -37,13 +37,15 @@
 
     /// The sets of parts that are blocked, or were.
     fn blocked(&self) -> impl Iterator<Item = PartSet> {
-        let sets = self.blocks.iter().map(|(parts, block)| parts.without(&block.cleared));
+        let blocks = self.blocks.iter().filter(|(_, block)| !block.is_isolation());
+        let sets = blocks.map(|(parts, block)| parts.without(&block.cleared));
         sets.filter(|parts| !parts.0.is_empty())
     }
 
     /// Blocks the parts that crashed targets.
     pub(super) fn decide(&mut self, now: Time) {
         self.block_again(now);
+        self.isolate(now);
         loop {
             let sets = self.sets_to_block(now);
             if sets.is_empty() {
@@ -60,7 +62,8 @@
     fn block_again(&mut self, now: Time) {
         let ended = self.blocks.iter().filter(|(parts, block)| {
             let parts = parts.without(&block.cleared);
-            !block.is_active(now)
+            let is_over = !block.is_active(now) && !self.is_isolated_here(&parts, block);
+            is_over
                 && self
                     .crashes
                     .values()
--- a/crates/oleander-quarantine/src/quarantine/repeats.rs
+++ b/crates/oleander-quarantine/src/quarantine/repeats.rs
@@ -6,10 +6,10 @@
 
 use std::collections::BTreeSet;
 
-use oleander_core::PromptPart;
+use oleander_core::{PromptPart, Time};
 
 use super::{Quarantine, decide::SAME_MOMENT};
-use crate::{crash::Crash, parts::PartSet};
+use crate::{block::Block, crash::Crash, parts::PartSet};
 
 /// Crashed targets that had a request after which it only runs alone.
 pub(super) const ISOLATING_CRASHES: usize = 3;
@@ -39,6 +39,33 @@
         sets.reduce(|common, other| &common & &other).map(PartSet)
     }
 
+    /// Records the requests that run alone from now on, for hosts that start when all have ended.
+    pub(super) fn isolate(&mut self, now: Time) {
+        let suspected: BTreeSet<PromptPart> =
+            self.crashes.values().flat_map(Crash::suspected).collect();
+        for part in suspected {
+            if self.crashes_with(part) < ISOLATING_CRASHES {
+                continue;
+            }
+            let request = self.only_request(part);
+            let is_new =
+                |request: &PartSet| !self.blocks.keys().any(|known| known.is_within(request));
+            if request.is_none_or(|request| !is_new(&request)) {
+                continue;
+            }
+            if let Some(parts) = self.common_parts(part) {
+                self.blocks.insert(parts.clone(), Block::isolate(now));
+                self.begun.insert(parts);
+            }
+        }
+    }
+
+    /// Whether a request runs alone by crashes that this host knows, which then decide on a block.
+    pub(super) fn is_isolated_here(&self, parts: &PartSet, block: &Block) -> bool {
+        let is_known = |part: &PromptPart| self.crashes_with(*part) >= ISOLATING_CRASHES;
+        block.is_isolation() && parts.0.iter().any(is_known)
+    }
+
     /// Whether a request is the cause of crashes.
     pub(super) fn is_cause(&self, request: &PartSet) -> bool {
         let mut crashes: Vec<&Crash> =
--- a/crates/oleander-relay/src/quarantine.rs
+++ b/crates/oleander-relay/src/quarantine.rs
@@ -126,7 +126,8 @@
 
     /// Applies what another host knows; returns the runs whose crashes are new.
     pub fn merge(&self, news: QuarantineNews) -> Vec<TargetRun> {
-        let blocks: Vec<PartSet> = news.blocks.iter().map(|block| block.parts.clone()).collect();
+        let blocks = news.blocks.iter().filter(|block| block.count > 0);
+        let blocks: Vec<PartSet> = blocks.map(|block| block.parts.clone()).collect();
         let mut state = self.state.lock();
         let mut reported = Vec::new();
         for crash in news.crashes.iter().filter(|crash| !state.knows_crash(&crash.run)) {
