Know the hosts that help before they are needed

A stream under way at a host whose links broke was cut off: the request found the host disconnected some milliseconds before it had chosen any host that helps, and took that for none.

--- a/crates/oleander-cluster/src/disconnected.rs
+++ b/crates/oleander-cluster/src/disconnected.rs
@@ -68,8 +68,9 @@
             let disconnected = self.pools.disconnected();
             if is_change || !disconnected.is_empty() {
                 self.tell_all(&PeerRequest::Disconnected(disconnected));
-                self.choose_helpers();
             }
+            // A host that loses its links has requests for others at once.
+            self.choose_helpers();
         }
     }
 
--- a/crates/oleander-cluster/tests/crashes/helpers.rs
+++ b/crates/oleander-cluster/tests/crashes/helpers.rs
@@ -5,6 +5,8 @@
     time::{Duration, Instant},
 };
 
+use oleander_relay::RefusalReason;
+
 use crate::{
     HOSTS, TARGETS, WARM_UP, seeds,
     targets::Cut,
@@ -95,3 +97,35 @@
         assert!(whole * 100 >= all * 95, "seed {seed}: {whole} of {all}, not {lost:?}");
     }
 }
+
+#[tokio::test]
+async fn streams_under_way_go_on_through_another_host_within_their_responses() {
+    for cut in [Cut::Refused, Cut::Reset, Cut::Silent] {
+        let mut fleet = Fleet::start(0, HOSTS, TARGETS).await;
+        fleet.run(WARM_UP, 0).await;
+        let streams: Vec<_> = (0..8).map(|own| tokio::spawn(fleet.copy(0x900 + own, 0))).collect();
+        tokio::time::sleep(Duration::from_millis(80)).await;
+        set_cuts(&fleet, [0], Some(cut));
+        for stream in streams {
+            let served = stream.await.expect("no panic");
+            assert!(served[0].is_whole, "{cut:?}: {:?}", served[0].summary);
+        }
+    }
+}
+
+#[tokio::test]
+async fn requests_that_must_not_run_twice_are_not_sent_again_when_links_hang() {
+    let mut fleet = Fleet::start(0, HOSTS, TARGETS).await;
+    fleet.run(WARM_UP, 0).await;
+    let calls: Vec<_> = (0..8).map(|own| tokio::spawn(fleet.send_never(0x900 + own, 0))).collect();
+    tokio::time::sleep(Duration::from_millis(20)).await;
+    set_cuts(&fleet, [0], Some(Cut::Silent));
+    for call in calls {
+        let summary = call.await.expect("no panic");
+        let reason = summary.refusal.map(|refusal| refusal.reason);
+        assert_ne!(reason, Some(RefusalReason::NotRun), "it may have run: {summary:?}");
+    }
+    let runs = fleet.crashing.runs();
+    let runs = runs.iter().filter(|run| run.request.starts_with("never"));
+    assert_eq!(runs.count(), 8, "each at one target");
+}
--- a/crates/oleander-cluster/tests/crashes/traffic.rs
+++ b/crates/oleander-cluster/tests/crashes/traffic.rs
@@ -144,6 +144,22 @@
         }
     }
 
+    /// The request whose own part is `own`, on a route of requests that must not run twice.
+    pub(crate) fn send_never(
+        &mut self,
+        own: u64,
+        host: usize,
+    ) -> impl Future<Output = RequestSummary> + use<> {
+        self.sent += 1;
+        let (id, parts) = (format!("never-{}", self.sent), format!("{FIRST:x},{own:x}"));
+        let caller = self.hosts.caller(host);
+        let timeout = Span::from_millis(1_500);
+        async move {
+            let route = Route { retry: RetryPolicy::Never, timeout, ..resumable() };
+            caller.forward(request(&id, &parts), &route).await.0
+        }
+    }
+
     /// The request whose own part is `own`, at a host and, if its response is lost, at the next.
     pub(crate) fn copy(
         &mut self,
