Try a second host if the first has just lost its own links

A request through another host was refused if that one had lost its links at the same moment and did not know yet, as when a data centre does. A refusal as not run leads to one more host. a_helper_that_has_just_lost_its_links_... failed before ("through entry-1: not_run").

--- a/crates/oleander-cluster/tests/crashes/helpers.rs
+++ b/crates/oleander-cluster/tests/crashes/helpers.rs
@@ -129,3 +129,17 @@
     let runs = runs.iter().filter(|run| run.request.starts_with("never"));
     assert_eq!(runs.count(), 8, "each at one target");
 }
+
+#[tokio::test]
+async fn a_helper_that_has_just_lost_its_links_does_not_cost_the_request() {
+    for cut in [Cut::Refused, Cut::NewRefused] {
+        let mut fleet = Fleet::start(0, HOSTS, TARGETS).await;
+        fleet.run(WARM_UP, 0).await;
+        set_cuts(&fleet, [0, 1], Some(cut));
+        let copies: Vec<_> = (0..12).map(|own| tokio::spawn(fleet.copy(0x900 + own, 0))).collect();
+        for copy in copies {
+            let served = copy.await.expect("no panic");
+            assert!(served[0].is_whole, "{cut:?}: {:?}", served[0].summary);
+        }
+    }
+}
--- a/crates/oleander-relay/src/forwarding.rs
+++ b/crates/oleander-relay/src/forwarding.rs
@@ -23,6 +23,8 @@
 
 /// Maximum number of other hosts that a request is sent to.
 const MAX_HELPERS: usize = 3;
+/// Maximum number of them that refuse it: one may have lost its links, too, without knowing yet.
+const MAX_REFUSALS: usize = 2;
 /// `Retry-After` while no host is known that reaches targets.
 const NO_HELPER_RETRY_AFTER: Span = Span::from_secs(1);
 /// Multiple of the latency goal and of the longest pause after which a host that sends nothing is
@@ -65,7 +67,8 @@
         match outcome {
             HostOutcome::Refused(refusal) => {
                 self.summary.attempts.push(format!("through {host}: {}", refusal.reason));
-                self.retry.end_refused(ran_before, refusal)
+                let is_last = self.tried_hosts.len() >= MAX_REFUSALS;
+                self.retry.end_refused(ran_before, refusal, is_last)
             }
             HostOutcome::Attempt(outcome) => {
                 self.summary.attempts.push(format!("through {host}: {outcome}"));
--- a/crates/oleander-relay/src/retry.rs
+++ b/crates/oleander-relay/src/retry.rs
@@ -171,7 +171,16 @@
     }
 
     /// Decides what follows the refusal of another host to which the request was sent.
-    pub(crate) fn end_refused(&mut self, ran_before: bool, refusal: Refusal) -> NextStep {
+    pub(crate) fn end_refused(
+        &mut self,
+        ran_before: bool,
+        refusal: Refusal,
+        is_last: bool,
+    ) -> NextStep {
+        if refusal.reason == RefusalReason::NotRun && !is_last {
+            self.may_have_run = ran_before;
+            return NextStep::Retry;
+        }
         self.may_have_run = ran_before || refusal.reason != RefusalReason::NotRun;
         if self.may_have_run {
             return NextStep::Refuse(Refusal::new(refusal.reason.after_run()));
