Ask another engine before a refused connection counts as a crash

As on the users' platform, another engine must accept a connection of the same entry. The two tests of crashing engines pass; an entry that loses its links has no test of its own here.

--- a/crates/oleander-entry/src/pool/quarantine.rs
+++ b/crates/oleander-entry/src/pool/quarantine.rs
@@ -4,16 +4,19 @@
 
 use oleander_core::{TargetId, hash};
 use oleander_host::clock;
+use oleander_node::ServicePool;
 use oleander_peer::ServiceCrashes;
 use oleander_quarantine::{BlockNews, QuarantineNews, RequestParts, Standing};
 use oleander_routing::{Pick, TargetState};
-use oleander_target::{TargetError, refuses_connections};
+use oleander_target::{TargetError, accepts_connections, refuses_connections};
 
 use super::{Pool, TargetLease};
 
 /// Time for which a target that broke off is checked; a process that ends may close its listener
 /// last.
 const CHECK_TIME: Duration = Duration::from_millis(100);
+/// Maximum number of other targets to which a host connects when one refuses it.
+const CONTROLS: usize = 3;
 /// Time between two connections of the check.
 const CONNECTION_INTERVAL: Duration = Duration::from_millis(30);
 
@@ -113,13 +116,27 @@
         if !self.has_output {
             self.pool.quarantine.lock().record_break(clock::steady(), &self.run, &self.parts);
         }
-        let has_ended = self.refuses_connections().await;
+        let has_ended = self.refuses_connections().await && self.reaches_another().await;
         if has_ended {
             self.pool.record_crash(self);
         }
         has_ended && !self.has_output
     }
 
+    /// Whether another target accepts connections, so that this host has not lost its own links;
+    /// without another one, what this one does decides.
+    async fn reaches_another(&self) -> bool {
+        let down = self.pool.down();
+        let mut others = self.pool.addresses();
+        others.retain(|(target, _)| *target != self.target && !down.contains(target));
+        for (_, address) in others.iter().take(CONTROLS) {
+            if accepts_connections(address).await {
+                return true;
+            }
+        }
+        others.is_empty()
+    }
+
     async fn refuses_connections(&self) -> bool {
         let refused = async {
             while !refuses_connections(&self.address).await {
--- a/crates/oleander-target/src/client.rs
+++ b/crates/oleander-target/src/client.rs
@@ -69,6 +69,12 @@
     matches!(connecting.await, Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused)
 }
 
+/// Whether a process accepts connections at an address.
+pub async fn accepts_connections(address: &str) -> bool {
+    let connecting = tokio::time::timeout(Timeouts::new().connect, TcpStream::connect(address));
+    matches!(connecting.await, Ok(Ok(_)))
+}
+
 /// The connection that a call uses.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ConnectionMode {
--- a/crates/oleander-target/src/lib.rs
+++ b/crates/oleander-target/src/lib.rs
@@ -11,6 +11,9 @@
 mod error;
 
 pub use chat::{ChatEvent, ChatStream, Usage, streaming_body};
-pub use client::{ConnectionMode, TargetClient, TargetResponse, Timeouts, refuses_connections};
+pub use client::{
+    ConnectionMode, TargetClient, TargetResponse, Timeouts, accepts_connections,
+    refuses_connections,
+};
 pub use control::{EngineLoad, EngineState, Order, OrderOutcome};
 pub use error::TargetError;
