--- a/review/standin/system.py
+++ b/review/standin/system.py
@@ -30,19 +30,35 @@
     """The case can't run here."""
 
 
-def free_port(ip):
-    with socket.socket() as probe:
-        probe.bind((ip, 0))
-        return probe.getsockname()[1]
+PEER_PORTS = 16
+PORTS = PEER_PORTS + 3
+
+
+def free_ports(ip):
+    """The first of some consecutive free ports."""
+    for _ in range(100):
+        first = random.randrange(20000, 30000)
+        probes = []
+        try:
+            for port in range(first, first + PORTS):
+                probes.append(socket.socket())
+                probes[-1].bind((ip, port))
+            return first
+        except OSError:
+            continue
+        finally:
+            for probe in probes:
+                probe.close()
+    raise CannotRun("no free ports")
 
 
 class Machine:
     def __init__(self, system, name, role, zone, ip):
         self.system, self.name, self.role, self.zone, self.ip = system, name, role, zone, ip
         self.process = None
-        used = {name: free_port(ip) for name in ("front", "readiness", "directory")}
-        self.ports = used
-        self.peer_port = free_port(ip)
+        self.peer_port = free_ports(ip)
+        served = ("front", "readiness", "directory")
+        self.ports = {name: self.peer_port + PEER_PORTS + i for i, name in enumerate(served)}
         self.file = os.path.join(system.folder, f"{name}.toml")
 
     def address(self, kind):
@@ -55,7 +71,7 @@
             f'machine_class = "{"frontend" if front else "storage"}"',
             'serves = ["frontend", "directory"]' if front else 'serves = ["storage"]',
             f'ip = "{self.ip}"', f'zone = "{self.zone}"', 'region = "bc-coast"',
-            f"port_range = [{self.peer_port}, {self.peer_port + 15}]", "seeds = []",
+            f"port_range = [{self.peer_port}, {self.peer_port + PEER_PORTS - 1}]", "seeds = []",
             "bootstrap = true", f"loss_counts = {str(not front).lower()}",
             'discovery = "platform"', 'entry = "directory"', "heartbeat_ms = 1200",
             'contracts = ["base","drain","config","cost","recover","batch","stream","engine",'
