Bound the crash reports that wait and the list of disconnected hosts

Reports of crashes that wait to be verified, and hosts that said once that they reach no target and never again, were kept without a bound. A report beyond 64 waiting ones counts without being verified; an entry of a disconnected host goes with its time to live.

--- a/crates/oleander-cluster/src/disconnected.rs
+++ b/crates/oleander-cluster/src/disconnected.rs
@@ -37,6 +37,7 @@
         if services.is_empty() {
             return self.hosts.remove(host).is_some();
         }
+        self.hosts.retain(|other, (at, _)| other == host || now.since(*at) < TTL);
         let known = self.hosts.insert(host.clone(), (now, services.clone()));
         known.is_none_or(|(at, known)| known != services || now.since(at) >= TTL)
     }
--- a/crates/oleander-relay/src/pools.rs
+++ b/crates/oleander-relay/src/pools.rs
@@ -22,6 +22,9 @@
     version::SoftwareVersion,
 };
 
+/// Maximum number of reported crashes that wait to be verified; reports beyond it count unverified.
+const MAX_REPORTS: usize = 64;
+
 /// The pools of all services.
 pub struct Pools {
     /// The streams of all services, by their software version.
@@ -179,7 +182,10 @@
             let target = pool.target(&run.target)?;
             Some(CrashReport { pool: Arc::clone(&pool), run, target })
         });
-        self.reports.lock().extend(reports);
+        let mut waiting = self.reports.lock();
+        let room = MAX_REPORTS.saturating_sub(waiting.len());
+        waiting.extend(reports.take(room));
+        drop(waiting);
         self.reported.notify_one();
     }
 
