--- a/crates/oleander-cluster/tests/crashes/disconnected.rs
+++ b/crates/oleander-cluster/tests/crashes/disconnected.rs
@@ -54,3 +54,11 @@
         }
     }
 }
+
+#[tokio::test]
+async fn callers_of_hosts_that_reach_half_of_the_targets_are_served() {
+    for seed in 0..seeds() {
+        let cuts = [Cut::SomeRefused, Cut::SomeSilent];
+        join_all(cuts.map(|how| callers_are_served(seed, how, &[0, 1]))).await;
+    }
+}
--- a/crates/oleander-cluster/tests/crashes/targets.rs
+++ b/crates/oleander-cluster/tests/crashes/targets.rs
@@ -69,6 +69,8 @@
     NewRefused,
     /// As [`Cut::Refused`], at half of the targets.
     SomeRefused,
+    /// As [`Cut::Silent`], at half of the targets.
+    SomeSilent,
 }
 
 /// A request of another host.
@@ -176,10 +178,10 @@
 }
 
 fn cut_at(cuts: &HashMap<usize, Cut>, host: usize, target: &TargetId) -> Option<Cut> {
+    let is_cut = hash::hash_parts(&[target.as_str()]).is_multiple_of(2);
     match cuts.get(&host).copied() {
-        Some(Cut::SomeRefused) => {
-            hash::hash_parts(&[target.as_str()]).is_multiple_of(2).then_some(Cut::Refused)
-        }
+        Some(Cut::SomeRefused) => is_cut.then_some(Cut::Refused),
+        Some(Cut::SomeSilent) => is_cut.then_some(Cut::Silent),
         cut => cut,
     }
 }
@@ -196,7 +198,7 @@
         let target = dispatch.target.id.clone();
         let running = self.running.lock().get(&target).map(watch::Sender::subscribe);
         match self.cut(&target) {
-            Some(Cut::Silent) => {
+            Some(Cut::Silent | Cut::SomeSilent) => {
                 sleep(CONNECT_TIMEOUT).await;
                 return Err(SendError::NotSent("timed out".to_owned()));
             }
@@ -258,7 +260,7 @@
     async fn connect(&self, target: &TargetEntry) -> Reach {
         match self.cut(&target.id) {
             Some(Cut::Refused | Cut::NewRefused | Cut::SomeRefused) => Reach::Refused,
-            Some(Cut::Silent | Cut::Reset) => Reach::Failed,
+            Some(Cut::Silent | Cut::SomeSilent | Cut::Reset) => Reach::Failed,
             None if self.is_running(&target.id) => Reach::Accepted,
             None => Reach::Refused,
         }
