Keep a rejection by the platform a rejection, also through other hosts

A write that the platform rejects for good (400, 413) was sent through up to three more hosts, and came back as "busy", which callers of the store take for an outage; a blocked part of a prompt was written every 0.3 s for good.

Cause: FailoverStore fell back on each error without effect, and a serving host answered each of them with Refused. A rejection now returns to the caller at once, and passes through another host as StoreResponse::Rejected, which is new at the end of the enum: a host of an older build fails to decode it, takes the outcome for unknown and reads, as after a lost response.

Red before, on: a_write_that_the_store_rejects_is_sent_through_no_other_host: Ok(New(Revision(1))) a_rejection_is_known_as_one_through_another_host: Err(Busy("platform rejected the request: 2 bytes are too many")) Green now, with the other five tests of failover.

--- a/crates/oleander-cluster/src/failover.rs
+++ b/crates/oleander-cluster/src/failover.rs
@@ -3,7 +3,7 @@
 //! A host that is refused by the platform's store, or disconnected from it, sends its requests
 //! through a host that reaches the store. A read may be sent on both paths. A write is sent through
 //! another host only if the direct attempt had no effect; otherwise its outcome is unknown, and the
-//! caller finds it by a read. A failing path is tested with extra reads only. A host serves others
+//! caller finds it by a read. What the store rejects for good is sent through no other host. A failing path is tested with extra reads only. A host serves others
 //! only while its own direct path works, so that an outage for all hosts causes no requests between
 //! them.
 
@@ -57,6 +57,9 @@
     Refused(String),
     /// The request may have taken effect.
     Unknown(String),
+    /// The store rejects the request for good; it had no effect. A host that does not know this
+    /// response fails to decode it, and takes the outcome for unknown.
+    Rejected(String),
 }
 
 /// Sends store requests through other hosts.
@@ -201,17 +204,24 @@
 }
 
 fn failure_response(error: &PlatformError) -> StoreResponse {
-    if error.may_have_written() {
-        StoreResponse::Unknown(error.to_string())
-    } else {
-        StoreResponse::Refused(error.to_string())
+    match error {
+        PlatformError::Rejected(reason) => StoreResponse::Rejected(reason.clone()),
+        error if error.may_have_written() => StoreResponse::Unknown(error.to_string()),
+        error => StoreResponse::Refused(error.to_string()),
     }
 }
 
+/// Whether another host may do what failed here: it had no effect, and the store does not reject
+/// it for good.
+const fn may_fall_back(error: &PlatformError) -> bool {
+    !error.may_have_written() && !matches!(error, PlatformError::Rejected(_))
+}
+
 fn error_from(response: StoreResponse) -> PlatformError {
     match response {
         StoreResponse::Refused(text) => PlatformError::Busy(text),
         StoreResponse::Unknown(text) => PlatformError::NoResponse(text),
+        StoreResponse::Rejected(text) => PlatformError::Rejected(text),
         _ => PlatformError::NoResponse("unexpected kind of response".to_owned()),
     }
 }
@@ -219,6 +229,7 @@
 impl<S: ObjectStore, F: StoreFallback> ObjectStore for FailoverStore<S, F> {
     async fn get(&self, key: &str) -> Result<Option<Object>, PlatformError> {
         let error = match self.direct(key, self.store.get(key)).await {
+            Err(error @ PlatformError::Rejected(_)) => return Err(error),
             Ok(object) => return Ok(object),
             Err(error) => error,
         };
@@ -230,7 +241,7 @@
 
     async fn create(&self, key: &str, body: Bytes) -> Result<Created, PlatformError> {
         let error = match self.direct(key, self.store.create(key, body.clone())).await {
-            Err(error) if !error.may_have_written() => error,
+            Err(error) if may_fall_back(&error) => error,
             result => return result,
         };
         match self.call_fallback(StoreRequest::Create(key.to_owned(), body), error).await {
@@ -247,7 +258,7 @@
         expected: Revision,
     ) -> Result<Updated, PlatformError> {
         let error = match self.direct(key, self.store.update(key, body.clone(), expected)).await {
-            Err(error) if !error.may_have_written() => error,
+            Err(error) if may_fall_back(&error) => error,
             result => return result,
         };
         match self.call_fallback(StoreRequest::Update(key.to_owned(), body, expected), error).await
--- a/crates/oleander-cluster/src/quarantine.rs
+++ b/crates/oleander-cluster/src/quarantine.rs
@@ -9,7 +9,9 @@
 
 use oleander_core::{Revision, ServiceId, Span, Time, hash, value};
 use oleander_host::clock;
-use oleander_platform::{Created, ObjectStore, StoreError, decode_value, encode_value};
+use oleander_platform::{
+    Created, ObjectStore, PlatformError, StoreError, decode_value, encode_value,
+};
 use oleander_quarantine::{BlockNews, QuarantineNews};
 use oleander_relay::Pool;
 use rand::seq::IndexedRandom;
@@ -196,6 +198,9 @@
     loop {
         match store.create(&key, body.clone()).await {
             Ok(Created::New(_) | Created::Exists) => return,
+            Err(error @ PlatformError::Rejected(_)) => {
+                return log::error!(key:% = key, error:% = error; "block is not stored");
+            }
             Err(error) => log::warn!(key:% = key, error:% = error; "block is not stored yet"),
         }
         time::sleep(RETRY_PAUSE).await;
--- a/crates/oleander-cluster/tests/failover.rs
+++ b/crates/oleander-cluster/tests/failover.rs
@@ -69,6 +69,26 @@
     assert!(other.get("a/1").await.expect("up").is_some());
 }
 
+/// Guards against a write that can never succeed, and is repeated for good because its rejection
+/// looks like an outage.
+#[tokio::test]
+async fn a_write_that_the_store_rejects_is_sent_through_no_other_host() {
+    let (store, direct, other) = paths();
+    direct.set_faults(MemoryFaults { max_bytes: Some(1), ..MemoryFaults::default() });
+    let created = store.create("a/1", body()).await;
+    assert!(matches!(created, Err(PlatformError::Rejected(_))), "{created:?}");
+    assert!(other.get("a/1").await.expect("up").is_none());
+}
+
+#[tokio::test]
+async fn a_rejection_is_known_as_one_through_another_host() {
+    let (store, direct, other) = paths();
+    direct.set_faults(down());
+    other.set_faults(MemoryFaults { max_bytes: Some(1), ..MemoryFaults::default() });
+    let created = store.create("a/1", body()).await;
+    assert!(matches!(created, Err(PlatformError::Rejected(_))), "{created:?}");
+}
+
 #[tokio::test]
 async fn a_write_without_a_response_is_not_repeated_through_another_host() {
     let (store, direct, other) = paths();
--- a/crates/oleander-platform/src/memory.rs
+++ b/crates/oleander-platform/src/memory.rs
@@ -29,6 +29,8 @@
     pub lost_responses: u32,
     /// Watches from an earlier revision fail with [`PlatformError::HistoryGone`].
     pub oldest_revision: u64,
+    /// Maximum size of an object in bytes; writes of larger ones are rejected. `None` for no limit.
+    pub max_bytes: Option<usize>,
 }
 
 #[derive(Debug, Default)]
@@ -115,6 +117,9 @@
     }
 
     fn write(&mut self, key: &str, body: Bytes) -> Result<Revision, PlatformError> {
+        if self.faults.max_bytes.is_some_and(|max| body.len() > max) {
+            return Err(PlatformError::Rejected(format!("{} bytes are too many", body.len())));
+        }
         self.revision += 1;
         let revision = Revision(self.revision);
         self.objects.insert(key.to_owned(), Object { revision, body });
