Finish jobs whose results the platform rejects; bound the output of items

Cause: a target sent line feeds without end, which became half a million line feeds in the item's output. Nothing bounded that output, segments were sized by raw bytes though JSON doubles a line feed, and the segment of more than value_bytes was rejected with 413. append_results took the rejection for an outage and wrote the same segment four times a second for good, with the rejected result first each time.

Sizes are now those of the JSON. A run with more output than an object holds, or more events than the tokens that its item asks for, is dropped and starts anew elsewhere; after three different targets the item fails. A run ends with its job's retention. A rejected segment is split, a rejected result comes last and is dropped after three times, and pauses double. A job with an item that fits into no object is refused with 413 at once, where it got 503 each time it came.

--- a/crates/oleander-worklist/src/admission.rs
+++ b/crates/oleander-worklist/src/admission.rs
@@ -4,16 +4,15 @@
 
 use oleander_core::{JobId, Span, Tokens};
 use oleander_host::clock;
-use oleander_platform::{ObjectStore, StoreError};
+use oleander_platform::{ObjectStore, PlatformError, StoreError};
 use oleander_relay::{Route, RouteKind, TargetTransport};
 use tokio::time;
 
 use crate::{
     backlog::Backlog,
-    job::Job,
     manager::{JobManager, LoadedJob},
     record::JobPhase,
-    submission::{Submission, SubmitError},
+    submission::{Submission, SubmitError, TooLarge},
 };
 
 /// `Retry-After` while this host is not ready or the platform takes no writes.
@@ -114,12 +113,17 @@
         route: &Route,
     ) -> Result<(), SubmitError> {
         let parts = submission.parts(self.config.object_bytes);
+        let parts = parts.map_err(|TooLarge { item, bytes }| {
+            log::warn!(job:% = submission.job, item:% = item, bytes;
+                "job refused: an item is larger than the platform stores");
+            SubmitError::TooLarge
+        })?;
         for (index, part) in parts.iter().enumerate() {
             let put = self.store.put_part(&submission.job, index as u32, part).await;
             if let Err(fault) = put {
                 log::warn!(job:% = submission.job, error:% = fault;
                     "job refused: its items can't be written to the platform");
-                return Err(SubmitError::Unavailable(UNAVAILABLE_RETRY_AFTER));
+                return Err(refusal(&fault));
             }
         }
         let owner = (!self.is_draining()).then(|| self.local.clone());
@@ -129,8 +133,7 @@
                 log::info!(job:% = record.job, route:% = record.route, items = record.total,
                     tokens = record.tokens.0, revision = revision.0; "job accepted");
                 if record.owner.is_some() {
-                    let job = Job::new(record.clone(), submission.items, &self.config.id_header);
-                    self.start_job(job);
+                    self.start_job(self.new_job(record.clone(), submission.items));
                 }
                 self.apply_record(revision, record);
                 Ok(())
@@ -144,8 +147,18 @@
             Err(fault) => {
                 log::warn!(job:% = record.job, error:% = fault;
                     "job refused: its record can't be written to the platform");
-                Err(SubmitError::Unavailable(UNAVAILABLE_RETRY_AFTER))
+                Err(refusal(&fault))
             }
         }
     }
 }
+
+/// Refusal of a job of which nothing was written that accepts it.
+const fn refusal(fault: &StoreError) -> SubmitError {
+    match fault {
+        StoreError::Platform(PlatformError::Rejected(_)) => SubmitError::Rejected,
+        StoreError::Platform(_) | StoreError::InvalidValue(_) => {
+            SubmitError::Unavailable(UNAVAILABLE_RETRY_AFTER)
+        }
+    }
+}
--- a/crates/oleander-worklist/src/commit.rs
+++ b/crates/oleander-worklist/src/commit.rs
@@ -1,21 +1,21 @@
 //! Commit of results and completion of jobs.
 //!
 //! Results are appended to the job's log at the platform; only committed results are returned to
-//! callers. A job that is open past its due time is late, which is only logged; once its retention
+//! callers. A result that the platform rejects for good holds up no others. A job that is open past its due time is late, which is only logged; once its retention
 //! is over, it is expired and its waiting items fail.
 
 use std::{sync::Arc, time::Duration};
 
 use oleander_core::{JobId, Span, Time};
-use oleander_platform::{ObjectStore, StoreError};
+use oleander_platform::{ObjectStore, PlatformError, StoreError};
 use oleander_relay::TargetTransport;
 use tokio::time;
 
 use crate::{
+    backoff::{Backoff, RETRY_DELAY},
     job::Job,
     manager::{JobManager, LoadedJob},
     record::{JobPhase, JobRecord, Segment},
-    takeover::RETRY_DELAY,
 };
 
 /// Time for which results are collected into one segment while more items of the job run.
@@ -25,6 +25,15 @@
 /// Minimum time between two warnings about a late job.
 const LATE_WARNING_INTERVAL: Span = Span::from_secs(5);
 
+/// What became of the next segment of a job's log.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Appended {
+    /// A segment is stored at its index and applied.
+    Stored,
+    /// The platform rejects these results for good; others are written next.
+    Rejected,
+}
+
 impl<S: ObjectStore, T: TargetTransport> JobManager<S, T> {
     /// Adds a job to the loaded ones and starts to run it.
     pub(crate) fn start_job(self: &Arc<Self>, job: Job) {
@@ -41,6 +50,7 @@
     /// an expired job and warns about a late one.
     async fn commit_results(self: Arc<Self>, id: JobId, loaded: Arc<LoadedJob>) {
         let mut writes = 0_u64;
+        let mut backoff = Backoff::default();
         let mut last_warning = None;
         while !loaded.is_stopped() {
             loaded.job.lock().expire(Self::wall_now());
@@ -49,10 +59,10 @@
                 if self.mark_done(&id).await {
                     return;
                 }
-                time::sleep(RETRY_DELAY).await;
+                backoff.wait().await;
                 continue;
             }
-            if loaded.job.lock().pending_results().is_empty() {
+            if !loaded.job.lock().has_pending() {
                 // Wakes when an item finishes, or when the expiry is to be checked again.
                 let _ = time::timeout(EXPIRY_CHECK_INTERVAL, loaded.finished.notified()).await;
                 if loaded.job.lock().running() > 0 {
@@ -61,9 +71,13 @@
                 continue;
             }
             writes += 1;
-            if let Err(fault) = self.append_results(&id, &loaded, writes).await {
-                log::warn!(job:% = id, error:% = fault; "results can't be listed");
-                time::sleep(RETRY_DELAY).await;
+            match self.append_results(&id, &loaded, writes).await {
+                Ok(Appended::Stored) => backoff.reset(),
+                Ok(Appended::Rejected) => backoff.wait().await,
+                Err(fault) => {
+                    log::warn!(job:% = id, error:% = fault; "results can't be listed");
+                    time::sleep(RETRY_DELAY).await;
+                }
             }
         }
     }
@@ -74,13 +88,23 @@
         id: &JobId,
         loaded: &LoadedJob,
         write: u64,
-    ) -> Result<(), StoreError> {
+    ) -> Result<Appended, StoreError> {
         let (index, results) = {
             let job = loaded.job.lock();
             (job.segments(), job.pending_results())
         };
         let segment = Segment { writer: self.writer(write), results };
-        let stored = self.store.append(id, index, &segment).await?;
+        let stored = match self.store.append(id, index, &segment).await {
+            Ok(stored) => stored,
+            Err(StoreError::Platform(PlatformError::Rejected(reason))) => {
+                log::error!(job:% = id, segment = index, results = segment.results.len(),
+                    reason:% = reason; "results are rejected by the platform");
+                metrics::counter!("results_rejected_total").increment(1);
+                loaded.job.lock().reject(&segment.results);
+                return Ok(Appended::Rejected);
+            }
+            Err(fault) => return Err(fault),
+        };
         let is_own = stored.writer == segment.writer;
         if !is_own {
             log::info!(job:% = id, segment = index, writer:% = stored.writer;
@@ -95,7 +119,7 @@
             }
         }
         loaded.committed.notify_waiters();
-        Ok(())
+        Ok(Appended::Stored)
     }
 
     /// Marks a job as done; `true` if it is, or if this process no longer owns it.
--- a/crates/oleander-worklist/src/handover.rs
+++ b/crates/oleander-worklist/src/handover.rs
@@ -9,11 +9,11 @@
 use tokio::time;
 
 use crate::{
+    backoff::RETRY_DELAY,
     commit::COLLECT_TIME,
     index::next_owner,
     manager::{JobManager, LoadedJob},
     record::{JobPhase, JobRecord},
-    takeover::RETRY_DELAY,
 };
 
 /// Time that running items get to finish before this host stops.
@@ -51,7 +51,7 @@
         for (id, loaded) in loaded {
             let is_idle = {
                 let job = loaded.job.lock();
-                job.running() == 0 && job.pending_results().is_empty()
+                job.running() == 0 && !job.has_pending()
             };
             if all || is_idle {
                 self.release_job(&id).await;
--- a/crates/oleander-worklist/src/item.rs
+++ b/crates/oleander-worklist/src/item.rs
@@ -1,7 +1,7 @@
 //! Items of a job: as submitted, and with their state in an open job.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     sync::{Arc, OnceLock},
 };
 
@@ -12,7 +12,7 @@
 use oleander_quarantine::RequestParts;
 use oleander_relay::{EventReader, Request, SoftwareVersion, TargetTransport, request_parts};
 
-use crate::record::ItemRecord;
+use crate::record::{ItemOutcome, ItemRecord};
 
 /// A submitted item: one request of a job.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -42,6 +42,8 @@
     Interrupted,
     /// The target crashed and had sent nothing for the item, which waits longer each time.
     Crashed,
+    /// The output is larger than a result can be; the item starts again elsewhere.
+    Oversized,
 }
 
 /// Status of an item of an open job.
@@ -50,7 +52,7 @@
     Waiting,
     Running,
     /// The result is known but not committed yet.
-    Finished(crate::record::ItemOutcome),
+    Finished(ItemOutcome),
     Committed,
 }
 
@@ -61,8 +63,8 @@
     pub events: EventReader,
     /// Data of the events so far, joined by line feeds.
     pub output: Vec<u8>,
-    /// Whether the output contains any event.
-    pub has_events: bool,
+    /// Number of events in the output.
+    pub event_count: u64,
     /// Software version of the targets that wrote the output.
     pub version: Option<SoftwareVersion>,
 }
@@ -79,6 +81,10 @@
     pub(crate) not_before: Time,
     pub(crate) avoid: Option<TargetId>,
     pub(crate) progress: Progress,
+    /// Number of times that the platform has rejected the result.
+    pub(crate) rejections: u32,
+    /// Targets whose output for the item can't be stored.
+    pub(crate) unstorable: BTreeSet<TargetId>,
 }
 
 impl NewItem {
@@ -139,8 +145,24 @@
             not_before: Time(0),
             avoid: None,
             progress: Progress::default(),
+            rejections: 0,
+            unstorable: BTreeSet::new(),
         }
     }
+
+    /// Drops output that can't be stored; the item runs again elsewhere, until enough targets have
+    /// written such output to show that the item asks for it.
+    pub(crate) fn drop_unstorable(&mut self, max_targets: usize) {
+        self.progress = Progress::default();
+        self.rejections = 0;
+        self.unstorable.extend(self.avoid.clone());
+        self.status = if self.unstorable.len() < max_targets {
+            ItemStatus::Waiting
+        } else {
+            ItemStatus::Finished(ItemOutcome::Failed)
+        };
+    }
+
     /// The parts of the request, by which a crash of its target is attributed.
     pub(crate) fn parts<T: TargetTransport>(&self, transport: &T) -> Arc<RequestParts> {
         Arc::clone(self.parts.get_or_init(|| request_parts(transport, &self.request)))
--- a/crates/oleander-worklist/src/job.rs
+++ b/crates/oleander-worklist/src/job.rs
@@ -14,6 +14,7 @@
 use crate::{
     item::{Item, ItemStatus, NewItem, Progress, RunOutcome},
     record::{ItemOutcome, ItemResult, JobRecord, Segment},
+    size::ResultLimits,
 };
 
 /// Delay before an item runs again after a failed or interrupted run; doubles with each target that
@@ -23,11 +24,16 @@
 const MAX_RETRY_DELAY: Span = Span::from_secs(4);
 /// Divisor of a job's due time; in this first part, items run only in this host's data centre.
 const LOCAL_DIVISOR: u64 = 12;
-/// Maximum output bytes in one segment; leaves room in an object for the JSON encoding.
-const SEGMENT_BYTES: usize = 400 << 10;
-/// Maximum output bytes in one page of results.
+/// Minimum number of targets whose output for an item can't be stored, after which it fails.
+const MIN_UNSTORABLE: usize = 3;
+/// Rejections of a single result by the platform after which its output is dropped.
+const MAX_REJECTIONS: u32 = 3;
+/// Maximum size of the results in one page, in bytes of JSON.
 const PAGE_BYTES: usize = 900 << 10;
 
+/// Maximum size of an object at the platform, in bytes, if none is set.
+const DEFAULT_OBJECT_BYTES: usize = 1 << 20;
+
 /// An item that was started.
 #[derive(Debug)]
 pub struct NextItem {
@@ -49,6 +55,9 @@
     committed: Vec<Arc<ItemResult>>,
     segments: u64,
     bytes: usize,
+    limits: ResultLimits,
+    /// Maximum number of results in the next segment.
+    max_results: usize,
 }
 
 impl Job {
@@ -60,7 +69,23 @@
             items.into_iter().map(|item| Item::new(item, &record.host, id_header)).collect();
         let by_id = items.iter().enumerate().map(|(index, item)| (item.request.id.clone(), index));
         let by_id = by_id.collect();
-        Self { record, items, by_id, committed: Vec::new(), segments: 0, bytes }
+        Self {
+            record,
+            items,
+            by_id,
+            committed: Vec::new(),
+            segments: 0,
+            bytes,
+            limits: ResultLimits::of_objects(DEFAULT_OBJECT_BYTES),
+            max_results: usize::MAX,
+        }
+    }
+
+    /// Sets the maximum size of an object at the platform, in bytes.
+    #[must_use]
+    pub const fn object_bytes(mut self, bytes: usize) -> Self {
+        self.limits = ResultLimits::of_objects(bytes);
+        self
     }
 
     /// Size of all request bodies, in bytes.
@@ -155,6 +180,7 @@
         target: TargetId,
     ) {
         let attempts = self.record.attempts;
+        let max_targets = self.max_unstorable();
         let item = &mut self.items[index];
         if item.status != ItemStatus::Running {
             return;
@@ -163,6 +189,9 @@
         item.avoid = Some(target);
         item.crashes = if *outcome == RunOutcome::Crashed { item.crashes + 1 } else { 0 };
         item.not_before = now + retry_delay(item.crashes);
+        if *outcome == RunOutcome::Oversized {
+            return item.drop_unstorable(max_targets);
+        }
         item.status = match outcome {
             RunOutcome::Completed => ItemStatus::Finished(ItemOutcome::Completed),
             RunOutcome::Impossible => ItemStatus::Finished(ItemOutcome::Failed),
@@ -174,7 +203,9 @@
                     ItemStatus::Waiting
                 }
             }
-            RunOutcome::Interrupted | RunOutcome::Crashed => ItemStatus::Waiting,
+            RunOutcome::Interrupted | RunOutcome::Crashed | RunOutcome::Oversized => {
+                ItemStatus::Waiting
+            }
         };
     }
 
@@ -204,25 +235,66 @@
         waiting.for_each(|item| item.status = ItemStatus::Finished(ItemOutcome::Failed));
     }
 
+    /// Number of targets whose output for an item can't be stored, after which the item fails.
+    fn max_unstorable(&self) -> usize {
+        MIN_UNSTORABLE.max(self.record.attempts as usize)
+    }
+
+    /// Whether any item has finished whose result is not committed.
+    #[must_use]
+    pub fn has_pending(&self) -> bool {
+        self.items.iter().any(|item| matches!(item.status, ItemStatus::Finished(_)))
+    }
+
     /// Results for the next segment, up to its maximum size; empty if no item has finished.
+    ///
+    /// Results that the platform has rejected come last, so that they hold up no others.
     #[must_use]
     pub fn pending_results(&self) -> Vec<ItemResult> {
+        let mut finished: Vec<(&Item, ItemOutcome)> = Vec::new();
+        for item in &self.items {
+            if let ItemStatus::Finished(outcome) = item.status {
+                finished.push((item, outcome));
+            }
+        }
+        finished.sort_by_key(|(item, _)| item.rejections);
         let mut results = Vec::new();
         let mut bytes = 0;
-        for item in &self.items {
-            let ItemStatus::Finished(outcome) = item.status else { continue };
-            bytes += item.progress.output.len();
-            if !results.is_empty() && bytes > SEGMENT_BYTES {
+        for (item, outcome) in finished.into_iter().take(self.max_results) {
+            let result = item.result(outcome);
+            bytes += result.json_len();
+            if !results.is_empty() && bytes > self.limits.segment {
                 break;
             }
-            results.push(item.result(outcome));
+            results.push(result);
         }
         results
     }
 
+    /// Records that the platform has rejected a segment with these results for good.
+    ///
+    /// Fewer of them are written next. The output of an item whose result is rejected by itself is
+    /// dropped in the end.
+    pub fn reject(&mut self, results: &[ItemResult]) {
+        if results.len() > 1 {
+            self.max_results = results.len() / 2;
+            return;
+        }
+        let max_targets = self.max_unstorable();
+        let index = results.first().and_then(|result| self.by_id.get(&result.item));
+        let Some(index) = index else { return };
+        let item = &mut self.items[*index];
+        item.rejections += 1;
+        let is_completed = item.status == ItemStatus::Finished(ItemOutcome::Completed);
+        if is_completed && item.rejections >= MAX_REJECTIONS {
+            item.drop_unstorable(max_targets);
+        }
+    }
+
     /// Applies the next segment of the log; the first result of each item counts.
     pub fn apply(&mut self, segment: Segment) {
         self.segments += 1;
+        self.max_results = usize::MAX;
         for result in segment.results {
             let Some(index) = self.by_id.get(&result.item) else {
                 log::warn!(job:% = self.record.job, item:% = result.item;
@@ -268,7 +340,7 @@
     let mut bytes = 0;
     let rest = committed.get(after..).unwrap_or_default();
     let fits = rest.iter().enumerate().take_while(|(index, result)| {
-        bytes += result.output.len();
+        bytes += result.json_len();
         *index == 0 || bytes <= PAGE_BYTES
     });
     fits.map(|(_, result)| Arc::clone(result)).collect()
--- a/crates/oleander-worklist/src/lib.rs
+++ b/crates/oleander-worklist/src/lib.rs
@@ -12,6 +12,7 @@
 
 mod admission;
 mod backlog;
+mod backoff;
 mod commit;
 mod handover;
 mod index;
@@ -19,10 +20,12 @@
 mod job;
 mod manager;
 mod message;
+mod output;
 mod preemption;
 mod reads;
 mod record;
 mod runner;
+mod size;
 mod store;
 mod submission;
 mod sweep;
@@ -36,6 +39,7 @@
 pub use manager::{JobManager, JobManagerConfig, StateUnknown};
 pub use message::{JobRequest, JobResponse, Results};
 pub use record::{ItemOutcome, ItemResult, JobPhase, JobRecord, Owner, Part, Segment};
+pub use size::{ResultLimits, escaped_len};
 pub use store::{JOB_PREFIX, JobStore};
 pub use submission::{Submission, SubmitError};
 pub use sweep::{sweep, sweep_once};
--- a/crates/oleander-worklist/src/manager.rs
+++ b/crates/oleander-worklist/src/manager.rs
@@ -26,6 +26,7 @@
 
 use crate::{
     index::{JobAction, JobIndex},
+    item::NewItem,
     job::Job,
     message::{JobRequest, JobResponse},
     reads::StoredResults,
@@ -152,6 +153,11 @@
         })
     }
 
+    /// A job without results, with the limits of this host.
+    pub(crate) fn new_job(&self, record: JobRecord, items: Vec<NewItem>) -> Job {
+        Job::new(record, items, &self.config.id_header).object_bytes(self.config.object_bytes)
+    }
+
     /// Whether all job records have been read once.
     pub fn is_ready(&self) -> bool {
         self.ready.load(Ordering::Relaxed)
--- a/crates/oleander-worklist/src/runner.rs
+++ b/crates/oleander-worklist/src/runner.rs
@@ -2,28 +2,30 @@
 
 use std::{
     collections::HashSet,
+    mem,
     sync::{Arc, atomic::Ordering},
 };
 
-use bytes::Bytes;
 use http::StatusCode;
 use oleander_core::{ServiceId, Span, TargetId, Time};
 use oleander_host::clock;
 use oleander_platform::ObjectStore;
 use oleander_quarantine::RequestParts;
 use oleander_relay::{
-    Attempt, AttemptOutcome, AttemptTimeouts, Pool, ResponseHead, ResponseSink, SinkClosed,
-    TargetEntry, TargetLease, TargetTransport, VersionChoice, batch_pick, event_data, run_attempt,
+    Attempt, AttemptOutcome, AttemptTimeouts, Pool, Request, TargetEntry, TargetLease,
+    TargetTransport, VersionChoice, batch_pick, run_attempt,
 };
 use tokio::{
-    sync::{Notify, watch},
-    time,
+    sync::Notify,
+    time::{self, Instant},
 };
 
 use crate::{
     item::{Item, Progress, RunOutcome},
     job::NextItem,
     manager::{JobManager, LoadedJob},
+    output::{OutputSink, RunLimits},
+    size::ResultLimits,
 };
 
 /// Time between two checks for free slots while items wait or run.
@@ -134,6 +136,19 @@
         Placement::Blocked
     }
 
+    /// Limits of a run of an item that begins now.
+    fn run_limits(&self, loaded: &LoadedJob, request: &Request) -> RunLimits {
+        let expires_at = loaded.job.lock().record.expires_at();
+        let time = expires_at.since(Self::wall_now()).to_duration();
+        let limits = ResultLimits::of_objects(self.config.object_bytes);
+        RunLimits {
+            output: limits.output_of(&request.id),
+            // An event carries a token or more.
+            events: self.relay.transport.size(request).map(u64::from),
+            end: Instant::now() + time,
+        }
+    }
+
     fn register_run(&self, target: &TargetId) -> Run {
         let mut runs = self.runs.lock();
         let number = self.run_count.fetch_add(1, Ordering::Relaxed);
@@ -149,11 +164,14 @@
         next: NextItem,
         granted: TargetLease,
     ) {
-        let Progress { mut events, output, has_events, .. } = next.progress;
+        let mut progress = next.progress;
+        let mut events = mem::take(&mut progress.events);
         let resumed = events.last_id();
         let run = self.register_run(&granted.target.id);
         let preempted = Arc::clone(&run.preempted);
-        let mut sink = OutputSink { output, has_events, stop: loaded.stop.subscribe(), preempted };
+        let limits = self.run_limits(&loaded, &next.request);
+        let mut sink =
+            OutputSink::new(&mut progress, limits).stopped_by(loaded.stop.subscribe(), preempted);
         let parameters = Attempt {
             request: &next.request,
             budget: None,
@@ -169,6 +187,9 @@
             run_attempt(&self.relay.transport, granted, parameters, &mut sink).await;
         self.runs.lock().retain(|other| other.number != run.number);
         let mut outcome = run_outcome(&attempt_outcome);
+        if sink.is_oversized() {
+            outcome = RunOutcome::Oversized;
+        }
         if outcome == RunOutcome::Interrupted && events.last_id() == resumed && crash.has_crashed()
         {
             outcome = RunOutcome::Crashed;
@@ -179,9 +200,9 @@
             last:? = events.last_id(), took_ms = now.since(started).as_millis(), outcome:? = outcome,
             reason:% = reason(&attempt_outcome); "item run ended");
         metrics::counter!("item_runs_total", "outcome" => outcome_label(&outcome)).increment(1);
-        let version = sink.has_events.then_some(version);
+        let version = (sink.event_count > 0).then_some(version);
         let progress =
-            Progress { events, output: sink.output, has_events: sink.has_events, version };
+            Progress { events, output: sink.output, event_count: sink.event_count, version };
         loaded.job.lock().finish_run(now, next.index, &outcome, progress, target);
         loaded.finished.notify_one();
         self.wake.notify_one();
@@ -241,6 +262,7 @@
         RunOutcome::Impossible => "impossible",
         RunOutcome::Interrupted => "interrupted",
         RunOutcome::Crashed => "crashed",
+        RunOutcome::Oversized => "oversized",
     }
 }
 
@@ -255,34 +277,3 @@
         AttemptOutcome::Cancelled => "stopped".to_owned(),
     }
 }
-
-/// Appends the data of a stream's events to an item's output.
-struct OutputSink {
-    output: Vec<u8>,
-    has_events: bool,
-    stop: watch::Receiver<bool>,
-    preempted: Arc<Notify>,
-}
-
-impl ResponseSink for OutputSink {
-    fn head(&mut self, _: ResponseHead) {}
-
-    async fn chunk(&mut self, bytes: Bytes) -> Result<(), SinkClosed> {
-        for data in event_data(&bytes) {
-            if std::mem::replace(&mut self.has_events, true) {
-                self.output.push(b'\n');
-            }
-            self.output.extend_from_slice(&data);
-        }
-        Ok(())
-    }
-
-    async fn closed(&self) {
-        let mut stop = self.stop.clone();
-        // An error means that the job is no longer loaded, which stops the run as well.
-        tokio::select! {
-            _ = stop.wait_for(|stopped| *stopped) => {}
-            () = self.preempted.notified() => {}
-        }
-    }
-}
--- a/crates/oleander-worklist/src/submission.rs
+++ b/crates/oleander-worklist/src/submission.rs
@@ -6,11 +6,9 @@
 use crate::{
     item::NewItem,
     record::{JobPhase, JobRecord, Owner, Part},
+    size::content_bytes,
 };
 
-/// Upper bound for the fixed JSON bytes of a stored item, in bytes.
-const ITEM_OVERHEAD: usize = 1 << 10;
-
 /// A submitted job.
 #[derive(Debug, Clone)]
 pub struct Submission {
@@ -31,10 +29,23 @@
     Unavailable(Span),
     /// The route's backlog or this host's memory is full; the job was not accepted.
     Full(Span),
+    /// An item is larger than the platform stores; the job is never accepted.
+    TooLarge,
+    /// The platform rejects what describes the job, its id for example; it is never accepted.
+    Rejected,
     /// The job may have been accepted; submitting it again reveals the outcome.
     Unknown,
 }
 
+/// An item that fits into no object of the platform.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct TooLarge {
+    /// Id of the item.
+    pub(crate) item: String,
+    /// Its size, in bytes.
+    pub(crate) bytes: usize,
+}
+
 impl Submission {
     /// Sum of the items' tokens.
     #[must_use]
@@ -49,23 +60,24 @@
     }
 
     /// Splits the items into parts that fit into objects of `object_bytes`.
-    #[must_use]
-    pub fn parts(&self, object_bytes: usize) -> Vec<Part> {
-        let capacity = object_bytes - object_bytes / 8;
+    pub(crate) fn parts(&self, object_bytes: usize) -> Result<Vec<Part>, TooLarge> {
+        let capacity = content_bytes(object_bytes);
         let mut parts: Vec<Part> = Vec::new();
         let mut used = capacity;
         for item in &self.items {
             let record = item.record();
-            let headers: usize = record.headers.iter().map(|(k, v)| k.len() + v.len() + 8).sum();
-            let size = record.body.len() + record.path.len() + headers + ITEM_OVERHEAD;
-            if used + size > capacity || parts.is_empty() {
+            let bytes = record.json_len();
+            if bytes > capacity {
+                return Err(TooLarge { item: record.id, bytes });
+            }
+            if used + bytes > capacity || parts.is_empty() {
                 parts.push(Part { items: Vec::new() });
                 used = 0;
             }
-            used += size;
+            used += bytes;
             parts.last_mut().into_iter().for_each(|part| part.items.push(record.clone()));
         }
-        parts
+        Ok(parts)
     }
 
     /// Builds the record that accepts the job on `route`.
--- a/crates/oleander-worklist/src/takeover.rs
+++ b/crates/oleander-worklist/src/takeover.rs
@@ -19,6 +19,7 @@
 use tokio::time;
 
 use crate::{
+    backoff::Backoff,
     job::Job,
     manager::JobManager,
     record::{JobPhase, JobRecord, Owner, Segment},
@@ -31,8 +32,6 @@
 /// Maximum number of jobs taken over per check, so that a host that finds many, for example after
 /// its start, isn't overloaded.
 const MAX_TAKEOVERS: usize = 4;
-/// Delay before a failed call to the platform is retried.
-pub(crate) const RETRY_DELAY: Duration = Duration::from_millis(250);
 
 impl<S: ObjectStore, T: TargetTransport> JobManager<S, T> {
     /// Takes over jobs without a running owner process; never returns.
@@ -124,6 +123,7 @@
         }
         let manager = Arc::clone(self);
         tokio::spawn(async move {
+            let mut backoff = Backoff::default();
             while manager.is_owned(&job) {
                 match manager.load(record.clone()).await {
                     Ok(loaded) => {
@@ -134,7 +134,7 @@
                     }
                     Err(fault) => log::warn!(job:% = job, error:% = fault; "job load failed"),
                 }
-                time::sleep(RETRY_DELAY).await;
+                backoff.wait().await;
             }
             manager.starting.lock().remove(&job);
             manager.load_if_owned(&job);
@@ -159,7 +159,7 @@
     async fn load(&self, record: JobRecord) -> Result<Job, StoreError> {
         let items = self.store.items(&record).await?;
         let id = record.job.clone();
-        let mut job = Job::new(record, items, &self.config.id_header);
+        let mut job = self.new_job(record, items);
         while let Some(segment) = self.store.segment(&id, job.segments()).await? {
             job.apply(segment);
         }
--- a/crates/oleander-worklist/tests/job.rs
+++ b/crates/oleander-worklist/tests/job.rs
@@ -9,8 +9,9 @@
 use oleander_relay::EventReader;
 use oleander_worklist::{
     Backlog, ItemOutcome, ItemResult, Job, JobAction, JobIndex, JobPhase, JobRecord, NewItem,
-    Owner, RunOutcome, Segment,
+    Owner, RunOutcome, Segment, escaped_len,
 };
+use quickcheck::quickcheck;
 
 const NOW: Time = Time(1_000_000_000);
 
@@ -208,3 +209,80 @@
     assert!(delays.iter().all(|delay| *delay <= Span::from_secs(4)), "{delays:?}");
     assert!(delays[1] < delays[2] && delays[2] < delays[3], "{delays:?}");
 }
+
+/// Finishes the next item with this output.
+fn finish(job: &mut Job, output: &str) {
+    let mut next = job.start_next(NOW).expect("an item waits");
+    next.progress.output.extend_from_slice(output.as_bytes());
+    job.finish_run(NOW, next.index, &RunOutcome::Completed, next.progress, target());
+}
+
+/// Guards against sound results that wait behind one that the platform rejects.
+#[test]
+fn results_behind_a_rejected_one_are_committed() {
+    let mut job = job(3);
+    for _ in 0..3 {
+        finish(&mut job, "text");
+    }
+    let mut writes = 0;
+    while job.results(0).len() < 2 {
+        writes += 1;
+        assert!(writes < 10, "sound results are held up");
+        let results = job.pending_results();
+        if results.iter().any(|result| result.item == "item-0") {
+            job.reject(&results);
+        } else {
+            job.apply(segment(results));
+        }
+    }
+    for _ in 0..3 {
+        let results = job.pending_results();
+        job.reject(&results);
+    }
+    assert!(!job.has_pending(), "the rejected result is written again and again");
+    assert_eq!(job.start_next(NOW + Span::from_secs(1)).expect("runs again").index, 0);
+}
+
+/// Guards against an item that runs for good, as its output can be stored from no target.
+#[test]
+fn an_item_fails_once_several_targets_have_sent_too_much() {
+    let mut job = job(1);
+    let mut now = NOW;
+    for number in [1, 2, 2, 2, 3] {
+        now = now + Span::from_secs(1);
+        let next = job.start_next(now).expect("the item waits");
+        assert!(next.progress.output.is_empty(), "it starts from nothing");
+        let target = format!("engine-{number}").parse().expect("name of a target");
+        job.finish_run(now, 0, &RunOutcome::Oversized, next.progress, target);
+    }
+    let results = job.pending_results();
+    assert_eq!(results.len(), 1, "it waits after three targets");
+    assert_eq!(results[0].state, ItemOutcome::Failed);
+}
+
+quickcheck! {
+    /// Guards against a limit on sizes that the written bytes exceed.
+    fn sizes_are_those_of_the_json(item: String, output: String) -> bool {
+        let result = ItemResult { item, state: ItemOutcome::Completed, output };
+        let written = serde_json::to_vec(&result).expect("encodable").len();
+        let text = serde_json::to_vec(&result.output).expect("encodable").len();
+        written <= result.json_len() && text == escaped_len(&result.output) + 2
+    }
+
+    fn segments_fit_into_objects(lengths: Vec<u16>) -> bool {
+        let object_bytes = 64 << 10;
+        let mut job = job(lengths.len() as u32).object_bytes(object_bytes);
+        for length in &lengths {
+            finish(&mut job, &"\u{1}".repeat(usize::from(*length) / 8));
+        }
+        while job.has_pending() {
+            let segment = segment(job.pending_results());
+            let written = serde_json::to_vec(&segment).expect("encodable").len();
+            if written > object_bytes {
+                return false;
+            }
+            job.apply(segment);
+        }
+        true
+    }
+}
--- a/crates/oleander-worklist/tests/manager/fixture.rs
+++ b/crates/oleander-worklist/tests/manager/fixture.rs
@@ -1,7 +1,7 @@
 //! Managers on a store with latency, and targets that answer with one event.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, VecDeque},
     sync::{
         Arc,
         atomic::{AtomicBool, AtomicUsize, Ordering},
@@ -19,11 +19,12 @@
     Changes, Created, Listing, MemoryPlatform, Object, ObjectStore, Page, PlatformError, Updated,
 };
 use oleander_relay::{
-    BodyError, Dispatch, Pools, Reach, Relay, ResponseBody, ResponseHead, RetryPolicy, Route,
-    RouteKind, RouteTable, SendError, TargetEntry, TargetList, TargetResponse, TargetTransport,
-    TrafficShare,
+    BodyError, Dispatch, Pools, Reach, Relay, Request, ResponseBody, ResponseHead, RetryPolicy,
+    Route, RouteKind, RouteTable, SendError, TargetEntry, TargetList, TargetResponse,
+    TargetTransport, TrafficShare,
 };
 use oleander_worklist::{JobManager, JobManagerConfig, NewItem, Submission};
+use parking_lot::Mutex;
 
 /// Latency of each call to the store.
 pub(crate) const CALL_LATENCY: Duration = Duration::from_millis(10);
@@ -119,6 +120,8 @@
     paused: Arc<AtomicBool>,
     /// Whether the host has lost its links to them.
     pub(crate) unreachable: AtomicBool,
+    /// What the first requests get, last one first.
+    replies: Mutex<Vec<Reply>>,
 }
 
 impl EchoTargets {
@@ -126,38 +129,82 @@
     pub(crate) fn pause(&self, paused: bool) {
         self.paused.store(paused, Ordering::Relaxed);
     }
+
+    /// Answers the next requests with these bodies.
+    pub(crate) fn reply(&self, replies: impl IntoIterator<Item = Reply>) {
+        self.replies.lock().extend(replies);
+    }
+}
+
+/// The body of a response.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum Reply {
+    /// These chunks.
+    Chunks(VecDeque<Bytes>),
+    /// Line feeds without end.
+    LineFeeds,
+    /// Events without end; the id of the next one.
+    Events(u64),
 }
 
-pub(crate) struct OneEventBody {
-    event: Option<Bytes>,
+impl Reply {
+    pub(crate) fn chunks(chunks: &[&str]) -> Self {
+        Self::Chunks(chunks.iter().map(|chunk| Bytes::from((*chunk).to_owned())).collect())
+    }
+
+    fn next(&mut self) -> Option<Bytes> {
+        match self {
+            Self::Chunks(chunks) => chunks.pop_front(),
+            Self::LineFeeds => Some(Bytes::from_static(&[b'\n'; 4 << 10])),
+            Self::Events(next) => {
+                let ids = *next..*next + EVENTS_PER_CHUNK;
+                *next = ids.end;
+                let data = "x".repeat(1_000);
+                let events = ids.map(|id| format!("id: {id}\ndata: {data}\n\n"));
+                Some(Bytes::from(events.collect::<String>()))
+            }
+        }
+    }
+}
+
+/// Events in a chunk of a stream without end.
+const EVENTS_PER_CHUNK: u64 = 20;
+
+pub(crate) struct ReplyBody {
+    reply: Reply,
     paused: Arc<AtomicBool>,
 }
 
-impl ResponseBody for OneEventBody {
+impl ResponseBody for ReplyBody {
     async fn next_chunk(&mut self) -> Option<Result<Bytes, BodyError>> {
         while self.paused.load(Ordering::Relaxed) {
             tokio::time::sleep(CALL_LATENCY).await;
         }
-        self.event.take().map(Ok)
+        tokio::task::yield_now().await;
+        self.reply.next().map(Ok)
     }
 }
 
 impl TargetTransport for EchoTargets {
-    type Body = OneEventBody;
+    type Body = ReplyBody;
+
+    fn size(&self, request: &Request) -> Option<u32> {
+        request.headers.get("x-tokens")?.to_str().ok()?.parse().ok()
+    }
 
     async fn connect(&self, _: &TargetEntry) -> Reach {
         if self.unreachable.load(Ordering::Relaxed) { Reach::Refused } else { Reach::Accepted }
     }
 
-    async fn send(&self, dispatch: Dispatch) -> Result<TargetResponse<OneEventBody>, SendError> {
+    async fn send(&self, dispatch: Dispatch) -> Result<TargetResponse<ReplyBody>, SendError> {
         if self.unreachable.load(Ordering::Relaxed) {
             return Err(SendError::Refused("connection refused".to_owned()));
         }
         self.requests.fetch_add(1, Ordering::Relaxed);
         let head = ResponseHead { status: StatusCode::OK, headers: HeaderMap::new() };
         let event = format!("id: 1\ndata: done {}\n\n", dispatch.request.id);
-        let body =
-            OneEventBody { event: Some(Bytes::from(event)), paused: Arc::clone(&self.paused) };
+        let reply = self.replies.lock().pop().unwrap_or_else(|| Reply::chunks(&[&event]));
+        let body = ReplyBody { reply, paused: Arc::clone(&self.paused) };
         Ok(TargetResponse::new(head, body))
     }
 }
--- a/crates/oleander-worklist/tests/manager/main.rs
+++ b/crates/oleander-worklist/tests/manager/main.rs
@@ -2,6 +2,7 @@
 
 mod fixture;
 mod routes;
+mod sizes;
 
 use std::{
     sync::{Arc, atomic::Ordering},
