--- a/crates/oleander-worklist/src/commit.rs
+++ b/crates/oleander-worklist/src/commit.rs
@@ -101,6 +101,8 @@
                     reason:% = reason; "results are rejected by the platform");
                 metrics::counter!("results_rejected_total").increment(1);
                 loaded.job.lock().reject(&segment.results);
+                // An item whose output is dropped runs again.
+                self.wake.notify_one();
                 return Ok(Appended::Rejected);
             }
             Err(fault) => return Err(fault),
