Pass on only what is proved to be an event of the stream

Cause: a block without an id counted as an event. Random bytes hold two line feeds every 64 KiB or so; what came before them was passed on, and the stream became invalid only after 1 MiB. An item kept such lines for the next run, though there was no id from which that could go on. Evidence: one empty line in the text for each such pair, "last None" for the run, new connections only.

EventReader now returns a block only if it is an event by the protocol: lines of "name: value" in UTF-8, one id that follows the last (0 or 1 at the start), data, and at most one number that the target adds in front. Line feeds and comments between events are skipped. Anything else makes the stream invalid at once, and the request goes on elsewhere after the last sound event.

--- a/crates/oleander-relay/src/events.rs
+++ b/crates/oleander-relay/src/events.rs
@@ -1,14 +1,20 @@
-//! Splits a stream of server-sent events.
+//! Splits a stream of server-sent events, and proves each event before it is passed on.
 //!
-//! The reader returns complete events only, so that a stream that is interrupted inside an event
-//! can resume at another target. Event ids must be consecutive.
-
-use bytes::{Bytes, BytesMut};
+//! A target in trouble may send any bytes where its response is due. A block of the stream is an
+//! event only if it is a sequence of lines `name: value` in UTF-8 with exactly one id, which is one
+//! more than that of the event before, and with data; its first line may also be a `name: number`
+//! that the target adds. Line feeds between events and blocks of comments are skipped. Anything
+//! else makes the stream invalid from there on: no byte of it is returned, and the request goes on
+//! at another target after the last sound event.
+
+use bytes::{Buf, Bytes, BytesMut};
 use memchr::memmem;
 
-/// Maximum size of an event, with what precedes it without an id; limits the memory that a target
-/// can make this host use, and ends a stream that has no events.
+/// Maximum size of an event, with what is skipped before it; limits the memory that a target can
+/// make this host use, and ends a stream that has no events.
 const MAX_EVENT_BYTES: usize = 1 << 20;
+/// Greatest id of the first event of a stream that does not resume.
+const MAX_FIRST_ID: u64 = 1;
 /// End of an event.
 const BOUNDARY: &[u8] = b"\n\n";
 
@@ -17,8 +23,8 @@
 pub struct Event {
     /// Its bytes, including the boundary.
     pub raw: Bytes,
-    /// Its id, if it has one.
-    pub id: Option<u64>,
+    /// Its id.
+    pub id: u64,
 }
 
 /// Events that were completed by a chunk.
@@ -26,7 +32,8 @@
 pub struct ParsedEvents {
     /// Complete events, in order.
     pub events: Vec<Event>,
-    /// False if the next event is out of sequence or too long; the stream must be aborted then.
+    /// False if what follows is no event, out of sequence or too long; the stream must be aborted
+    /// then.
     pub valid: bool,
 }
 
@@ -36,11 +43,22 @@
     pending: BytesMut,
     /// Bytes of `pending` in which no boundary begins.
     searched: usize,
-    /// Bytes of complete events since the last one that had an id.
-    unidentified: usize,
+    /// Bytes skipped since the last event.
+    skipped: usize,
     last_id: Option<u64>,
 }
 
+/// What a block between two boundaries is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Block {
+    /// An event with this id.
+    Event(u64),
+    /// Comments only.
+    Comment,
+    /// No event of the protocol.
+    Unsound,
+}
+
 impl EventReader {
     /// Creates a reader of a stream that resumes after the event `last_id`.
     #[must_use]
@@ -57,35 +75,41 @@
     /// Whether the stream is at an event boundary.
     #[must_use]
     pub fn at_boundary(&self) -> bool {
-        self.pending.iter().all(u8::is_ascii_whitespace)
+        self.pending.iter().all(|byte| *byte == b'\n')
     }
 
     /// Discards the beginning of an incomplete event.
     pub fn discard_partial(&mut self) {
         self.pending.clear();
         self.searched = 0;
-        self.unidentified = 0;
+        self.skipped = 0;
     }
 
     /// Appends bytes and returns the events that they complete.
     pub fn push(&mut self, bytes: &[u8]) -> ParsedEvents {
         self.pending.extend_from_slice(bytes);
         let mut events = Vec::new();
-        while let Some(raw) = self.next_event() {
-            let id = read_id(&raw);
-            if !self.is_next(id) {
-                return ParsedEvents { events, valid: false };
+        while let Some(raw) = self.next_block() {
+            match classify(&raw) {
+                Block::Event(id) if self.is_next(id) => {
+                    self.last_id = Some(id);
+                    self.skipped = 0;
+                    events.push(Event { raw, id });
+                }
+                Block::Comment => self.skipped += raw.len(),
+                Block::Event(_) | Block::Unsound => return ParsedEvents { events, valid: false },
             }
-            self.last_id = id.or(self.last_id);
-            self.unidentified = if id.is_some() { 0 } else { self.unidentified + raw.len() };
-            events.push(Event { raw, id });
         }
-        let valid = self.unidentified + self.pending.len() <= MAX_EVENT_BYTES;
+        let valid = self.skipped + self.pending.len() <= MAX_EVENT_BYTES;
         ParsedEvents { events, valid }
     }
 
-    /// Removes the next complete event; does not search the same bytes twice.
-    fn next_event(&mut self) -> Option<Bytes> {
+    /// Removes the next block up to its boundary, without the line feeds before it; does not search
+    /// the same bytes twice.
+    fn next_block(&mut self) -> Option<Bytes> {
+        if self.searched == 0 {
+            self.skip_line_feeds();
+        }
         let Some(at) = memmem::find(&self.pending[self.searched..], BOUNDARY) else {
             self.searched = self.pending.len().saturating_sub(BOUNDARY.len() - 1);
             return None;
@@ -95,10 +119,16 @@
         Some(self.pending.split_to(end).freeze())
     }
 
-    fn is_next(&self, id: Option<u64>) -> bool {
-        match (self.last_id, id) {
-            (Some(last), Some(id)) => id == last + 1,
-            _ => true,
+    fn skip_line_feeds(&mut self) {
+        let count = self.pending.iter().take_while(|byte| **byte == b'\n').count();
+        self.pending.advance(count);
+        self.skipped += count;
+    }
+
+    fn is_next(&self, id: u64) -> bool {
+        match self.last_id {
+            Some(last) => last.checked_add(1) == Some(id),
+            None => id <= MAX_FIRST_ID,
         }
     }
 }
@@ -107,32 +137,64 @@
     /// The event's data lines, joined by line feeds.
     #[must_use]
     pub fn data(&self) -> Vec<u8> {
-        let lines = self.raw.split(|byte| *byte == b'\n');
-        let lines = lines.filter_map(|line| field(line, b"data"));
-        lines.collect::<Vec<_>>().join(&b'\n')
+        block_data(&self.raw)
     }
 }
 
 /// Returns the data of each event in a sequence of complete events.
 #[must_use]
 pub fn event_data(events: &[u8]) -> Vec<Vec<u8>> {
-    let mut rest = Bytes::copy_from_slice(events);
+    let mut rest = events;
     let mut data = Vec::new();
-    while let Some(at) = memmem::find(&rest, BOUNDARY) {
-        let raw = rest.split_to(at + BOUNDARY.len());
-        data.push(Event { raw, id: None }.data());
+    while let Some(at) = memmem::find(rest, BOUNDARY) {
+        let (raw, after) = rest.split_at(at + BOUNDARY.len());
+        data.push(block_data(raw));
+        rest = after;
     }
     data
 }
 
-fn read_id(raw: &[u8]) -> Option<u64> {
-    let line = raw.split(|byte| *byte == b'\n').find_map(|line| field(line, b"id"))?;
-    std::str::from_utf8(line).ok()?.trim().parse().ok()
+fn block_data(raw: &[u8]) -> Vec<u8> {
+    let lines = raw.split(|byte| *byte == b'\n');
+    let lines = lines.filter_map(|line| {
+        let value = line.strip_prefix(b"data:")?;
+        Some(value.strip_prefix(b" ").unwrap_or(value))
+    });
+    lines.collect::<Vec<_>>().join(&b'\n')
+}
+
+/// Checks a block, with its boundary, against the form of an event.
+fn classify(raw: &[u8]) -> Block {
+    let Ok(text) = std::str::from_utf8(raw) else { return Block::Unsound };
+    let text = text.trim_end_matches('\n');
+    if text.split('\n').all(|line| line.starts_with(':')) {
+        return Block::Comment;
+    }
+    let (mut id, mut has_data) = (None, false);
+    for (index, line) in text.split('\n').enumerate() {
+        let Some((name, value)) = line.split_once(':') else { return Block::Unsound };
+        match name {
+            "data" => has_data = true,
+            "id" if id.is_none() => match parse_number(value) {
+                Some(number) => id = Some(number),
+                None => return Block::Unsound,
+            },
+            name if index == 0 && is_added(name, value) => {}
+            _ => return Block::Unsound,
+        }
+    }
+    id.filter(|_| has_data).map_or(Block::Unsound, Block::Event)
+}
+
+/// Whether a line is one that targets add before an event: a header's name and a number.
+fn is_added(name: &str, value: &str) -> bool {
+    let is_name = name.bytes().all(|byte| byte.is_ascii_lowercase() || byte == b'-');
+    is_name && !name.is_empty() && name != "id" && parse_number(value).is_some()
 }
 
-/// Returns the value of a line `name: value`.
-fn field<'a>(line: &'a [u8], name: &[u8]) -> Option<&'a [u8]> {
-    let value = line.strip_prefix(name)?.strip_prefix(b":")?;
-    let value = value.strip_suffix(b"\r").unwrap_or(value);
-    Some(value.strip_prefix(b" ").unwrap_or(value))
+/// Parses a value of digits only, which one space may precede.
+fn parse_number(value: &str) -> Option<u64> {
+    let digits = value.strip_prefix(' ').unwrap_or(value);
+    let is_number = digits.bytes().all(|byte| byte.is_ascii_digit());
+    digits.parse().ok().filter(|_| is_number)
 }
--- a/crates/oleander-relay/tests/events.rs
+++ b/crates/oleander-relay/tests/events.rs
@@ -3,6 +3,11 @@
 use std::time::{Duration, Instant};
 
 use oleander_relay::{EventReader, event_data};
+use quickcheck::{Arbitrary, Gen, QuickCheck, TestResult};
+
+/// Number of faulty streams.
+const CASES: u64 = 5_000;
+const SEED: u64 = 32;
 
 fn event(id: u64, text: &str) -> String {
     format!("id: {id}\ndata: {text}\n\n")
@@ -63,3 +68,172 @@
     while reader.push(&[b'x'; 16]).valid {}
     assert!(started.elapsed() < CALLER_TIMEOUT, "{:?}", started.elapsed());
 }
+
+/// What a caller gets of a stream that comes in these chunks, up to the first invalid one; and
+/// whether the stream counts as complete.
+fn read(chunks: impl IntoIterator<Item = Vec<u8>>) -> (Vec<u8>, bool) {
+    let mut reader = EventReader::after(None);
+    let mut received = Vec::new();
+    for chunk in chunks {
+        let parsed = reader.push(&chunk);
+        parsed.events.iter().for_each(|event| received.extend_from_slice(&event.raw));
+        if !parsed.valid {
+            return (received, false);
+        }
+    }
+    (received, reader.at_boundary())
+}
+
+fn read_text(text: &str) -> (String, bool) {
+    let (received, complete) = read([text.as_bytes().to_vec()]);
+    (String::from_utf8(received).expect("text"), complete)
+}
+
+/// Guards against bytes of a target in trouble in results: a block without an id counted as an
+/// event.
+#[test]
+fn nothing_is_returned_of_a_block_that_is_no_event() {
+    let unsound = [
+        "garbage\n\n",
+        "data: x\n\n",
+        "id: 1\n\n",
+        "id: 1\nid: 1\ndata: x\n\n",
+        "id: 1\ndata: x\ngarbage\n\n",
+        "garbage\nid: 1\ndata: x\n\n",
+        "garbageid: 1\ndata: x\n\n",
+        "id: +1\ndata: x\n\n",
+        "id: 1x\ndata: x\n\n",
+        "id: 99999999999999999999\ndata: x\n\n",
+        "id: 7\ndata: x\n\n",
+        " id: 1\ndata: x\n\n",
+        ": comment\nid: 1\ndata: x\n\n",
+        "weight-versions: x\nid: 1\ndata: x\n\n",
+        "id: 1\nweight-versions: 2\ndata: x\n\n",
+        "id: 1\r\ndata: x\r\n\r\nid: 2\r\ndata: y\r\n\r\n\n\n",
+    ];
+    for text in unsound {
+        assert_eq!(read_text(text), (String::new(), false), "{text:?}");
+    }
+    assert_eq!(read([b"id: 1\ndata: \xff\n\n".to_vec()]), (Vec::new(), false));
+}
+
+#[test]
+fn line_feeds_and_comments_between_events_are_skipped() {
+    let (first, second) = (event(1, "a"), event(2, "b"));
+    let text = format!("\n\n: ping\n\n{first}\n:\n: ping\n\n{second}\n");
+    assert_eq!(read_text(&text), (format!("{first}{second}"), true));
+    for size in 1..text.len() {
+        let chunks = text.as_bytes().chunks(size).map(<[u8]>::to_vec);
+        assert_eq!(read(chunks), (format!("{first}{second}").into_bytes(), true), "{size}");
+    }
+}
+
+#[test]
+fn a_stream_that_ends_in_anything_but_an_event_is_not_complete() {
+    for end in [" ", "\r\n", ":", "id: 2", "id: 2\ndata: b\n"] {
+        assert!(!read_text(&format!("{}{end}", event(1, "a"))).1, "{end:?}");
+    }
+    assert!(read_text(&event(1, "a")).1);
+}
+
+/// Guards against skipped bytes that count as none: a target may send line feeds without end.
+#[test]
+fn skipped_bytes_without_end_make_a_stream_invalid() {
+    for chunk in ["\n".repeat(4_096), ":\n\n".repeat(1_000)] {
+        let mut reader = EventReader::after(None);
+        let chunks = (2 << 20) / chunk.len();
+        assert!((0..chunks).any(|_| !reader.push(chunk.as_bytes()).valid), "{:?}", &chunk[..3]);
+    }
+}
+
+/// A sound stream with faults, cut into chunks.
+#[derive(Debug, Clone)]
+struct FaultyStream {
+    events: Vec<String>,
+    /// Bytes inserted before the event of this number.
+    inserted: (usize, Vec<u8>),
+    /// Bytes after which the connection ends.
+    end: usize,
+    chunk: usize,
+}
+
+impl Arbitrary for FaultyStream {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let count = u64::arbitrary(g) % 8 + 1;
+        let events: Vec<String> = (1..=count).map(|id| event(id, &text(g))).collect();
+        let at = usize::arbitrary(g) % (events.len() + 1);
+        let inserted = match u8::arbitrary(g) % 4 {
+            0 => Vec::new(),
+            1 => vec![b'\n'; usize::arbitrary(g) % 4],
+            2 => text(g).into_bytes(),
+            _ => Vec::arbitrary(g),
+        };
+        let length: usize = events.iter().map(String::len).sum::<usize>() + inserted.len();
+        let is_cut = bool::arbitrary(g);
+        let end = if is_cut { usize::arbitrary(g) % (length + 1) } else { length };
+        Self { events, inserted: (at, inserted), end, chunk: usize::arbitrary(g) % 40 + 1 }
+    }
+}
+
+/// Text with the characters that matter in a stream.
+fn text(g: &mut Gen) -> String {
+    let parts = ["a", ":", " ", "\r", "id: 3", "data: x", "õ", "7", "-"];
+    let count = usize::arbitrary(g) % 5;
+    (0..count).filter_map(|_| g.choose(&parts).copied()).collect()
+}
+
+impl FaultyStream {
+    fn bytes(&self) -> Vec<u8> {
+        let (at, inserted) = &self.inserted;
+        let mut bytes = Vec::new();
+        for (index, event) in self.events.iter().enumerate() {
+            if index == *at {
+                bytes.extend_from_slice(inserted);
+            }
+            bytes.extend_from_slice(event.as_bytes());
+        }
+        if *at == self.events.len() {
+            bytes.extend_from_slice(inserted);
+        }
+        bytes.truncate(self.end);
+        bytes
+    }
+
+    /// What follows the first `count` events.
+    fn after(&self, count: usize) -> Vec<u8> {
+        let (at, inserted) = &self.inserted;
+        let events: usize = self.events[..count].iter().map(String::len).sum();
+        let inserted = if *at < count { inserted.len() } else { 0 };
+        self.bytes().split_off(events + inserted)
+    }
+
+    /// Whether the inserted bytes are a whole line of the next event, which no reader can know from
+    /// one that the target meant.
+    fn is_indistinguishable(&self) -> bool {
+        let inserted = &self.inserted.1;
+        let lines = inserted.split(|byte| *byte == b'\n');
+        inserted.contains(&b'\n') && lines.into_iter().any(|line| line.contains(&b':'))
+    }
+}
+
+/// Guards against any bytes but those of sound events in what callers and items get, and against a
+/// stream that is cut or disturbed and counts as complete.
+#[test]
+fn callers_get_sound_events_only() {
+    fn property(stream: FaultyStream) -> TestResult {
+        if stream.is_indistinguishable() {
+            return TestResult::discard();
+        }
+        let bytes = stream.bytes();
+        let (received, complete) = read(bytes.chunks(stream.chunk).map(<[u8]>::to_vec));
+        let count = (0..=stream.events.len())
+            .find(|count| stream.events[..*count].concat().as_bytes() == received);
+        let rest_is_empty = |count| stream.after(count).iter().all(|byte| *byte == b'\n');
+        TestResult::from_bool(count.is_some_and(|count| !complete || rest_is_empty(count)))
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(100, SEED))
+        .tests(CASES)
+        .max_tests(10 * CASES)
+        .quickcheck(property as fn(FaultyStream) -> TestResult);
+}
--- a/crates/oleander-relay/tests/relay.rs
+++ b/crates/oleander-relay/tests/relay.rs
@@ -24,6 +24,25 @@
     assert_ne!(dispatches[0].target.id, dispatches[1].target.id);
 }
 
+/// Guards against bytes of a target in trouble that reach a caller before the whole stream of
+/// another target.
+#[tokio::test]
+async fn a_stream_whose_target_sends_no_events_continues_at_another_target() {
+    let unsound = ["\u{1}x\n\ny", "data: x\n\n", "id: 5\ndata: x\n\n"];
+    for garbage in unsound {
+        for sound in [&[][..], &[FIRST]] {
+            let first = Step::drip(&[sound, &[garbage]].concat());
+            let rest = if sound.is_empty() { &[FIRST, SECOND][..] } else { &[SECOND] };
+            let steps = vec![first, Step::complete(rest)];
+            let (summary, caller, dispatches) = forward(route(RetryPolicy::Resume, 2), steps).await;
+            assert!(!summary.interrupted, "{garbage:?}: {summary:?}");
+            assert_eq!(caller.text, format!("{FIRST}{SECOND}"), "{garbage:?}");
+            let resumed = (!sound.is_empty()).then_some(1);
+            assert_eq!(dispatches[1].resume_after, resumed, "{garbage:?}");
+        }
+    }
+}
+
 /// Guards against a target that holds a stream by a byte now and then: only complete events count as
 /// progress.
 #[tokio::test]
--- a/crates/oleander-worklist/tests/manager/sizes.rs
+++ b/crates/oleander-worklist/tests/manager/sizes.rs
@@ -66,6 +66,22 @@
     assert!(outputs.iter().all(|output| output.starts_with("done ")));
 }
 
+/// Guards against sound results that wait behind one that the platform rejects, which was written
+/// again and again.
+#[tokio::test]
+async fn a_result_that_the_platform_rejects_is_run_again_and_holds_up_no_others() {
+    let store = MemoryPlatform::new();
+    store.set_faults(MemoryFaults { max_bytes: Some(64 << 10), ..MemoryFaults::default() });
+    let (manager, targets, _) = start_manager("entry-1", SlowStore::new(store));
+    let event = format!("id: 1\ndata: {}\n\n", "x".repeat(100 << 10));
+    targets.reply([Reply::chunks(&[&event])]);
+    wait_until_ready(&manager).await;
+    assert_eq!(manager.submit(submission(10), &route()).await, Ok(()));
+    let results = time::timeout(RESULTS_TIMEOUT, all_results(&manager)).await.expect("listed");
+    assert!(results.iter().all(|result| result.output.starts_with("done ")));
+    assert_eq!(results[2].item, "job-1-item-0", "the rejected result comes last");
+}
+
 /// Guards against a run that goes on after all tokens that the item asks for: each event has one.
 #[tokio::test]
 async fn a_run_ends_at_the_tokens_that_its_item_asks_for() {
@@ -87,6 +103,17 @@
     assert!(!results.iter().any(|result| result.output.ends_with('5')), "{results:?}");
 }
 
+/// Guards against texts that begin with what another target in trouble had sent.
+#[tokio::test]
+async fn an_output_has_nothing_of_a_run_that_turned_out_unsound() {
+    let garbage = Reply::chunks(&["x\n\n", "id: 1\ndata: done job-1", "\n\n\u{1}"]);
+    let later = Reply::chunks(&["id: 1\ndata: done ", "job-1\n\n", "garbage\n\n"]);
+    let outputs = outputs_after(vec![later, garbage]).await;
+    for output in outputs {
+        assert!(output.lines().all(|line| line.starts_with("done job-1")), "{output:?}");
+    }
+}
+
 /// Guards against a segment that exceeds an object, since a control character takes six bytes.
 #[tokio::test]
 async fn outputs_that_grow_in_json_are_listed() {
