Assume a stream's version only if a read of the platform confirms the list

Cause: a host that doesn't know a resumed stream took the only listed version for that of the stream if the list counted as present, which each answer to a watch made it. But "nothing has changed" of a feeder is as old as that feeder's own last answer: one that has lost the platform goes on saying so for up to 2.2 s, and only the last hop's wait was measured. And a host that has just started took all versions that it read for long established, so it began streams at one that nobody else had heard of. Evidence: no "version of a stream asked" at the hosts that mixed, and attempts at v1 only; the first host's attempts at v2 within 0.5 s of its start.

The list now decides only if a read that is made at the platform itself, after the request came, finds nothing newer. One read serves all requests that wait; what it finds is applied first. Age is not measured, so neither clocks nor a feeder of an older build matter. Without a read in 0.3 s the others are asked, as before. After a start with several versions each is taken for as old as its first target. A version that was listed for a moment between two lists counts as left, and a host announces streams once it knows the others.

Tests that set the time of confirmation now state whether the list is confirmed; an unconfirmed one must not decide at any age, where 1.5 s were allowed before.

--- a/crates/oleander-cluster/src/streams.rs
+++ b/crates/oleander-cluster/src/streams.rs
@@ -26,6 +26,10 @@
     /// Announces the streams of this host to others; never returns.
     pub async fn announce_streams(self: Arc<Self>) {
         loop {
+            // Before the other hosts are known, announcements would reach none of them.
+            while !self.is_listed() {
+                time::sleep(ANNOUNCE_INTERVAL).await;
+            }
             let announced = self.pools.streams.announcements().await;
             self.send_announcement(&announced);
             time::sleep(ANNOUNCE_INTERVAL).await;
--- a/crates/oleander-cluster/tests/streams/hosts.rs
+++ b/crates/oleander-cluster/tests/streams/hosts.rs
@@ -81,11 +81,16 @@
     (summary, events(&text))
 }
 
-/// Changes the targets at about half of the hosts; the others learn of it later.
+/// Changes the targets at about half of the hosts; the feeders of the others stand still.
 pub(crate) fn list_at_some(hosts: &mut Hosts, random: &mut SmallRng, listed: Vec<TargetEntry>) {
+    let some: Vec<bool> = hosts.live().map(|_| random.random_bool(0.5)).collect();
+    hosts.live().zip(&some).for_each(|(host, learns)| host.stand_still(!learns));
     hosts.set_listed(listed);
-    let some = hosts.live().filter(|_| random.random_bool(0.5));
-    some.for_each(|host| update(host, hosts.listed()));
+    for (host, learns) in hosts.live().zip(some) {
+        if learns {
+            update(host, hosts.listed());
+        }
+    }
 }
 
 /// One event of a stream.
--- a/crates/oleander-cluster/tests/streams/main.rs
+++ b/crates/oleander-cluster/tests/streams/main.rs
@@ -1,6 +1,7 @@
 //! Streams that callers take up again at other hosts, while targets of several versions serve.
 
 mod hosts;
+mod outdated;
 #[path = "../support/hosts.rs"]
 mod support;
 
--- a/crates/oleander-cluster/tests/support/hosts.rs
+++ b/crates/oleander-cluster/tests/support/hosts.rs
@@ -22,7 +22,7 @@
 use oleander_relay::{
     Pools, Relay, Request, RequestSummary, ResponseHead, ResponseSink, RetryPolicy, Route,
     RouteKind, SinkClosed, StreamAnswer, StreamId, StreamQuery, TargetEntry, TargetList,
-    TargetTransport, TrafficShare,
+    TargetTransport, TrafficShare, follow_targets,
 };
 use tokio::{
     sync::{mpsc, oneshot},
@@ -30,6 +30,11 @@
     time::{Instant, sleep},
 };
 
+#[path = "lists.rs"]
+mod lists;
+
+use self::lists::{Feed, Lists, TARGETS};
+
 /// Pause between two checks of a condition, and its limit.
 const PAUSE: Duration = Duration::from_millis(50);
 const LIMIT: Duration = Duration::from_secs(20);
@@ -75,12 +80,16 @@
 pub(crate) struct Host<T> {
     pub(crate) relay: Arc<Relay<T>>,
     cluster: Arc<Cluster>,
+    feed: Feed,
     server: Option<Server>,
     tasks: Vec<JoinHandle<()>>,
+    /// Follows the list of targets, also while the host is cut off.
+    follows: JoinHandle<()>,
 }
 
 impl<T> Drop for Host<T> {
     fn drop(&mut self) {
+        self.follows.abort();
         self.tasks.iter().for_each(JoinHandle::abort);
         self.server = None;
     }
@@ -107,6 +116,7 @@
 impl<T: TargetTransport> Host<T> {
     /// Lets the host reach the platform and the other hosts, and be reached by them.
     fn connect(&mut self, platform: &MemoryPlatform, probes: bool) {
+        self.feed.cut(false);
         let (cluster, pools) = (&self.cluster, &self.relay.pools);
         let store = FailoverStore::<_, Cluster>::new(platform.clone());
         let server = cluster.serve(Arc::new(NoApplication), store);
@@ -127,10 +137,16 @@
         }
     }
 
+    /// Lets the host's feeder lose the platform, or reach it again.
+    pub(crate) fn stand_still(&self, stands_still: bool) {
+        self.feed.stand_still(stands_still);
+    }
+
     /// Cuts the host off from the platform and the other hosts, but not from callers and targets.
     fn cut_off(&mut self) {
         self.tasks.drain(..).for_each(|task| task.abort());
         self.server = None;
+        self.feed.cut(true);
     }
 
     /// Reports the host's load to the others, by which targets are assigned to hosts.
@@ -177,6 +193,7 @@
     transports: Vec<Arc<T>>,
     store: MemoryPlatform,
     addresses: Vec<SocketAddr>,
+    lists: Lists,
     listed: Vec<TargetEntry>,
     starts: u64,
     /// Whether hosts probe each other.
@@ -218,7 +235,9 @@
         let count = transports.len();
         let addresses = (0..count).map(|_| free_address()).collect();
         let (store, hosts) = (MemoryPlatform::new(), (0..count).map(|_| None).collect());
-        Self { transports, store, addresses, listed, starts: 0, probes: true, hosts }
+        let lists = Lists::default();
+        lists.set(&listed);
+        Self { transports, store, addresses, lists, listed, starts: 0, probes: true, hosts }
     }
 
     /// Starts a host that is gone, with nothing of what it knew.
@@ -239,9 +258,12 @@
         let key = LinkKey::from_secret(b"a secret of the tests").expect("long enough");
         let cluster = Cluster::new(local, key, Arc::clone(&pools));
         let relay = Arc::new(Relay::new(pools, Arc::clone(&self.transports[index])));
-        let mut host = Host { relay, cluster, server: None, tasks: Vec::new() };
-        host.connect(&self.store, self.probes);
+        let feed = Feed::of(&self.lists);
+        let pools = Arc::clone(&relay.pools);
+        let follows = tokio::spawn(follow_targets(feed.clone(), TARGETS, lists::parse, pools));
+        let mut host = Host { relay, cluster, feed, server: None, tasks: Vec::new(), follows };
         update(&host, &self.listed);
+        host.connect(&self.store, self.probes);
         self.hosts[index] = Some(host);
     }
 
@@ -261,17 +283,21 @@
 
     /// Changes the targets at all hosts.
     pub(crate) fn list(&mut self, listed: Vec<TargetEntry>) {
-        self.listed = listed;
+        self.set_listed(listed);
         self.list_everywhere();
     }
 
     /// Brings the targets of all hosts up to date.
     pub(crate) fn list_everywhere(&self) {
-        self.live().for_each(|host| update(host, &self.listed));
+        self.live().for_each(|host| {
+            host.stand_still(false);
+            update(host, &self.listed);
+        });
     }
 
     /// Changes the targets that hosts learn of next, but at no host yet.
     pub(crate) fn set_listed(&mut self, listed: Vec<TargetEntry>) {
+        self.lists.set(&listed);
         self.listed = listed;
     }
 
--- a/crates/oleander-platform/src/follow.rs
+++ b/crates/oleander-platform/src/follow.rs
@@ -18,8 +18,8 @@
 /// Maximum delay before a retry.
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(800);
 
-/// Wait of a watch that is a retry.
-const RETRY_WAIT: Duration = Duration::from_millis(10);
+/// Wait of a watch that is a retry, or a read of the changes up to now.
+pub const POLL_WAIT: Duration = Duration::from_millis(10);
 
 /// What [`Follower::next`] returns.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -71,7 +71,18 @@
         self.revision
     }
 
-    /// Waits for the next event.
+    /// Reads what has changed up to now, without waiting for a change.
+    ///
+    /// Such a watch is answered by the platform itself.
+    pub async fn poll(&mut self) -> FollowEvent {
+        let event = match self.revision {
+            None => self.scan().await,
+            Some(from) => self.watch_for(from, POLL_WAIT).await,
+        };
+        event.unwrap_or_else(FollowEvent::Failed)
+    }
+
+    /// Waits for the next event; if this is dropped, the next call waits for the same one.
     pub async fn next(&mut self) -> FollowEvent {
         if let Some(delay) = self.retry_delay {
             tokio::time::sleep(delay).await;
@@ -97,10 +108,18 @@
         // After a failure, a short watch shows immediately that the platform is available again; a
         // long one would not return until the next change.
         let (pause, wait) = match self.retry_delay {
-            Some(_) => (Duration::ZERO, RETRY_WAIT),
+            Some(_) => (Duration::ZERO, POLL_WAIT),
             None => (self.pause, self.wait),
         };
         tokio::time::sleep(pause).await;
+        self.watch_for(from, wait).await
+    }
+
+    async fn watch_for(
+        &mut self,
+        from: Revision,
+        wait: Duration,
+    ) -> Result<FollowEvent, PlatformError> {
         match self.store.watch(&self.prefix, from, wait).await {
             Ok(changes) => {
                 self.revision = Some(changes.revision.max(from));
--- a/crates/oleander-platform/src/lib.rs
+++ b/crates/oleander-platform/src/lib.rs
@@ -13,7 +13,7 @@
 mod value;
 
 pub use client::HttpPlatform;
-pub use follow::{FollowEvent, Follower, SHORT_WAIT};
+pub use follow::{FollowEvent, Follower, POLL_WAIT, SHORT_WAIT};
 pub use memory::{MemoryFaults, MemoryPlatform};
 pub use object::{
     Change, Changes, Created, Host, HostListing, HostState, Listing, Object, ObjectMeta, Page,
--- a/crates/oleander-relay/src/configuration.rs
+++ b/crates/oleander-relay/src/configuration.rs
@@ -9,36 +9,18 @@
 use std::{sync::Arc, time::Duration};
 
 use oleander_platform::{FollowEvent, Follower, Object, ObjectStore, SHORT_WAIT};
-use tokio::{sync::watch, time};
+use tokio::time;
 
 use crate::{relay::Relay, table::RouteTable, transport::TargetTransport};
 
 /// Delay before a failed read of the configuration is repeated.
 const CONFIRM_RETRY_DELAY: Duration = Duration::from_millis(500);
 
-/// Requests to read the configuration at the platform, numbered from 1.
-#[derive(Debug, Default)]
-pub(crate) struct Confirmations {
-    /// Number of the last request.
-    asked: watch::Sender<u64>,
-    /// Number of the last request that a read has answered.
-    answered: watch::Sender<u64>,
-}
-
 impl<T: TargetTransport> Relay<T> {
     /// Waits until the routes in force are no older than the configuration stored at the platform
     /// at the time of the call; forever while that can't be read.
     pub async fn confirm_table(&self) {
-        let mut answered = self.confirmations.answered.subscribe();
-        let mut number = 0;
-        self.confirmations.asked.send_modify(|asked| {
-            *asked += 1;
-            number = *asked;
-        });
-        let waited = answered.wait_for(|answered| *answered >= number).await;
-        if waited.is_err() {
-            log::error!("the configuration is no longer followed");
-        }
+        while !self.confirmations.confirm().await {}
     }
 }
 
@@ -110,22 +92,14 @@
         R: Fn(&[u8]) -> Result<(RouteTable, O), String>,
         A: Fn(O),
     {
-        let confirmations = &self.relay.confirmations;
-        let mut asked = confirmations.asked.subscribe();
+        let mut requests = self.relay.confirmations.requests();
         loop {
             // The read must begin after the request that it answers.
-            let number = *asked.borrow_and_update();
-            if number > *confirmations.answered.borrow() {
-                if self.read(&store).await {
-                    confirmations.answered.send_replace(number);
-                } else {
-                    time::sleep(CONFIRM_RETRY_DELAY).await;
-                }
-                continue;
-            }
-            if let Err(error) = asked.changed().await {
-                log::error!(error:% = error; "routes are no longer confirmed");
-                return;
+            let number = requests.next().await;
+            if self.read(&store).await {
+                requests.answer(number, true);
+            } else {
+                time::sleep(CONFIRM_RETRY_DELAY).await;
             }
         }
     }
--- a/crates/oleander-relay/src/lib.rs
+++ b/crates/oleander-relay/src/lib.rs
@@ -11,6 +11,7 @@
 
 mod attempt;
 mod configuration;
+mod confirmations;
 mod crash;
 mod events;
 mod follow;
@@ -61,7 +62,7 @@
     ChannelSink, Refusal, RefusalReason, ResponseChunks, ResponseSink, SinkClosed, response_channel,
 };
 pub use streams::{
-    StreamAnswer, StreamId, StreamQuery, StreamRegister, StreamVersions, VersionStreams,
+    ListState, StreamAnswer, StreamId, StreamQuery, StreamRegister, StreamVersions, VersionStreams,
 };
 pub use summary::RequestSummary;
 pub use table::RouteTable;
--- a/crates/oleander-relay/src/pool.rs
+++ b/crates/oleander-relay/src/pool.rs
@@ -157,14 +157,17 @@
         }
     }
 
+    /// Records since when the versions are listed. The first list does not tell; of several versions
+    /// there, each is taken for as old as its first target.
     fn set_versions(&self, entries: &[TargetEntry]) {
-        let now = clock::steady();
+        let (now, wall_now) = (clock::steady(), clock::now());
         let mut versions = self.versions.lock();
-        // At the start of this process, the other hosts know all versions.
-        let first = if versions.is_empty() { Time(0) } else { now };
         versions.retain(|version, _| entries.iter().any(|entry| entry.version == *version));
+        if versions.is_empty() {
+            *versions = first_versions(now, wall_now, entries);
+        }
         for entry in entries {
-            versions.entry(entry.version.clone()).or_insert(first);
+            versions.entry(entry.version.clone()).or_insert(now);
         }
     }
 
@@ -362,3 +365,21 @@
 pub fn batch_pick(exclude: Vec<TargetId>, same_zone: bool) -> Pick {
     Pick::of_class(Class::Batch).exclude(exclude).same_zone(same_zone)
 }
+
+/// Since when the versions of a first list are assumed to be listed.
+fn first_versions(
+    now: Time,
+    wall_now: Time,
+    entries: &[TargetEntry],
+) -> HashMap<SoftwareVersion, Time> {
+    let mut versions = HashMap::new();
+    for entry in entries {
+        let since = Time(now.0.saturating_sub(entry.age(wall_now).0));
+        let known = versions.entry(entry.version.clone()).or_insert(since);
+        *known = since.min(*known);
+    }
+    if versions.len() == 1 {
+        versions.values_mut().for_each(|since| *since = Time(0));
+    }
+    versions
+}
--- a/crates/oleander-relay/src/pools.rs
+++ b/crates/oleander-relay/src/pools.rs
@@ -218,7 +218,5 @@
 
 /// Time since the last start of a target; zero if one does not state its start.
 fn youngest_age(wall_now: Time, entries: &[TargetEntry]) -> Span {
-    let starts = entries.iter().map(|entry| entry.started_at.map(|millis| millis * 1_000));
-    let last = starts.collect::<Option<Vec<_>>>().and_then(|starts| starts.into_iter().max());
-    last.map_or(Span::ZERO, |last| wall_now.since(Time(last)))
+    entries.iter().map(|entry| entry.age(wall_now)).min().unwrap_or_default()
 }
--- a/crates/oleander-relay/src/relay.rs
+++ b/crates/oleander-relay/src/relay.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     attempt::{Attempt, AttemptOutcome, AttemptTimeouts, forward, interrupt_stalled},
-    configuration::Confirmations,
+    confirmations::Confirmations,
     crash::{check_target, request_parts},
     events::EventReader,
     host::{HostSink, Origin},
--- a/crates/oleander-relay/src/relay/choice.rs
+++ b/crates/oleander-relay/src/relay/choice.rs
@@ -50,6 +50,11 @@
             self.summary.attempts.push("the version that began the stream is not known".to_owned());
             return None;
         };
+        let streams = &self.relay.pools.streams;
+        if !pool.serves_version(&version) {
+            // Another host may have told of a version before the list does.
+            streams.confirm().await;
+        }
         if !pool.serves_version(&version) {
             self.summary
                 .attempts
--- a/crates/oleander-relay/src/streams.rs
+++ b/crates/oleander-relay/src/streams.rs
@@ -7,29 +7,42 @@
 //! The host that sends a stream to a target registers it under the id of the caller's attempt, and
 //! under its content for callers that do not name the attempt when they come back. While
 //! a service has, or lately had, targets of more than one version, new streams are announced to a
-//! few other hosts before their first event. A host that gets a stream which it does not know asks
-//! the others. If none knows it, and the service may have had another version, the stream is
-//! refused: without its version it can't go on.
+//! few other hosts before their first event. A host that gets a stream which it does not know takes
+//! the only version of the service for that of the stream, if a read of the platform confirms that
+//! there is no other; a list whose age is not known may lack the version that began the stream a
+//! moment ago. Else it asks the others. If none knows the stream, and the service may have had
+//! another version, the stream is refused: without its version it can't go on.
 
 mod register;
 
 use std::{
     collections::{BTreeMap, BTreeSet},
     fmt,
+    time::Duration,
 };
 
 use oleander_core::{ServiceId, Span, Time, hash, value};
 use oleander_host::clock;
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
-use tokio::sync::{
-    Notify,
-    mpsc::{self, UnboundedReceiver, UnboundedSender},
-    oneshot,
+use tokio::{
+    sync::{
+        Notify,
+        mpsc::{self, UnboundedReceiver, UnboundedSender},
+        oneshot,
+    },
+    time,
 };
 
-pub use self::register::StreamRegister;
-use crate::version::SoftwareVersion;
+pub use self::register::{ListState, StreamRegister};
+use crate::{
+    confirmations::{ConfirmRequests, Confirmations},
+    version::SoftwareVersion,
+};
+
+/// Maximum wait for a read that confirms the list of targets; a caller that resumes has waited for
+/// its first host already.
+const CONFIRM_WAIT: Duration = Duration::from_millis(300);
 
 /// A stream over all tries of its caller.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
@@ -110,6 +123,7 @@
     announced: Notify,
     /// Signals that the list of targets has been updated.
     listed: Notify,
+    confirmations: Confirmations,
 }
 
 impl StreamVersions {
@@ -166,12 +180,29 @@
         service: &ServiceId,
         stream: StreamId,
     ) -> Option<SoftwareVersion> {
-        let known = self.register.lock().lookup(clock::steady(), service, stream);
-        if known.is_some() {
-            return known;
+        if let Some(version) = self.register.lock().registered(stream) {
+            return Some(version.clone());
+        }
+        let list = self.confirm().await;
+        let only = self.register.lock().only_version(clock::steady(), service, list);
+        if only.is_some() {
+            return only;
         }
         let answers = self.ask(service, stream).await;
-        self.register.lock().conclude(clock::steady(), service, &answers)
+        self.register.lock().conclude(clock::steady(), service, list, &answers)
+    }
+
+    /// Asks for a read that brings the list of targets up to date, and waits a short time for it.
+    pub(crate) async fn confirm(&self) -> ListState {
+        match time::timeout(CONFIRM_WAIT, self.confirmations.confirm()).await {
+            Ok(true) => ListState::Confirmed,
+            Ok(false) | Err(_) => ListState::Unconfirmed,
+        }
+    }
+
+    /// Requests to confirm the list of targets.
+    pub(crate) fn confirm_requests(&self) -> ConfirmRequests {
+        self.confirmations.requests()
     }
 
     /// Answers of the other hosts; none without a subscriber to the questions.
@@ -222,7 +253,9 @@
         self.register.lock().expect_recall(false);
     }
 
-    pub(crate) fn confirm(&self) {
-        self.register.lock().confirm(clock::steady());
+    /// Records that a version was listed, if only for a moment.
+    pub(crate) fn record_version(&self, service: &ServiceId, version: &SoftwareVersion) {
+        self.register.lock().record_version(clock::steady(), service, version);
+        self.announced.notify_one();
     }
 }
--- a/crates/oleander-relay/src/streams/register.rs
+++ b/crates/oleander-relay/src/streams/register.rs
@@ -18,11 +18,18 @@
 const MIN_LIFETIME: Span = Span::from_secs(5);
 /// Time for which a stream of another host is kept.
 const ANNOUNCED_RETENTION: Span = Span::from_secs(60);
-/// Age up to which a list of targets is taken as current.
-const CURRENT_AGE: Span = Span::from_millis(1_500);
 /// Interval at which expired streams are removed.
 const EXPIRY_INTERVAL: Span = Span::from_secs(1);
 
+/// Whether a list is known to be the present one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum ListState {
+    /// A read of the platform that began after the list was needed has found nothing newer.
+    Confirmed,
+    /// Its age is not known.
+    Unconfirmed,
+}
+
 /// The streams known to one host, and the versions of its services.
 #[derive(Debug, Clone, Default)]
 pub struct StreamRegister {
@@ -56,8 +63,6 @@
     first: Time,
     /// Versions that left while this process followed them, and when.
     left: BTreeMap<SoftwareVersion, Time>,
-    /// When the list was last known to be complete.
-    confirmed: Time,
     /// Longest time that a stream may take.
     longest: Span,
 }
@@ -87,10 +92,6 @@
     fn lifetime(&self) -> Span {
         self.longest + RETENTION
     }
-
-    fn is_current(&self, now: Time) -> bool {
-        now.since(self.confirmed) <= CURRENT_AGE
-    }
 }
 
 impl StreamRegister {
@@ -114,11 +115,9 @@
                 since,
                 first: now,
                 left: recalled.get(service).cloned().unwrap_or_default(),
-                confirmed: now,
                 longest: MIN_LIFETIME,
             }
         });
-        known.confirmed = now;
         if known.listed != listed {
             let gone = known.listed.difference(&listed).cloned();
             let lifetime = known.lifetime();
@@ -165,9 +164,18 @@
         self.recalled.insert(service.clone(), left);
     }
 
-    /// Records that the lists of all services are complete.
-    pub fn confirm(&mut self, now: Time) {
-        self.services.values_mut().for_each(|versions| versions.confirmed = now);
+    /// Records that a version was listed, if only for a moment between two lists.
+    pub fn record_version(&mut self, now: Time, service: &ServiceId, version: &SoftwareVersion) {
+        let was_settled = self.settled(now, service).is_some();
+        let Some(versions) = self.services.get_mut(service) else { return };
+        if versions.listed.contains(version) {
+            return;
+        }
+        versions.left.insert(version.clone(), now);
+        versions.since = now;
+        if was_settled {
+            self.announce_known(service);
+        }
     }
 
     /// Registers a stream that this host sends to a target of `version`.
@@ -230,26 +238,30 @@
         }
     }
 
-    /// The version of a stream, if this host knows it without asking others.
+    /// The version of a stream that is registered here.
+    #[must_use]
+    pub fn registered(&self, stream: StreamId) -> Option<&SoftwareVersion> {
+        self.streams.get(&stream).map(|known| &known.version)
+    }
+
+    /// The only version that a stream of the service can have, so that nobody needs to be asked;
+    /// `None` unless the list is confirmed.
     #[must_use]
-    pub fn lookup(
+    pub fn only_version(
         &self,
         now: Time,
         service: &ServiceId,
-        stream: StreamId,
+        list: ListState,
     ) -> Option<SoftwareVersion> {
-        if let Some(known) = self.streams.get(&stream) {
-            return Some(known.version.clone());
-        }
-        let versions = self.services.get(service)?;
-        versions.settled(now).filter(|_| versions.is_current(now)).cloned()
+        let settled = self.settled(now, service).filter(|_| list == ListState::Confirmed);
+        settled.cloned()
     }
 
     /// What this host answers when another one asks for the version of a stream.
     #[must_use]
     pub fn answer(&self, now: Time, service: &ServiceId, stream: StreamId) -> StreamAnswer {
-        if let Some(known) = self.streams.get(&stream) {
-            return StreamAnswer::Registered(known.version.clone());
+        if let Some(version) = self.registered(stream) {
+            return StreamAnswer::Registered(version.clone());
         }
         match self.services.get(service) {
             Some(versions) if versions.is_mixed(now) => StreamAnswer::Mixed,
@@ -263,13 +275,14 @@
     /// Concludes the version of a stream from the answers of other hosts.
     ///
     /// A record decides. Without one, no host may know of another version than the only one listed
-    /// here. Another host must tell that it has been the only one for long, or the list must, if all
-    /// hosts answer.
+    /// here. Another host must tell that it has been the only one for long, or a confirmed list must,
+    /// if all hosts answer.
     #[must_use]
     pub fn conclude(
         &self,
         now: Time,
         service: &ServiceId,
+        list: ListState,
         answers: &[StreamAnswer],
     ) -> Option<SoftwareVersion> {
         let registered = answers.iter().find_map(StreamAnswer::registered);
@@ -282,7 +295,7 @@
         let all_answered = !answers.contains(&StreamAnswer::Unreached);
         let assumed = all_answered
             && !self.expects_recall
-            && versions.is_current(now)
+            && list == ListState::Confirmed
             && versions.assumed(now).is_some();
         let differs = answers.iter().any(|answer| match answer {
             StreamAnswer::Mixed => true,
--- a/crates/oleander-relay/src/target_list.rs
+++ b/crates/oleander-relay/src/target_list.rs
@@ -46,6 +46,12 @@
         is_same_place && self.started_at > other.started_at
     }
 
+    /// Time since the start of its process; zero if it does not state one.
+    pub(crate) fn age(&self, wall_now: Time) -> Span {
+        let started = self.started_at.map(|millis| Time(millis.saturating_mul(1_000)));
+        started.map_or(Span::ZERO, |started| wall_now.since(started))
+    }
+
     /// The run of the target's process.
     #[must_use]
     pub fn run(&self) -> TargetRun {
--- a/crates/oleander-relay/tests/streams.rs
+++ b/crates/oleander-relay/tests/streams.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 
 use oleander_core::{ServiceId, Span, Time};
-use oleander_relay::{SoftwareVersion, StreamAnswer, StreamId, StreamRegister};
+use oleander_relay::{ListState, SoftwareVersion, StreamAnswer, StreamId, StreamRegister};
 
 const START: Time = Time(1_000_000_000);
 /// Longer than any stream is kept.
@@ -37,7 +37,6 @@
 fn settled_host(only: &str) -> StreamRegister {
     let mut register = StreamRegister::default();
     register.set_listed(Time(START.0 - LONG.0), &service(), versions(&[only]), LONG);
-    register.confirm(START);
     register
 }
 
@@ -45,8 +44,15 @@
     host.begin(now, &service(), stream(number), &version(text), now + Span::from_secs(5));
 }
 
+/// The version that a host with a confirmed list knows without asking others.
 fn lookup(host: &StreamRegister, now: Time, number: u32) -> Option<SoftwareVersion> {
-    host.lookup(now, &service(), stream(number))
+    let registered = host.registered(stream(number)).cloned();
+    registered.or_else(|| host.only_version(now, &service(), ListState::Confirmed))
+}
+
+/// What a host with a confirmed list concludes from these answers of others.
+fn conclude(host: &StreamRegister, now: Time, answers: &[StreamAnswer]) -> Option<SoftwareVersion> {
+    host.conclude(now, &service(), ListState::Confirmed, answers)
 }
 
 #[test]
@@ -93,21 +99,23 @@
     host.set_listed(START + SECOND, &service(), versions(&["v2"]), SECOND);
     for seconds in [1, 5, 14] {
         let now = START + Span::from_secs(seconds);
-        host.confirm(now);
         assert_eq!(lookup(&host, now, 1), None, "after {seconds} s");
     }
     let later = START + LONG;
-    host.confirm(later);
     assert_eq!(lookup(&host, later, 1), Some(version("v2")));
 }
 
 #[test]
 fn a_list_that_may_be_out_of_date_does_not_decide_alone() {
+    let settled = settled_host("v1");
+    assert_eq!(lookup(&settled, START, 1), Some(version("v1")));
+    assert_eq!(settled.only_version(START, &service(), ListState::Unconfirmed), None);
     let host = host(&["v1"], LONG);
     let later = START + Span::from_secs(3);
-    assert_eq!(lookup(&host, later, 1), None);
     let settled = StreamAnswer::Settled(version("v1"));
-    let conclude = |answers: &[StreamAnswer]| host.conclude(later, &service(), answers);
+    let conclude = |answers: &[StreamAnswer]| {
+        host.conclude(later, &service(), ListState::Unconfirmed, answers)
+    };
     assert_eq!(conclude(&[StreamAnswer::Unknown, settled.clone()]), Some(version("v1")));
     assert_eq!(conclude(&[settled.clone(), StreamAnswer::Mixed]), None);
     assert_eq!(conclude(&[settled, StreamAnswer::Settled(version("v2"))]), None);
@@ -134,12 +142,11 @@
     let now = left + Span::from_secs(5);
     let mut restarted = StreamRegister::default();
     restarted.set_listed(now, &service(), versions(&["v2"]), LONG);
-    let mut other = restarted.clone();
-    other.confirm(now);
+    let other = restarted.clone();
     assert_eq!(lookup(&restarted, now, 1), None, "others have to be asked");
     let answers =
         [other.answer(now, &service(), stream(1)), running.answer(now, &service(), stream(1))];
-    assert_eq!(restarted.conclude(now, &service(), &answers), None, "{answers:?}");
+    assert_eq!(conclude(&restarted, now, &answers), None, "{answers:?}");
 }
 
 /// Guards against refusing all that callers resume after a restart of every host.
@@ -147,11 +154,11 @@
 fn restarted_hosts_of_a_service_with_old_targets_go_on_with_its_streams() {
     let restarted = host(&["v1"], LONG);
     let answers = [host(&["v1"], LONG).answer(START, &service(), stream(1))];
-    assert_eq!(restarted.conclude(START, &service(), &answers), Some(version("v1")));
+    assert_eq!(conclude(&restarted, START, &answers), Some(version("v1")));
     // Nobody knows better, or nobody was there to be asked.
-    assert_eq!(restarted.conclude(START, &service(), &[]), Some(version("v1")));
+    assert_eq!(conclude(&restarted, START, &[]), Some(version("v1")));
     let silent = [StreamAnswer::Unknown, StreamAnswer::Unreached];
-    assert_eq!(restarted.conclude(START, &service(), &silent), None);
+    assert_eq!(conclude(&restarted, START, &silent), None);
 }
 
 /// Guards against taking a service for one of two versions when its only one was away for a moment.
@@ -178,3 +185,20 @@
     second.merge(START + SECOND, early);
     assert_eq!(lookup(&second, START + SECOND, 1), Some(version("v1")));
 }
+
+/// Guards against a version that came and left between two lists, and began streams elsewhere.
+#[test]
+fn a_version_that_was_listed_for_a_moment_is_not_forgotten() {
+    let mut host = settled_host("v1");
+    begin(&mut host, START, 1, "v1");
+    host.record_version(START, &service(), &version("v2"));
+    host.set_listed(START, &service(), versions(&["v1"]), LONG);
+    assert_eq!(host.take_announcements(START).len(), 1, "its streams are announced");
+    let now = START + SECOND;
+    assert_eq!(lookup(&host, now, 2), None);
+    assert_eq!(host.answer(now, &service(), stream(2)), StreamAnswer::Mixed);
+    let settled = StreamAnswer::Settled(version("v1"));
+    assert_eq!(conclude(&host, now, &[settled]), None);
+    host.record_version(now, &service(), &version("v1"));
+    assert_eq!(lookup(&host, START + LONG, 2), Some(version("v1")));
+}
