Test a host that is out of step during a release

The test keeps a host out of step for 2, 4 and 8 s and lets callers take streams up there during that time and right after it.

--- a/crates/oleander-cluster/tests/streams/outdated.rs
+++ b/crates/oleander-cluster/tests/streams/outdated.rs
@@ -5,6 +5,7 @@
 
 use std::time::Duration;
 
+use futures_util::future::join_all;
 use oleander_core::Span;
 use tokio::time::sleep;
 
@@ -72,3 +73,35 @@
     hosts.kill(FIRST);
     assert_eq!(resume(&hosts, &OTHERS, &begun).await, STREAMS);
 }
+
+/// A host that is out of step for this time, of which it knows nothing, while targets of a new version join; callers take
+/// their streams up again there during that time, if `early`, and right after it.
+async fn out_of_step(time: Duration, early: bool) {
+    let last = HOSTS - 1;
+    let mut hosts = settled().await;
+    hosts.host(last).stand_still(true);
+    hosts.cut_off(last);
+    hosts.set_listed(two_versions());
+    let end = tokio::time::Instant::now() + time;
+    sleep(NEW_VERSION).await;
+    let begun = begin_and_fail(&mut hosts, &format!("{time:?}")).await;
+    if early {
+        // Nobody can tell the host; no stream may go on at another version.
+        resume(&hosts, &[last], &begun).await;
+    }
+    tokio::time::sleep_until(end).await;
+    hosts.reconnect(last);
+    // It refuses streams until it reaches others.
+    resume(&hosts, &[last], &begun).await;
+    hosts.wait_until_connected().await;
+    assert_eq!(resume(&hosts, &[last], &begun).await, STREAMS, "after {time:?}, {early}");
+}
+
+/// Guards against streams that are taken up at a host which was cut off, or stood still, while a
+/// version joined, and go on at another one.
+#[tokio::test]
+async fn a_host_that_was_out_of_step_in_a_release_goes_on_at_no_other_version() {
+    let times = [2, 4, 8].map(Duration::from_secs);
+    let runs = times.into_iter().flat_map(|time| [(time, false), (time, true)]);
+    join_all(runs.map(|(time, early)| out_of_step(time, early))).await;
+}
