--- a/crates/oleander-relay/src/confirmations.rs
+++ b/crates/oleander-relay/src/confirmations.rs
@@ -43,6 +43,11 @@
         answer.is_ok_and(|answer| answer.is_confirmed)
     }
 
+    /// Whether a task reads on request.
+    pub(crate) fn has_reader(&self) -> bool {
+        self.asked.receiver_count() > 0
+    }
+
     /// The requests that are not answered yet.
     pub(crate) fn requests(&self) -> ConfirmRequests {
         ConfirmRequests { asked: self.asked.subscribe(), answered: self.answered.clone() }
--- a/crates/oleander-relay/src/follow.rs
+++ b/crates/oleander-relay/src/follow.rs
@@ -27,7 +27,7 @@
 const TARGET_WATCH_PAUSE: Duration = Duration::from_millis(200);
 
 /// Time limit for a read that confirms the list; those who ask don't wait longer.
-const CONFIRM_TIMEOUT: Duration = Duration::from_millis(300);
+const CONFIRM_TIMEOUT: Duration = Duration::from_millis(150);
 
 /// Parses the entry of a target from its name and body.
 pub type ParseTarget = fn(&str, &[u8]) -> Result<TargetEntry, String>;
--- a/crates/oleander-relay/src/streams.rs
+++ b/crates/oleander-relay/src/streams.rs
@@ -42,7 +42,7 @@
 
 /// Maximum wait for a read that confirms the list of targets; a caller that resumes has waited for
 /// its first host already.
-const CONFIRM_WAIT: Duration = Duration::from_millis(300);
+const CONFIRM_WAIT: Duration = Duration::from_millis(150);
 
 /// A stream over all tries of its caller.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
@@ -194,6 +194,9 @@
 
     /// Asks for a read that brings the list of targets up to date, and waits a short time for it.
     pub(crate) async fn confirm(&self) -> ListState {
+        if !self.confirmations.has_reader() {
+            return ListState::Unconfirmed;
+        }
         match time::timeout(CONFIRM_WAIT, self.confirmations.confirm()).await {
             Ok(true) => ListState::Confirmed,
             Ok(false) | Err(_) => ListState::Unconfirmed,
