Pass on no refusal that a target has not made for this request

- 408, 429 or 503 with the right id but without Not-Executed was passed on to the caller, to whom it promises that nothing has run.
It now counts as a response that is lost: 502, or another target.

--- a/crates/oleander-relay/src/attempt.rs
+++ b/crates/oleander-relay/src/attempt.rs
@@ -237,6 +237,11 @@
         };
         return match content {
             Ok(_) if not_run => AttemptOutcome::NotRun(head),
+            // To callers it would be a promise that the target has not made.
+            Ok(_) if head.promises_not_run() => AttemptOutcome::Interrupted {
+                reason: format!("status {} without stating that it has not run", head.status),
+                head_sent: attempt.head_sent,
+            },
             Ok(content) => AttemptOutcome::Failed(head, content),
             Err(_) if not_run => AttemptOutcome::NotRun(head),
             Err(reason) => AttemptOutcome::Interrupted { reason, head_sent: attempt.head_sent },
--- a/crates/oleander-relay/src/request.rs
+++ b/crates/oleander-relay/src/request.rs
@@ -61,3 +61,16 @@
     /// Headers that are forwarded to the caller unchanged.
     pub headers: HeaderMap,
 }
+
+impl ResponseHead {
+    /// Whether callers take the status for the promise that the request has not run and never will.
+    pub(crate) fn promises_not_run(&self) -> bool {
+        const PROMISES: [StatusCode; 4] = [
+            StatusCode::REQUEST_TIMEOUT,
+            StatusCode::MISDIRECTED_REQUEST,
+            StatusCode::TOO_MANY_REQUESTS,
+            StatusCode::SERVICE_UNAVAILABLE,
+        ];
+        PROMISES.contains(&self.status)
+    }
+}
