Hold against odd entries of another writer under every prefix that is read

Nested entries and large numbers held here; looked for under every prefix, these did not:

- a record of this host, or a secret, that can't be decoded: the process ended, at each start again.
The record is replaced; a secret is waited for
- a job's record under another job's key replaced that job; the same for hosts
- up to 4 billion calls for the removal of a job; overflows of sums and ports

--- a/crates/oleander-cluster/src/cluster.rs
+++ b/crates/oleander-cluster/src/cluster.rs
@@ -231,6 +231,11 @@
             };
             changed = true;
             match change.object.map(|object| serde_json::from_slice::<HostRecord>(&object.body)) {
+                Some(Ok(record)) if record.host != host => {
+                    log::warn!(host:% = host, named:% = record.host;
+                        "record of another host ignored");
+                    records.remove(&host);
+                }
                 Some(Ok(record)) => {
                     log::info!(host:% = record.host, started:% = record.started; "host is listed");
                     records.insert(host, record);
--- a/crates/oleander-cluster/src/disconnected.rs
+++ b/crates/oleander-cluster/src/disconnected.rs
@@ -53,7 +53,8 @@
 #[must_use]
 pub const fn forward_address(link: SocketAddr) -> SocketAddr {
     let mut address = link;
-    address.set_port(link.port() + FORWARD_PORT_OFFSET);
+    // The record of another writer may name any port.
+    address.set_port(link.port().saturating_add(FORWARD_PORT_OFFSET));
     address
 }
 
--- a/crates/oleander-cluster/src/join.rs
+++ b/crates/oleander-cluster/src/join.rs
@@ -3,10 +3,8 @@
 use std::{fmt, time::Duration};
 
 use oleander_core::{Time, value};
-use oleander_link::{LinkError, LinkKey};
-use oleander_platform::{
-    Created, ObjectStore, PlatformError, StoreError, Updated, decode_value, encode_value,
-};
+use oleander_link::LinkKey;
+use oleander_platform::{Created, ObjectStore, StoreError, Updated, decode_value, encode_value};
 
 use crate::record::HostRecord;
 
@@ -22,59 +20,32 @@
     }
 }
 
-/// Why a process can't join.
-#[derive(Debug)]
-pub enum JoinError {
-    /// An object at the platform can't be decoded.
-    Content(String),
-    /// The shared secret is invalid.
-    Key(LinkError),
-}
-
-impl fmt::Display for JoinError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::Content(reason) => write!(f, "cluster object can't be decoded: {reason}"),
-            Self::Key(error) => write!(f, "shared secret is invalid: {error}"),
-        }
-    }
-}
-
-impl std::error::Error for JoinError {}
-
 /// Reads or creates the shared secret and writes this host's record, retrying until both succeed.
 ///
 /// The start time in the record is later than that of any earlier run on this host, whatever its
-/// clock said.
-///
-/// # Errors
-///
-/// Returns an error if the platform holds invalid objects under these keys.
-pub async fn join<S: ObjectStore>(
-    store: &S,
-    mut record: HostRecord,
-) -> Result<(LinkKey, HostRecord), JoinError> {
+/// clock said. A record that can't be decoded is replaced. A secret that can't be decoded is waited
+/// for: the running hosts still share it, and a process that ended would only be started again.
+pub async fn join<S: ObjectStore>(store: &S, mut record: HostRecord) -> (LinkKey, HostRecord) {
     let key = loop {
         match load_secret(store).await {
-            Ok(Some(text)) => {
-                break LinkKey::from_secret(text.as_bytes()).map_err(JoinError::Key)?;
-            }
+            Ok(Some(text)) => match LinkKey::from_secret(text.as_bytes()) {
+                Ok(key) => break key,
+                Err(error) => wait_retry("use the shared secret", &error).await,
+            },
             Ok(None) => {}
-            Err(StoreError::InvalidValue(reason)) => return Err(JoinError::Content(reason)),
-            Err(StoreError::Platform(error)) => wait_retry("read the shared secret", &error).await,
+            Err(error) => wait_retry("read the shared secret", &error).await,
         }
     };
     loop {
         match write_record(store, &mut record).await {
-            Ok(true) => return Ok((key, record)),
+            Ok(true) => return (key, record),
             Ok(false) => {}
-            Err(StoreError::InvalidValue(reason)) => return Err(JoinError::Content(reason)),
-            Err(StoreError::Platform(error)) => wait_retry("write the host's record", &error).await,
+            Err(error) => wait_retry("write the host's record", &error).await,
         }
     }
 }
 
-async fn wait_retry(step: &str, error: &PlatformError) {
+async fn wait_retry(step: &str, error: &impl fmt::Display) {
     log::warn!(error:% = error; "can't {step}; retrying");
     tokio::time::sleep(RETRY_PAUSE).await;
 }
@@ -102,8 +73,14 @@
         let created = store.create(&key, encode_value(record)?).await?;
         return Ok(matches!(created, Created::New(_)));
     };
-    let previous: HostRecord = decode_value(&current.body)?;
-    record.started = record.started.max(Time(previous.started.0 + 1));
+    match decode_value::<HostRecord>(&current.body) {
+        Ok(previous) => {
+            let next = Time(previous.started.0.saturating_add(1));
+            record.started = record.started.max(next);
+        }
+        Err(error) => log::warn!(host:% = record.host, error:% = error;
+            "record of this host can't be decoded and is replaced"),
+    }
     let updated = store.update(&key, encode_value(record)?, current.revision).await?;
     Ok(matches!(updated, Updated::Done(_)))
 }
--- a/crates/oleander-cluster/src/lib.rs
+++ b/crates/oleander-cluster/src/lib.rs
@@ -31,7 +31,7 @@
 pub use disconnected::forward_address;
 pub use failover::{FailoverStore, StoreFallback, StoreRequest, StoreResponse};
 pub use feed::{ChangeFeeds, ChangeLog, ChangesSince, Feeder, SHORT_FEED_WAIT, select_feeder};
-pub use join::{JoinError, join};
+pub use join::join;
 pub use message::{PeerRequest, PeerResponse, ServiceLoad, ServiceQuarantine, ServiceRates};
 pub use record::{HostRecord, PREFIX as HOST_PREFIX};
 pub use retirement::RetirementStore;
--- a/crates/oleander-worklist/src/admission.rs
+++ b/crates/oleander-worklist/src/admission.rs
@@ -102,9 +102,10 @@
                 return 0;
             }
             let (open, all) = job.unfinished();
-            job.record.tokens.0 * u64::from(all - open) / u64::from(all.max(1))
+            let share = u128::from(all - open) * u128::from(job.record.tokens.0);
+            (share / u128::from(all.max(1))) as u64
         });
-        Tokens(done.sum())
+        Tokens(done.fold(0, u64::saturating_add))
     }
 
     async fn accept(
--- a/crates/oleander-worklist/src/backlog.rs
+++ b/crates/oleander-worklist/src/backlog.rs
@@ -26,7 +26,7 @@
         let open = index
             .records()
             .filter(|record| record.phase == JobPhase::Open && record.route == route);
-        let sum: u64 = open.map(|record| record.tokens.0).sum();
+        let sum = open.fold(0_u64, |sum, record| sum.saturating_add(record.tokens.0));
         Self { waiting: Tokens(sum.saturating_sub(finished.0)) }
     }
 
--- a/crates/oleander-worklist/src/manager.rs
+++ b/crates/oleander-worklist/src/manager.rs
@@ -205,7 +205,10 @@
             return;
         };
         match decode_value::<JobRecord>(&object.body) {
-            Ok(record) => self.apply_record(object.revision, record),
+            Ok(record) if record.job == job => self.apply_record(object.revision, record),
+            Ok(record) => {
+                log::warn!(job:% = job, named:% = record.job; "job record of another job ignored");
+            }
             Err(fault) => log::warn!(job:% = job, error:% = fault; "job record can't be decoded"),
         }
     }
--- a/crates/oleander-worklist/src/store.rs
+++ b/crates/oleander-worklist/src/store.rs
@@ -12,6 +12,8 @@
 
 /// Key prefix of all job records.
 pub const JOB_PREFIX: &str = "joblist/";
+/// Maximum number of parts of a job, which has no more items.
+const MAX_PARTS: u32 = 200;
 /// Number of reads after a create without a response, before its outcome counts as unknown.
 const CONFIRM_READS: u32 = 3;
 
@@ -160,7 +162,7 @@
     ///
     /// Returns an error if any object may be left.
     pub async fn remove(&self, revision: Revision, record: &JobRecord) -> Result<(), StoreError> {
-        for index in 0..record.parts {
+        for index in 0..record.parts.min(MAX_PARTS) {
             self.remove_object(&part_key(&record.job, index)).await?;
         }
         for index in 0.. {
@@ -179,7 +181,7 @@
     }
 }
 
-fn record_key(job: &JobId) -> String {
+pub(crate) fn record_key(job: &JobId) -> String {
     format!("{JOB_PREFIX}{job}")
 }
 
--- a/crates/oleander-worklist/src/submission.rs
+++ b/crates/oleander-worklist/src/submission.rs
@@ -50,7 +50,7 @@
     /// Sum of the items' tokens.
     #[must_use]
     pub fn tokens(&self) -> Tokens {
-        Tokens(self.items.iter().map(|item| item.tokens).sum())
+        Tokens(self.items.iter().fold(0, |sum: u64, item| sum.saturating_add(item.tokens)))
     }
 
     /// Size of all request bodies, in bytes.
--- a/crates/oleander-worklist/src/sweep.rs
+++ b/crates/oleander-worklist/src/sweep.rs
@@ -14,7 +14,7 @@
 use crate::{
     index::JobIndex,
     record::{JobRecord, Owner},
-    store::{JOB_PREFIX, JobStore},
+    store::{JOB_PREFIX, JobStore, record_key},
 };
 
 /// Time between two scans; removal is not urgent.
@@ -54,7 +54,11 @@
         let page = store.objects().scan(JOB_PREFIX, &after).await?;
         for (key, object) in page.objects {
             match decode_value::<JobRecord>(&object.body) {
-                Ok(record) => drop(index.put(object.revision, record, local)),
+                Ok(record) if key == record_key(&record.job) => {
+                    index.put(object.revision, record, local);
+                }
+                Ok(record) => log::warn!(key:% = key, named:% = record.job;
+                    "job record of another job skipped"),
                 Err(fault) => log::warn!(key:% = key, error:% = fault; "job record skipped"),
             }
             after = key;
--- a/crates/oleander-worklist/tests/manager/main.rs
+++ b/crates/oleander-worklist/tests/manager/main.rs
@@ -1,6 +1,7 @@
 //! Job managers with an in-memory store and targets that answer immediately.
 
 mod fixture;
+mod odd_records;
 mod routes;
 mod sizes;
 
