Give an item back when the task of its run panics

A target stated Keep-Alive: timeout=; adding that to the present time panicked when the connection was returned, the task of the run ended, and the item stayed running in its job for good.

Cause: work of items was spawned without anyone who learns of its end. A guard now gives the item back however its task ends, and frees what it held. A panic in the task that commits a job's results starts that task again.

--- a/crates/oleander-worklist/src/commit.rs
+++ b/crates/oleander-worklist/src/commit.rs
@@ -43,7 +43,15 @@
         self.stop_unless_owned(&id);
         self.wake.notify_one();
         let manager = Arc::clone(self);
-        tokio::spawn(async move { manager.commit_results(id, loaded).await });
+        tokio::spawn(async move {
+            loop {
+                let (manager, id) = (Arc::clone(&manager), id.clone());
+                let commit = tokio::spawn(manager.commit_results(id.clone(), Arc::clone(&loaded)));
+                let Err(error) = commit.await else { return };
+                log::error!(job:% = id, error:% = error; "commit of results panicked; repeated");
+                time::sleep(RETRY_DELAY).await;
+            }
+        });
     }
 
     /// Commits results to the log until the job is done or stopped; also fails the waiting items of
--- a/crates/oleander-worklist/src/lib.rs
+++ b/crates/oleander-worklist/src/lib.rs
@@ -14,6 +14,7 @@
 mod backlog;
 mod backoff;
 mod commit;
+mod guard;
 mod handover;
 mod index;
 mod item;
--- a/crates/oleander-worklist/src/runner.rs
+++ b/crates/oleander-worklist/src/runner.rs
@@ -21,6 +21,7 @@
 };
 
 use crate::{
+    guard::RunGuard,
     item::{Item, Progress, RunOutcome},
     job::NextItem,
     manager::{JobManager, LoadedJob},
@@ -44,7 +45,7 @@
 /// A running item.
 #[derive(Debug, Clone)]
 pub(crate) struct Run {
-    number: u64,
+    pub(crate) number: u64,
     pub(crate) target: TargetId,
     pub(crate) preempted: Arc<Notify>,
 }
@@ -128,9 +129,10 @@
             }
             let next = job.start(index);
             drop(job);
+            let run = self.register_run(&granted.target.id);
+            let guard = RunGuard::new(Arc::clone(self), Arc::clone(loaded), index, run);
             let manager = Arc::clone(self);
-            let loaded = Arc::clone(loaded);
-            tokio::spawn(async move { manager.run_item(loaded, next, granted).await });
+            tokio::spawn(async move { manager.run_item(guard, next, granted).await });
             return Placement::Placed;
         }
         Placement::Blocked
@@ -160,18 +162,17 @@
     /// Runs an item at a target and records the outcome.
     async fn run_item(
         self: Arc<Self>,
-        loaded: Arc<LoadedJob>,
+        guard: RunGuard<S, T>,
         next: NextItem,
         granted: TargetLease,
     ) {
         let mut progress = next.progress;
         let mut events = mem::take(&mut progress.events);
         let resumed = events.last_id();
-        let run = self.register_run(&granted.target.id);
-        let preempted = Arc::clone(&run.preempted);
-        let limits = self.run_limits(&loaded, &next.request);
-        let mut sink =
-            OutputSink::new(&mut progress, limits).stopped_by(loaded.stop.subscribe(), preempted);
+        let preempted = Arc::clone(&guard.run.preempted);
+        let limits = self.run_limits(&guard.loaded, &next.request);
+        let stop = guard.loaded.stop.subscribe();
+        let mut sink = OutputSink::new(&mut progress, limits).stopped_by(stop, preempted);
         let parameters = Attempt {
             request: &next.request,
             budget: None,
@@ -185,7 +186,7 @@
         let crash = granted.crash_watch();
         let attempt_outcome =
             run_attempt(&self.relay.transport, granted, parameters, &mut sink).await;
-        self.runs.lock().retain(|other| other.number != run.number);
+        guard.end_run();
         let mut outcome = run_outcome(&attempt_outcome);
         if sink.is_oversized() {
             outcome = RunOutcome::Oversized;
@@ -203,9 +204,7 @@
         let version = (sink.event_count > 0).then_some(version);
         let progress =
             Progress { events, output: sink.output, event_count: sink.event_count, version };
-        loaded.job.lock().finish_run(now, next.index, &outcome, progress, target);
-        loaded.finished.notify_one();
-        self.wake.notify_one();
+        guard.finish(&outcome, progress);
     }
 }
 
--- a/crates/oleander-worklist/tests/manager/fixture.rs
+++ b/crates/oleander-worklist/tests/manager/fixture.rs
@@ -145,6 +145,8 @@
     LineFeeds,
     /// Events without end; the id of the next one.
     Events(u64),
+    /// None: the task that reads it panics.
+    Panic,
 }
 
 impl Reply {
@@ -155,6 +157,7 @@
     fn next(&mut self) -> Option<Bytes> {
         match self {
             Self::Chunks(chunks) => chunks.pop_front(),
+            Self::Panic => panic!("panic of the test"),
             Self::LineFeeds => Some(Bytes::from_static(&[b'\n'; 4 << 10])),
             Self::Events(next) => {
                 let ids = *next..*next + EVENTS_PER_CHUNK;
--- a/crates/oleander-worklist/tests/manager/main.rs
+++ b/crates/oleander-worklist/tests/manager/main.rs
@@ -19,7 +19,7 @@
 };
 
 use fixture::{
-    CALL_LATENCY, CREATE_LATENCY, EchoTargets, SlowStore, host, job, list_host, manager,
+    CALL_LATENCY, CREATE_LATENCY, EchoTargets, Reply, SlowStore, host, job, list_host, manager,
     manager_and_targets, route, start_manager, submission, submission_of, wait_for_results,
     wait_until_ready,
 };
@@ -274,3 +274,16 @@
     targets.unreachable.store(false, Ordering::Relaxed);
     assert_eq!(wait_for_results(&manager).await, 3);
 }
+
+/// Guards against an item that stays running for good after a panic in the task of its run.
+#[tokio::test]
+async fn an_item_whose_run_panics_is_run_again() {
+    let (manager, targets, pools) = start_manager("entry-1", SlowStore::new(MemoryPlatform::new()));
+    targets.reply([Reply::Panic, Reply::Panic]);
+    wait_until_ready(&manager).await;
+    assert_eq!(manager.submit(submission(10), &route()).await, Ok(()));
+    assert_eq!(wait_for_results(&manager).await, 3);
+    let pool = pools.get(&"llm".parse().expect("name of a service")).expect("a pool");
+    let busy = pool.counts().iter().map(|count| count.batch).sum::<u32>();
+    assert_eq!(busy, 0, "the slots of the panicked runs are free");
+}
