--- a/crates/oleander-cluster/tests/streams/hosts.rs
+++ b/crates/oleander-cluster/tests/streams/hosts.rs
@@ -64,7 +64,7 @@
 
 /// Starts hosts with these targets.
 pub(crate) async fn start(count: usize, listed: Vec<TargetEntry>) -> Hosts {
-    Hosts::start(Arc::new(VersionTargets), count, listed).await
+    Hosts::start_following(Arc::new(VersionTargets), count, listed).await
 }
 
 /// Starts hosts with these targets that have not reached each other by probes.
--- a/crates/oleander-cluster/tests/support/hosts.rs
+++ b/crates/oleander-cluster/tests/support/hosts.rs
@@ -84,12 +84,12 @@
     server: Option<Server>,
     tasks: Vec<JoinHandle<()>>,
     /// Follows the list of targets, also while the host is cut off.
-    follows: JoinHandle<()>,
+    follows: Option<JoinHandle<()>>,
 }
 
 impl<T> Drop for Host<T> {
     fn drop(&mut self) {
-        self.follows.abort();
+        self.follows.iter().for_each(JoinHandle::abort);
         self.tasks.iter().for_each(JoinHandle::abort);
         self.server = None;
     }
@@ -198,6 +198,8 @@
     starts: u64,
     /// Whether hosts probe each other.
     probes: bool,
+    /// Whether hosts follow the list of targets at the platform, beside the updates of the test.
+    follows: bool,
     hosts: Vec<Option<Host<T>>>,
 }
 
@@ -231,13 +233,28 @@
         hosts
     }
 
+    /// Starts hosts as [`start`](Self::start) does, which also follow the list at the platform.
+    pub(crate) async fn start_following(
+        transport: Arc<T>,
+        count: usize,
+        listed: Vec<TargetEntry>,
+    ) -> Self {
+        let mut hosts = Self { follows: true, ..Self::new(vec![transport; count], listed) };
+        for index in 0..count {
+            hosts.start_host(index).await;
+        }
+        hosts.wait_until_connected().await;
+        hosts
+    }
+
     fn new(transports: Vec<Arc<T>>, listed: Vec<TargetEntry>) -> Self {
         let count = transports.len();
         let addresses = (0..count).map(|_| free_address()).collect();
         let (store, hosts) = (MemoryPlatform::new(), (0..count).map(|_| None).collect());
         let lists = Lists::default();
         lists.set(&listed);
-        Self { transports, store, addresses, lists, listed, starts: 0, probes: true, hosts }
+        let (probes, follows) = (true, false);
+        Self { transports, store, addresses, lists, listed, starts: 0, probes, follows, hosts }
     }
 
     /// Starts a host that is gone, with nothing of what it knew.
@@ -260,7 +277,8 @@
         let relay = Arc::new(Relay::new(pools, Arc::clone(&self.transports[index])));
         let feed = Feed::of(&self.lists);
         let pools = Arc::clone(&relay.pools);
-        let follows = tokio::spawn(follow_targets(feed.clone(), TARGETS, lists::parse, pools));
+        let follow = follow_targets(feed.clone(), TARGETS, lists::parse, pools);
+        let follows = self.follows.then(|| tokio::spawn(follow));
         let mut host = Host { relay, cluster, feed, server: None, tasks: Vec::new(), follows };
         update(&host, &self.listed);
         host.connect(&self.store, self.probes);
