Begin only what ends before a stopping host exits

Callers saw: a host that had got SIGTERM took requests until 5.2 s after it and cut those that were still running when it exited at 7.75 s, with the target at work and the deadline not reached.

Cause: from the signal on the time of the exit is known, and of each request the time at which it ends at the latest. Nothing compared the two, neither at the arrival nor before a further attempt or while a request waited for a target. Class: work begun without the time to end it.

Fix: ExitTime holds when this process ends its work. The relay asks it before each attempt and while a request waits; what may last longer gets a true 503 with nothing sent, or 502 if an attempt may have run. What began earlier with a longer limit gets its final response then, calls of jobs and bodies that still arrive too.

--- a/crates/oleander-host/src/shutdown.rs
+++ b/crates/oleander-host/src/shutdown.rs
@@ -3,11 +3,16 @@
 //! A signal or an operator starts draining: the host's address is no longer given to callers,
 //! requests in flight finish, then the process stops. The phase never goes back.
 
+use std::sync::{Arc, OnceLock};
+
+use oleander_core::Time;
 use tokio::{
     signal::unix::{SignalKind, signal},
     sync::watch,
 };
 
+use crate::clock;
+
 /// Phase of a process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
 pub enum Phase {
@@ -24,6 +29,7 @@
 #[derive(Debug, Clone)]
 pub struct Shutdown {
     phase: watch::Sender<Phase>,
+    started_at: Arc<OnceLock<Time>>,
 }
 
 impl Default for Shutdown {
@@ -36,7 +42,7 @@
     /// A running process.
     #[must_use]
     pub fn new() -> Self {
-        Self { phase: watch::Sender::new(Phase::Running) }
+        Self { phase: watch::Sender::new(Phase::Running), started_at: Arc::default() }
     }
 
     /// The current phase.
@@ -66,6 +72,13 @@
         self.wait_for(Phase::Draining).await;
     }
 
+    /// When draining started, on the clock [`clock::steady`]; possibly before this process had
+    /// ended its start.
+    #[must_use]
+    pub fn started_at(&self) -> Option<Time> {
+        self.started_at.get().copied()
+    }
+
     /// Waits until the process must stop.
     pub async fn stopped(&self) {
         self.wait_for(Phase::Stopped).await;
@@ -98,6 +111,7 @@
     }
 
     fn advance(&self, phase: Phase) {
+        self.started_at.get_or_init(clock::steady);
         self.phase.send_if_modified(|current| {
             let changed = phase > *current;
             *current = phase.max(*current);
--- a/crates/oleander-relay/src/pools.rs
+++ b/crates/oleander-relay/src/pools.rs
@@ -153,6 +153,11 @@
         *current = helpers;
     }
 
+    /// Whether another host is known that takes requests.
+    pub(crate) fn has_helpers(&self) -> bool {
+        !self.helpers.read().is_empty()
+    }
+
     /// The host outside `tried` that reaches targets of a service and has the fewest requests of
     /// this one; ties go to this data centre, then by hash of `request`.
     pub(crate) fn choose_helper(
--- a/crates/oleander-relay/src/relay.rs
+++ b/crates/oleander-relay/src/relay.rs
@@ -1,15 +1,17 @@
 //! Forwards online requests: target selection, retries and the final response.
 
 mod choice;
+mod stop;
 
 use std::sync::Arc;
 
 use oleander_core::{HostId, Span, Time};
-use oleander_host::clock;
+use oleander_host::{ExitTime, clock};
 use oleander_quarantine::{RequestParts, Standing};
 use parking_lot::RwLock;
 use tokio::time::{self, Instant};
 
+use self::stop::Limit;
 use crate::{
     attempt::{Attempt, AttemptOutcome, AttemptTimeouts, forward, interrupt_stalled},
     confirmations::Confirmations,
@@ -23,7 +25,7 @@
     retry::{NextStep, RetryState},
     route::{RetryPolicy, Route},
     sending::{Peeked, Sending},
-    sink::{Refusal, RefusalReason, ResponseSink},
+    sink::ResponseSink,
     summary::RequestSummary,
     table::RouteTable,
     takeover::{AttemptEnd, Successor, Takeover},
@@ -49,6 +51,8 @@
     pub pools: Arc<Pools>,
     /// Sends requests to targets.
     pub transport: Arc<T>,
+    /// When this process ends its work.
+    pub exit: ExitTime,
 }
 
 impl<T: TargetTransport> Relay<T> {
@@ -56,7 +60,8 @@
     #[must_use]
     pub fn new(pools: Arc<Pools>, transport: Arc<T>) -> Self {
         let confirmations = Confirmations::default();
-        Self { table: RwLock::new(None), confirmations, pools, transport }
+        let exit = ExitTime::default();
+        Self { table: RwLock::new(None), confirmations, pools, transport, exit }
     }
 
     /// Routes in force.
@@ -128,10 +133,16 @@
         };
         let remaining = deadline.since(clock::steady()).to_duration();
         let mut timed = TimedSink::new(sink);
-        let step = time::timeout_at(Instant::now() + remaining, pending.run(&mut timed)).await;
+        let ended = tokio::select! {
+            biased;
+            step = time::timeout_at(Instant::now() + remaining, pending.run(&mut timed)) => {
+                step.map_err(|_| Limit::Deadline)
+            }
+            () = self.exit.reached() => Err(Limit::Exit),
+        };
         pending.head_sent = timed.head_at.is_some();
         pending.summary.first_byte = timed.head_at.map(|at| at.since(request.received));
-        let step = step.unwrap_or_else(|_| pending.timed_out());
+        let step = ended.unwrap_or_else(|limit| pending.end_at(limit));
         pending.finish(step, sink).await
     }
 }
@@ -158,6 +169,9 @@
 
 impl<T: TargetTransport> PendingRequest<'_, T> {
     async fn run<S: ResponseSink>(&mut self, sink: &mut S) -> NextStep {
+        if !self.may_begin() {
+            return self.refuse_stopping();
+        }
         let service = self.route.service(self.request.first_id());
         let Some(pool) = service.and_then(|service| self.relay.pools.get(service)) else {
             return self.retry.refuse(NO_TARGETS_RETRY_AFTER);
@@ -173,6 +187,9 @@
         }
         let mut successor = None;
         loop {
+            if successor.is_none() && !self.may_begin() {
+                return self.refuse_stopping();
+            }
             if successor.is_none() && self.goes_through_host(&pool) {
                 match self.send_through_host(sink).await {
                     NextStep::Retry => continue,
@@ -305,19 +322,6 @@
         (outcome, successor)
     }
 
-    fn timed_out(&mut self) -> NextStep {
-        if let Some(target) = self.current.take() {
-            self.summary.attempts.push(format!("{target}: deadline passed"));
-        }
-        if self.head_sent {
-            return NextStep::Abort;
-        }
-        if self.retry.may_have_run() {
-            return NextStep::Refuse(Refusal::new(RefusalReason::TimedOut));
-        }
-        self.retry.refuse(NO_TARGETS_RETRY_AFTER)
-    }
-
     async fn finish<S: ResponseSink>(mut self, step: NextStep, sink: &mut S) -> RequestSummary {
         match step {
             NextStep::Done | NextStep::Retry => {}
--- a/crates/oleander-relay/src/relay/choice.rs
+++ b/crates/oleander-relay/src/relay/choice.rs
@@ -23,9 +23,13 @@
         pool: &Arc<Pool>,
         sink: &S,
     ) -> Result<TargetLease, NextStep> {
+        let (relay, deadline, may_refuse) = (self.relay, self.deadline, !self.head_sent);
         let lease = tokio::select! {
             lease = self.acquire(pool) => lease,
             () = sink.closed() => return Err(NextStep::Cancelled),
+            () = relay.exit.is_before(deadline), if may_refuse => {
+                return Err(self.refuse_stopping());
+            }
         };
         lease.map_err(|error| {
             let text = match &error {
--- a/crates/oleander-worklist/src/handover.rs
+++ b/crates/oleander-worklist/src/handover.rs
@@ -1,8 +1,8 @@
 //! Hand-over of jobs when the process stops.
 
-use std::{sync::Arc, time::Duration};
+use std::sync::Arc;
 
-use oleander_core::JobId;
+use oleander_core::{JobId, Span, Time};
 use oleander_host::clock;
 use oleander_platform::ObjectStore;
 use oleander_relay::TargetTransport;
@@ -16,19 +16,23 @@
     record::{JobPhase, JobRecord},
 };
 
-/// Time that running items get to finish before this host stops.
-const DRAIN_TIMEOUT: Duration = Duration::from_millis(4_500);
+/// Maximum time that running items get to finish before this host stops.
+const DRAIN_TIMEOUT: Span = Span::from_millis(4_500);
+/// Time before the end of the process that is left for the last writes.
+const RELEASE_MARGIN: Span = Span::from_millis(1_000);
 
 impl<S: ObjectStore, T: TargetTransport> JobManager<S, T> {
     /// Releases each loaded open job once its running items have finished and their results are
     /// committed; those that remain after the drain timeout and twice `COLLECT_TIME` are released
-    /// as they are.
+    /// as they are, early enough to be written before `end`.
     ///
     /// A job without running items and pending results is released at once, as this host starts no
     /// more of its items.
-    pub async fn hand_over(self: &Arc<Self>) {
+    pub async fn hand_over(self: &Arc<Self>, end: Time) {
         self.drain();
-        let deadline = clock::steady() + DRAIN_TIMEOUT.into();
+        let collecting = Span::from(COLLECT_TIME + COLLECT_TIME);
+        let latest = end - (collecting + RELEASE_MARGIN);
+        let deadline = (clock::steady() + DRAIN_TIMEOUT).min(latest);
         while clock::steady() < deadline && self.release_jobs(false).await {
             time::sleep(RETRY_DELAY).await;
         }
--- a/crates/oleander-worklist/tests/manager/main.rs
+++ b/crates/oleander-worklist/tests/manager/main.rs
@@ -201,7 +201,9 @@
     pool.update_peer(&host("entry-2"), counts, Time(1));
     assert_eq!(manager.submit(submission_of("job-2", 10), &route()).await, Ok(()));
     let stopping = Arc::clone(&manager);
-    let handover = tokio::spawn(async move { stopping.hand_over().await });
+    let handover = tokio::spawn(async move {
+        stopping.hand_over(oleander_host::clock::steady() + Span::from_secs(8)).await;
+    });
     tokio::time::sleep(Duration::from_millis(150)).await;
     let jobs = JobStore::new(store);
     let waiting = "job-2".parse().expect("name of a job");
