Believe the end of a stream only after every event that had begun

Before the first event they got an empty stream as a whole answer.

Cause: the reader forgot the bytes of an event that had not ended, and took any end between two events for that of the stream. Class: input passed on before it is proved sound, here the end.

Evidence: the record of such a request: "broken: connection reset, after output" and then "complete", with one event. Not a second answer on a used connection, since the connections are new and the id is the request's; not the framing to the caller, which follows the outcome.

Fix: EventReader keeps that the next event has begun, if the bytes it discards are the beginning of that event. An end before it breaks the attempt off, so that the request goes on at another target, or the stream is aborted. Bytes that begin no event show nothing.

--- a/crates/oleander-relay/src/attempt.rs
+++ b/crates/oleander-relay/src/attempt.rs
@@ -285,11 +285,14 @@
                 None if !body.is_framed() && !self.lease.has_output() => {
                     return self.interrupted("connection ended before the first event");
                 }
-                None if events.at_boundary() => {
+                None if events.is_complete() => {
                     self.send_head();
                     return AttemptOutcome::Complete;
                 }
-                None => return self.interrupted("stream ended inside an event"),
+                None => {
+                    return self
+                        .interrupted("stream ended inside or before an event that has begun");
+                }
                 Some(Err(error)) => return self.interrupted(&error.0),
                 Some(Ok(bytes)) => bytes,
             };
--- a/crates/oleander-relay/src/events.rs
+++ b/crates/oleander-relay/src/events.rs
@@ -6,6 +6,10 @@
 //! that the target adds. Line feeds between events and blocks of comments are skipped. Anything
 //! else makes the stream invalid from there on: no byte of it is returned, and the request goes on
 //! at another target after the last sound event.
+//!
+//! The protocol marks no event as the last one, so that a stream is complete when a response ends
+//! between two events. If an earlier response broke off inside an event, that event exists, and a
+//! response that ends before it doesn't complete the stream.
 
 use bytes::{Buf, Bytes, BytesMut};
 use memchr::memmem;
@@ -46,6 +50,8 @@
     /// Bytes skipped since the last event.
     skipped: usize,
     last_id: Option<u64>,
+    /// Whether an earlier response broke off inside the next event.
+    has_begun_next: bool,
 }
 
 /// What a block between two boundaries is.
@@ -78,8 +84,15 @@
         self.pending.iter().all(|byte| *byte == b'\n')
     }
 
-    /// Discards the beginning of an incomplete event.
+    /// Whether the stream is complete if the response ends here.
+    #[must_use]
+    pub fn is_complete(&self) -> bool {
+        self.at_boundary() && !self.has_begun_next
+    }
+
+    /// Discards the beginning of an incomplete event, of which only its existence is kept.
     pub fn discard_partial(&mut self) {
+        self.has_begun_next |= self.begins_next();
         self.pending.clear();
         self.searched = 0;
         self.skipped = 0;
@@ -93,6 +106,7 @@
             match classify(&raw) {
                 Block::Event(id) if self.is_next(id) => {
                     self.last_id = Some(id);
+                    self.has_begun_next = false;
                     self.skipped = 0;
                     events.push(Event { raw, id });
                 }
@@ -125,6 +139,35 @@
         self.skipped += count;
     }
 
+    /// Whether the pending bytes are the beginning of the next event, as far as they go.
+    fn begins_next(&self) -> bool {
+        let from = self.pending.iter().position(|byte| *byte != b'\n');
+        let Some(bytes) = from.map(|at| &self.pending[at..]) else { return false };
+        let text = match std::str::from_utf8(bytes) {
+            Ok(text) => text,
+            // The last character may be cut.
+            Err(error) if error.error_len().is_none() => {
+                std::str::from_utf8(&bytes[..error.valid_up_to()]).unwrap_or_default()
+            }
+            Err(_) => return false,
+        };
+        let (complete, partial) = text.rsplit_once('\n').unwrap_or(("", text));
+        let mut lines = Lines::default();
+        let mut complete = complete.split('\n').filter(|line| !line.is_empty());
+        complete.all(|line| lines.push(line))
+            && lines.may_go_on(partial)
+            && lines.id.is_none_or(|id| self.is_next(id))
+            && partial.strip_prefix("id:").is_none_or(|value| self.begins_next_id(value))
+    }
+
+    fn begins_next_id(&self, value: &str) -> bool {
+        let digits = value.strip_prefix(' ').unwrap_or(value);
+        match self.last_id {
+            Some(last) => last.checked_add(1).is_some_and(|id| id.to_string().starts_with(digits)),
+            None => (0..=MAX_FIRST_ID).any(|id| id.to_string().starts_with(digits)),
+        }
+    }
+
     fn is_next(&self, id: u64) -> bool {
         match self.last_id {
             Some(last) => last.checked_add(1) == Some(id),
@@ -170,26 +213,68 @@
     if text.split('\n').all(|line| line.starts_with(':')) {
         return Block::Comment;
     }
-    let (mut id, mut has_data) = (None, false);
-    for (index, line) in text.split('\n').enumerate() {
-        let Some((name, value)) = line.split_once(':') else { return Block::Unsound };
+    let mut lines = Lines::default();
+    if !text.split('\n').all(|line| lines.push(line)) {
+        return Block::Unsound;
+    }
+    lines.id.filter(|_| lines.has_data).map_or(Block::Unsound, Block::Event)
+}
+
+/// The lines of an event so far.
+#[derive(Debug, Clone, Copy, Default)]
+struct Lines {
+    count: usize,
+    id: Option<u64>,
+    has_data: bool,
+}
+
+impl Lines {
+    /// Adds a line; returns whether the event may have it.
+    fn push(&mut self, line: &str) -> bool {
+        let is_first = self.count == 0;
+        self.count += 1;
+        let Some((name, value)) = line.split_once(':') else { return false };
+        match name {
+            "data" => {
+                self.has_data = true;
+                true
+            }
+            "id" if self.id.is_none() => {
+                self.id = parse_number(value);
+                self.id.is_some()
+            }
+            name => is_first && is_added(name, value),
+        }
+    }
+
+    /// Whether a line of the event may begin with these bytes.
+    fn may_go_on(self, partial: &str) -> bool {
+        let Some((name, value)) = partial.split_once(':') else {
+            let may_add = self.count == 0 && is_name(partial);
+            return may_add || ["id", "data"].iter().any(|name| name.starts_with(partial));
+        };
         match name {
-            "data" => has_data = true,
-            "id" if id.is_none() => match parse_number(value) {
-                Some(number) => id = Some(number),
-                None => return Block::Unsound,
-            },
-            name if index == 0 && is_added(name, value) => {}
-            _ => return Block::Unsound,
+            "data" => true,
+            "id" if self.id.is_some() => false,
+            "id" => begins_number(value),
+            name => self.count == 0 && is_name(name) && !name.is_empty() && begins_number(value),
         }
     }
-    id.filter(|_| has_data).map_or(Block::Unsound, Block::Event)
 }
 
 /// Whether a line is one that targets add before an event: a header's name and a number.
 fn is_added(name: &str, value: &str) -> bool {
-    let is_name = name.bytes().all(|byte| byte.is_ascii_lowercase() || byte == b'-');
-    is_name && !name.is_empty() && name != "id" && parse_number(value).is_some()
+    is_name(name) && !name.is_empty() && name != "id" && parse_number(value).is_some()
+}
+
+/// Whether a header may be named so in lowercase, or its name begin so.
+fn is_name(name: &str) -> bool {
+    name.bytes().all(|byte| byte.is_ascii_lowercase() || byte == b'-')
+}
+
+/// Whether a number may begin with these bytes.
+fn begins_number(value: &str) -> bool {
+    matches!(value, "" | " ") || parse_number(value).is_some()
 }
 
 /// Parses a value of digits only, which one space may precede.
--- a/crates/oleander-relay/tests/events.rs
+++ b/crates/oleander-relay/tests/events.rs
@@ -136,6 +136,60 @@
     assert!(read_text(&event(1, "a")).1);
 }
 
+/// Bytes after event 7 in which event 8 begins, and bytes in which it doesn't.
+const BEGUN: [&str; 9] = [
+    "i",
+    "id: 8",
+    "id: 8\n",
+    "id: 8\ndata: õ",
+    "id: 8\ndata: x\n",
+    "\n\ndata: x\nid",
+    "weight-ver",
+    "weight-versions: 2",
+    "weight-versions: 2\nid:",
+];
+const NOT_BEGUN: [&str; 9] = [
+    "",
+    "\n",
+    ":",
+    ": ping",
+    "id: 9",
+    "id: 7\nda",
+    "HTTP/1.1 500 Internal Server Error",
+    "{\"error\": 1}",
+    "id: 8\nid: 8",
+];
+
+/// Guards against an end that is believed though the next event had begun: a response without any
+/// event completed a stream of which the target before had sent half an event more.
+#[test]
+fn a_stream_does_not_end_before_an_event_that_has_begun() {
+    let cases = BEGUN.map(|bytes| (bytes, true)).into_iter();
+    for (bytes, has_begun) in cases.chain(NOT_BEGUN.map(|bytes| (bytes, false))) {
+        let mut reader = EventReader::after(Some(7));
+        assert!(reader.push(bytes.as_bytes()).valid);
+        reader.discard_partial();
+        assert_eq!(reader.is_complete(), !has_begun, "{bytes:?}");
+        // A further response that breaks off changes nothing.
+        reader.discard_partial();
+        assert_eq!(reader.is_complete(), !has_begun, "{bytes:?}");
+        assert!(reader.push(event(8, "b").as_bytes()).valid);
+        assert!(reader.is_complete(), "{bytes:?}");
+    }
+}
+
+/// Every proper beginning of an event counts, however it is cut.
+#[test]
+fn any_beginning_of_an_event_shows_that_it_exists() {
+    let event = format!("weight-versions: 2\n{}", event(8, "õ: x"));
+    for end in 1..event.len() - 1 {
+        let mut reader = EventReader::after(Some(7));
+        assert!(reader.push(&event.as_bytes()[..end]).valid);
+        reader.discard_partial();
+        assert!(!reader.is_complete(), "{:?}", &event.as_bytes()[..end]);
+    }
+}
+
 /// Guards against skipped bytes that count as none: a target may send line feeds without end.
 #[test]
 fn skipped_bytes_without_end_make_a_stream_invalid() {
