Take the missing length of a broken response for an event that has begun

The same fault by another form: a response with a length that broke off between two events, and a next one that ended without any: complete with three of five events. The length says that more followed, unless the rest is too short for an event.

--- a/crates/oleander-relay/src/attempt.rs
+++ b/crates/oleander-relay/src/attempt.rs
@@ -11,21 +11,18 @@
 use crate::{
     crash::check_target,
     events::EventReader,
+    forwarder::Forwarder,
     host::Reservation,
     lease::TargetLease,
     progress::Progress,
     request::{Request, ResponseHead},
-    sink::{ResponseSink, SinkClosed},
+    sink::ResponseSink,
     transport::{Dispatch, ResponseBody, SendError, TargetResponse, TargetTransport},
 };
 
 /// Maximum size of an error body that is kept for forwarding.
 const MAX_ERROR_BYTES: usize = 64 << 10;
 
-/// Maximum size of a response that is not a stream; limits the memory that a target can make this
-/// host use.
-const MAX_BODY_BYTES: usize = 8 << 20;
-
 /// Time limit for reading an error body.
 const ERROR_BODY_TIMEOUT: Span = Span::from_secs(1);
 
@@ -249,7 +246,7 @@
     }
     progress.record_head(Instant::now());
     let head = (!attempt.head_sent).then_some(head);
-    let mut forwarder = Forwarder { lease, sink, progress, head };
+    let mut forwarder = Forwarder::new(lease, sink, progress, head);
     match attempt.events.as_deref_mut() {
         Some(events) => {
             // An earlier target may have been left in the middle of an event.
@@ -260,117 +257,6 @@
     }
 }
 
-/// Forwards one response.
-struct Forwarder<'a, L, S> {
-    lease: &'a mut L,
-    sink: &'a mut S,
-    progress: &'a Progress,
-    /// The head, until it is forwarded.
-    head: Option<ResponseHead>,
-}
-
-impl<L: Reservation, S: ResponseSink> Forwarder<'_, L, S> {
-    async fn stream<B: ResponseBody>(
-        &mut self,
-        body: &mut B,
-        events: &mut EventReader,
-    ) -> AttemptOutcome {
-        loop {
-            let chunk = tokio::select! {
-                chunk = body.next_chunk() => chunk,
-                () = self.sink.closed() => return AttemptOutcome::Cancelled,
-            };
-            let bytes = match chunk {
-                // A target that crashes may close its connection before the first event.
-                None if !body.is_framed() && !self.lease.has_output() => {
-                    return self.interrupted("connection ended before the first event");
-                }
-                None if events.is_complete() => {
-                    self.send_head();
-                    return AttemptOutcome::Complete;
-                }
-                None => {
-                    return self
-                        .interrupted("stream ended inside or before an event that has begun");
-                }
-                Some(Err(error)) => return self.interrupted(&error.0),
-                Some(Ok(bytes)) => bytes,
-            };
-            let parsed = events.push(&bytes);
-            // Bytes that complete no event are no progress: a target that only drips is left.
-            if !parsed.events.is_empty() {
-                self.send_head();
-                let complete = concat(parsed.events.into_iter().map(|event| event.raw));
-                if self.forward(complete, events.last_id()).await.is_err() {
-                    return AttemptOutcome::Cancelled;
-                }
-            }
-            if !parsed.valid {
-                return self.interrupted("event out of sequence or too long");
-            }
-        }
-    }
-
-    /// Forwards a response that is not a stream; reads it completely first if `buffer` is set.
-    async fn body<B: ResponseBody>(&mut self, body: &mut B, buffer: bool) -> AttemptOutcome {
-        // One buffer: small chunks, each with its own overhead, would take many times their size.
-        let mut buffered = BytesMut::new();
-        let mut size = 0;
-        loop {
-            let chunk = tokio::select! {
-                chunk = body.next_chunk() => chunk,
-                () = self.sink.closed() => return AttemptOutcome::Cancelled,
-            };
-            let bytes = match chunk {
-                // As in a stream, a target that crashes may close its connection.
-                None if size == 0 && !body.is_framed() => {
-                    return self.interrupted("connection ended before the first byte");
-                }
-                None => break,
-                Some(Err(error)) => return self.interrupted(&error.0),
-                Some(Ok(bytes)) => bytes,
-            };
-            size += bytes.len();
-            if size > MAX_BODY_BYTES {
-                return self.interrupted("response too long");
-            }
-            if buffer {
-                buffered.extend_from_slice(&bytes);
-                continue;
-            }
-            self.send_head();
-            if self.forward(bytes, None).await.is_err() {
-                return AttemptOutcome::Cancelled;
-            }
-        }
-        self.send_head();
-        if !buffered.is_empty() && self.forward(buffered.freeze(), None).await.is_err() {
-            return AttemptOutcome::Cancelled;
-        }
-        AttemptOutcome::Complete
-    }
-
-    async fn forward(&mut self, bytes: Bytes, last_event: Option<u64>) -> Result<(), SinkClosed> {
-        self.lease.record_output();
-        self.progress.record_output(Instant::now(), last_event);
-        self.sink.chunk(bytes).await?;
-        self.progress.record_forwarded(Instant::now());
-        Ok(())
-    }
-
-    fn send_head(&mut self) {
-        if let Some(head) = self.head.take() {
-            self.lease.observe(Observation::FirstOutput);
-            self.sink.head(head);
-            self.progress.record_head_sent();
-        }
-    }
-
-    fn interrupted(&self, reason: &str) -> AttemptOutcome {
-        AttemptOutcome::Interrupted { reason: reason.to_owned(), head_sent: self.head.is_none() }
-    }
-}
-
 /// Waits at most `limit`; `None` if the time ran out.
 async fn with_limit<F: Future>(limit: Span, future: F) -> Option<F::Output> {
     time::timeout(limit.to_duration(), future).await.ok()
@@ -386,12 +272,3 @@
     }
     Ok(content.freeze())
 }
-
-fn concat(mut parts: impl ExactSizeIterator<Item = Bytes>) -> Bytes {
-    if parts.len() == 1 {
-        return parts.next().unwrap_or_default();
-    }
-    let mut bytes = BytesMut::new();
-    parts.for_each(|part| bytes.extend_from_slice(&part));
-    bytes.freeze()
-}
--- a/crates/oleander-relay/src/events.rs
+++ b/crates/oleander-relay/src/events.rs
@@ -17,6 +17,8 @@
 /// Maximum size of an event, with what is skipped before it; limits the memory that a target can
 /// make this host use, and ends a stream that has no events.
 const MAX_EVENT_BYTES: usize = 1 << 20;
+/// Size of the shortest event; fewer bytes may be line feeds between events.
+pub(crate) const MIN_EVENT_BYTES: u64 = "id:1\ndata:\n\n".len() as u64;
 /// Greatest id of the first event of a stream that does not resume.
 const MAX_FIRST_ID: u64 = 1;
 /// End of an event.
@@ -98,6 +100,11 @@
         self.skipped = 0;
     }
 
+    /// Records that another event follows, by the length of a response that broke off.
+    pub(crate) const fn record_begun(&mut self) {
+        self.has_begun_next = true;
+    }
+
     /// Appends bytes and returns the events that they complete.
     pub fn push(&mut self, bytes: &[u8]) -> ParsedEvents {
         self.pending.extend_from_slice(bytes);
--- a/crates/oleander-relay/src/lib.rs
+++ b/crates/oleander-relay/src/lib.rs
@@ -15,6 +15,7 @@
 mod crash;
 mod events;
 mod follow;
+mod forwarder;
 mod forwarding;
 mod host;
 mod lease;
--- a/crates/oleander-relay/src/sending.rs
+++ b/crates/oleander-relay/src/sending.rs
@@ -51,6 +51,10 @@
         self.body.is_framed()
     }
 
+    fn missing(&self) -> u64 {
+        self.body.missing()
+    }
+
     async fn next_chunk(&mut self) -> Option<Result<Bytes, BodyError>> {
         match self.first.take() {
             Some(first) => first.map(Ok),
--- a/crates/oleander-relay/src/transport.rs
+++ b/crates/oleander-relay/src/transport.rs
@@ -91,6 +91,11 @@
     fn is_framed(&self) -> bool {
         true
     }
+
+    /// Bytes that are known to follow, by a length that the response states.
+    fn missing(&self) -> u64 {
+        0
+    }
 }
 
 /// What a new connection to a target meets.
