Start an item again when its targets contradict each other about its end

An item has no limit of attempts: after a run that broke off inside an event, and targets that end the resumption before that event, it would be interrupted for good and never be listed. One of the two is wrong, and the item can't tell which; its output is dropped and it starts again, which an item always may.

Red before: an_item_starts_again_when_a_run_ends_before_an_event_that_had_begun ("an item is never listed: Elapsed(())").

--- a/crates/oleander-relay/src/events.rs
+++ b/crates/oleander-relay/src/events.rs
@@ -54,6 +54,8 @@
     last_id: Option<u64>,
     /// Whether an earlier response broke off inside the next event.
     has_begun_next: bool,
+    /// Whether a response ended before that event.
+    is_contradicted: bool,
 }
 
 /// What a block between two boundaries is.
@@ -92,6 +94,18 @@
         self.at_boundary() && !self.has_begun_next
     }
 
+    /// Records that the response has ended.
+    pub(crate) fn record_end(&mut self) {
+        self.is_contradicted |= self.at_boundary() && self.has_begun_next;
+    }
+
+    /// Whether a response ended before an event that an earlier one had begun, so that one of the
+    /// two is wrong.
+    #[must_use]
+    pub const fn is_contradicted(&self) -> bool {
+        self.is_contradicted
+    }
+
     /// Discards the beginning of an incomplete event, of which only its existence is kept.
     pub fn discard_partial(&mut self) {
         self.has_begun_next |= self.begins_next();
@@ -113,7 +127,7 @@
             match classify(&raw) {
                 Block::Event(id) if self.is_next(id) => {
                     self.last_id = Some(id);
-                    self.has_begun_next = false;
+                    (self.has_begun_next, self.is_contradicted) = (false, false);
                     self.skipped = 0;
                     events.push(Event { raw, id });
                 }
--- a/crates/oleander-relay/src/forwarder.rs
+++ b/crates/oleander-relay/src/forwarder.rs
@@ -59,6 +59,7 @@
                     return AttemptOutcome::Complete;
                 }
                 None => {
+                    events.record_end();
                     return self
                         .interrupted("stream ended inside or before an event that has begun");
                 }
--- a/crates/oleander-worklist/src/runner.rs
+++ b/crates/oleander-worklist/src/runner.rs
@@ -202,8 +202,13 @@
             reason:% = reason(&attempt_outcome); "item run ended");
         metrics::counter!("item_runs_total", "outcome" => outcome_label(&outcome)).increment(1);
         let version = (sink.event_count > 0).then_some(version);
-        let progress =
-            Progress { events, output: sink.output, event_count: sink.event_count, version };
+        let progress = if events.is_contradicted() {
+            log::warn!(request:% = next.request.id, target:% = target;
+                "item starts again: a run ended before an event that another one had begun");
+            Progress::default()
+        } else {
+            Progress { events, output: sink.output, event_count: sink.event_count, version }
+        };
         guard.finish(&outcome, progress);
     }
 }
--- a/crates/oleander-worklist/tests/manager/fixture.rs
+++ b/crates/oleander-worklist/tests/manager/fixture.rs
@@ -120,6 +120,8 @@
     paused: Arc<AtomicBool>,
     /// Whether the host has lost its links to them.
     pub(crate) unreachable: AtomicBool,
+    /// Whether requests that resume a stream get its end without an event.
+    pub(crate) ends_resumed: AtomicBool,
     /// What the first requests get, last one first.
     replies: Mutex<Vec<Reply>>,
 }
@@ -207,7 +209,12 @@
         let head = ResponseHead { status: StatusCode::OK, headers: HeaderMap::new() };
         let id = dispatch.resume_after.map_or(1, |last| last + 1);
         let event = format!("id: {id}\ndata: done {}\n\n", dispatch.request.id);
-        let reply = self.replies.lock().pop().unwrap_or_else(|| Reply::chunks(&[&event]));
+        let is_ended = dispatch.resume_after.is_some() && self.ends_resumed.load(Ordering::Relaxed);
+        let reply = if is_ended {
+            Reply::chunks(&[])
+        } else {
+            self.replies.lock().pop().unwrap_or_else(|| Reply::chunks(&[&event]))
+        };
         let body = ReplyBody { reply, paused: Arc::clone(&self.paused) };
         Ok(TargetResponse::new(head, body))
     }
--- a/crates/oleander-worklist/tests/manager/sizes.rs
+++ b/crates/oleander-worklist/tests/manager/sizes.rs
@@ -1,6 +1,10 @@
 //! Output and items that are larger than the platform stores.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use bytes::Bytes;
 use oleander_core::{Span, Time};
@@ -141,3 +145,18 @@
     let large = Submission { job: job(), host, items: vec![item], received: Time(0) };
     assert_eq!(manager.submit(large, &route()).await, Err(SubmitError::TooLarge));
 }
+
+/// Guards against an item that is never listed: its output has an event that had begun and that no
+/// target sends when it goes on.
+#[tokio::test]
+async fn an_item_starts_again_when_a_run_ends_before_an_event_that_had_begun() {
+    let (manager, targets, _) = start_manager("entry-1", SlowStore::new(limited_store()));
+    let broken = Reply::chunks(&["id: 1\ndata: a\n\nid: 2\nda"]);
+    targets.reply(vec![broken; 3]);
+    targets.ends_resumed.store(true, Ordering::Relaxed);
+    wait_until_ready(&manager).await;
+    assert_eq!(manager.submit(submission(10), &route()).await, Ok(()));
+    let results = time::timeout(RESULTS_TIMEOUT, all_results(&manager)).await;
+    let results = results.expect("an item is never listed");
+    assert!(results.iter().all(|result| result.output.starts_with("done ")), "{results:?}");
+}
