--- a/crates/oleander-host/src/lib.rs
+++ b/crates/oleander-host/src/lib.rs
@@ -2,8 +2,7 @@
 //!
 //! Validated [`Settings`] from a JSON file, the command line ([`Cli`]), logs, metrics, the
 //! [`Timeline`] of events, the admin listener, clocks, the [`Shutdown`] phases and the
-//! [`ExitTime`] of a stopping process. Decisions about
-//! requests and jobs are made in other crates.
+//! [`ExitTime`] of a stopping process. Decisions about requests and jobs are made in other crates.
 
 pub mod admin;
 mod cli;
