--- a/crates/oleander-host/src/exit.rs
+++ b/crates/oleander-host/src/exit.rs
@@ -46,7 +46,7 @@
     }
 
     /// Completes once the process is known to end its work before `deadline`.
-    pub async fn is_before(&self, deadline: Time) {
+    pub async fn earlier_than(&self, deadline: Time) {
         let mut receiver = self.at.subscribe();
         // Can't fail: `self` holds the sender, so the channel stays open.
         let _ = receiver.wait_for(|at| at.is_some_and(|exit| exit < deadline)).await;
--- a/crates/oleander-relay/src/relay/choice.rs
+++ b/crates/oleander-relay/src/relay/choice.rs
@@ -27,7 +27,7 @@
         let lease = tokio::select! {
             lease = self.acquire(pool) => lease,
             () = sink.closed() => return Err(NextStep::Cancelled),
-            () = relay.exit.is_before(deadline), if may_refuse => {
+            () = relay.exit.earlier_than(deadline), if may_refuse => {
                 return Err(self.refuse_stopping());
             }
         };
