Log how old the view of a job is when an item runs, and how its end is seen

The end of an item's run now names the job's revision and the time since the platform last confirmed that this process owns the open job; the stop of a job names the revision and the way by which its record came (write, read, message, watch); an end that is acknowledged again names the revision behind the 200. Ages are on a clock that also counts while the machine is suspended (nix, CLOCK_BOOTTIME).

--- a/crates/oleander-host/src/clock.rs
+++ b/crates/oleander-host/src/clock.rs
@@ -4,9 +4,10 @@
 
 use std::{
     sync::OnceLock,
-    time::{Instant, SystemTime, UNIX_EPOCH},
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
+use nix::time::{ClockId, clock_gettime};
 use oleander_core::{Span, Time};
 
 /// Wall clock time; the Unix epoch if the system clock is set to an earlier time.
@@ -25,3 +26,17 @@
     let (wall, start) = START.get_or_init(|| (now(), Instant::now()));
     *wall + Span::from(start.elapsed())
 }
+
+/// Time since the machine started, which also passes while the machine is suspended.
+///
+/// For leases, which end on other hosts meanwhile; not comparable between hosts.
+#[must_use]
+pub fn since_boot() -> Time {
+    match clock_gettime(ClockId::CLOCK_BOOTTIME) {
+        Ok(elapsed) => Time(Span::from(Duration::from(elapsed)).0),
+        Err(error) => {
+            log::error!(error:% = error; "time since boot can't be read; suspensions are missed");
+            steady()
+        }
+    }
+}
--- a/crates/oleander-worklist/src/admission.rs
+++ b/crates/oleander-worklist/src/admission.rs
@@ -10,6 +10,7 @@
 
 use crate::{
     backlog::Backlog,
+    lease::{RecordSource, StartLease},
     manager::{JobManager, LoadedJob},
     record::JobPhase,
     submission::{Submission, SubmitError, TooLarge},
@@ -129,14 +130,16 @@
         }
         let owner = (!self.is_draining()).then(|| self.local.clone());
         let record = submission.record(clock::now(), route, parts.len() as u32, owner);
+        let asked = clock::since_boot();
         match self.store.accept(&record).await {
             Ok(Some(revision)) => {
                 log::info!(job:% = record.job, route:% = record.route, items = record.total,
                     tokens = record.tokens.0, revision = revision.0; "job accepted");
                 if record.owner.is_some() {
-                    self.start_job(self.new_job(record.clone(), submission.items));
+                    let lease = StartLease::new(asked, revision);
+                    self.start_job(self.new_job(record.clone(), submission.items), lease);
                 }
-                self.apply_record(revision, record);
+                self.apply_record(revision, record, RecordSource::Write);
                 Ok(())
             }
             Ok(None) => Ok(()),
--- a/crates/oleander-worklist/src/commit.rs
+++ b/crates/oleander-worklist/src/commit.rs
@@ -14,6 +14,7 @@
 use crate::{
     backoff::{Backoff, RETRY_DELAY},
     job::Job,
+    lease::{RecordSource, StartLease},
     manager::{JobManager, LoadedJob},
     record::{JobPhase, JobRecord, Segment},
 };
@@ -36,9 +37,9 @@
 
 impl<S: ObjectStore, T: TargetTransport> JobManager<S, T> {
     /// Adds a job to the loaded ones and starts to run it.
-    pub(crate) fn start_job(self: &Arc<Self>, job: Job) {
+    pub(crate) fn start_job(self: &Arc<Self>, job: Job, lease: StartLease) {
         let id = job.record.job.clone();
-        let loaded = LoadedJob::new(job);
+        let loaded = LoadedJob::new(job, lease);
         self.loaded.lock().insert(id.clone(), Arc::clone(&loaded));
         self.stop_unless_owned(&id);
         self.wake.notify_one();
@@ -124,7 +125,7 @@
         if !is_own {
             // The other writer may have taken the job over; nothing more is committed until the
             // job's record has been read.
-            while !self.refresh(id).await {
+            while !self.refresh(id, RecordSource::Read).await {
                 time::sleep(RETRY_DELAY).await;
             }
         }
@@ -142,11 +143,11 @@
         match self.store.replace(&done, revision).await {
             Ok(Some(at)) => {
                 log::info!(job:% = id, revision = at.0; "job done");
-                self.apply_record(at, done);
+                self.apply_record(at, done, RecordSource::Write);
                 true
             }
             Ok(None) => {
-                self.refresh(id).await;
+                self.refresh(id, RecordSource::Read).await;
                 false
             }
             Err(fault) => {
--- a/crates/oleander-worklist/src/handover.rs
+++ b/crates/oleander-worklist/src/handover.rs
@@ -12,6 +12,7 @@
     backoff::RETRY_DELAY,
     commit::COLLECT_TIME,
     index::next_owner,
+    lease::RecordSource,
     manager::{JobManager, LoadedJob},
     record::{JobPhase, JobRecord},
 };
@@ -75,7 +76,7 @@
         match self.store.replace(&released, revision).await {
             Ok(Some(at)) => {
                 log::info!(job:% = id, revision = at.0; "job given away");
-                self.apply_record(at, released);
+                self.apply_record(at, released, RecordSource::Write);
                 if let Some(next) = next_owner(id, &self.cluster.serving_hosts()) {
                     self.notify_changed(next.clone(), id.clone());
                 }
--- a/crates/oleander-worklist/src/manager.rs
+++ b/crates/oleander-worklist/src/manager.rs
@@ -28,6 +28,7 @@
     index::{JobAction, JobIndex},
     item::NewItem,
     job::Job,
+    lease::{RecordSource, StartLease},
     message::{JobRequest, JobResponse},
     reads::StoredResults,
     record::{JobPhase, JobRecord, Owner},
@@ -74,6 +75,7 @@
 /// A job that this host owns, or owned until it was done or cancelled.
 pub(crate) struct LoadedJob {
     pub(crate) job: Mutex<Job>,
+    pub(crate) lease: Mutex<StartLease>,
     /// Signals that results were committed.
     pub(crate) committed: Notify,
     /// Signals that the run of an item finished.
@@ -83,10 +85,11 @@
 }
 
 impl LoadedJob {
-    pub(crate) fn new(job: Job) -> Arc<Self> {
+    pub(crate) fn new(job: Job, lease: StartLease) -> Arc<Self> {
         let (committed, finished) = (Notify::new(), Notify::new());
         Arc::new(Self {
             job: Mutex::new(job),
+            lease: Mutex::new(lease),
             committed,
             finished,
             stop: watch::Sender::new(false),
@@ -205,7 +208,9 @@
             return;
         };
         match decode_value::<JobRecord>(&object.body) {
-            Ok(record) if record.job == job => self.apply_record(object.revision, record),
+            Ok(record) if record.job == job => {
+                self.apply_record(object.revision, record, RecordSource::Watch);
+            }
             Ok(record) => {
                 log::warn!(job:% = job, named:% = record.job; "job record of another job ignored");
             }
@@ -214,12 +219,21 @@
     }
 
     /// Applies a record read from or written to the platform: loads or stops its job.
-    pub(crate) fn apply_record(self: &Arc<Self>, revision: Revision, record: JobRecord) {
+    pub(crate) fn apply_record(
+        self: &Arc<Self>,
+        revision: Revision,
+        record: JobRecord,
+        source: RecordSource,
+    ) {
         let action = self.index.lock().put(revision, record.clone(), &self.local);
         match action {
             JobAction::None => {}
             JobAction::Load => self.spawn_load(record),
-            JobAction::Stop => self.stop_job(&record),
+            JobAction::Stop => {
+                log::info!(job:% = record.job, phase:? = record.phase, owner:? = record.owner,
+                    revision = revision.0, source:% = source; "record stops a job here");
+                self.stop_job(&record);
+            }
         }
     }
 
@@ -259,7 +273,7 @@
         }
         let found = self.store.record(job).await?;
         if let Some((revision, record)) = &found {
-            self.apply_record(*revision, record.clone());
+            self.apply_record(*revision, record.clone(), RecordSource::Read);
         }
         Ok(found)
     }
@@ -273,6 +287,8 @@
         let Some((mut revision, mut record)) = self.record(job).await? else { return Ok(false) };
         for _ in 0..CANCEL_ATTEMPTS {
             if record.phase != JobPhase::Open {
+                log::info!(job:% = job, phase:? = record.phase, revision = revision.0;
+                    "end of a job acknowledged again");
                 return Ok(true);
             }
             let cancelled = JobRecord { phase: JobPhase::Cancelled, ..record };
@@ -281,7 +297,7 @@
                 if let Some(owner) = self.remote_owner(&cancelled) {
                     self.notify_changed(owner, job.clone());
                 }
-                self.apply_record(at, cancelled);
+                self.apply_record(at, cancelled, RecordSource::Write);
                 return Ok(true);
             }
             let Some(found) = self.store.record(job).await? else { return Ok(false) };
--- a/crates/oleander-worklist/src/reads.rs
+++ b/crates/oleander-worklist/src/reads.rs
@@ -11,6 +11,7 @@
 
 use crate::{
     job::result_page,
+    lease::RecordSource,
     manager::{JobManager, StateUnknown},
     message::{JobRequest, JobResponse, Results},
     record::{ItemResult, JobPhase, JobRecord, Segment},
@@ -181,7 +182,7 @@
                 JobResponse::Yielded
             }
             JobRequest::Changed { job } => {
-                self.refresh(&job).await;
+                self.refresh(&job, RecordSource::Message).await;
                 JobResponse::Noted
             }
             JobRequest::Body { job, item } => {
--- a/crates/oleander-worklist/src/takeover.rs
+++ b/crates/oleander-worklist/src/takeover.rs
@@ -21,6 +21,7 @@
 use crate::{
     backoff::Backoff,
     job::Job,
+    lease::{RecordSource, StartLease},
     manager::JobManager,
     record::{JobPhase, JobRecord, Owner, Segment},
 };
@@ -57,11 +58,11 @@
                     Ok(Some(at)) => {
                         log::info!(job:% = taken.job, former:? = former, revision = at.0;
                             "job taken over");
-                        self.apply_record(at, taken);
+                        self.apply_record(at, taken, RecordSource::Write);
                     }
                     // The record has changed or been removed since it was indexed.
                     Ok(None) => {
-                        self.refresh(&taken.job).await;
+                        self.refresh(&taken.job, RecordSource::Read).await;
                     }
                     Err(fault) => {
                         log::warn!(job:% = taken.job, error:% = fault;
@@ -80,12 +81,12 @@
     }
 
     /// Reads a record again that may have changed; returns whether it could be read.
-    pub(crate) async fn refresh(self: &Arc<Self>, job: &JobId) -> bool {
+    pub(crate) async fn refresh(self: &Arc<Self>, job: &JobId, source: RecordSource) -> bool {
         match self.store.record(job).await {
             Ok(Some((revision, record))) => {
                 log::info!(job:% = job, owner:? = record.owner, revision = revision.0;
                     "job has changed meanwhile");
-                self.apply_record(revision, record);
+                self.apply_record(revision, record, source);
             }
             Ok(None) => log::info!(job:% = job; "job has been removed"),
             Err(fault) => {
@@ -128,7 +129,7 @@
                 match manager.load(record.clone()).await {
                     Ok(loaded) => {
                         if manager.is_owned(&job) {
-                            manager.start_job(loaded);
+                            manager.start_job(loaded, StartLease::default());
                         }
                         break;
                     }
