Start items only on a fresh view of their job; acknowledge an end once they stop

Cause: a final decision on a view of unknown age. The owner of a job started items on what its chain of watches had last said, however old that was, and a 200 promised more than its sender knew. Only the host that wrote the end told the owner, once, without waiting; a host that found the end written already (the writer died, its caller left, its answer was lost) acknowledged it with no message at all.

Fix: items start only under a lease of 2 s, which a read of the job's record renews (at most one a second and job, and only while items could start). The record is read through other hosts if the direct path fails. If nobody can read it and all hosts that answer say that they have no path to the platform either, nobody can acknowledge an end, and items go on; a host that hears nobody stops. A removed record stops the job's runs, too.

No message or record changes: `Changed` and its response are as before.

--- a/crates/oleander-cluster/src/cluster/hosts.rs
+++ b/crates/oleander-cluster/src/cluster/hosts.rs
@@ -117,6 +117,12 @@
         live
     }
 
+    /// Whether any other host is listed or has been heard of.
+    pub(crate) fn has_other_hosts(&self) -> bool {
+        let is_listed = self.records.read().keys().any(|host| *host != self.local.host);
+        is_listed || self.members.lock().view().next().is_some()
+    }
+
     /// Whether `host` is listed in this host's data centre.
     #[must_use]
     pub fn is_same_zone(&self, host: &HostId) -> bool {
--- a/crates/oleander-cluster/src/fallback.rs
+++ b/crates/oleander-cluster/src/fallback.rs
@@ -12,6 +12,7 @@
     failover::{FALLBACK_TIMEOUT, StoreFallback, StoreRequest, StoreResponse},
     feed::{Feeder, MAX_FEED_WAIT, select_feeder},
     message::{PeerRequest, PeerResponse},
+    record::HostRecord,
 };
 
 /// Time allowed for a feeder's response beyond the wait of the watch.
@@ -54,6 +55,30 @@
     }
 }
 
+impl Cluster {
+    /// Whether this host is not alone without a path to the platform: all hosts that answer say that
+    /// they have none either, or there is no other host.
+    pub async fn is_platform_out(&self) -> bool {
+        let proxies = self.proxies();
+        if proxies.is_empty() {
+            return !self.has_other_hosts();
+        }
+        let mut is_out = false;
+        let key = HostRecord::key(&self.local.host);
+        let request: PeerRequest<()> = PeerRequest::Store(StoreRequest::Get(key));
+        for address in proxies {
+            let response = self.link.call(&address.to_string(), &request, FALLBACK_TIMEOUT).await;
+            match response {
+                Ok(PeerResponse::<()>::Store(StoreResponse::Refused(_))) => is_out = true,
+                Ok(_) => return false,
+                Err(error) => log::debug!(address:% = address, error:% = error;
+                    "host did not say whether it reaches the platform"),
+            }
+        }
+        is_out
+    }
+}
+
 impl StoreFallback for Cluster {
     async fn call(&self, request: StoreRequest) -> StoreResponse {
         let mut last_refusal = StoreResponse::Refused("no other host is available".to_owned());
--- a/crates/oleander-worklist/src/commit.rs
+++ b/crates/oleander-worklist/src/commit.rs
@@ -136,7 +136,7 @@
     /// Marks a job as done; `true` if it is, or if this process no longer owns it.
     async fn mark_done(self: &Arc<Self>, id: &JobId) -> bool {
         let Some((revision, record)) = self.indexed(id) else { return true };
-        if record.phase != JobPhase::Open || record.owner.as_ref() != Some(&self.local) {
+        if !self.is_owner(&record) {
             return true;
         }
         let done = JobRecord { phase: JobPhase::Done, ..record };
--- a/crates/oleander-worklist/src/handover.rs
+++ b/crates/oleander-worklist/src/handover.rs
@@ -14,7 +14,7 @@
     index::next_owner,
     lease::RecordSource,
     manager::{JobManager, LoadedJob},
-    record::{JobPhase, JobRecord},
+    record::JobRecord,
 };
 
 /// Maximum time that running items get to finish before this host stops.
@@ -69,7 +69,7 @@
     /// Removes the owner from a job's record and notifies the next owner.
     async fn release_job(self: &Arc<Self>, id: &JobId) {
         let Some((revision, record)) = self.indexed(id) else { return };
-        if record.phase != JobPhase::Open || record.owner.as_ref() != Some(&self.local) {
+        if !self.is_owner(&record) {
             return;
         }
         let released = JobRecord { owner: None, ..record };
--- a/crates/oleander-worklist/src/lease.rs
+++ b/crates/oleander-worklist/src/lease.rs
@@ -1,9 +1,18 @@
-//! What this process knows of a job that it owns, and since when.
+//! Permission to start the items of a job.
+//!
+//! A process starts items only under a lease that a read of the job's record has confirmed a short
+//! time ago. Whatever delays the news of an end or of another owner thus bounds the time for which
+//! items still start; see [`ending`](crate::ending).
 
 use std::fmt;
 
 use oleander_core::{Revision, Span, Time};
 
+/// Time for which items start after the platform has confirmed that their job is open.
+pub(crate) const START_LEASE: Span = Span::from_secs(2);
+/// Age of a lease from which it is renewed when an item starts.
+const RENEWAL_AGE: Span = Span::from_secs(1);
+
 /// How a job's record reached this process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum RecordSource {
@@ -28,7 +37,7 @@
     }
 }
 
-/// When the platform last confirmed that this process owns an open job; never, by default.
+/// Permission to start items of a job: when the platform last confirmed that this process owns an open job; never, by default.
 ///
 /// Times are on the clock [`since_boot`](oleander_host::clock::since_boot).
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
@@ -50,6 +59,18 @@
         self.revision = self.revision.max(revision);
     }
 
+    /// Whether items may start.
+    #[must_use]
+    pub fn allows(&self, now: Time) -> bool {
+        self.age(now) < START_LEASE
+    }
+
+    /// Whether the lease should be renewed before it is over.
+    #[must_use]
+    pub fn is_due(&self, now: Time) -> bool {
+        self.age(now) >= RENEWAL_AGE
+    }
+
     /// Time since the last confirmation.
     #[must_use]
     pub const fn age(&self, now: Time) -> Span {
--- a/crates/oleander-worklist/src/manager.rs
+++ b/crates/oleander-worklist/src/manager.rs
@@ -1,7 +1,7 @@
 //! Shared state of the batch jobs at an entry host, and the watch that keeps it up to date.
 //!
 //! Lock order: a task holds one lock at a time, except that it may lock a job while it holds the
-//! table of loaded jobs.
+//! table of loaded jobs, and the lease of a job while it holds the job.
 
 use std::{
     collections::{HashMap, HashSet},
@@ -15,7 +15,7 @@
 
 use http::HeaderName;
 use oleander_cluster::Cluster;
-use oleander_core::{HostId, JobId, Revision, Time};
+use oleander_core::{JobId, Revision, Time};
 use oleander_host::clock;
 use oleander_platform::{
     Change, FollowEvent, Follower, ObjectStore, SHORT_WAIT, StoreError, decode_value,
@@ -25,25 +25,20 @@
 use tokio::sync::{Notify, watch};
 
 use crate::{
+    ends::JobEnds,
     index::{JobAction, JobIndex},
     item::NewItem,
     job::Job,
     lease::{RecordSource, StartLease},
-    message::{JobRequest, JobResponse},
     reads::StoredResults,
     record::{JobPhase, JobRecord, Owner},
     runner::Run,
     store::{JOB_PREFIX, JobStore},
 };
 
-/// Pause between two watch calls, so that one call returns the changes of several jobs. The owner
-/// of a cancelled job is notified directly; if that fails, the pause plus one watch call is still
-/// well within the time in which a cancel must take effect.
+/// Pause between two watch calls, so that one call returns the changes of several jobs. What must
+/// not start on an old view asks for a [`StartLease`] instead.
 const WATCH_PAUSE: Duration = Duration::from_millis(1_000);
-/// Timeout for notifying a host of a change.
-const NOTIFY_TIMEOUT: Duration = Duration::from_millis(500);
-/// Number of attempts to cancel a job while other hosts update its record.
-const CANCEL_ATTEMPTS: u32 = 5;
 
 /// Settings of a [`JobManager`].
 #[derive(Debug, Clone)]
@@ -76,6 +71,8 @@
 pub(crate) struct LoadedJob {
     pub(crate) job: Mutex<Job>,
     pub(crate) lease: Mutex<StartLease>,
+    /// Whether the lease is being renewed.
+    pub(crate) renewing: AtomicBool,
     /// Signals that results were committed.
     pub(crate) committed: Notify,
     /// Signals that the run of an item finished.
@@ -90,6 +87,7 @@
         Arc::new(Self {
             job: Mutex::new(job),
             lease: Mutex::new(lease),
+            renewing: AtomicBool::new(false),
             committed,
             finished,
             stop: watch::Sender::new(false),
@@ -99,6 +97,13 @@
     pub(crate) fn is_stopped(&self) -> bool {
         *self.stop.borrow()
     }
+
+    /// Ends the runs of the job's items, and the waits of its readers.
+    fn signal_stop(&self) {
+        self.stop.send_replace(true);
+        self.committed.notify_waiters();
+        self.finished.notify_one();
+    }
 }
 
 /// Accepts, runs and serves the batch jobs of an entry host.
@@ -115,6 +120,8 @@
     pub(crate) starting: Mutex<HashSet<JobId>>,
     /// Results of jobs without a running owner, as read from the platform.
     pub(crate) result_cache: Mutex<HashMap<JobId, StoredResults>>,
+    /// Ends of jobs, by the time since which this host knows them.
+    pub(crate) ends: Mutex<JobEnds>,
     /// Items that are running, in order of their start.
     pub(crate) runs: Mutex<Vec<Run>>,
     /// Number of items started so far.
@@ -147,6 +154,7 @@
             loaded: Mutex::default(),
             starting: Mutex::default(),
             result_cache: Mutex::default(),
+            ends: Mutex::default(),
             runs: Mutex::default(),
             run_count: AtomicU64::new(0),
             wake: Notify::new(),
@@ -201,12 +209,7 @@
         let Some(job) = change.key.strip_prefix(JOB_PREFIX).and_then(|job| job.parse().ok()) else {
             return;
         };
-        let Some(object) = change.object else {
-            self.index.lock().remove(&job);
-            self.loaded.lock().remove(&job);
-            self.result_cache.lock().remove(&job);
-            return;
-        };
+        let Some(object) = change.object else { return self.remove_job(&job) };
         match decode_value::<JobRecord>(&object.body) {
             Ok(record) if record.job == job => {
                 self.apply_record(object.revision, record, RecordSource::Watch);
@@ -218,6 +221,16 @@
         }
     }
 
+    /// Forgets a job whose record has been removed, and stops its items.
+    pub(crate) fn remove_job(&self, job: &JobId) {
+        self.index.lock().remove(job);
+        self.ends.lock().forget(job);
+        self.result_cache.lock().remove(job);
+        let Some(loaded) = self.loaded.lock().remove(job) else { return };
+        log::info!(job:% = job; "job stopped: its record has been removed");
+        loaded.signal_stop();
+    }
+
     /// Applies a record read from or written to the platform: loads or stops its job.
     pub(crate) fn apply_record(
         self: &Arc<Self>,
@@ -225,6 +238,9 @@
         record: JobRecord,
         source: RecordSource,
     ) {
+        if record.phase == JobPhase::Cancelled {
+            self.ends.lock().learn(&record.job, clock::since_boot());
+        }
         let action = self.index.lock().put(revision, record.clone(), &self.local);
         match action {
             JobAction::None => {}
@@ -242,8 +258,7 @@
     /// The record may have changed while the job was being accepted or loaded.
     pub(crate) fn stop_unless_owned(&self, job: &JobId) {
         let Some((_, record)) = self.indexed(job) else { return };
-        let is_owned = record.owner.as_ref() == Some(&self.local) && record.phase == JobPhase::Open;
-        if !is_owned {
+        if !self.is_owner(&record) {
             self.stop_job(&record);
         }
     }
@@ -252,9 +267,7 @@
     fn stop_job(&self, record: &JobRecord) {
         let mut jobs = self.loaded.lock();
         let Some(loaded) = jobs.get(&record.job).cloned() else { return };
-        loaded.stop.send_replace(true);
-        loaded.committed.notify_waiters();
-        loaded.finished.notify_one();
+        loaded.signal_stop();
         loaded.job.lock().record.phase = record.phase;
         if record.owner.as_ref() != Some(&self.local) {
             log::info!(job:% = record.job, owner:? = record.owner;
@@ -278,49 +291,6 @@
         Ok(found)
     }
 
-    /// Cancels a job, which stops its items; `false` if there is no such job.
-    ///
-    /// # Errors
-    ///
-    /// Returns [`StateUnknown`] if the job may still be open.
-    pub async fn cancel(self: &Arc<Self>, job: &JobId) -> Result<bool, StateUnknown> {
-        let Some((mut revision, mut record)) = self.record(job).await? else { return Ok(false) };
-        for _ in 0..CANCEL_ATTEMPTS {
-            if record.phase != JobPhase::Open {
-                log::info!(job:% = job, phase:? = record.phase, revision = revision.0;
-                    "end of a job acknowledged again");
-                return Ok(true);
-            }
-            let cancelled = JobRecord { phase: JobPhase::Cancelled, ..record };
-            if let Some(at) = self.store.replace(&cancelled, revision).await? {
-                log::info!(job:% = job, revision = at.0; "job ended by its caller");
-                if let Some(owner) = self.remote_owner(&cancelled) {
-                    self.notify_changed(owner, job.clone());
-                }
-                self.apply_record(at, cancelled, RecordSource::Write);
-                return Ok(true);
-            }
-            let Some(found) = self.store.record(job).await? else { return Ok(false) };
-            (revision, record) = found;
-        }
-        Err(StateUnknown("its record was updated concurrently in every attempt".to_owned()))
-    }
-
-    /// Notifies a host that a job's record changed.
-    ///
-    /// If the message is lost, the host sees the change later, by its watch.
-    pub(crate) fn notify_changed(self: &Arc<Self>, host: HostId, job: JobId) {
-        let manager = Arc::clone(self);
-        tokio::spawn(async move {
-            let request = JobRequest::Changed { job: job.clone() };
-            let response = manager.cluster.call(&host, request, NOTIFY_TIMEOUT).await;
-            if let Err(error) = response.map(|_: JobResponse| ()) {
-                log::info!(job:% = job, host:% = host, error:% = error;
-                    "host was not notified of a changed job; it will see the change by its watch");
-            }
-        });
-    }
-
     /// Record of a job in the index, with its revision.
     pub(crate) fn indexed(&self, job: &JobId) -> Option<(Revision, JobRecord)> {
         self.index.lock().get(job).cloned()
--- a/crates/oleander-worklist/src/reads.rs
+++ b/crates/oleander-worklist/src/reads.rs
@@ -182,8 +182,9 @@
                 JobResponse::Yielded
             }
             JobRequest::Changed { job } => {
-                self.refresh(&job, RecordSource::Message).await;
-                JobResponse::Noted
+                // The sender takes the job's items for stopped once the record has been read.
+                let is_read = self.refresh(&job, RecordSource::Message).await;
+                if is_read { JobResponse::Noted } else { JobResponse::NotHere }
             }
             JobRequest::Body { job, item } => {
                 let loaded = self.loaded.lock().get(&job).cloned();
--- /dev/null
+++ b/crates/oleander-worklist/src/renewal.rs
@@ -0,0 +1,99 @@
+//! Renewal of the leases under which items start.
+
+use std::sync::{Arc, atomic::Ordering};
+
+use oleander_core::Time;
+use oleander_host::clock;
+use oleander_platform::{ObjectStore, StoreError};
+use oleander_relay::TargetTransport;
+use tokio::time;
+
+use crate::{
+    backoff::RETRY_DELAY,
+    lease::{RecordSource, StartLease},
+    manager::{JobManager, LoadedJob},
+    record::{JobPhase, JobRecord},
+};
+
+/// Marks a lease as being renewed until dropped.
+struct Renewal {
+    loaded: Arc<LoadedJob>,
+}
+
+impl Renewal {
+    /// Begins a renewal unless one is in progress.
+    fn begin(loaded: &Arc<LoadedJob>) -> Option<Self> {
+        let was_renewing = loaded.renewing.swap(true, Ordering::Relaxed);
+        (!was_renewing).then(|| Self { loaded: Arc::clone(loaded) })
+    }
+}
+
+impl Drop for Renewal {
+    fn drop(&mut self) {
+        self.loaded.renewing.store(false, Ordering::Relaxed);
+    }
+}
+
+impl<S: ObjectStore, T: TargetTransport> JobManager<S, T> {
+    /// Whether items of a job may start now; renews the job's lease in a new task if it is due.
+    pub(crate) fn may_start(self: &Arc<Self>, loaded: &Arc<LoadedJob>, now: Time) -> bool {
+        let lease: StartLease = *loaded.lease.lock();
+        if lease.is_due(now) {
+            self.spawn_renewal(loaded);
+        }
+        lease.allows(now)
+    }
+
+    fn spawn_renewal(self: &Arc<Self>, loaded: &Arc<LoadedJob>) {
+        let Some(renewal) = Renewal::begin(loaded) else { return };
+        let manager = Arc::clone(self);
+        tokio::spawn(async move {
+            if manager.renew(&renewal.loaded).await {
+                drop(renewal);
+                manager.wake.notify_one();
+            } else {
+                time::sleep(RETRY_DELAY).await;
+            }
+        });
+    }
+
+    /// Renews the lease of a job by a read of its record; returns whether the job's state is known.
+    async fn renew(self: &Arc<Self>, loaded: &LoadedJob) -> bool {
+        let asked = clock::since_boot();
+        let job = loaded.job.lock().record.job.clone();
+        match self.store.record(&job).await {
+            Ok(Some((revision, record))) => {
+                let is_owned = self.is_owner(&record);
+                self.apply_record(revision, record, RecordSource::Read);
+                if is_owned {
+                    loaded.lease.lock().renew(asked, revision);
+                }
+                true
+            }
+            Ok(None) => {
+                self.remove_job(&job);
+                true
+            }
+            Err(fault) => self.renew_in_outage(loaded, asked, &fault).await,
+        }
+    }
+
+    /// Renews the lease of a job whose record can't be read if no other host reaches the platform
+    /// either: then none of them can acknowledge the job's end.
+    async fn renew_in_outage(&self, loaded: &LoadedJob, asked: Time, fault: &StoreError) -> bool {
+        let is_outage = self.cluster.is_platform_out().await;
+        log::warn!(job:% = loaded.job.lock().record.job, error:% = fault, is_outage;
+            "lease of a job can't be renewed by a read");
+        if is_outage {
+            let mut lease = loaded.lease.lock();
+            let revision = lease.revision();
+            lease.renew(asked, revision);
+        }
+        is_outage
+    }
+
+    /// Whether a record says that this process runs the job.
+    pub(crate) fn is_owner(&self, record: &JobRecord) -> bool {
+        record.owner.as_ref() == Some(&self.local) && record.phase == JobPhase::Open
+    }
+}
--- a/crates/oleander-worklist/src/runner.rs
+++ b/crates/oleander-worklist/src/runner.rs
@@ -103,6 +103,12 @@
         let now = clock::steady();
         let Some(table) = self.relay.table() else { return Placement::Blocked };
         let mut job = loaded.job.lock();
+        if job.startable(now).next().is_none()
+            || loaded.is_stopped()
+            || !self.may_start(loaded, clock::since_boot())
+        {
+            return Placement::Blocked;
+        }
         let local_only = job.prefers_local(Self::wall_now());
         let startable: Vec<usize> = job.startable(now).map(|(index, _)| index).collect();
         for index in startable {
--- a/crates/oleander-worklist/src/takeover.rs
+++ b/crates/oleander-worklist/src/takeover.rs
@@ -23,7 +23,7 @@
     job::Job,
     lease::{RecordSource, StartLease},
     manager::JobManager,
-    record::{JobPhase, JobRecord, Owner, Segment},
+    record::{JobRecord, Owner, Segment},
 };
 
 /// Time between two checks for jobs without a running owner process.
@@ -88,7 +88,7 @@
                     "job has changed meanwhile");
                 self.apply_record(revision, record, source);
             }
-            Ok(None) => log::info!(job:% = job; "job has been removed"),
+            Ok(None) => self.remove_job(job),
             Err(fault) => {
                 log::warn!(job:% = job, error:% = fault; "job record can't be read");
                 return false;
@@ -145,10 +145,7 @@
 
     /// Whether this process owns a job and the job is open.
     pub(crate) fn is_owned(&self, job: &JobId) -> bool {
-        let record = self.indexed(job).map(|(_, record)| record);
-        record.is_some_and(|record| {
-            record.owner.as_ref() == Some(&self.local) && record.phase == JobPhase::Open
-        })
+        self.indexed(job).is_some_and(|(_, record)| self.is_owner(&record))
     }
 
     /// Loads a job with its results, and fences off its former owner.
--- a/crates/oleander-worklist/tests/manager/fixture.rs
+++ b/crates/oleander-worklist/tests/manager/fixture.rs
@@ -118,6 +118,8 @@
 pub(crate) struct EchoTargets {
     pub(crate) requests: AtomicUsize,
     paused: Arc<AtomicBool>,
+    /// Time before each chunk of a body.
+    pub(crate) delay: Mutex<Duration>,
     /// Whether the host has lost its links to them.
     pub(crate) unreachable: AtomicBool,
     /// Whether requests that resume a stream get its end without an event.
@@ -177,6 +179,7 @@
 
 pub(crate) struct ReplyBody {
     reply: Reply,
+    delay: Duration,
     paused: Arc<AtomicBool>,
 }
 
@@ -186,6 +189,9 @@
             tokio::time::sleep(CALL_LATENCY).await;
         }
         tokio::task::yield_now().await;
+        if !self.delay.is_zero() {
+            tokio::time::sleep(self.delay).await;
+        }
         self.reply.next().map(Ok)
     }
 }
@@ -215,7 +221,8 @@
         } else {
             self.replies.lock().pop().unwrap_or_else(|| Reply::chunks(&[&event]))
         };
-        let body = ReplyBody { reply, paused: Arc::clone(&self.paused) };
+        let delay = *self.delay.lock();
+        let body = ReplyBody { reply, delay, paused: Arc::clone(&self.paused) };
         Ok(TargetResponse::new(head, body))
     }
 }
@@ -342,6 +349,11 @@
 }
 
 pub(crate) fn submission_of(name: &str, tokens: u64) -> Submission {
+    submission_with(name, 3, tokens)
+}
+
+/// A job of `count` items of `tokens` each.
+pub(crate) fn submission_with(name: &str, count: u32, tokens: u64) -> Submission {
     let item = |number: u32| NewItem {
         id: format!("{name}-item-{number}"),
         path: format!("/drafts/{number}"),
@@ -349,7 +361,7 @@
         body: Bytes::from_static(b"body"),
         tokens,
     };
-    let items = (0..3).map(item).collect();
+    let items = (0..count).map(item).collect();
     let job = name.parse().expect("name of a job");
     Submission { job, host: "a.example".to_owned(), items, received: Time(0) }
 }
--- a/crates/oleander-worklist/tests/manager/main.rs
+++ b/crates/oleander-worklist/tests/manager/main.rs
@@ -1,5 +1,6 @@
 //! Job managers with an in-memory store and targets that answer immediately.
 
+mod ends;
 mod fixture;
 mod odd_records;
 mod routes;
