--- a/crates/oleander-worklist/src/renewal.rs
+++ b/crates/oleander-worklist/src/renewal.rs
@@ -1,4 +1,7 @@
 //! Renewal of the leases under which items start.
+//!
+//! A lease is renewed only when an item has found a free slot, so that items which wait for slots
+//! cost no reads at the platform.
 
 use std::sync::{Arc, atomic::Ordering};
 
@@ -35,7 +38,13 @@
 }
 
 impl<S: ObjectStore, T: TargetTransport> JobManager<S, T> {
-    /// Whether items of a job may start now; renews the job's lease in a new task if it is due.
+    /// Whether a job's lease is over and being renewed.
+    pub(crate) fn waits_for_lease(&self, loaded: &LoadedJob, now: Time) -> bool {
+        loaded.renewing.load(Ordering::Relaxed) && !loaded.lease.lock().allows(now)
+    }
+
+    /// Whether an item of a job may start now, at a target with a free slot; renews the job's lease
+    /// in a new task if it is due.
     pub(crate) fn may_start(self: &Arc<Self>, loaded: &Arc<LoadedJob>, now: Time) -> bool {
         let lease: StartLease = *loaded.lease.lock();
         if lease.is_due(now) {
--- a/crates/oleander-worklist/src/runner.rs
+++ b/crates/oleander-worklist/src/runner.rs
@@ -103,10 +103,7 @@
         let now = clock::steady();
         let Some(table) = self.relay.table() else { return Placement::Blocked };
         let mut job = loaded.job.lock();
-        if job.startable(now).next().is_none()
-            || loaded.is_stopped()
-            || !self.may_start(loaded, clock::since_boot())
-        {
+        if loaded.is_stopped() || self.waits_for_lease(loaded, clock::since_boot()) {
             return Placement::Blocked;
         }
         let local_only = job.prefers_local(Self::wall_now());
@@ -130,6 +127,9 @@
                 full.insert(requirement);
                 continue;
             };
+            if !self.may_start(loaded, clock::since_boot()) {
+                return Placement::Blocked;
+            }
             if versions == VersionChoice::Any {
                 job.drop_output(index);
             }
