--- a/crates/oleander-worklist/src/index.rs
+++ b/crates/oleander-worklist/src/index.rs
@@ -1,6 +1,6 @@
 //! Index of all jobs known to this host.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 use oleander_core::{JobId, Revision, Time, hash};
 
@@ -53,6 +53,14 @@
         change
     }
 
+    /// Jobs that are not `listed`, though their records are not newer than `revision`.
+    #[must_use]
+    pub fn missing(&self, listed: &HashSet<JobId>, revision: Revision) -> Vec<JobId> {
+        let unlisted = self.records.iter().filter(|(job, _)| !listed.contains(*job));
+        let missing = unlisted.filter(|(_, (known, _))| *known <= revision);
+        missing.map(|(job, _)| job.clone()).collect()
+    }
+
     /// Removes a job.
     pub fn remove(&mut self, job: &JobId) {
         self.records.remove(job);
--- a/crates/oleander-worklist/src/manager.rs
+++ b/crates/oleander-worklist/src/manager.rs
@@ -18,7 +18,7 @@
 use oleander_core::{JobId, Revision, Time};
 use oleander_host::clock;
 use oleander_platform::{
-    Change, FollowEvent, Follower, ObjectStore, SHORT_WAIT, StoreError, decode_value,
+    Change, FollowEvent, Follower, Object, ObjectStore, SHORT_WAIT, StoreError, decode_value,
 };
 use oleander_relay::{Relay, TargetTransport};
 use parking_lot::Mutex;
@@ -191,8 +191,7 @@
         loop {
             match follow.next().await {
                 FollowEvent::Snapshot(objects) => {
-                    let changes = objects.into_iter().map(Change::from);
-                    changes.for_each(|change| self.apply_change(change));
+                    self.apply_snapshot(objects, follow.revision());
                     self.ready.store(true, Ordering::Relaxed);
                 }
                 FollowEvent::Changes(changes) => {
@@ -205,6 +204,20 @@
         }
     }
 
+    /// Applies all records that exist, as read at `revision`; what is missing has been removed.
+    fn apply_snapshot(
+        self: &Arc<Self>,
+        objects: Vec<(String, Object)>,
+        revision: Option<Revision>,
+    ) {
+        let keys = objects.iter().filter_map(|(key, _)| key.strip_prefix(JOB_PREFIX)?.parse().ok());
+        let listed: HashSet<JobId> = keys.collect();
+        let missing = self.index.lock().missing(&listed, revision.unwrap_or_default());
+        missing.iter().for_each(|job| self.remove_job(job));
+        let changes = objects.into_iter().map(Change::from);
+        changes.for_each(|change| self.apply_change(change));
+    }
+
     fn apply_change(self: &Arc<Self>, change: Change) {
         let Some(job) = change.key.strip_prefix(JOB_PREFIX).and_then(|job| job.parse().ok()) else {
             return;
--- a/crates/oleander-worklist/tests/manager/ends.rs
+++ b/crates/oleander-worklist/tests/manager/ends.rs
@@ -7,6 +7,7 @@
     time::Duration,
 };
 
+use oleander_core::Span;
 use oleander_platform::MemoryPlatform;
 use oleander_worklist::{JobManager, JobPhase, JobRecord, JobStore};
 
@@ -132,3 +133,25 @@
     jobs.remove(revision, &record).await.expect("up");
     owner.stays_stopped().await;
 }
+
+#[tokio::test]
+async fn a_job_that_was_removed_while_the_history_was_lost_is_unknown() {
+    let store = MemoryPlatform::new();
+    let _owner = Busy::start(&store).await;
+    let slow = SlowStore::new(store.clone());
+    let (other, _, _) = start_manager("entry-2", slow.clone());
+    wait_until_ready(&other).await;
+    slow.watch_blocked.store(true, Ordering::Relaxed);
+    tokio::time::sleep(END_BOUND).await;
+    end_by_a_dead_host(&store).await;
+    let jobs = JobStore::new(store.clone());
+    let (revision, record) = jobs.record(&job()).await.expect("up").expect("accepted");
+    jobs.remove(revision, &record).await.expect("up");
+    slow.history_gone.store(true, Ordering::Relaxed);
+    slow.watch_blocked.store(false, Ordering::Relaxed);
+    let deadline = tokio::time::Instant::now() + END_BOUND * 2;
+    while other.read_results(&job(), 0, Span::ZERO).await != Ok(None) {
+        assert!(tokio::time::Instant::now() < deadline, "the removed job is still known");
+        tokio::time::sleep(ITEM_TIME).await;
+    }
+}
--- a/crates/oleander-worklist/tests/manager/fixture.rs
+++ b/crates/oleander-worklist/tests/manager/fixture.rs
@@ -37,6 +37,8 @@
 pub(crate) struct SlowStore {
     pub(crate) store: MemoryPlatform,
     pub(crate) watch_blocked: Arc<AtomicBool>,
+    /// Whether the changes since the last watch are lost.
+    pub(crate) history_gone: Arc<AtomicBool>,
     /// Whether objects can't be read.
     pub(crate) read_refused: Arc<AtomicBool>,
     /// Reads of segments of results.
@@ -48,6 +50,7 @@
         Self {
             store,
             watch_blocked: Arc::default(),
+            history_gone: Arc::default(),
             read_refused: Arc::default(),
             segment_reads: Arc::default(),
         }
@@ -106,8 +109,11 @@
         from: Revision,
         wait: Duration,
     ) -> Result<Changes, PlatformError> {
-        if self.watch_blocked.load(Ordering::Relaxed) {
-            std::future::pending::<()>().await;
+        while self.watch_blocked.load(Ordering::Relaxed) {
+            tokio::time::sleep(CALL_LATENCY).await;
+        }
+        if self.history_gone.swap(false, Ordering::Relaxed) {
+            return Err(PlatformError::HistoryGone);
         }
         self.store.watch(prefix, from, wait).await
     }
