--- a/crates/oleander-worklist/tests/manager/ends.rs
+++ b/crates/oleander-worklist/tests/manager/ends.rs
@@ -8,11 +8,13 @@
 };
 
 use oleander_core::Span;
+use oleander_host::clock;
 use oleander_platform::MemoryPlatform;
-use oleander_worklist::{JobManager, JobPhase, JobRecord, JobStore};
+use oleander_worklist::{JobManager, JobPhase, JobStore};
 
 use crate::fixture::{
-    EchoTargets, SlowStore, job, list_host, route, start_manager, submission_with, wait_until_ready,
+    EchoTargets, SlowStore, end_job, job, list_host, route, start_manager, submission_with,
+    wait_until_ready,
 };
 
 /// Time from the acknowledgement of an end after which no item of the job may reach a target.
@@ -59,18 +61,6 @@
     }
 }
 
-/// Ends the job as a host does that dies before it notifies the owner.
-async fn end_by_a_dead_host(store: &MemoryPlatform) {
-    let jobs = JobStore::new(store.clone());
-    loop {
-        let (revision, record) = jobs.record(&job()).await.expect("up").expect("accepted");
-        let ended = JobRecord { phase: JobPhase::Cancelled, ..record };
-        if jobs.replace(&ended, revision).await.expect("up").is_some() {
-            return;
-        }
-    }
-}
-
 #[tokio::test]
 async fn items_do_not_start_after_an_end_whose_message_and_watch_are_lost() {
     let store = MemoryPlatform::new();
@@ -87,7 +77,7 @@
     let store = MemoryPlatform::new();
     let owner = Busy::start(&store).await;
     owner.store.watch_blocked.store(true, Ordering::Relaxed);
-    end_by_a_dead_host(&store).await;
+    end_job(&store).await;
     let (other, _, _) = start_manager("entry-2", SlowStore::new(store.clone()));
     wait_until_ready(&other).await;
     assert_eq!(other.cancel(&job()).await, Ok(true));
@@ -102,7 +92,7 @@
     let owner = Busy::start(&store).await;
     owner.store.watch_blocked.store(true, Ordering::Relaxed);
     owner.store.read_refused.store(true, Ordering::Relaxed);
-    end_by_a_dead_host(&store).await;
+    end_job(&store).await;
     owner.stays_stopped().await;
 }
 
@@ -143,7 +133,7 @@
     wait_until_ready(&other).await;
     slow.watch_blocked.store(true, Ordering::Relaxed);
     tokio::time::sleep(END_BOUND).await;
-    end_by_a_dead_host(&store).await;
+    end_job(&store).await;
     let jobs = JobStore::new(store.clone());
     let (revision, record) = jobs.record(&job()).await.expect("up").expect("accepted");
     jobs.remove(revision, &record).await.expect("up");
@@ -155,3 +145,19 @@
         tokio::time::sleep(ITEM_TIME).await;
     }
 }
+
+#[tokio::test]
+async fn a_job_that_is_ended_before_its_acceptance_is_answered_stays_ended() {
+    let store = MemoryPlatform::new();
+    let slow = SlowStore::new(store.clone());
+    let (manager, targets, _) = start_manager("entry-1", slow.clone());
+    *targets.delay.lock() = ITEM_TIME;
+    wait_until_ready(&manager).await;
+    slow.ends_unanswered.store(true, Ordering::Relaxed);
+    assert_eq!(manager.submit(submission_with("job-1", ITEMS, 1), &route()).await, Ok(()));
+    tokio::time::sleep(WATCHED).await;
+    assert_eq!(targets.requests.load(Ordering::Relaxed), 0, "items of an ended job ran");
+    manager.hand_over(clock::steady() + Span::from_secs(8)).await;
+    let (_, record) = JobStore::new(store).record(&job()).await.expect("up").expect("accepted");
+    assert_eq!(record.phase, JobPhase::Cancelled, "the stop of its owner opened the job again");
+}
--- a/crates/oleander-worklist/tests/manager/fixture.rs
+++ b/crates/oleander-worklist/tests/manager/fixture.rs
@@ -23,7 +23,9 @@
     Route, RouteKind, RouteTable, SendError, TargetEntry, TargetList, TargetResponse,
     TargetTransport, TrafficShare,
 };
-use oleander_worklist::{JobManager, JobManagerConfig, NewItem, Submission};
+use oleander_worklist::{
+    JobManager, JobManagerConfig, JobPhase, JobRecord, JobStore, NewItem, Submission,
+};
 use parking_lot::Mutex;
 
 /// Latency of each call to the store.
@@ -39,6 +41,8 @@
     pub(crate) watch_blocked: Arc<AtomicBool>,
     /// Whether the changes since the last watch are lost.
     pub(crate) history_gone: Arc<AtomicBool>,
+    /// Whether the next job is ended by another host before its create is answered, which it is not.
+    pub(crate) ends_unanswered: Arc<AtomicBool>,
     /// Whether objects can't be read.
     pub(crate) read_refused: Arc<AtomicBool>,
     /// Reads of segments of results.
@@ -51,6 +55,7 @@
             store,
             watch_blocked: Arc::default(),
             history_gone: Arc::default(),
+            ends_unanswered: Arc::default(),
             read_refused: Arc::default(),
             segment_reads: Arc::default(),
         }
@@ -71,6 +76,10 @@
 
     async fn create(&self, key: &str, body: Bytes) -> Result<Created, PlatformError> {
         let created = self.store.create(key, body).await;
+        if key.starts_with("joblist/") && self.ends_unanswered.swap(false, Ordering::Relaxed) {
+            end_job(&self.store).await;
+            return Err(PlatformError::NoResponse("lost by the test".to_owned()));
+        }
         let latency = if key.starts_with("joblist/") { CREATE_LATENCY } else { CALL_LATENCY };
         tokio::time::sleep(latency).await;
         created
@@ -119,6 +128,18 @@
     }
 }
 
+/// Ends the job as a host does that dies before it notifies the owner.
+pub(crate) async fn end_job(store: &MemoryPlatform) {
+    let jobs = JobStore::new(store.clone());
+    loop {
+        let (revision, record) = jobs.record(&job()).await.expect("up").expect("accepted");
+        let ended = JobRecord { phase: JobPhase::Cancelled, ..record };
+        if jobs.replace(&ended, revision).await.expect("up").is_some() {
+            return;
+        }
+    }
+}
+
 /// Targets that answer each request with one event, and count the requests.
 #[derive(Default)]
 pub(crate) struct EchoTargets {
