Extend a start lease in an outage only while nobody can acknowledge an end

What callers would see: with the store turning away an owner and the hosts near it, or gone for all right after an end was written, items went on for as long as that lasted, after the 200.

Cause: three refusals of near hosts were taken for "no host reaches the store"; a lease that had long been over came back to life; an end was acknowledged by waiting alone, without a sign that the store could still be reached. Class: a final decision on a view of unknown age.

Fix: (a) an owner that is told of a change and can't read it ends its lease, until a read that begins later renews it; (b) a 200 by waiting needs one more read of the record, so that nobody acknowledges an end in an outage for all, and else gets a 503; (c) hosts of every data centre have to say that they reach no store, all at once, and one that is silent may reach it; (d) only a lease that still runs is extended.

--- a/crates/oleander-cluster/src/cluster/hosts.rs
+++ b/crates/oleander-cluster/src/cluster/hosts.rs
@@ -1,6 +1,6 @@
 //! What this host knows of the others: which serve callers, and which are live.
 
-use std::net::SocketAddr;
+use std::{collections::BTreeSet, net::SocketAddr};
 
 use oleander_core::{HostId, Span, Time, ZoneId};
 use oleander_members::{MemberRole, MemberState};
@@ -117,6 +117,13 @@
         live
     }
 
+    /// Data centres of the other hosts that are listed.
+    pub(crate) fn other_zones(&self) -> BTreeSet<ZoneId> {
+        let records = self.records.read();
+        let others = records.values().filter(|record| record.host != self.local.host);
+        others.map(|record| record.zone.clone()).collect()
+    }
+
     /// Whether any other host is listed or has been heard of.
     pub(crate) fn has_other_hosts(&self) -> bool {
         let is_listed = self.records.read().keys().any(|host| *host != self.local.host);
--- a/crates/oleander-cluster/src/fallback.rs
+++ b/crates/oleander-cluster/src/fallback.rs
@@ -1,8 +1,9 @@
 //! Platform requests through other hosts, and watches of a feeder.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
-use oleander_core::{HostId, Revision, Span, hash};
+use futures_util::future;
+use oleander_core::{HostId, Revision, Span, ZoneId, hash};
 use oleander_host::clock;
 use oleander_members::{MemberRole, MemberState};
 use oleander_platform::Changes;
@@ -19,6 +20,10 @@
 const FEED_MARGIN: Duration = Duration::from_millis(400);
 /// Time for which a host watches the platform directly after a failure of its feeder.
 const DIRECT_WATCH_TIME: Span = Span::from_secs(3);
+/// Number of hosts in each data centre that are asked whether they reach the platform.
+const WITNESSES_PER_ZONE: usize = 2;
+/// Timeout for asking a host whether it reaches the platform.
+const WITNESS_TIMEOUT: Duration = Duration::from_secs(1);
 /// Maximum number of hosts through which a platform request is tried.
 const MAX_PROXIES: usize = 3;
 
@@ -56,26 +61,48 @@
 }
 
 impl Cluster {
-    /// Whether this host is not alone without a path to the platform: all hosts that answer say that
-    /// they have none either, or there is no other host.
+    /// Whether no other host reaches the platform either: some hosts of each data centre say so, or
+    /// there is no other host. One that doesn't answer may reach it.
     pub async fn is_platform_out(&self) -> bool {
-        let proxies = self.proxies();
-        if proxies.is_empty() {
-            return !self.has_other_hosts();
+        if !self.has_other_hosts() {
+            return true;
         }
-        let mut is_out = false;
+        let Some(witnesses) = self.witnesses() else { return false };
+        let answers = witnesses.iter().map(|address| self.says_platform_is_out(*address));
+        let answers = future::join_all(answers).await;
+        answers.into_iter().all(|is_out| is_out)
+    }
+
+    /// Hosts that know whether the platform is reached, some of each data centre; `None` if there is
+    /// a data centre without any that is live.
+    fn witnesses(&self) -> Option<Vec<SocketAddr>> {
+        let mut peers = self.peers();
+        peers.sort_by_key(|(host, _, _)| {
+            hash::hash_parts(&[self.local.host.as_str(), host.as_str()])
+        });
+        let mut zones: BTreeMap<ZoneId, usize> =
+            self.other_zones().into_iter().map(|zone| (zone, 0)).collect();
+        peers.retain(|(_, zone, _)| {
+            let count = zones.entry(zone.clone()).or_default();
+            *count += 1;
+            *count <= WITNESSES_PER_ZONE
+        });
+        let is_complete = zones.values().all(|count| *count > 0);
+        is_complete.then(|| peers.into_iter().map(|(_, _, address)| address).collect())
+    }
+
+    async fn says_platform_is_out(&self, address: SocketAddr) -> bool {
         let key = HostRecord::key(&self.local.host);
         let request: PeerRequest<()> = PeerRequest::Store(StoreRequest::Get(key));
-        for address in proxies {
-            let response = self.link.call(&address.to_string(), &request, FALLBACK_TIMEOUT).await;
-            match response {
-                Ok(PeerResponse::<()>::Store(StoreResponse::Refused(_))) => is_out = true,
-                Ok(_) => return false,
-                Err(error) => log::debug!(address:% = address, error:% = error;
-                    "host did not say whether it reaches the platform"),
+        match self.link.call(&address.to_string(), &request, WITNESS_TIMEOUT).await {
+            Ok(PeerResponse::<()>::Store(StoreResponse::Refused(_))) => true,
+            Ok(_) => false,
+            Err(error) => {
+                log::debug!(address:% = address, error:% = error;
+                    "host did not say whether it reaches the platform");
+                false
             }
         }
-        is_out
     }
 }
 
--- a/crates/oleander-worklist/src/ending.rs
+++ b/crates/oleander-worklist/src/ending.rs
@@ -15,6 +15,7 @@
 use tokio::time;
 
 use crate::{
+    backoff::Backoff,
     lease::RecordSource,
     manager::{JobManager, StateUnknown},
     message::{JobRequest, JobResponse},
@@ -23,8 +24,6 @@
 
 /// Timeout for notifying a host of a change.
 const NOTIFY_TIMEOUT: Duration = Duration::from_millis(500);
-/// Pause before an owner that has not confirmed an end is asked again.
-const NOTIFY_PAUSE: Duration = Duration::from_millis(100);
 /// Number of attempts to cancel a job while other hosts update its record.
 const CANCEL_ATTEMPTS: u32 = 5;
 
@@ -54,7 +53,7 @@
     ///
     /// # Errors
     ///
-    /// Returns [`StateUnknown`] if the job may still be open.
+    /// Returns [`StateUnknown`] if the job may still be open, or if its items may still start.
     pub async fn cancel(self: &Arc<Self>, job: &JobId) -> Result<bool, StateUnknown> {
         // A caller that disconnects drops this future; a spawned task notifies the owner all the
         // same.
@@ -68,6 +67,10 @@
         let Some(record) = self.write_end(job).await? else { return Ok(false) };
         if record.phase == JobPhase::Cancelled {
             let stopped = self.wait_until_stopped(&record).await;
+            if stopped == Stopped::Lapsed {
+                // An owner may go on in an outage of the platform; then nobody acknowledges an end.
+                self.store.record(job).await?;
+            }
             let took = clock::steady().since(started);
             log::info!(job:% = job, owner:? = record.owner, stopped:% = stopped,
                 took_ms = took.as_millis(); "end of a job acknowledged");
@@ -118,8 +121,9 @@
     }
 
     async fn notify_until_confirmed(&self, owner: &HostId, job: &JobId) {
+        let mut backoff = Backoff::default();
         while !self.notify(owner, job).await {
-            time::sleep(NOTIFY_PAUSE).await;
+            backoff.wait().await;
         }
     }
 
--- a/crates/oleander-worklist/src/lease.rs
+++ b/crates/oleander-worklist/src/lease.rs
@@ -42,39 +42,60 @@
 /// Times are on the clock [`since_boot`](oleander_host::clock::since_boot).
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct StartLease {
-    confirmed: Time,
+    confirmed: Option<Time>,
     revision: Revision,
+    /// Begin of the reads that may renew the lease; earlier ones may not know what has changed.
+    contested: Time,
 }
 
 impl StartLease {
     /// Creates a lease that a call of the platform, begun at `asked`, confirmed at `revision`.
     #[must_use]
     pub const fn new(asked: Time, revision: Revision) -> Self {
-        Self { confirmed: asked, revision }
+        Self { confirmed: Some(asked), revision, contested: Time(0) }
     }
 
     /// Renews the lease by a call of the platform that began at `asked`.
     pub fn renew(&mut self, asked: Time, revision: Revision) {
-        self.confirmed = self.confirmed.max(asked);
+        if asked < self.contested {
+            return;
+        }
+        self.confirmed = self.confirmed.max(Some(asked));
         self.revision = self.revision.max(revision);
     }
 
+    /// Extends the lease without a call of the platform, unless it was over at `asked`; returns
+    /// whether it is extended.
+    pub fn extend(&mut self, asked: Time) -> bool {
+        let is_running = self.allows(asked);
+        if is_running {
+            self.confirmed = self.confirmed.max(Some(asked));
+        }
+        is_running
+    }
+
+    /// Ends the lease until a call of the platform that begins at `now` or later renews it.
+    pub fn contest(&mut self, now: Time) {
+        self.confirmed = None;
+        self.contested = now;
+    }
+
     /// Whether items may start.
     #[must_use]
     pub fn allows(&self, now: Time) -> bool {
-        self.age(now) < START_LEASE
+        self.age(now).is_some_and(|age| age < START_LEASE)
     }
 
     /// Whether the lease should be renewed before it is over.
     #[must_use]
     pub fn is_due(&self, now: Time) -> bool {
-        self.age(now) >= RENEWAL_AGE
+        self.age(now).is_none_or(|age| age >= RENEWAL_AGE)
     }
 
-    /// Time since the last confirmation.
+    /// Time since the last confirmation; `None` without one.
     #[must_use]
-    pub const fn age(&self, now: Time) -> Span {
-        now.since(self.confirmed)
+    pub fn age(&self, now: Time) -> Option<Span> {
+        self.confirmed.map(|confirmed| now.since(confirmed))
     }
 
     /// Revision of the job's record at the last confirmation.
--- a/crates/oleander-worklist/src/reads.rs
+++ b/crates/oleander-worklist/src/reads.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use oleander_cluster::{Handler, Liveness};
 use oleander_core::{HostId, JobId, Span};
+use oleander_host::clock;
 use oleander_platform::ObjectStore;
 use oleander_relay::TargetTransport;
 use tokio::time;
@@ -183,8 +184,11 @@
             }
             JobRequest::Changed { job } => {
                 // The sender takes the job's items for stopped once the record has been read.
-                let is_read = self.refresh(&job, RecordSource::Message).await;
-                if is_read { JobResponse::Noted } else { JobResponse::NotHere }
+                if self.refresh(&job, RecordSource::Message).await {
+                    return JobResponse::Noted;
+                }
+                self.contest_lease(&job, clock::since_boot());
+                JobResponse::NotHere
             }
             JobRequest::Body { job, item } => {
                 let loaded = self.loaded.lock().get(&job).cloned();
--- a/crates/oleander-worklist/src/renewal.rs
+++ b/crates/oleander-worklist/src/renewal.rs
@@ -5,7 +5,7 @@
 
 use std::sync::{Arc, atomic::Ordering};
 
-use oleander_core::Time;
+use oleander_core::{JobId, Time};
 use oleander_host::clock;
 use oleander_platform::{ObjectStore, StoreError};
 use oleander_relay::TargetTransport;
@@ -87,18 +87,20 @@
         }
     }
 
-    /// Renews the lease of a job whose record can't be read if no other host reaches the platform
+    /// Extends the lease of a job whose record can't be read if no other host reaches the platform
     /// either: then none of them can acknowledge the job's end.
     async fn renew_in_outage(&self, loaded: &LoadedJob, asked: Time, fault: &StoreError) -> bool {
         let is_outage = self.cluster.is_platform_out().await;
         log::warn!(job:% = loaded.job.lock().record.job, error:% = fault, is_outage;
             "lease of a job can't be renewed by a read");
-        if is_outage {
-            let mut lease = loaded.lease.lock();
-            let revision = lease.revision();
-            lease.renew(asked, revision);
-        }
-        is_outage
+        is_outage && loaded.lease.lock().extend(asked)
+    }
+
+    /// Ends a job's lease until its record has been read: another host has changed it.
+    pub(crate) fn contest_lease(&self, job: &JobId, now: Time) {
+        let Some(loaded) = self.loaded.lock().get(job).cloned() else { return };
+        log::info!(job:% = job; "job has changed and can't be read; its items wait");
+        loaded.lease.lock().contest(now);
     }
 
     /// Whether a record says that this process runs the job.
--- a/crates/oleander-worklist/src/runner.rs
+++ b/crates/oleander-worklist/src/runner.rs
@@ -189,7 +189,7 @@
         };
         let started = clock::steady();
         let lease = *guard.loaded.lease.lock();
-        let view_age = lease.age(clock::since_boot());
+        let view_age = lease.age(clock::since_boot()).map(Span::as_millis);
         let TargetEntry { id: target, version, .. } = granted.target.clone();
         let crash = granted.crash_watch();
         let attempt_outcome =
@@ -207,7 +207,7 @@
         let parts = self.relay.transport.shared_parts(&next.request);
         log::info!(request:% = next.request.id, parts:? = parts, target:% = target, after:? = resumed,
             last:? = events.last_id(), took_ms = now.since(started).as_millis(), outcome:? = outcome,
-            job_revision = lease.revision().0, view_age_ms = view_age.as_millis(),
+            job_revision = lease.revision().0, view_age_ms = view_age,
             reason:% = reason(&attempt_outcome); "item run ended");
         metrics::counter!("item_runs_total", "outcome" => outcome_label(&outcome)).increment(1);
         let version = (sink.event_count > 0).then_some(version);
