Renew a lease without spinning, in bounded time, and without reserving a slot

A renewal that read that the job isn't this process's any more woke the dispatcher, which asked for the next one: 82 to 89 reads of the record a second and job at a latency of 10 ms.

A slot was reserved and given back while the lease was over, which counted as a request at a target that names a rate. `Pool::has_batch_slot` now says whether there is one.

The lease is asked once more where a run begins, as the process may have been paused since the item was placed.

--- a/crates/oleander-relay/src/pool/acquire.rs
+++ b/crates/oleander-relay/src/pool/acquire.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use oleander_host::clock;
 use oleander_quarantine::{RequestParts, Standing};
 use oleander_routing::{Class, Decision, Pick};
 
@@ -86,6 +87,13 @@
         self.try_acquire_batch_version(pick, &VersionChoice::Any, &Arc::default())
     }
 
+    /// Whether a target of a permitted version has capacity for a batch item now.
+    #[must_use]
+    pub fn has_batch_slot(&self, pick: &Pick, versions: &VersionChoice) -> bool {
+        let restricted = self.restrict(pick, versions, &Standing::Clear);
+        !self.is_disconnected() && self.router.lock().has_batch_slot(clock::steady(), &restricted)
+    }
+
     /// Leases a target of a permitted version for a batch item with these parts, if one has
     /// capacity now. Items are no cause of crashes, so that blocks don't hold them.
     pub fn try_acquire_batch_version(
--- a/crates/oleander-routing/src/router/admit.rs
+++ b/crates/oleander-routing/src/router/admit.rs
@@ -71,9 +71,25 @@
         Vec::new()
     }
 
+    /// Whether a batch item could be sent now.
+    #[must_use]
+    pub fn has_batch_slot(&self, now: Time, request: &Pick) -> bool {
+        !self.available_for_batch(now, request).is_empty()
+    }
+
     fn pick_batch(&mut self, now: Time, request: &Pick) -> Decision {
+        let available = self.available_for_batch(now, request);
+        let candidates = self.candidates(now, request, available);
+        match self.chooser.choose(&mut self.rng, &candidates) {
+            Some(chosen) => self.send(now, request, chosen.index),
+            None => Decision::Wait,
+        }
+    }
+
+    /// Backends that have a slot for a batch item; none while online requests wait.
+    fn available_for_batch(&self, now: Time, request: &Pick) -> Vec<usize> {
         if self.config.policy == Policy::Managed && !self.queue.is_empty() {
-            return Decision::Wait;
+            return Vec::new();
         }
         let mut available = self.usable(now, request);
         if request.same_zone {
@@ -84,11 +100,7 @@
             let fits = self.free_batch_slots(now, backend) > 0;
             fits && (!request.alone || backend.batch == 0)
         });
-        let candidates = self.candidates(now, request, available);
-        match self.chooser.choose(&mut self.rng, &candidates) {
-            Some(chosen) => self.send(now, request, chosen.index),
-            None => Decision::Wait,
-        }
+        available
     }
 
     fn send(&mut self, now: Time, request: &Pick, index: usize) -> Decision {
--- a/crates/oleander-worklist/src/manager.rs
+++ b/crates/oleander-worklist/src/manager.rs
@@ -277,7 +277,7 @@
     }
 
     /// Stops the runs of a job; the job stays loaded for readers if this process owned it last.
-    fn stop_job(&self, record: &JobRecord) {
+    pub(crate) fn stop_job(&self, record: &JobRecord) {
         let mut jobs = self.loaded.lock();
         let Some(loaded) = jobs.get(&record.job).cloned() else { return };
         loaded.signal_stop();
--- a/crates/oleander-worklist/src/renewal.rs
+++ b/crates/oleander-worklist/src/renewal.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     backoff::RETRY_DELAY,
-    lease::{RecordSource, StartLease},
+    lease::{RecordSource, START_LEASE},
     manager::{JobManager, LoadedJob},
     record::{JobPhase, JobRecord},
 };
@@ -38,50 +38,43 @@
 }
 
 impl<S: ObjectStore, T: TargetTransport> JobManager<S, T> {
-    /// Whether a job's lease is over and being renewed.
-    pub(crate) fn waits_for_lease(&self, loaded: &LoadedJob, now: Time) -> bool {
-        loaded.renewing.load(Ordering::Relaxed) && !loaded.lease.lock().allows(now)
-    }
-
-    /// Whether an item of a job may start now, at a target with a free slot; renews the job's lease
-    /// in a new task if it is due.
-    pub(crate) fn may_start(self: &Arc<Self>, loaded: &Arc<LoadedJob>, now: Time) -> bool {
-        let lease: StartLease = *loaded.lease.lock();
-        if lease.is_due(now) {
-            self.spawn_renewal(loaded);
-        }
-        lease.allows(now)
-    }
-
-    fn spawn_renewal(self: &Arc<Self>, loaded: &Arc<LoadedJob>) {
+    /// Renews a job's lease in a new task, unless that is in progress.
+    pub(crate) fn spawn_renewal(self: &Arc<Self>, loaded: &Arc<LoadedJob>) {
         let Some(renewal) = Renewal::begin(loaded) else { return };
         let manager = Arc::clone(self);
         tokio::spawn(async move {
-            if manager.renew(&renewal.loaded).await {
-                drop(renewal);
-                manager.wake.notify_one();
-            } else {
-                time::sleep(RETRY_DELAY).await;
+            // An answer that comes later renews nothing.
+            let renewing = manager.renew(&renewal.loaded);
+            match time::timeout(START_LEASE.to_duration(), renewing).await {
+                Ok(true) => {
+                    drop(renewal);
+                    manager.wake.notify_one();
+                }
+                Ok(false) => time::sleep(RETRY_DELAY).await,
+                Err(_) => log::warn!("lease of a job was not renewed in time"),
             }
         });
     }
 
-    /// Renews the lease of a job by a read of its record; returns whether the job's state is known.
+    /// Renews the lease of a job by a read of its record, or stops the job; returns whether its
+    /// items may go on.
     async fn renew(self: &Arc<Self>, loaded: &LoadedJob) -> bool {
         let asked = clock::since_boot();
         let job = loaded.job.lock().record.job.clone();
         match self.store.record(&job).await {
             Ok(Some((revision, record))) => {
                 let is_owned = self.is_owner(&record);
-                self.apply_record(revision, record, RecordSource::Read);
+                self.apply_record(revision, record.clone(), RecordSource::Read);
                 if is_owned {
                     loaded.lease.lock().renew(asked, revision);
+                } else {
+                    self.stop_job(&record);
                 }
-                true
+                is_owned
             }
             Ok(None) => {
                 self.remove_job(&job);
-                true
+                false
             }
             Err(fault) => self.renew_in_outage(loaded, asked, &fault).await,
         }
--- a/crates/oleander-worklist/src/runner.rs
+++ b/crates/oleander-worklist/src/runner.rs
@@ -103,9 +103,11 @@
         let now = clock::steady();
         let Some(table) = self.relay.table() else { return Placement::Blocked };
         let mut job = loaded.job.lock();
-        if loaded.is_stopped() || self.waits_for_lease(loaded, clock::since_boot()) {
+        if loaded.is_stopped() {
             return Placement::Blocked;
         }
+        let lease = *loaded.lease.lock();
+        let boot_now = clock::since_boot();
         let local_only = job.prefers_local(Self::wall_now());
         let startable: Vec<usize> = job.startable(now).map(|(index, _)| index).collect();
         for index in startable {
@@ -122,13 +124,21 @@
             if full.contains(&requirement) {
                 continue;
             }
+            if !lease.allows(boot_now) {
+                if pool.has_batch_slot(&batch_pick(Vec::new(), local_only), &versions) {
+                    self.spawn_renewal(loaded);
+                    return Placement::Blocked;
+                }
+                full.insert(requirement);
+                continue;
+            }
             let avoid = item.avoid.clone();
             let Some(granted) = reserve_slot(&pool, avoid, local_only, &versions, &parts) else {
                 full.insert(requirement);
                 continue;
             };
-            if !self.may_start(loaded, clock::since_boot()) {
-                return Placement::Blocked;
+            if lease.is_due(boot_now) {
+                self.spawn_renewal(loaded);
             }
             if versions == VersionChoice::Any {
                 job.drop_output(index);
@@ -172,6 +182,12 @@
         next: NextItem,
         granted: TargetLease,
     ) {
+        // The process may have been paused since the item was placed.
+        if !guard.loaded.lease.lock().allows(clock::since_boot()) {
+            log::info!(request:% = next.request.id; "item not started: its lease is over");
+            guard.end_run();
+            return guard.finish(&RunOutcome::Interrupted, next.progress);
+        }
         let mut progress = next.progress;
         let mut events = mem::take(&mut progress.events);
         let resumed = events.last_id();
