Let a start lease last 2.5 s, so that a slow store doesn't interrupt it

A longer lease gives the same time for the read without more reads. From a read to the bytes at a target at most 2.5 s and 0.2 s to connect, less than 3 s.

--- a/crates/oleander-worklist/src/lease.rs
+++ b/crates/oleander-worklist/src/lease.rs
@@ -9,7 +9,7 @@
 use oleander_core::{Revision, Span, Time};
 
 /// Time for which items start after the platform has confirmed that their job is open.
-pub(crate) const START_LEASE: Span = Span::from_secs(2);
+pub(crate) const START_LEASE: Span = Span::from_millis(2_500);
 /// Age of a lease from which it is renewed when an item starts.
 const RENEWAL_AGE: Span = Span::from_millis(1_500);
 
