Leave a target whose event never ends in chunks of a few bytes

Callers saw a once-only stream end with 504 at its deadline, and the target went on getting requests: it sent an event without end in one-byte chunks.

Cause, class "work without a bound": an event is limited by its bytes only. In one-byte chunks the limit of 1 MiB takes longer than a deadline, which says nothing about a target. A silent target of a once-only stream has no idle limit, as no other target may take over.

An event now also has a limit of 16 Ki chunks. It counts work and not time, so neither a slow target nor a pause of this process is taken for a fault; a sound event of 16 KiB in one-byte chunks is still read. A limit on time between events was weighed and not taken: a once-only request must not leave a slow target.

--- a/crates/oleander-relay/src/events.rs
+++ b/crates/oleander-relay/src/events.rs
@@ -17,6 +17,9 @@
 /// Maximum size of an event, with what is skipped before it; limits the memory that a target can
 /// make this host use, and ends a stream that has no events.
 const MAX_EVENT_BYTES: usize = 1 << 20;
+/// Maximum number of chunks in which an event arrives, with what is skipped before it; limits the
+/// work for chunks of a few bytes, which reach the size limit only after minutes.
+const MAX_EVENT_CHUNKS: usize = 16 << 10;
 /// Size of the shortest event; fewer bytes may be line feeds between events.
 pub(crate) const MIN_EVENT_BYTES: u64 = "id:1\ndata:\n\n".len() as u64;
 /// Greatest id of the first event of a stream that does not resume.
@@ -51,6 +54,8 @@
     searched: usize,
     /// Bytes skipped since the last event.
     skipped: usize,
+    /// Chunks since the last event.
+    chunks: usize,
     last_id: Option<u64>,
     /// Whether an earlier response broke off inside the next event.
     has_begun_next: bool,
@@ -112,6 +117,7 @@
         self.pending.clear();
         self.searched = 0;
         self.skipped = 0;
+        self.chunks = 0;
     }
 
     /// Records that another event follows, by the length of a response that broke off.
@@ -122,21 +128,27 @@
     /// Appends bytes and returns the events that they complete.
     pub fn push(&mut self, bytes: &[u8]) -> ParsedEvents {
         self.pending.extend_from_slice(bytes);
+        self.chunks += 1;
         let mut events = Vec::new();
         while let Some(raw) = self.next_block() {
             match classify(&raw) {
                 Block::Event(id) if self.is_next(id) => {
                     self.last_id = Some(id);
                     (self.has_begun_next, self.is_contradicted) = (false, false);
-                    self.skipped = 0;
+                    (self.skipped, self.chunks) = (0, 0);
                     events.push(Event { raw, id });
                 }
                 Block::Comment => self.skipped += raw.len(),
                 Block::Event(_) | Block::Unsound => return ParsedEvents { events, valid: false },
             }
         }
-        let valid = self.skipped + self.pending.len() <= MAX_EVENT_BYTES;
-        ParsedEvents { events, valid }
+        ParsedEvents { events, valid: self.is_within_limits() }
+    }
+
+    /// Whether the next event may still become complete.
+    fn is_within_limits(&self) -> bool {
+        let bytes = self.skipped + self.pending.len();
+        bytes <= MAX_EVENT_BYTES && self.chunks <= MAX_EVENT_CHUNKS
     }
 
     /// Removes the next block up to its boundary, without the line feeds before it; does not search
