Leave a target whose response never ends in chunks of a few bytes

Callers of a plain route saw 504 at the deadline, and the target stayed in use: it sent a body without end in one-byte chunks.

Same cause as for events, class "work without a bound": a body is limited by its bytes only. It now also has a limit of 32 Ki chunks.

Red before: a_target_whose_single_response_never_ends_in_small_chunks_is_left: left == right failed: small chunks, RepeatedSingle: RequestSummary { attempts: ["engine-1 v1 (online 1 batch 0 of 8): deadline passed"], refusal: Some(Refusal { reason: TimedOut, .. }) }

--- a/crates/oleander-relay/src/forwarder.rs
+++ b/crates/oleander-relay/src/forwarder.rs
@@ -17,6 +17,8 @@
 /// Maximum size of a response that is not a stream; limits the memory that a target can make this
 /// host use.
 const MAX_BODY_BYTES: usize = 8 << 20;
+/// Maximum number of chunks of such a response; limits the work for chunks of a few bytes.
+const MAX_BODY_CHUNKS: usize = 32 << 10;
 
 /// Forwards one response.
 pub(crate) struct Forwarder<'a, L, S> {
@@ -94,7 +96,7 @@
     ) -> AttemptOutcome {
         // One buffer: small chunks, each with its own overhead, would take many times their size.
         let mut buffered = BytesMut::new();
-        let mut size = 0;
+        let (mut size, mut chunks) = (0, 0);
         loop {
             let chunk = tokio::select! {
                 chunk = body.next_chunk() => chunk,
@@ -110,7 +112,8 @@
                 Some(Ok(bytes)) => bytes,
             };
             size += bytes.len();
-            if size > MAX_BODY_BYTES {
+            chunks += 1;
+            if size > MAX_BODY_BYTES || chunks > MAX_BODY_CHUNKS {
                 return self.interrupted("response too long");
             }
             if buffer {
