Bound the bytes queued for a caller that does not read

A caller that stops reading made a host hold 16 chunks, whatever their size: with sound events just short of 1 MiB, 16 MiB a stream, and a front has 160 MB.

Class: work without a bound; the queue was limited by its chunks, not its bytes. Chunks are now queued in parts of 4 KiB at most, 64 KiB in all, which are copied: a slice would keep the whole buffer that it is a part of. What isn't queued yet stays with the forwarder, where it can be let go.

--- a/crates/oleander-relay/src/sink.rs
+++ b/crates/oleander-relay/src/sink.rs
@@ -17,6 +17,8 @@
 
 /// Chunks of a response that are queued for a caller that reads slowly.
 const MAX_QUEUED_CHUNKS: usize = 16;
+/// Maximum size of a queued chunk; limits the memory that a caller can make this host use.
+const MAX_CHUNK_BYTES: usize = 4 << 10;
 
 /// Why a request ends without the response of a target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -147,7 +149,12 @@
     }
 
     async fn chunk(&mut self, bytes: Bytes) -> Result<(), SinkClosed> {
-        self.chunks.send(Ok(bytes)).await.map_err(|_| SinkClosed)
+        for part in bytes.chunks(MAX_CHUNK_BYTES) {
+            // A slice would keep the whole buffer that it is a part of.
+            let part = Bytes::copy_from_slice(part);
+            self.chunks.send(Ok(part)).await.map_err(|_| SinkClosed)?;
+        }
+        Ok(())
     }
 
     async fn closed(&self) {
