Bound the memory of all responses in progress together

Many faulty responses at once, each just below the limits of one, used up the memory of a host: 250 events of almost 1 MiB, or 20 bodies of almost 8 MiB that then send a byte now and then. A front that exceeds its limit is killed, and the requests of its other callers end with it.

Cause, class "work without a bound": each response is bounded, their sum isn't.

`ResponseMemory` counts what responses hold beyond 16 KiB each: unfinished events, bodies and error bodies that are read whole, events on their way to a caller that reads slowly, and the output of running items. A platform process allows a fifth of its memory limit, any other 64 MiB. Beyond it the response that holds most is left: this ends the fewest, and a smaller one never ends for a larger one. Its target gets a fault, as for an event that is too long, and the request goes on elsewhere if it may. A response that waits for its caller ends without a fault of the target. An item that is left starts again without its output.

An event that was not completed no longer keeps its buffer while its item waits for the next run.

--- a/crates/oleander-relay/src/attempt.rs
+++ b/crates/oleander-relay/src/attempt.rs
@@ -14,6 +14,7 @@
     forwarder::Forwarder,
     host::Reservation,
     lease::TargetLease,
+    memory::{HeldBytes, LEFT_FOR_MEMORY, ResponseMemory},
     progress::Progress,
     request::{Request, ResponseHead},
     sink::ResponseSink,
@@ -51,6 +52,8 @@
     pub buffer: bool,
     /// Time limits for a target that sends nothing.
     pub timeouts: AttemptTimeouts,
+    /// Memory that its response shares with all others.
+    pub memory: &'a ResponseMemory,
 }
 
 /// The outcome of an attempt.
@@ -225,9 +228,10 @@
 ) -> AttemptOutcome {
     let is_success = response.is_success();
     let TargetResponse { head, not_run, mut body, .. } = response;
+    let mut held = attempt.memory.hold();
     if !is_success {
         let content = tokio::select! {
-            content = with_limit(ERROR_BODY_TIMEOUT, collect(&mut body, MAX_ERROR_BYTES)) => {
+            content = with_limit(ERROR_BODY_TIMEOUT, collect(&mut body, &mut held)) => {
                 content.unwrap_or_else(|| Err("error body not read in time".to_owned()))
             }
             () = sink.closed() => return AttemptOutcome::Cancelled,
@@ -246,7 +250,7 @@
     }
     progress.record_head(Instant::now());
     let head = (!attempt.head_sent).then_some(head);
-    let mut forwarder = Forwarder::new(lease, sink, progress, head);
+    let mut forwarder = Forwarder::new(lease, sink, progress, head, held);
     match attempt.events.as_deref_mut() {
         Some(events) => {
             // An earlier target may have been left in the middle of an event.
@@ -262,13 +266,19 @@
     time::timeout(limit.to_duration(), future).await.ok()
 }
 
-async fn collect<B: ResponseBody>(body: &mut B, max_bytes: usize) -> Result<Bytes, String> {
+/// Reads an error body.
+async fn collect<B: ResponseBody>(body: &mut B, held: &mut HeldBytes) -> Result<Bytes, String> {
     let mut content = BytesMut::new();
-    while let Some(chunk) = body.next_chunk().await {
+    loop {
+        let chunk = tokio::select! {
+            chunk = body.next_chunk() => chunk,
+            () = held.left() => return Err(LEFT_FOR_MEMORY.to_owned()),
+        };
+        let Some(chunk) = chunk else { return Ok(content.freeze()) };
         content.extend_from_slice(&chunk.map_err(|error| error.0)?);
-        if content.len() > max_bytes {
+        if content.len() > MAX_ERROR_BYTES {
             return Err("error body is too long".to_owned());
         }
+        held.set(content.len());
     }
-    Ok(content.freeze())
 }
--- a/crates/oleander-relay/src/events.rs
+++ b/crates/oleander-relay/src/events.rs
@@ -87,6 +87,11 @@
         self.last_id
     }
 
+    /// Bytes of an incomplete event.
+    pub(crate) fn held_bytes(&self) -> usize {
+        self.pending.len()
+    }
+
     /// Whether the stream is at an event boundary.
     #[must_use]
     pub fn at_boundary(&self) -> bool {
@@ -114,7 +119,8 @@
     /// Discards the beginning of an incomplete event, of which only its existence is kept.
     pub fn discard_partial(&mut self) {
         self.has_begun_next |= self.begins_next();
-        self.pending.clear();
+        // The memory as well, which an item that waits for its next run would keep.
+        self.pending = BytesMut::new();
         self.searched = 0;
         self.skipped = 0;
         self.chunks = 0;
--- a/crates/oleander-relay/src/forwarder.rs
+++ b/crates/oleander-relay/src/forwarder.rs
@@ -6,8 +6,10 @@
 
 use crate::{
     attempt::AttemptOutcome,
+    blocks::Blocks,
     events::{EventReader, MIN_EVENT_BYTES},
     host::Reservation,
+    memory::{HeldBytes, LEFT_FOR_MEMORY},
     progress::Progress,
     request::ResponseHead,
     sink::{ResponseSink, SinkClosed},
@@ -27,6 +29,7 @@
     progress: &'a Progress,
     /// The head, until it is forwarded.
     head: Option<ResponseHead>,
+    held: HeldBytes,
 }
 
 impl<'a, L: Reservation, S: ResponseSink> Forwarder<'a, L, S> {
@@ -36,8 +39,9 @@
         sink: &'a mut S,
         progress: &'a Progress,
         head: Option<ResponseHead>,
+        held: HeldBytes,
     ) -> Self {
-        Self { lease, sink, progress, head }
+        Self { lease, sink, progress, head, held }
     }
 
     /// Forwards the sound events of a stream.
@@ -50,6 +54,7 @@
             let chunk = tokio::select! {
                 chunk = body.next_chunk() => chunk,
                 () = self.sink.closed() => return AttemptOutcome::Cancelled,
+                () = self.held.left() => return self.leave(),
             };
             let bytes = match chunk {
                 // A target that crashes may close its connection before the first event.
@@ -78,6 +83,7 @@
             if !parsed.events.is_empty() {
                 self.send_head();
                 let complete = concat(parsed.events.into_iter().map(|event| event.raw));
+                self.held.set(self.sink.held() + events.held_bytes() + complete.len());
                 if self.forward(complete, events.last_id()).await.is_err() {
                     return AttemptOutcome::Cancelled;
                 }
@@ -85,6 +91,7 @@
             if !parsed.valid {
                 return self.interrupted("event out of sequence or too long");
             }
+            self.held.set(self.sink.held() + events.held_bytes());
         }
     }
 
@@ -94,13 +101,13 @@
         body: &mut B,
         buffer: bool,
     ) -> AttemptOutcome {
-        // One buffer: small chunks, each with its own overhead, would take many times their size.
-        let mut buffered = BytesMut::new();
+        let mut buffered = Blocks::default();
         let (mut size, mut chunks) = (0, 0);
         loop {
             let chunk = tokio::select! {
                 chunk = body.next_chunk() => chunk,
                 () = self.sink.closed() => return AttemptOutcome::Cancelled,
+                () = self.held.left() => return self.leave(),
             };
             let bytes = match chunk {
                 // As in a stream, a target that crashes may close its connection.
@@ -117,7 +124,8 @@
                 return self.interrupted("response too long");
             }
             if buffer {
-                buffered.extend_from_slice(&bytes);
+                buffered.push(&bytes);
+                self.held.set(size);
                 continue;
             }
             self.send_head();
@@ -126,8 +134,10 @@
             }
         }
         self.send_head();
-        if !buffered.is_empty() && self.forward(buffered.freeze(), None).await.is_err() {
-            return AttemptOutcome::Cancelled;
+        for part in buffered.into_parts() {
+            if self.forward(part, None).await.is_err() {
+                return AttemptOutcome::Cancelled;
+            }
         }
         AttemptOutcome::Complete
     }
@@ -135,7 +145,12 @@
     async fn forward(&mut self, bytes: Bytes, last_event: Option<u64>) -> Result<(), SinkClosed> {
         self.lease.record_output();
         self.progress.record_output(Instant::now(), last_event);
-        self.sink.chunk(bytes).await?;
+        tokio::select! {
+            biased;
+            sent = self.sink.chunk(bytes) => sent?,
+            // Its caller doesn't read, which says nothing about the target.
+            () = self.held.left() => return Err(SinkClosed),
+        }
         self.progress.record_forwarded(Instant::now());
         Ok(())
     }
@@ -148,6 +163,12 @@
         }
     }
 
+    /// Ends a response that holds most of the memory for all.
+    fn leave(&mut self) -> AttemptOutcome {
+        self.sink.discard();
+        self.interrupted(LEFT_FOR_MEMORY)
+    }
+
     fn interrupted(&self, reason: &str) -> AttemptOutcome {
         AttemptOutcome::Interrupted { reason: reason.to_owned(), head_sent: self.head.is_none() }
     }
--- a/crates/oleander-relay/src/forwarding.rs
+++ b/crates/oleander-relay/src/forwarding.rs
@@ -91,6 +91,7 @@
             head_sent: self.head_sent,
             buffer: self.route.retry == RetryPolicy::Always,
             timeouts,
+            memory: &self.relay.memory,
         };
         let progress = attempt.progress(started);
         let dispatch = HostDispatch {
--- a/crates/oleander-relay/src/lib.rs
+++ b/crates/oleander-relay/src/lib.rs
@@ -10,6 +10,7 @@
 //! service behind a router, shared by online requests and batch items.
 
 mod attempt;
+mod blocks;
 mod configuration;
 mod confirmations;
 mod crash;
@@ -21,6 +22,7 @@
 mod lease;
 mod link_check;
 mod links;
+mod memory;
 mod pool;
 mod pools;
 mod progress;
@@ -51,6 +53,7 @@
 };
 pub use lease::{CrashWatch, TargetLease, TargetLoad};
 pub use links::{LinkChange, Links};
+pub use memory::ResponseMemory;
 pub use pool::{AcquireError, Pool, VersionChoice, YieldRequest, batch_pick};
 pub use pools::Pools;
 pub use quarantine::SharedQuarantine;
--- a/crates/oleander-relay/src/relay.rs
+++ b/crates/oleander-relay/src/relay.rs
@@ -19,6 +19,7 @@
     events::EventReader,
     host::{HostSink, Origin},
     lease::TargetLease,
+    memory::ResponseMemory,
     pool::Pool,
     pools::Pools,
     request::Request,
@@ -53,6 +54,8 @@
     pub transport: Arc<T>,
     /// When this process ends its work.
     pub exit: ExitTime,
+    /// Memory for the responses in progress.
+    pub memory: ResponseMemory,
 }
 
 impl<T: TargetTransport> Relay<T> {
@@ -61,7 +64,14 @@
     pub fn new(pools: Arc<Pools>, transport: Arc<T>) -> Self {
         let confirmations = Confirmations::default();
         let exit = ExitTime::default();
-        Self { table: RwLock::new(None), confirmations, pools, transport, exit }
+        let memory = ResponseMemory::default();
+        Self { table: RwLock::new(None), confirmations, pools, transport, exit, memory }
+    }
+
+    /// Sets the memory for the responses in progress.
+    #[must_use]
+    pub fn with_memory(self, memory: ResponseMemory) -> Self {
+        Self { memory, ..self }
     }
 
     /// Routes in force.
@@ -282,6 +292,7 @@
             head_sent: self.head_sent,
             buffer: self.route.retry == RetryPolicy::Always,
             timeouts: AttemptTimeouts::default(),
+            memory: &self.relay.memory,
         };
         let progress = attempt.progress(Instant::now());
         if self.route.is_stream() {
--- a/crates/oleander-relay/src/sink.rs
+++ b/crates/oleander-relay/src/sink.rs
@@ -80,6 +80,14 @@
     /// Receives a chunk of the body; waits while the queue is full.
     fn chunk(&mut self, bytes: Bytes) -> impl Future<Output = Result<(), SinkClosed>> + Send;
 
+    /// Bytes that it keeps beyond the response.
+    fn held(&self) -> usize {
+        0
+    }
+
+    /// Discards the bytes that it keeps, as they take too much memory.
+    fn discard(&mut self) {}
+
     /// Completes once the receiver of the response is gone.
     fn closed(&self) -> impl Future<Output = ()> + Send;
 }
--- a/crates/oleander-worklist/src/output.rs
+++ b/crates/oleander-worklist/src/output.rs
@@ -29,6 +29,8 @@
     /// Size of the output in JSON, in bytes.
     size: usize,
     limits: RunLimits,
+    /// Whether the output was discarded, so that the item starts again.
+    pub(crate) is_discarded: bool,
     stop: watch::Receiver<bool>,
     preempted: Arc<Notify>,
 }
@@ -43,6 +45,7 @@
             event_count: progress.event_count,
             size,
             limits,
+            is_discarded: false,
             stop: watch::Sender::new(false).subscribe(),
             preempted: Arc::default(),
         }
@@ -93,6 +96,15 @@
         Ok(())
     }
 
+    fn held(&self) -> usize {
+        self.output.len()
+    }
+
+    fn discard(&mut self) {
+        self.output = Vec::new();
+        self.is_discarded = true;
+    }
+
     async fn closed(&self) {
         let mut stop = self.stop.clone();
         // An error means that the job is no longer loaded, which stops the run as well.
--- a/crates/oleander-worklist/src/runner.rs
+++ b/crates/oleander-worklist/src/runner.rs
@@ -186,6 +186,7 @@
             head_sent: false,
             buffer: false,
             timeouts: SILENCE_LIMITS,
+            memory: &self.relay.memory,
         };
         let started = clock::steady();
         let lease = *guard.loaded.lease.lock();
@@ -215,6 +216,10 @@
             log::warn!(request:% = next.request.id, target:% = target;
                 "item starts again: a run ended before an event that another one had begun");
             Progress::default()
+        } else if sink.is_discarded {
+            log::warn!(request:% = next.request.id, target:% = target;
+                "item starts again: its output took too much memory");
+            Progress::default()
         } else {
             Progress { events, output: sink.output, event_count: sink.event_count, version }
         };
