--- a/crates/oleander-relay/src/lib.rs
+++ b/crates/oleander-relay/src/lib.rs
@@ -53,7 +53,7 @@
 };
 pub use lease::{CrashWatch, TargetLease, TargetLoad};
 pub use links::{LinkChange, Links};
-pub use memory::ResponseMemory;
+pub use memory::{HeldBytes, LEFT_FOR_MEMORY, ResponseMemory};
 pub use pool::{AcquireError, Pool, VersionChoice, YieldRequest, batch_pick};
 pub use pools::Pools;
 pub use quarantine::SharedQuarantine;
--- a/crates/oleander-relay/src/memory.rs
+++ b/crates/oleander-relay/src/memory.rs
@@ -17,7 +17,7 @@
 const UNCOUNTED_BYTES: usize = 16 << 10;
 
 /// Why such a response is left.
-pub(crate) const LEFT_FOR_MEMORY: &str = "response holds most of the memory for responses";
+pub const LEFT_FOR_MEMORY: &str = "response holds most of the memory for responses";
 
 /// The bytes that responses in progress hold; clones share the count.
 #[derive(Debug, Clone)]
@@ -48,7 +48,7 @@
 
 /// The bytes that one response holds, given back on drop.
 #[derive(Debug)]
-pub(crate) struct HeldBytes {
+pub struct HeldBytes {
     shared: Arc<Shared>,
     /// Key of the response, once it is counted.
     key: Option<u64>,
@@ -75,14 +75,15 @@
     }
 
     /// The count of a response that holds nothing yet.
-    pub(crate) fn hold(&self) -> HeldBytes {
+    #[must_use]
+    pub fn hold(&self) -> HeldBytes {
         HeldBytes { shared: Arc::clone(&self.shared), key: None, left: Arc::default() }
     }
 }
 
 impl HeldBytes {
     /// Records how many bytes the response holds now.
-    pub(crate) fn set(&mut self, bytes: usize) {
+    pub fn set(&mut self, bytes: usize) {
         if bytes <= UNCOUNTED_BYTES {
             self.give_back();
             return;
@@ -94,7 +95,7 @@
     }
 
     /// Completes once the response must be left.
-    pub(crate) async fn left(&self) {
+    pub async fn left(&self) {
         match self.key {
             Some(_) => self.left.notified().await,
             None => pending().await,
