--- a/crates/oleander-worklist/tests/manager/fixture.rs
+++ b/crates/oleander-worklist/tests/manager/fixture.rs
@@ -19,8 +19,8 @@
     Changes, Created, Listing, MemoryPlatform, Object, ObjectStore, Page, PlatformError, Updated,
 };
 use oleander_relay::{
-    BodyError, Dispatch, Pools, Reach, Relay, Request, ResponseBody, ResponseHead, RetryPolicy,
-    Route, RouteKind, RouteTable, SendError, TargetEntry, TargetList, TargetResponse,
+    BodyError, Dispatch, Pools, Reach, Relay, Request, ResponseBody, ResponseHead, ResponseMemory,
+    RetryPolicy, Route, RouteKind, RouteTable, SendError, TargetEntry, TargetList, TargetResponse,
     TargetTransport, TrafficShare,
 };
 use oleander_worklist::{JobManager, JobManagerConfig, NewItem, Submission};
@@ -293,7 +293,16 @@
     name: &str,
     store: SlowStore,
 ) -> (Arc<JobManager<SlowStore, EchoTargets>>, Arc<EchoTargets>, Arc<Pools>) {
-    let Started { manager, targets, pools, relay } = start(name, store);
+    start_within(name, store, ResponseMemory::default())
+}
+
+/// Starts a manager whose targets' responses share `memory`.
+pub(crate) fn start_within(
+    name: &str,
+    store: SlowStore,
+    memory: ResponseMemory,
+) -> (Arc<JobManager<SlowStore, EchoTargets>>, Arc<EchoTargets>, Arc<Pools>) {
+    let Started { manager, targets, pools, relay } = start_with(name, store, memory);
     relay.set_table(RouteTable::new(1, vec![route()]));
     (manager, targets, pools)
 }
@@ -308,6 +317,10 @@
 
 /// Starts a manager that knows no routes yet.
 pub(crate) fn start(name: &str, store: SlowStore) -> Started {
+    start_with(name, store, ResponseMemory::default())
+}
+
+fn start_with(name: &str, store: SlowStore, memory: ResponseMemory) -> Started {
     let (pools, yields) = Pools::new(host(name), zone(), 1);
     let mut targets = TargetList::default();
     targets.upsert(TargetEntry {
@@ -323,7 +336,8 @@
     pools.update_targets(&targets);
     let pools = Arc::new(pools);
     let targets = Arc::new(EchoTargets::default());
-    let relay = Arc::new(Relay::new(Arc::clone(&pools), Arc::clone(&targets)));
+    let relay = Relay::new(Arc::clone(&pools), Arc::clone(&targets)).with_memory(memory);
+    let relay = Arc::new(relay);
     let local = record_of(name);
     let key = LinkKey::from_secret(b"a secret of the tests").expect("long enough");
     let cluster = Cluster::new(local, key, Arc::clone(&pools));
--- a/crates/oleander-worklist/tests/manager/sizes.rs
+++ b/crates/oleander-worklist/tests/manager/sizes.rs
@@ -9,11 +9,13 @@
 use bytes::Bytes;
 use oleander_core::{Span, Time};
 use oleander_platform::{MemoryFaults, MemoryPlatform};
+use oleander_relay::ResponseMemory;
 use oleander_worklist::{ItemOutcome, ItemResult, JobManager, NewItem, Submission, SubmitError};
 use tokio::time;
 
 use crate::fixture::{
-    EchoTargets, Reply, SlowStore, job, manager, route, start_manager, submission, wait_until_ready,
+    EchoTargets, Reply, SlowStore, job, manager, route, start_manager, start_within, submission,
+    wait_until_ready,
 };
 
 /// Maximum size of an object, in bytes.
@@ -160,3 +162,21 @@
     let results = results.expect("an item is never listed");
     assert!(results.iter().all(|result| result.output.starts_with("done ")), "{results:?}");
 }
+
+/// Guards against items whose output uses up the memory of a host, each below its own limit.
+#[tokio::test]
+async fn an_item_starts_again_when_its_output_takes_too_much_memory() {
+    let memory = ResponseMemory::new(OBJECT_BYTES / 4);
+    let store = SlowStore::new(limited_store());
+    let (manager, targets, _) = start_within("entry-1", store, memory.clone());
+    let data = "x".repeat(OBJECT_BYTES / 10);
+    let events = (1..=6).map(|id| format!("id: {id}\ndata: {data}\n\n")).collect::<Vec<_>>();
+    let events = events.iter().map(String::as_str).collect::<Vec<_>>();
+    targets.reply(vec![Reply::chunks(&events)]);
+    wait_until_ready(&manager).await;
+    assert_eq!(manager.submit(submission(10), &route()).await, Ok(()));
+    let results = time::timeout(RESULTS_TIMEOUT, all_results(&manager)).await;
+    let results = results.expect("an item is never listed");
+    assert!(results.iter().all(|result| result.output.starts_with("done ")));
+    assert_eq!(memory.held(), 0);
+}
