--- a/crates/oleander-relay/tests/memory.rs
+++ b/crates/oleander-relay/tests/memory.rs
@@ -126,3 +126,23 @@
     assert!(keeper.discarded, "{summary:?}");
     assert_eq!(relay.memory.held(), 0);
 }
+
+#[tokio::test]
+async fn a_few_large_sound_responses_at_once_are_served() {
+    const COUNT: usize = 4;
+    let large = text(6 << 20);
+    let steps = vec![Step::pause(&[large], WAIT, &["end"]); COUNT];
+    let relay = Arc::new(Relay::new(pools(3), Script::new(steps)));
+    let calls = (0..COUNT).map(|_| {
+        let relay = Arc::clone(&relay);
+        tokio::spawn(async move {
+            let mut caller = Caller::default();
+            let summary = forward(&relay, &single(RetryPolicy::Always), &mut caller).await;
+            (caller.text.len(), summary)
+        })
+    });
+    for call in calls.collect::<Vec<_>>() {
+        let (received, summary) = call.await.expect("a result");
+        assert_eq!(received, large.len() + "end".len(), "{summary:?}");
+    }
+}
