Start items of a job only within 5 s of a read that found it open

What callers of the product's own interface saw: after a confirmed cancel, items of the job went on starting for as long as a batch host could not read the job's record (cut off, or an outage just after the cancel), and after a pause of the host. docs/BATCH.md listed it under "Not proved".

Cause: a final decision on a view of unknown age. The poll of the record stopped a job that it read as ended, and took a failed read for "still open", without a bound. The notice of the cancel is sent once, by try_send on a bounded channel, and not by a process that dies after its write.

Evidence: three tests with real processes, red on: a_host_that_is_cut_from_the_platform_does_not_run_a_cancelled_job, a_job_that_is_cancelled_just_before_an_outage_stops: "items started after 6s, left: 288, right: 0" (each) a_host_that_is_paused_while_a_job_is_cancelled_does_not_run_it: "items started after 6s, left: 1, right: 0"

Fix: StartLeases (oleander-jobs) holds for each job when the read began that last found it open; the dispatch loop starts items only within 5 s of it, on a clock that counts while suspended. The poll that exists renews it, so there are no more reads; polls of several jobs no longer wait for each other. A read that began before the cancel's write ends its permission within 5 s of that write, whatever is lost afterwards. A job that was stopped can't be renewed by a read that is still under way.

--- a/crates/oleander-batch/src/dispatch.rs
+++ b/crates/oleander-batch/src/dispatch.rs
@@ -74,8 +74,12 @@
     app.runs.lock().len() < app.settings.batch.slots as usize
 }
 
-/// Starts one item of a lot; false if none is ready or no target has free capacity.
+/// Starts one item of a lot; false if none is ready, no target has free capacity, or the job was not
+/// read as open a short time ago.
 fn start_next(app: &Arc<App>, lot: &Arc<OpenLot>) -> bool {
+    if !app.jobs.lock().may_start(&lot.id.job, clock::since_boot()) {
+        return false;
+    }
     let (suspect, ready) = {
         let state = lot.state.lock();
         let now = clock::now();
--- a/crates/oleander-batch/src/jobs.rs
+++ b/crates/oleander-batch/src/jobs.rs
@@ -9,7 +9,9 @@
 };
 
 use oleander_core::{HostId, JobId, LotIndex, Span, TargetId, Time};
-use oleander_jobs::{FileRecord, JobRecord, LotEnd, LotPlan, LotScheduler, ScheduledJob, key};
+use oleander_jobs::{
+    FileRecord, JobRecord, LotEnd, LotPlan, LotScheduler, ScheduledJob, StartLeases, key,
+};
 
 use crate::app::App;
 
@@ -35,13 +37,19 @@
     scheduler: LotScheduler,
     open: BTreeMap<JobId, Arc<JobInfo>>,
     ended: HashMap<JobId, Time>,
+    leases: StartLeases,
 }
 
 impl Jobs {
     /// No jobs yet.
     pub(crate) fn new(host: HostId, takeover_delay: Span) -> Self {
         let scheduler = LotScheduler::new(host, takeover_delay);
-        Self { scheduler, open: BTreeMap::new(), ended: HashMap::new() }
+        Self {
+            scheduler,
+            open: BTreeMap::new(),
+            ended: HashMap::new(),
+            leases: StartLeases::default(),
+        }
     }
 
     /// Sets the live batch hosts.
@@ -59,6 +67,19 @@
         self.scheduler.record_end(now, job, lot, end);
     }
 
+    /// Whether items of a job may start; `now` is on the clock
+    /// [`since_boot`](oleander_host::clock::since_boot).
+    pub(crate) fn may_start(&self, job: &JobId, now: Time) -> bool {
+        self.leases.allows(job, now)
+    }
+
+    /// Records that a read begun at `asked` found a job open, unless the job was removed meanwhile.
+    fn confirm_open(&mut self, job: &JobId, asked: Time) {
+        if self.open.contains_key(job) {
+            self.leases.renew(job, asked);
+        }
+    }
+
     fn get(&self, job: &JobId) -> Option<Arc<JobInfo>> {
         self.open.get(job).cloned()
     }
@@ -87,6 +108,7 @@
     fn remove(&mut self, now: Time, job: &JobId) {
         self.scheduler.remove_job(job);
         self.open.remove(job);
+        self.leases.remove(job);
         self.ended.retain(|_, at| now.since(*at) <= SCAN_OVERLAP * 2);
         self.ended.insert(job.clone(), now);
     }
--- a/crates/oleander-batch/src/jobs/cancellation.rs
+++ b/crates/oleander-batch/src/jobs/cancellation.rs
@@ -1,4 +1,7 @@
 //! Cancellation of jobs: notices to and from peers, and polls in case a notice is lost.
+//!
+//! A poll also renews the permission to start items of the job; see
+//! [`StartLeases`](oleander_jobs::StartLeases).
 
 use std::{sync::Arc, time::Duration};
 
@@ -6,11 +9,11 @@
 use oleander_host::clock;
 use oleander_jobs::{JobState, LotEvent};
 use oleander_peer::PeerRequest;
-use tokio::{sync::mpsc, time};
+use tokio::{sync::mpsc, task::JoinSet, time};
 
 use crate::app::App;
 
-/// Bounds how long the lots of a cancelled job go on if the notice of the cancellation is lost.
+/// Time between two polls; permits to start items last longer.
 const CANCELLATION_POLL_INTERVAL: Duration = Duration::from_secs(2);
 /// Maximum time for a peer to reply to the notice of a cancellation.
 const NOTIFY_TIMEOUT: Duration = Duration::from_secs(1);
@@ -33,17 +36,32 @@
         let mut jobs: Vec<JobId> = app.open_lots().iter().map(|lot| lot.id.job.clone()).collect();
         jobs.sort();
         jobs.dedup();
+        let mut polls = JoinSet::new();
         for job in jobs {
-            match app.store.job(&job).await {
-                Ok(Some((_, record))) if record.state != JobState::Open => app.stop_job(&job),
-                Ok(_) => {}
-                Err(error) => log::warn!("job {job} can't be read: {error}"),
-            }
+            polls.spawn(poll(Arc::clone(&app), job));
         }
+        polls.join_all().await;
         time::sleep(CANCELLATION_POLL_INTERVAL).await;
     }
 }
 
+/// Reads the record of a job: stops the job if it has ended, or else lets its items start.
+async fn poll(app: Arc<App>, job: JobId) {
+    let asked = clock::since_boot();
+    match app.store.job(&job).await {
+        Ok(Some((_, record))) if record.state == JobState::Open => {
+            app.jobs.lock().confirm_open(&job, asked);
+            app.wake.notify_one();
+        }
+        Ok(Some(_)) => app.stop_job(&job),
+        Ok(None) => log::warn!("job {job} has no record; its items don't start"),
+        Err(error) => {
+            metrics::counter!("oleander_batch_unread_jobs_total").increment(1);
+            log::warn!("job {job} can't be read, its items soon don't start: {error}");
+        }
+    }
+}
+
 /// Stops jobs that were cancelled through this host, and notifies all peers.
 pub(crate) async fn forward_cancellations(
     app: Arc<App>,
--- a/crates/oleander-batch/src/jobs/completion.rs
+++ b/crates/oleander-batch/src/jobs/completion.rs
@@ -53,6 +53,7 @@
 /// Records which lots are closed, and completes the job if all are; false if it has ended.
 pub(super) async fn check_completion(app: &App, info: &JobInfo) -> Result<bool, StoreError> {
     let job = &info.record.job;
+    let asked = clock::since_boot();
     let closed = app.store.closed_lots(job).await?;
     {
         let mut jobs = app.jobs.lock();
@@ -63,9 +64,11 @@
     } else {
         app.store.job(job).await?.map(|(_, record)| record)
     };
-    let Some(record) = record.filter(|record| record.state != JobState::Open) else {
+    let Some(record) = record else { return Ok(true) };
+    if record.state == JobState::Open {
+        app.jobs.lock().confirm_open(job, asked);
         return Ok(true);
-    };
+    }
     app.record_event(EventKind::Finished, job, format!("job {}", record.state));
     app.jobs.lock().remove(clock::now(), job);
     Ok(false)
--- a/crates/oleander-batch/tests/cluster/mod.rs
+++ b/crates/oleander-batch/tests/cluster/mod.rs
@@ -56,6 +56,8 @@
 pub(crate) struct Cluster {
     pub(crate) platform: Platform,
     platform_server: Server,
+    /// The platform as the hosts reach it; `None` once they are cut from it.
+    host_server: Option<Server>,
     pub(crate) engines: Arc<Mutex<Vec<EngineServer>>>,
     document: Arc<Document>,
     folder: PathBuf,
@@ -91,6 +93,8 @@
         let platform = Platform::new(platform::Options::default());
         let served = platform.clone();
         let platform_server = Server::start(|listener| served.serve(listener)).await.unwrap();
+        let served = platform.clone();
+        let host_server = Server::start(|listener| served.serve(listener)).await.unwrap();
         let mut engines = Vec::new();
         for _ in 0..config.engines {
             engines.push(EngineServer::start(&config).await);
@@ -104,6 +108,7 @@
         let mut cluster = Self {
             platform,
             platform_server,
+            host_server: Some(host_server),
             engines: Arc::new(Mutex::new(engines)),
             document,
             folder,
@@ -122,6 +127,11 @@
         HttpPlatform::new(&self.platform_server.address().to_string())
     }
 
+    /// Cuts all hosts from the platform, which callers still reach.
+    pub(crate) async fn cut_hosts(&mut self) {
+        self.host_server.take().unwrap().stop().await;
+    }
+
     pub(crate) async fn start_host(&mut self, number: usize) {
         let (listen, link, admin) = (free_address(), free_address(), free_address());
         let name = format!("batch-{number}");
@@ -131,7 +141,7 @@
         let settings = json!({
             "host": name, "zone": "junin", "role": "batch",
             "listen": listen, "link": link, "admin": admin,
-            "platform": self.platform_server.address(),
+            "platform": self.host_server.as_ref().unwrap().address(),
             "link_key_file": path("link.key"), "operator_key_file": path("operator.key"),
             "log": {"file": path(&format!("{name}.log")), "level": "debug"},
             "batch": {"claim_ms": self.claim_ms},
--- a/crates/oleander-batch/tests/job.rs
+++ b/crates/oleander-batch/tests/job.rs
@@ -25,6 +25,10 @@
 
 const TIMEOUT: Duration = Duration::from_secs(60);
 const EXIT_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time after a confirmed cancel from which no item of the job starts.
+const CANCEL_BOUND: Duration = Duration::from_secs(6);
+/// Time for which engines are watched after the bound.
+const WATCHED: Duration = Duration::from_secs(4);
 const POISON: &str = "poison";
 
 /// Asserts that the output holds just these items, each with the expected response.
@@ -217,6 +221,69 @@
     assert_eq!(cluster.job(&job).await["status"], "cancelled");
 }
 
+/// A job whose items would still start when the engines are no longer watched.
+async fn start_long_job(cluster: &Cluster) -> String {
+    let job = cluster.submit(&items(2_000)).await;
+    cluster.wait_for_runs(40, TIMEOUT).await;
+    job
+}
+
+/// Number of requests that engines receive after a time.
+async fn requests_after(cluster: &Cluster, bound: u64) -> usize {
+    cluster.request_times().await.into_iter().filter(|&at| at > bound).count()
+}
+
+fn long_job() -> ClusterConfig {
+    ClusterConfig { hosts: 1, lot_items: 2_000, ..ClusterConfig::default() }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_host_that_is_cut_from_the_platform_does_not_run_a_cancelled_job() {
+    let mut cluster = Cluster::start(long_job()).await;
+    let job = start_long_job(&cluster).await;
+    cluster.cut_hosts().await;
+    assert_eq!(cluster.cancel(&job).await["status"], "cancelled");
+    let bound = unix_micros() + CANCEL_BOUND.as_micros() as u64;
+    time::sleep(CANCEL_BOUND + WATCHED).await;
+    assert_eq!(requests_after(&cluster, bound).await, 0, "items started after {CANCEL_BOUND:?}");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_host_that_is_paused_while_a_job_is_cancelled_does_not_run_it() {
+    let cluster = Cluster::start(long_job()).await;
+    let job = start_long_job(&cluster).await;
+    let pid = cluster.hosts[0].child.id().to_string();
+    signal("-STOP", &pid);
+    assert_eq!(cluster.cancel(&job).await["status"], "cancelled");
+    let bound = unix_micros() + CANCEL_BOUND.as_micros() as u64;
+    time::sleep(CANCEL_BOUND).await;
+    signal("-CONT", &pid);
+    time::sleep(WATCHED).await;
+    assert_eq!(requests_after(&cluster, bound).await, 0, "items started after {CANCEL_BOUND:?}");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_job_that_is_cancelled_just_before_an_outage_stops() {
+    let cluster = Cluster::start(long_job()).await;
+    let job = start_long_job(&cluster).await;
+    assert_eq!(cluster.cancel(&job).await["status"], "cancelled");
+    cluster.platform.set_faults(platform::Faults { silent: true, ..Default::default() });
+    let bound = unix_micros() + CANCEL_BOUND.as_micros() as u64;
+    time::sleep(CANCEL_BOUND + WATCHED).await;
+    assert_eq!(requests_after(&cluster, bound).await, 0, "items started after {CANCEL_BOUND:?}");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn items_start_again_after_an_outage() {
+    let cluster = Cluster::start(long_job()).await;
+    start_long_job(&cluster).await;
+    cluster.platform.set_faults(platform::Faults { down: true, ..Default::default() });
+    time::sleep(CANCEL_BOUND).await;
+    cluster.platform.set_faults(platform::Faults::default());
+    let resumed = cluster.request_times().await.len() + 10;
+    cluster.wait_for_runs(resumed, CANCEL_BOUND).await;
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn yielded_items_are_resumed_and_complete() {
     let config = ClusterConfig { hosts: 1, step_base_us: 20_000, ..ClusterConfig::default() };
--- a/crates/oleander-jobs/src/lib.rs
+++ b/crates/oleander-jobs/src/lib.rs
@@ -9,6 +9,7 @@
 mod health;
 mod item;
 pub mod key;
+mod lease;
 mod lot;
 mod parse;
 mod plan;
@@ -17,6 +18,7 @@
 
 pub use health::TargetHealth;
 pub use item::{ITEM_URL, ItemLine, LineError, read_items};
+pub use lease::{START_LEASE, StartLeases};
 pub use lot::{Lot, LotAction, LotConfig, LotEnd, LotEvent, PartialOutput, RunId, RunOutcome};
 pub use parse::{BatchParser, InvalidLine, ParseError, ParseLimits, ParsedChunk, ParsedFile};
 pub use plan::{LotPlan, LotRange};
