Leave hosts out of the addresses that nobody has reached long after their start

What callers saw: a host that has just started named hosts that had long been off to its callers, for 6 to 7 s.

Cause: a final decision on a view of unknown age. The records of hosts are never removed, a new host takes each of them for a candidate, and candidates were named like live hosts, for a start of all hosts at once. The pages that a new host gets hold live members only, so it finds the others off by its own probes: one candidate in four rounds, 1.2 s each.

Evidence: a_new_host_does_not_name_hosts_that_have_long_been_off (3 hosts with real links, 5 off), red on: "5 hosts that are off, 2.988847705s before the end" (of 3 s). Watched for 15 s in two trials, the last one that is off was named until 5.8 s and 7.1 s after the start.

Fix: a candidate counts as live for callers only within 10 s of the start that its record names; later it is named as a suspect, if there are no others. A start of all hosts is as before: a_host_names_others_that_have_just_started_before_it_has_reached_them. A host that restarts alone names itself and those that it has reached, in the first moments. A clock that is ahead makes a host wait for its first probe, one that is behind has the former behaviour.

--- a/crates/oleander-cluster/src/cluster/hosts.rs
+++ b/crates/oleander-cluster/src/cluster/hosts.rs
@@ -3,11 +3,18 @@
 use std::net::SocketAddr;
 
 use oleander_core::{HostId, Span, Time, ZoneId};
+use oleander_host::clock;
 use oleander_members::{MemberRole, MemberState};
 use oleander_relay::SendingHost;
 
 use super::Cluster;
-use crate::directory::{Directory, EntryHost};
+use crate::{
+    directory::{Directory, EntryHost},
+    record::HostRecord,
+};
+
+/// Time after its start in which a host may not have been reached by any other.
+const STARTING_TIME: Span = Span::from_secs(10);
 
 /// Whether one run of a process is still live.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -20,6 +27,18 @@
     Ended,
 }
 
+impl HostRecord {
+    /// The state of the host for callers: one that no host has reached long after its start may
+    /// have been off for as long, and is left out while there are others.
+    fn state_for_callers(&self, wall_now: Time, state: MemberState) -> MemberState {
+        let is_starting = wall_now.since(self.started) < STARTING_TIME;
+        match state {
+            MemberState::Candidate if !is_starting => MemberState::Suspect,
+            state => state,
+        }
+    }
+}
+
 /// Another entry host that may run.
 #[derive(Debug, Clone)]
 pub(crate) struct PossiblePeer {
@@ -41,6 +60,7 @@
         let others = records.values().filter(|record| record.host != self.local.host);
         let others = others.filter_map(|record| {
             let state = members.state(&record.host).unwrap_or(MemberState::Candidate);
+            let state = record.state_for_callers(clock::now(), state);
             let state = self.state_for_callers(&record.host, state);
             Some(EntryHost { address: record.callers?, zone: record.zone.clone(), state })
         });
--- a/crates/oleander-cluster/src/directory.rs
+++ b/crates/oleander-cluster/src/directory.rs
@@ -2,7 +2,8 @@
 //!
 //! Callers cache the list for seconds and pick addresses at random from it. A host that is failing
 //! or leaving must therefore be removed early, and a single healthy host in a data centre must not
-//! receive all callers of that data centre.
+//! receive all callers of that data centre. A host that starts takes all listed ones for candidates;
+//! only those that may have started as lately may be unknown to the others.
 
 use std::net::SocketAddr;
 
--- a/crates/oleander-cluster/tests/directory.rs
+++ b/crates/oleander-cluster/tests/directory.rs
@@ -1,10 +1,27 @@
 //! Selection of the addresses that callers get.
 
-use std::net::SocketAddr;
+use std::{
+    net::{Ipv4Addr, SocketAddr, TcpListener},
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
-use oleander_cluster::{Directory, EntryHost};
-use oleander_core::{Span, ZoneId};
-use oleander_members::MemberState;
+use oleander_cluster::{Cluster, Directory, EntryHost, FailoverStore, Handler, HostRecord, join};
+use oleander_core::{HostId, Span, Time, ZoneId};
+use oleander_host::clock;
+use oleander_link::Server;
+use oleander_members::{MemberRole, MemberState};
+use oleander_platform::MemoryPlatform;
+use oleander_relay::Pools;
+use tokio::{task::JoinSet, time::sleep};
+
+const HOSTS: u8 = 3;
+const OFF_HOSTS: u8 = 5;
+/// Time since the start of hosts that have been there for long.
+const LONG: Span = Span::from_secs(600);
+/// Time for which the addresses of a new host are watched.
+const WATCHED: Duration = Duration::from_secs(3);
+const PAUSE: Duration = Duration::from_millis(10);
 
 fn zone(name: &str) -> ZoneId {
     name.parse().expect("name of a data centre")
@@ -59,3 +76,104 @@
     let long = Directory::select(&[], &zone("near"), Span::from_secs(60));
     assert!(long.ttl <= Span::from_secs(2));
 }
+
+struct NoApplication;
+
+impl Handler<(), ()> for NoApplication {
+    async fn handle(self: Arc<Self>, _: HostId, (): ()) {}
+}
+
+fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a free port");
+    listener.local_addr().expect("bound")
+}
+
+/// Address for callers of a host that these tests number.
+fn callers(number: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, number], 80))
+}
+
+fn record(number: u8, started: Time) -> HostRecord {
+    HostRecord {
+        host: format!("entry-{number}").parse().expect("host"),
+        zone: zone("near"),
+        role: MemberRole::Entry,
+        link: free_address(),
+        callers: Some(callers(number)),
+        started,
+    }
+}
+
+/// A running host; it is gone when dropped.
+struct Running {
+    cluster: Arc<Cluster>,
+    _server: Server,
+    _tasks: JoinSet<()>,
+}
+
+impl Running {
+    async fn start(store: &MemoryPlatform, number: u8, started: Time) -> Self {
+        let (key, local) = join(store, record(number, started)).await;
+        let (pools, _yields) = Pools::new(local.host.clone(), zone("near"), number.into());
+        let cluster = Cluster::new(local, key, Arc::new(pools));
+        let failover = FailoverStore::<_, Cluster>::new(store.clone());
+        let server = cluster.serve(Arc::new(NoApplication), failover).expect("a free address");
+        let mut tasks = JoinSet::new();
+        tasks.spawn(Arc::clone(&cluster).follow_records(store.clone()));
+        tasks.spawn(Arc::clone(&cluster).run_probes());
+        Self { cluster, _server: server, _tasks: tasks }
+    }
+
+    fn addresses(&self) -> Vec<SocketAddr> {
+        self.cluster.directory(&zone("near"), Span::from_secs(1)).addresses
+    }
+
+    async fn wait_for(&self, count: usize) {
+        let end = Instant::now() + WATCHED;
+        while self.addresses().len() != count {
+            assert!(Instant::now() < end, "{:?}", self.addresses());
+            sleep(PAUSE).await;
+        }
+    }
+}
+
+#[tokio::test]
+async fn a_new_host_does_not_name_hosts_that_have_long_been_off() {
+    let store = MemoryPlatform::new();
+    let long_ago = clock::now() - LONG;
+    for number in 0..OFF_HOSTS {
+        join(&store, record(100 + number, long_ago)).await;
+    }
+    let mut hosts = Vec::new();
+    for number in 0..HOSTS {
+        hosts.push(Running::start(&store, number, long_ago).await);
+    }
+    sleep(WATCHED).await;
+    let new = Running::start(&store, HOSTS, clock::now()).await;
+    let end = Instant::now() + WATCHED;
+    while Instant::now() < end {
+        let named = new.addresses();
+        let off = (0..OFF_HOSTS).map(|number| callers(100 + number));
+        let off: Vec<SocketAddr> = off.filter(|address| named.contains(address)).collect();
+        let left = end.saturating_duration_since(Instant::now());
+        assert!(off.is_empty(), "{} hosts that are off, {left:?} before the end", off.len());
+        sleep(PAUSE).await;
+    }
+    new.wait_for(usize::from(HOSTS) + 1).await;
+}
+
+#[tokio::test]
+async fn a_host_names_others_that_have_just_started_before_it_has_reached_them() {
+    let store = MemoryPlatform::new();
+    for number in 0..HOSTS {
+        join(&store, record(number, clock::now())).await;
+    }
+    let new = Running::start(&store, HOSTS, clock::now()).await;
+    let end = Instant::now() + PAUSE * 10;
+    let mut most = 0;
+    while Instant::now() < end {
+        most = most.max(new.addresses().len());
+        sleep(PAUSE / 10).await;
+    }
+    assert_eq!(most, usize::from(HOSTS) + 1);
+}
