Test a job that is submitted again after its removal was lost

Class: a final decision on a view of unknown age. A record that was removed while the watch was away, with the history gone, stays in the index for good, submit() answers "accepted already" from the index, and reads answer for a job without results.

--- a/crates/oleander-worklist/tests/manager/main.rs
+++ b/crates/oleander-worklist/tests/manager/main.rs
@@ -2,6 +2,7 @@
 
 mod ends;
 mod fixture;
+mod forgotten;
 mod odd_records;
 mod routes;
 mod sizes;
