Keep what a host has earned of a target's rate while it is not among its senders

What callers saw: a target that has named a rate may get no request for as long as the set of hosts that share its rate changes more often than the interval (4 s for a rate of one a second), and then nobody learns that it names no rate any more.

Cause: each change of a share, also from and back to Nothing, another count of senders or another rate, began a wait of a whole interval.

Evidence: a_share_that_goes_and_comes_back_is_used, red on: a share in force for every other quarter of its interval let 0 requests through in ten intervals; expected 4 to 5.

Fix: the part of the next request that a host has earned stays while its share is Nothing and scales to the next interval. It earns nothing meanwhile, so that hosts with the same view together earn just the rate.

Hosts whose views differ for a moment were not tried beyond limits.

--- a/crates/oleander-routing/src/router/rate.rs
+++ b/crates/oleander-routing/src/router/rate.rs
@@ -12,6 +12,9 @@
 /// A batch item starts after the share was unused for its interval divided by this.
 const BATCH_DELAY_DIVISOR: u64 = 2;
 
+/// One request, in the unit of what is earned of it.
+const WHOLE_REQUEST: u64 = 1_000_000;
+
 /// This host's share of the rate that a target takes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RateShare {
@@ -32,16 +35,30 @@
     share: RateShare,
     /// When the next request is due if they are sent at the interval.
     next: Time,
+    /// Part of the next request that was earned before the share became nothing, in millionths.
+    earned: u64,
 }
 
 impl RateLimit {
-    /// A share from `now` on, of which nothing is saved.
-    fn new(now: Time, share: RateShare) -> Self {
+    /// A share from `now` on, of which a part of one request was earned, in millionths.
+    fn new(now: Time, share: RateShare, earned: u64) -> Self {
         let next = match share {
-            RateShare::Paced { interval, tolerance } => now + interval + tolerance,
+            RateShare::Paced { interval, tolerance } => {
+                let missing = WHOLE_REQUEST - earned;
+                now + Span(interval.0.saturating_mul(missing) / WHOLE_REQUEST) + tolerance
+            }
             RateShare::Nothing => now,
         };
-        Self { share, next }
+        Self { share, next, earned }
+    }
+
+    /// Part of the next request that is earned, in millionths; hosts that share a rate together
+    /// earn no more than it allows, also while their number changes.
+    fn earned(&self, now: Time) -> u64 {
+        let RateShare::Paced { interval, tolerance } = self.share else { return self.earned };
+        let due = Time(self.next.0.saturating_sub(tolerance.0));
+        let missing = due.since(now).0.min(interval.0);
+        WHOLE_REQUEST - missing.saturating_mul(WHOLE_REQUEST) / interval.0.max(1)
     }
 
     /// When the next request of a class may be sent; `None` if none may.
@@ -73,14 +90,16 @@
 impl Router {
     /// Sets this host's share of the rate that a target takes; `None` if it names no rate.
     ///
-    /// A share begins with a wait of one interval.
+    /// The first share begins with a wait of one interval; a later one with what is left of it, as
+    /// the hosts that share a rate may come and go within each interval.
     pub fn set_rate_share(&mut self, now: Time, target: &TargetId, share: Option<RateShare>) {
         self.advance(now);
         let Some(backend) = self.backend_mut(target) else { return };
         if backend.rate.map(|rate| rate.share) == share {
             return;
         }
-        backend.rate = share.map(|share| RateLimit::new(now, share));
+        let earned = backend.rate.map_or(0, |rate| rate.earned(now));
+        backend.rate = share.map(|share| RateLimit::new(now, share, earned));
     }
 
     /// Whether the rate that the target takes permits a request now.
--- a/crates/oleander-routing/tests/rate_shares.rs
+++ b/crates/oleander-routing/tests/rate_shares.rs
@@ -4,6 +4,7 @@
 use oleander_routing::{
     Class, Decision, Observation, Pick, RateShare, Router, RouterConfig, Target,
 };
+use quickcheck::{Gen, QuickCheck};
 
 const INTERVAL: Span = Span::from_millis(500);
 const PACED: RateShare = RateShare::Paced { interval: INTERVAL, tolerance: Span::ZERO };
@@ -164,3 +165,80 @@
     let refused = decisions.filter(|decision| matches!(decision, Decision::Refuse { .. })).count();
     assert!(refused >= 150, "{refused} of 200");
 }
+
+/// Sends a request if the router lets it; returns whether it did.
+fn send_now(router: &mut Router, now: Time) -> bool {
+    let pick = Pick::online(router.ticket()).deadline(now + Span::from_millis(1));
+    let Decision::Send { lease, .. } = router.pick(now, &pick) else { return false };
+    router.observe(now, lease, Observation::Done);
+    true
+}
+
+/// Guards against a target that nobody asks while the hosts that share its rate come and go.
+#[test]
+fn a_share_that_goes_and_comes_back_is_used() {
+    let mut router = router(&["a"]);
+    let step = INTERVAL.0 / 4;
+    let shares = [PACED, RateShare::Nothing].into_iter().cycle();
+    let mut sends = 0;
+    for (step_end, share) in (0..40).map(|step_number| Time(step_number * step)).zip(shares) {
+        router.set_rate_share(step_end, &id("a"), Some(share));
+        let times = (0..step).step_by(10_000).map(|at| step_end + Span(at));
+        sends += times.filter(|now| send_now(&mut router, *now)).count();
+    }
+    // Present for half of ten intervals.
+    assert!((4..=5).contains(&sends), "{sends}");
+}
+
+const SEED: u64 = 38;
+const CASES: u64 = 300;
+const HOSTS: usize = 6;
+/// Steps of 10 ms in a case.
+const STEPS: u64 = 2_000;
+const STEP: Span = Span::from_millis(10);
+/// Requests that may reach a target at one moment after a time without any.
+const BURST: u64 = 5;
+
+/// Share of each of `count` hosts in a rate of one request in [`INTERVAL`].
+fn share_of(count: u64) -> RateShare {
+    let tolerance = INTERVAL * BURST.saturating_sub(count);
+    RateShare::Paced { interval: INTERVAL * count, tolerance }
+}
+
+/// Hosts whose set of senders changes together send no more than the rate and its burst.
+#[test]
+fn hosts_that_come_and_go_do_not_send_more_than_a_target_takes() {
+    fn check(changes: Vec<u8>) -> bool {
+        let mut routers: Vec<Router> = (0..HOSTS).map(|_| router(&["a"])).collect();
+        let mut sent: Vec<Time> = Vec::new();
+        let every = 1 + STEPS / (changes.len() as u64 + 1);
+        for step in 0..STEPS {
+            let now = Time(0) + STEP * step;
+            if step.is_multiple_of(every) {
+                let senders = changes.get((step / every) as usize).copied().unwrap_or(1);
+                let senders = if senders % 64 == 0 { 1 } else { senders };
+                let count = (0..HOSTS).filter(|host| senders >> host & 1 == 1).count() as u64;
+                for (host, router) in routers.iter_mut().enumerate() {
+                    let is_sender = senders >> host & 1 == 1;
+                    let share = if is_sender { share_of(count) } else { RateShare::Nothing };
+                    router.set_rate_share(now, &id("a"), Some(share));
+                }
+            }
+            for router in &mut routers {
+                while send_now(router, now) {
+                    sent.push(now);
+                }
+            }
+        }
+        sent.iter().enumerate().all(|(first, from)| {
+            sent[first..]
+                .iter()
+                .zip(1..)
+                .all(|(to, count)| count <= to.since(*from).0 / INTERVAL.0 + BURST + HOSTS as u64)
+        })
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(60, SEED))
+        .tests(CASES)
+        .quickcheck(check as fn(Vec<u8>) -> bool);
+}
