Test ends of jobs that are acknowledged while their owner takes the platform for out

Class: a final decision on a view of unknown age, in the start lease itself. renew_in_outage takes "the hosts that answer have no path" for "nobody can acknowledge an end". In the first test a host has written the end before the outage and acknowledges it in the outage, as 2 s have lapsed, although the owner has answered that it can't read the record that changed. In the second, is_platform_out asks three hosts (MAX_PROXIES), which the platform turns away, and a fourth one reaches it.

--- a/crates/oleander-worklist/tests/manager/main.rs
+++ b/crates/oleander-worklist/tests/manager/main.rs
@@ -4,6 +4,7 @@
 mod fixture;
 mod forgotten;
 mod odd_records;
+mod outage_ends;
 mod routes;
 mod sizes;
 
--- /dev/null
+++ b/crates/oleander-worklist/tests/manager/outage_ends.rs
@@ -0,0 +1,164 @@
+//! Ends of jobs just before an outage of the platform, at hosts with real links.
+
+use std::{
+    net::{Ipv4Addr, SocketAddr, TcpListener},
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
+
+use http::HeaderName;
+use oleander_cluster::{Cluster, FailoverStore, HostRecord, join};
+use oleander_core::{Time, hash};
+use oleander_host::clock;
+use oleander_link::Server;
+use oleander_members::MemberRole;
+use oleander_platform::{MemoryFaults, MemoryPlatform};
+use oleander_relay::{Pools, Relay, RouteTable, TargetEntry, TargetList};
+use oleander_worklist::{JobManager, JobManagerConfig, JobPhase, JobStore};
+use tokio::task::JoinSet;
+
+use crate::fixture::{
+    CALL_LATENCY, EchoTargets, SlowStore, host, job, route, submission_with, wait_until_ready, zone,
+};
+
+/// Time from the acknowledgement of an end after which no item of the job may reach a target.
+const END_BOUND: Duration = Duration::from_secs(3);
+/// Time for which targets are watched, and in which hosts get to know each other.
+const WATCHED: Duration = Duration::from_secs(2);
+const ITEM_TIME: Duration = Duration::from_millis(150);
+const ITEMS: u32 = 400;
+
+struct Linked {
+    manager: Arc<JobManager<SlowStore, EchoTargets>>,
+    targets: Arc<EchoTargets>,
+    store: SlowStore,
+    _server: Server,
+    _tasks: JoinSet<()>,
+}
+
+fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a free port");
+    listener.local_addr().expect("bound")
+}
+
+fn targets() -> TargetList {
+    let mut list = TargetList::default();
+    list.upsert(TargetEntry {
+        id: "engine-1".parse().expect("name of a target"),
+        service: "llm".parse().expect("name of a service"),
+        address: ([127, 0, 0, 1], 1).into(),
+        zone: zone(),
+        version: "v1".parse().expect("version"),
+        slots: 8,
+        leaving: false,
+        started_at: None,
+    });
+    list
+}
+
+async fn start(name: &str, store: &MemoryPlatform) -> Linked {
+    let record = HostRecord {
+        host: host(name),
+        zone: zone(),
+        role: MemberRole::Entry,
+        link: free_address(),
+        callers: None,
+        started: Time(clock::now().0),
+    };
+    let (key, local) = join(store, record).await;
+    let (pools, yields) = Pools::new(host(name), zone(), 1);
+    pools.update_targets(&targets());
+    let pools = Arc::new(pools);
+    let targets = Arc::new(EchoTargets::default());
+    *targets.delay.lock() = ITEM_TIME;
+    let relay = Arc::new(Relay::new(Arc::clone(&pools), Arc::clone(&targets)));
+    relay.set_table(RouteTable::new(1, vec![route()]));
+    let cluster = Cluster::new(local, key, pools);
+    let id_header = HeaderName::from_static("x-id");
+    let config = JobManagerConfig { id_header, object_bytes: 1 << 20, loaded_bytes: 1 << 20 };
+    let slow = SlowStore::new(store.clone());
+    let manager = JobManager::new(config, slow.clone(), relay, Arc::clone(&cluster));
+    let failover = FailoverStore::<_, Cluster>::new(slow.clone());
+    let server = cluster.serve(Arc::clone(&manager), failover).expect("a free address");
+    let mut tasks = JoinSet::new();
+    tasks.spawn(Arc::clone(&cluster).follow_records(slow.clone()));
+    tasks.spawn(Arc::clone(&cluster).run_probes());
+    tasks.spawn(Arc::clone(&manager).follow_jobs());
+    tasks.spawn(Arc::clone(&manager).dispatch());
+    tasks.spawn(Arc::clone(&manager).handle_yields(yields));
+    wait_until_ready(&manager).await;
+    Linked { manager, targets, store: slow, _server: server, _tasks: tasks }
+}
+
+impl Linked {
+    /// Starts the job at this host, whose watch is lost then.
+    async fn run_job(&self) {
+        let submitted = self.manager.submit(submission_with("job-1", ITEMS, 1), &route()).await;
+        assert_eq!(submitted, Ok(()));
+        tokio::time::sleep(WATCHED).await;
+        assert!(self.targets.requests.load(Ordering::Relaxed) > 0, "no item runs before the end");
+        self.store.watch_blocked.store(true, Ordering::Relaxed);
+        // The watch in progress ends.
+        tokio::time::sleep(WATCHED * 2).await;
+    }
+
+    /// Checks that no item reaches a target later than the bound after an end.
+    async fn stays_stopped(&self) {
+        tokio::time::sleep(END_BOUND).await;
+        let before = self.targets.requests.load(Ordering::Relaxed);
+        tokio::time::sleep(WATCHED).await;
+        let late = self.targets.requests.load(Ordering::Relaxed) - before;
+        assert_eq!(late, 0, "items reached targets later than {END_BOUND:?} after the end");
+    }
+}
+
+/// Begins an outage as soon as the job's end is written.
+async fn begin_outage_after_the_end(store: MemoryPlatform) {
+    let jobs = JobStore::new(store.clone());
+    loop {
+        let (_, record) = jobs.record(&job()).await.expect("up").expect("accepted");
+        if record.phase == JobPhase::Cancelled {
+            break;
+        }
+        tokio::time::sleep(CALL_LATENCY / 10).await;
+    }
+    store.set_faults(MemoryFaults { down: true, ..MemoryFaults::default() });
+}
+
+/// Guards against an owner that goes on in an outage, since no host can write an end meanwhile, while
+/// one that has written it just before acknowledges it.
+#[tokio::test]
+async fn items_do_not_start_after_an_end_that_was_written_just_before_an_outage() {
+    let store = MemoryPlatform::new();
+    let owner = start("entry-1", &store).await;
+    let other = start("entry-2", &store).await;
+    tokio::time::sleep(WATCHED).await;
+    owner.run_job().await;
+    let outage = tokio::spawn(begin_outage_after_the_end(store.clone()));
+    assert_eq!(other.manager.cancel(&job()).await, Ok(true));
+    outage.await.expect("an outage");
+    owner.stays_stopped().await;
+}
+
+/// Guards against an owner that takes the platform for out since a few hosts don't reach it, while
+/// another one does and acknowledges an end.
+#[tokio::test]
+async fn items_do_not_start_after_an_end_at_a_host_that_alone_reaches_the_platform() {
+    let store = MemoryPlatform::new();
+    let owner = start("entry-1", &store).await;
+    let mut names: Vec<String> = (2..=6).map(|number| format!("entry-{number}")).collect();
+    // The order in which the owner asks hosts for the platform.
+    names.sort_by_key(|name| hash::hash_parts(&["entry-1", name]));
+    let mut others = Vec::new();
+    for name in &names {
+        others.push(start(name, &store).await);
+    }
+    let last = others.pop().expect("a host");
+    tokio::time::sleep(WATCHED).await;
+    owner.run_job().await;
+    for cut in others.iter().chain([&owner]) {
+        cut.store.read_refused.store(true, Ordering::Relaxed);
+    }
+    assert_eq!(last.manager.cancel(&job()).await, Ok(true));
+    owner.stays_stopped().await;
+}
