--- a/crates/oleander-worklist/tests/manager/main.rs
+++ b/crates/oleander-worklist/tests/manager/main.rs
@@ -2,7 +2,9 @@
 
 mod ends;
 mod fixture;
+mod forgotten;
 mod odd_records;
+mod outage_ends;
 mod routes;
 mod sizes;
 
