--- a/crates/oleander-cluster/src/cluster.rs
+++ b/crates/oleander-cluster/src/cluster.rs
@@ -22,6 +22,7 @@
 use oleander_relay::Pools;
 use parking_lot::{Mutex, RwLock};
 use serde::{Serialize, de::DeserializeOwned};
+use tokio::sync;
 
 pub use self::hosts::Liveness;
 pub(crate) use self::hosts::PossiblePeer;
@@ -67,6 +68,8 @@
     pub(crate) zone_load: Mutex<ZoneLoad>,
     /// End of the time for which this host watches the platform directly.
     pub(crate) direct_until: Mutex<Time>,
+    /// Whether the platform was out for all hosts, and when they were asked.
+    pub(crate) platform_out: sync::Mutex<Option<(Time, bool)>>,
     records: RwLock<BTreeMap<HostId, HostRecord>>,
     leaving: AtomicBool,
     pub(crate) disconnected: Mutex<DisconnectedHosts>,
@@ -90,6 +93,7 @@
             members: Mutex::new(Members::new(config, profile, seed)),
             zone_load: Mutex::default(),
             direct_until: Mutex::new(Time(0)),
+            platform_out: sync::Mutex::default(),
             records: RwLock::default(),
             leaving: AtomicBool::new(false),
             disconnected: Mutex::default(),
--- a/crates/oleander-cluster/src/cluster/hosts.rs
+++ b/crates/oleander-cluster/src/cluster/hosts.rs
@@ -117,10 +117,16 @@
         live
     }
 
-    /// Whether any other host is listed or has been heard of.
-    pub(crate) fn has_other_hosts(&self) -> bool {
-        let is_listed = self.records.read().keys().any(|host| *host != self.local.host);
-        is_listed || self.members.lock().view().next().is_some()
+    /// Number of entry hosts that are listed or have been heard of, with this one.
+    pub(crate) fn entry_host_count(&self) -> usize {
+        let is_other =
+            |host: &HostId, role: MemberRole| role == MemberRole::Entry && *host != self.local.host;
+        let records = self.records.read();
+        let listed = records.values().filter(|record| is_other(&record.host, record.role)).count();
+        drop(records);
+        let members = self.members.lock();
+        let heard = members.view().filter(|view| is_other(&view.profile.host, view.profile.role));
+        1 + listed.max(heard.count())
     }
 
     /// Whether `host` is listed in this host's data centre.
--- a/crates/oleander-cluster/src/fallback.rs
+++ b/crates/oleander-cluster/src/fallback.rs
@@ -4,11 +4,13 @@
 
 use oleander_core::{HostId, Revision, Span, hash};
 use oleander_host::clock;
+use oleander_link::Link;
 use oleander_members::{MemberRole, MemberState};
 use oleander_platform::Changes;
+use tokio::task::JoinSet;
 
 use crate::{
-    cluster::Cluster,
+    cluster::{Cluster, PossiblePeer},
     failover::{FALLBACK_TIMEOUT, StoreFallback, StoreRequest, StoreResponse},
     feed::{Feeder, MAX_FEED_WAIT, select_feeder},
     message::{PeerRequest, PeerResponse},
@@ -19,6 +21,10 @@
 const FEED_MARGIN: Duration = Duration::from_millis(400);
 /// Time for which a host watches the platform directly after a failure of its feeder.
 const DIRECT_WATCH_TIME: Span = Span::from_secs(3);
+/// Time for a host to say whether it reaches the platform.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time for which the answers of all hosts are taken for news.
+const REPORT_AGE: Span = Span::from_millis(500);
 /// Maximum number of hosts through which a platform request is tried.
 const MAX_PROXIES: usize = 3;
 
@@ -55,27 +61,65 @@
     }
 }
 
+/// What a host says of its path to the platform.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum PathReport {
+    Works,
+    Fails,
+    /// It doesn't answer, or doesn't know.
+    Unknown,
+}
+
 impl Cluster {
-    /// Whether this host is not alone without a path to the platform: all hosts that answer say that
-    /// they have none either, or there is no other host.
+    /// Whether the platform is out for all hosts: more than half of the listed entry hosts, this one
+    /// included, say that they have no path to it, and none says that it has one.
+    ///
+    /// Fewer hosts may be beyond a partition, with the platform on the other side. Hosts are asked at
+    /// most once per [`REPORT_AGE`].
     pub async fn is_platform_out(&self) -> bool {
-        let proxies = self.proxies();
-        if proxies.is_empty() {
-            return !self.has_other_hosts();
+        let mut known = self.platform_out.lock().await;
+        let now = clock::steady();
+        if let Some((asked, is_out)) = *known
+            && now.since(asked) < REPORT_AGE
+        {
+            return is_out;
         }
-        let mut is_out = false;
-        let key = HostRecord::key(&self.local.host);
-        let request: PeerRequest<()> = PeerRequest::Store(StoreRequest::Get(key));
-        for address in proxies {
-            let response = self.link.call(&address.to_string(), &request, FALLBACK_TIMEOUT).await;
-            match response {
-                Ok(PeerResponse::<()>::Store(StoreResponse::Refused(_))) => is_out = true,
-                Ok(_) => return false,
-                Err(error) => log::debug!(address:% = address, error:% = error;
-                    "host did not say whether it reaches the platform"),
+        let is_out = self.ask_for_paths().await;
+        *known = Some((now, is_out));
+        is_out
+    }
+
+    async fn ask_for_paths(&self) -> bool {
+        let mut asked = JoinSet::new();
+        for peer in self.possible_peers() {
+            let (link, key) = (self.link.clone(), HostRecord::key(&self.local.host));
+            asked.spawn(async move { path_of(&link, peer, key).await });
+        }
+        let mut failing = 1;
+        while let Some(report) = asked.join_next().await {
+            match report {
+                Ok(PathReport::Works) => return false,
+                Ok(PathReport::Fails) => failing += 1,
+                Ok(PathReport::Unknown) => {}
+                Err(error) => log::error!(error:% = error; "a host was not asked for its path"),
             }
         }
-        is_out
+        failing * 2 > self.entry_host_count()
+    }
+}
+
+async fn path_of(link: &Link, peer: PossiblePeer, key: String) -> PathReport {
+    let request: PeerRequest<()> = PeerRequest::Store(StoreRequest::Get(key));
+    let response = link.call(&peer.address.to_string(), &request, REPORT_TIMEOUT).await;
+    match response {
+        Ok(PeerResponse::<()>::Store(StoreResponse::Refused(_))) => PathReport::Fails,
+        Ok(PeerResponse::Store(StoreResponse::Unknown(_))) => PathReport::Unknown,
+        Ok(_) => PathReport::Works,
+        Err(error) => {
+            log::debug!(host:% = peer.host, error:% = error;
+                "host did not say whether it reaches the platform");
+            PathReport::Unknown
+        }
     }
 }
 
