Do not take jobs from a later process of the own host

Cause: `liveness` took every other process of the own host for ended, also a later one. An earlier process that still ran took the jobs of the later one, which took them back, each about once a second; neither committed a result, and items ran again and again. Class: a final decision on a view of unknown age.

Evidence: a_job_is_done_while_an_earlier_process_of_its_host_still_runs, red before: "assertion `left == right` failed: 319 runs" of 80 items within 10 s.

Fix: only processes that started before this one count as ended, as for all other hosts.

--- a/crates/oleander-cluster/src/cluster/hosts.rs
+++ b/crates/oleander-cluster/src/cluster/hosts.rs
@@ -67,7 +67,8 @@
     #[must_use]
     pub fn liveness(&self, host: &HostId, started: Time) -> Liveness {
         if *host == self.local.host {
-            return if started == self.local.started { Liveness::Live } else { Liveness::Ended };
+            // A later process may run beside this one.
+            return if started < self.local.started { Liveness::Ended } else { Liveness::Live };
         }
         let members = self.members.lock();
         let records = self.records.read();
--- a/crates/oleander-worklist/tests/ends/single.rs
+++ b/crates/oleander-worklist/tests/ends/single.rs
@@ -16,6 +16,9 @@
 const END_BOUND: Duration = Duration::from_secs(3);
 const WATCHED: Duration = Duration::from_secs(1);
 const ITEMS: u32 = 2_000;
+const KEPT_ITEMS: u32 = 80;
+/// Time in which these items are done.
+const DONE: Duration = Duration::from_secs(10);
 const OWNER: usize = 0;
 /// Time in which an end is acknowledged.
 const ACKNOWLEDGED: Duration = Duration::from_secs(10);
@@ -93,3 +96,16 @@
     let count = starts.iter().filter(|start| start.at > from).count();
     assert!(count > 20, "{count} items start in an outage");
 }
+
+/// Two processes of one host took the job from each other, and neither committed a result.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_job_is_done_while_an_earlier_process_of_its_host_still_runs() {
+    let mut fleet = Fleet::start(1).await;
+    fleet.start_host(OWNER).await;
+    let kept = job("kept");
+    sleep(WATCHED * 4).await;
+    fleet.host(OWNER).submit(submission("kept", KEPT_ITEMS)).await;
+    let done = fleet.wait_for_results(&kept, KEPT_ITEMS as usize);
+    let done = timeout(DONE, done).await;
+    assert_eq!(done, Ok(KEPT_ITEMS as usize), "{} runs", fleet.starts_of(&kept).len());
+}
