--- a/crates/oleander-cluster/src/cluster/hosts.rs
+++ b/crates/oleander-cluster/src/cluster/hosts.rs
@@ -1,6 +1,6 @@
 //! What this host knows of the others: which serve callers, and which are live.
 
-use std::{collections::BTreeSet, net::SocketAddr};
+use std::net::SocketAddr;
 
 use oleander_core::{HostId, Span, Time, ZoneId};
 use oleander_host::clock;
@@ -87,7 +87,8 @@
     #[must_use]
     pub fn liveness(&self, host: &HostId, started: Time) -> Liveness {
         if *host == self.local.host {
-            return if started == self.local.started { Liveness::Live } else { Liveness::Ended };
+            // A later process may run beside this one.
+            return if started < self.local.started { Liveness::Ended } else { Liveness::Live };
         }
         let members = self.members.lock();
         let records = self.records.read();
@@ -137,17 +138,16 @@
         live
     }
 
-    /// Data centres of the other hosts that are listed.
-    pub(crate) fn other_zones(&self) -> BTreeSet<ZoneId> {
+    /// Number of entry hosts that are listed or have been heard of, with this one.
+    pub(crate) fn entry_host_count(&self) -> usize {
+        let is_other =
+            |host: &HostId, role: MemberRole| role == MemberRole::Entry && *host != self.local.host;
         let records = self.records.read();
-        let others = records.values().filter(|record| record.host != self.local.host);
-        others.map(|record| record.zone.clone()).collect()
-    }
-
-    /// Whether any other host is listed or has been heard of.
-    pub(crate) fn has_other_hosts(&self) -> bool {
-        let is_listed = self.records.read().keys().any(|host| *host != self.local.host);
-        is_listed || self.members.lock().view().next().is_some()
+        let listed = records.values().filter(|record| is_other(&record.host, record.role)).count();
+        drop(records);
+        let members = self.members.lock();
+        let heard = members.view().filter(|view| is_other(&view.profile.host, view.profile.role));
+        1 + listed.max(heard.count())
     }
 
     /// Whether `host` is listed in this host's data centre.
--- a/crates/oleander-cluster/src/fallback.rs
+++ b/crates/oleander-cluster/src/fallback.rs
@@ -1,15 +1,16 @@
 //! Platform requests through other hosts, and watches of a feeder.
 
-use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, time::Duration};
 
-use futures_util::future;
-use oleander_core::{HostId, Revision, Span, ZoneId, hash};
+use oleander_core::{HostId, Revision, Span, hash};
 use oleander_host::clock;
+use oleander_link::Link;
 use oleander_members::{MemberRole, MemberState};
 use oleander_platform::Changes;
+use tokio::task::JoinSet;
 
 use crate::{
-    cluster::Cluster,
+    cluster::{Cluster, PossiblePeer},
     failover::{FALLBACK_TIMEOUT, StoreFallback, StoreRequest, StoreResponse},
     feed::{Feeder, MAX_FEED_WAIT, select_feeder},
     message::{PeerRequest, PeerResponse},
@@ -20,10 +21,10 @@
 const FEED_MARGIN: Duration = Duration::from_millis(400);
 /// Time for which a host watches the platform directly after a failure of its feeder.
 const DIRECT_WATCH_TIME: Span = Span::from_secs(3);
-/// Number of hosts in each data centre that are asked whether they reach the platform.
-const WITNESSES_PER_ZONE: usize = 2;
-/// Timeout for asking a host whether it reaches the platform.
-const WITNESS_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time for a host to say whether it reaches the platform.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time for which the answers of all hosts are taken for news.
+const REPORT_AGE: Span = Span::from_millis(500);
 /// Maximum number of hosts through which a platform request is tried.
 const MAX_PROXIES: usize = 3;
 
@@ -60,48 +61,64 @@
     }
 }
 
+/// What a host says of its path to the platform.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum PathReport {
+    Works,
+    Fails,
+    /// It doesn't answer, or doesn't know.
+    Unknown,
+}
+
 impl Cluster {
-    /// Whether no other host reaches the platform either: some hosts of each data centre say so, or
-    /// there is no other host. One that doesn't answer may reach it.
+    /// Whether the platform is out for all hosts: more than half of the listed entry hosts, this one
+    /// included, say that they have no path to it, and none says that it has one.
+    ///
+    /// Fewer hosts may be beyond a partition, with the platform on the other side. Hosts are asked at
+    /// most once per [`REPORT_AGE`].
     pub async fn is_platform_out(&self) -> bool {
-        if !self.has_other_hosts() {
-            return true;
+        let mut known = self.platform_out.lock().await;
+        let now = clock::steady();
+        if let Some((asked, is_out)) = *known
+            && now.since(asked) < REPORT_AGE
+        {
+            return is_out;
         }
-        let Some(witnesses) = self.witnesses() else { return false };
-        let answers = witnesses.iter().map(|address| self.says_platform_is_out(*address));
-        let answers = future::join_all(answers).await;
-        answers.into_iter().all(|is_out| is_out)
+        let is_out = self.ask_for_paths().await;
+        *known = Some((now, is_out));
+        is_out
     }
 
-    /// Hosts that know whether the platform is reached, some of each data centre; `None` if there is
-    /// a data centre without any that is live.
-    fn witnesses(&self) -> Option<Vec<SocketAddr>> {
-        let mut peers = self.peers();
-        peers.sort_by_key(|(host, _, _)| {
-            hash::hash_parts(&[self.local.host.as_str(), host.as_str()])
-        });
-        let mut zones: BTreeMap<ZoneId, usize> =
-            self.other_zones().into_iter().map(|zone| (zone, 0)).collect();
-        peers.retain(|(_, zone, _)| {
-            let count = zones.entry(zone.clone()).or_default();
-            *count += 1;
-            *count <= WITNESSES_PER_ZONE
-        });
-        let is_complete = zones.values().all(|count| *count > 0);
-        is_complete.then(|| peers.into_iter().map(|(_, _, address)| address).collect())
+    async fn ask_for_paths(&self) -> bool {
+        let mut asked = JoinSet::new();
+        for peer in self.possible_peers() {
+            let (link, key) = (self.link.clone(), HostRecord::key(&self.local.host));
+            asked.spawn(async move { path_of(&link, peer, key).await });
+        }
+        let mut failing = 1;
+        while let Some(report) = asked.join_next().await {
+            match report {
+                Ok(PathReport::Works) => return false,
+                Ok(PathReport::Fails) => failing += 1,
+                Ok(PathReport::Unknown) => {}
+                Err(error) => log::error!(error:% = error; "a host was not asked for its path"),
+            }
+        }
+        failing * 2 > self.entry_host_count()
     }
+}
 
-    async fn says_platform_is_out(&self, address: SocketAddr) -> bool {
-        let key = HostRecord::key(&self.local.host);
-        let request: PeerRequest<()> = PeerRequest::Store(StoreRequest::Get(key));
-        match self.link.call(&address.to_string(), &request, WITNESS_TIMEOUT).await {
-            Ok(PeerResponse::<()>::Store(StoreResponse::Refused(_))) => true,
-            Ok(_) => false,
-            Err(error) => {
-                log::debug!(address:% = address, error:% = error;
-                    "host did not say whether it reaches the platform");
-                false
-            }
+async fn path_of(link: &Link, peer: PossiblePeer, key: String) -> PathReport {
+    let request: PeerRequest<()> = PeerRequest::Store(StoreRequest::Get(key));
+    let response = link.call(&peer.address.to_string(), &request, REPORT_TIMEOUT).await;
+    match response {
+        Ok(PeerResponse::<()>::Store(StoreResponse::Refused(_))) => PathReport::Fails,
+        Ok(PeerResponse::Store(StoreResponse::Unknown(_))) => PathReport::Unknown,
+        Ok(_) => PathReport::Works,
+        Err(error) => {
+            log::debug!(host:% = peer.host, error:% = error;
+                "host did not say whether it reaches the platform");
+            PathReport::Unknown
         }
     }
 }
