Keep the versions of streams under way in a record that outlives all hosts

Cause: only the memory of hosts held which version began a stream. Class: a fail-over without the state that it needs, which is a permanent rejection (nobody will ever know) of what is an outage.

A host that starts reads that record already.

Why it can't mix versions: a stream counts as begun when its caller gets the head, from which on no other version may begin it; it is named by the id of the attempt, which is used once, and never by its content, which may begin again elsewhere. A response that goes through another host is not recorded. The message is a new variant at the end, the field of the record is optional; an older host that writes the record drops the streams, which are refused then.

--- a/crates/oleander-cluster/src/cluster.rs
+++ b/crates/oleander-cluster/src/cluster.rs
@@ -26,6 +26,7 @@
 pub use self::hosts::Liveness;
 pub(crate) use self::hosts::PossiblePeer;
 use crate::{
+    begun::UnsavedStreams,
     disconnected::DisconnectedHosts,
     failover::FailoverStore,
     message::{PeerRequest, PeerResponse},
@@ -70,6 +71,8 @@
     records: RwLock<BTreeMap<HostId, HostRecord>>,
     leaving: AtomicBool,
     pub(crate) disconnected: Mutex<DisconnectedHosts>,
+    /// Streams that this host is to save.
+    pub(crate) unsaved: Mutex<UnsavedStreams>,
 }
 
 impl Cluster {
@@ -93,6 +96,7 @@
             records: RwLock::default(),
             leaving: AtomicBool::new(false),
             disconnected: Mutex::default(),
+            unsaved: Mutex::default(),
             pools,
             local,
         })
@@ -148,6 +152,10 @@
                         cluster.receive_rates(news);
                         PeerResponse::Noted
                     }
+                    PeerRequest::Begun(begun) => {
+                        cluster.receive_begun(begun);
+                        PeerResponse::Noted
+                    }
                     PeerRequest::StreamVersion(service, stream) => {
                         let answer = cluster.pools.streams.answer(&service, stream);
                         PeerResponse::StreamVersion(answer)
--- a/crates/oleander-cluster/src/cluster/hosts.rs
+++ b/crates/oleander-cluster/src/cluster/hosts.rs
@@ -160,7 +160,7 @@
         self.records.read().contains_key(&self.local.host)
     }
 
-    pub(super) fn address(&self, host: &HostId) -> Option<SocketAddr> {
+    pub(crate) fn address(&self, host: &HostId) -> Option<SocketAddr> {
         let record = self.records.read().get(host).map(|record| record.link);
         record.or_else(|| self.members.lock().address(host))
     }
--- a/crates/oleander-cluster/src/lib.rs
+++ b/crates/oleander-cluster/src/lib.rs
@@ -6,6 +6,7 @@
 //! platform sends its requests through another host ([`FailoverStore`]). [`Directory`] selects the
 //! addresses that callers get.
 
+mod begun;
 mod breaker;
 mod cluster;
 mod directory;
--- a/crates/oleander-cluster/src/message.rs
+++ b/crates/oleander-cluster/src/message.rs
@@ -3,7 +3,7 @@
 use oleander_core::{ServiceId, Time, ZoneId, value};
 use oleander_members::Message;
 use oleander_quarantine::QuarantineNews;
-use oleander_relay::{RateNews, StreamAnswer, StreamId, VersionStreams};
+use oleander_relay::{BegunStreams, RateNews, StreamAnswer, StreamId, VersionStreams};
 use oleander_routing::PeerCount;
 use serde::{Deserialize, Serialize};
 
@@ -68,6 +68,8 @@
     Rates(Vec<ServiceRates>),
     /// Services whose targets the sender does not reach.
     Disconnected(Vec<ServiceId>),
+    /// Streams that callers of the sender have, to be saved by the receiver.
+    Begun(Vec<BegunStreams>),
 }
 
 /// The response to a request; `A` is the application's response type.
--- a/crates/oleander-cluster/tests/support/hosts.rs
+++ b/crates/oleander-cluster/tests/support/hosts.rs
@@ -18,7 +18,7 @@
 use oleander_host::clock;
 use oleander_link::{LinkKey, Server};
 use oleander_members::MemberRole;
-use oleander_platform::{MemoryPlatform, ObjectStore};
+use oleander_platform::{MemoryPlatform, ObjectStore, Updated};
 use oleander_relay::{
     Pools, Relay, Request, RequestSummary, ResponseHead, ResponseSink, RetryPolicy, Route,
     RouteKind, SinkClosed, StreamAnswer, StreamId, StreamQuery, TargetEntry, TargetList,
@@ -294,6 +294,31 @@
         }
     }
 
+    /// Changes the streams in each stored record of versions.
+    pub(crate) async fn change_stored_streams(&self, change: impl Fn(&mut Vec<serde_json::Value>)) {
+        let page = self.store.scan("streamversions/", "").await.expect("up");
+        for (key, object) in page.objects {
+            let mut record: serde_json::Value = serde_json::from_slice(&object.body).expect("JSON");
+            if let Some(streams) = record.get_mut("streams").and_then(|field| field.as_array_mut())
+            {
+                change(streams);
+            }
+            let body = Bytes::from(serde_json::to_vec(&record).expect("encodable"));
+            let updated = self.store.update(&key, body, object.revision).await;
+            assert!(matches!(updated, Ok(Updated::Done(_))), "{updated:?}");
+        }
+    }
+
+    /// Stops all hosts at once and starts them again.
+    pub(crate) async fn restart_all(&mut self) {
+        let all = 0..self.hosts.len();
+        all.clone().for_each(|index| self.kill(index));
+        for index in all {
+            self.start_host(index).await;
+        }
+        self.wait_until_connected().await;
+    }
+
     /// Stops a host without notice.
     pub(crate) fn kill(&mut self, index: usize) {
         self.hosts[index] = None;
--- a/crates/oleander-relay/src/lib.rs
+++ b/crates/oleander-relay/src/lib.rs
@@ -63,7 +63,8 @@
     ChannelSink, Refusal, RefusalReason, ResponseChunks, ResponseSink, SinkClosed, response_channel,
 };
 pub use streams::{
-    ListState, StreamAnswer, StreamId, StreamQuery, StreamRegister, StreamVersions, VersionStreams,
+    BegunStreams, ListState, StreamAnswer, StreamId, StreamQuery, StreamRegister, StreamVersions,
+    VersionStreams,
 };
 pub use summary::RequestSummary;
 pub use table::RouteTable;
--- a/crates/oleander-relay/src/relay.rs
+++ b/crates/oleander-relay/src/relay.rs
@@ -26,6 +26,7 @@
     route::{RetryPolicy, Route},
     sending::{Peeked, Sending},
     sink::ResponseSink,
+    streams::{BegunSink, BegunStream},
     summary::RequestSummary,
     table::RouteTable,
     takeover::{AttemptEnd, Successor, Takeover},
@@ -275,6 +276,7 @@
         sink: &mut S,
     ) -> (AttemptOutcome, Option<Successor<T::Body>>) {
         let versions = self.versions();
+        let begun = self.begun_stream(&lease.target);
         let mut attempt = Attempt {
             request: self.request,
             budget: Some(self.deadline.since(clock::steady())),
@@ -301,6 +303,7 @@
             attempts: &mut self.summary.attempts,
         };
         let target = lease.target.clone();
+        let mut sink = BegunSink::new(sink, &self.relay.pools.streams, begun);
         let dispatch = attempt.dispatch(lease);
         let response = async {
             match sending {
@@ -308,7 +311,7 @@
                 None => self.relay.transport.send(dispatch).await.map(Peeked::unread),
             }
         };
-        let forwarding = forward(lease, response, &mut attempt, &progress, sink);
+        let forwarding = forward(lease, response, &mut attempt, &progress, &mut sink);
         let AttemptEnd { outcome, successor } =
             takeover.watch(&target, forwarding, &progress).await;
         self.head_sent |= progress.head_sent();
@@ -322,6 +325,14 @@
         (outcome, successor)
     }
 
+    /// The stream that an attempt at `target` begins for a caller of this host.
+    fn begun_stream(&self, target: &TargetEntry) -> Option<BegunStream> {
+        let is_own = self.route.is_stream() && !self.origin.is_forwarded;
+        let [stream, _] = self.request.streams();
+        let TargetEntry { service, version, .. } = target.clone();
+        is_own.then_some(BegunStream { service, stream, version })
+    }
+
     async fn finish<S: ResponseSink>(mut self, step: NextStep, sink: &mut S) -> RequestSummary {
         match step {
             NextStep::Done | NextStep::Retry => {}
--- a/crates/oleander-relay/src/streams.rs
+++ b/crates/oleander-relay/src/streams.rs
@@ -12,7 +12,13 @@
 //! there is no other; a list whose age is not known may lack the version that began the stream a
 //! moment ago. Else it asks the others. If none knows the stream, and the service may have had
 //! another version, the stream is refused: without its version it can't go on.
+//!
+//! If all hosts end at once, nobody knows the streams any more. So those whose head has reached the
+//! caller are [taken](StreamVersions::take_begun) to be saved while a service has several versions,
+//! by the attempt only: an id of an attempt is used once, while the same content may begin again at
+//! another version.
 
+mod begun_sink;
 mod register;
 
 use std::{
@@ -34,6 +40,7 @@
     time,
 };
 
+pub(crate) use self::begun_sink::{BegunSink, BegunStream};
 pub use self::register::{ListState, StreamRegister};
 use crate::{
     confirmations::{ConfirmRequests, Confirmations},
@@ -80,6 +87,16 @@
         pub streams: Vec<StreamId>,
     }
 
+    /// Streams of one service that a version has begun, so that no other one can.
+    pub struct BegunStreams {
+        /// The service.
+        pub service: ServiceId,
+        /// The version that began them.
+        pub version: SoftwareVersion,
+        /// Each stream, and the time for which it is kept.
+        pub streams: Vec<(StreamId, Span)>,
+    }
+
     /// What a host knows about the version of a stream.
     pub enum StreamAnswer {
         /// The version that began it.
@@ -174,6 +191,23 @@
         self.announced.notify_one();
     }
 
+    /// Records that the caller got the head of a stream which this host sent to a target.
+    fn record_begun(&self, stream: &BegunStream) {
+        let BegunStream { service, stream, version } = stream;
+        self.register.lock().record_begun(service, *stream, version);
+    }
+
+    /// Takes the streams of services with several versions that have begun since the last time.
+    #[must_use]
+    pub fn take_begun(&self) -> Vec<BegunStreams> {
+        self.register.lock().take_begun(clock::steady())
+    }
+
+    /// Registers begun streams that were saved before all hosts ended.
+    pub fn recall_streams(&self, saved: Vec<BegunStreams>) {
+        self.register.lock().recall_streams(clock::steady(), saved);
+    }
+
     /// The version that began a stream; `None` if it can't be known.
     pub(crate) async fn resolve(
         &self,
--- a/crates/oleander-relay/src/streams/register.rs
+++ b/crates/oleander-relay/src/streams/register.rs
@@ -7,7 +7,7 @@
 
 use oleander_core::{ServiceId, Span, Time};
 
-use super::{StreamAnswer, StreamId, VersionStreams};
+use super::{BegunStreams, StreamAnswer, StreamId, VersionStreams};
 use crate::version::SoftwareVersion;
 
 /// Time for which a stream is kept beyond its deadline, and for which a service must have had a
@@ -51,6 +51,9 @@
     announced: Option<Time>,
     /// Service of a stream that this host sent to a target and has not announced.
     unannounced: Option<ServiceId>,
+    /// Service of a stream whose head a caller got from this host, so that no other version can
+    /// begin it any more; `None` once it is taken to be saved.
+    begun: Option<ServiceId>,
 }
 
 /// The versions of a service's listed targets.
@@ -206,10 +209,61 @@
             expires: deadline.max(now) + RETENTION,
             announced: None,
             unannounced: is_settled.then(|| service.clone()),
+            begun: None,
         };
         self.streams.insert(stream, registered);
     }
 
+    /// Records that the caller got the head of a stream which this host sent to `version`.
+    pub fn record_begun(
+        &mut self,
+        service: &ServiceId,
+        stream: StreamId,
+        version: &SoftwareVersion,
+    ) {
+        let known = self.streams.get_mut(&stream).filter(|known| known.version == *version);
+        if let Some(known) = known {
+            known.begun = Some(service.clone());
+        }
+    }
+
+    /// Takes the streams of services with several versions that have begun since the last time.
+    pub fn take_begun(&mut self, now: Time) -> Vec<BegunStreams> {
+        let mut groups: BTreeMap<_, Vec<_>> = BTreeMap::new();
+        for (stream, known) in &mut self.streams {
+            let services = &self.services;
+            let is_mixed =
+                |service: &ServiceId| services.get(service).is_some_and(|one| one.is_mixed(now));
+            if let Some(service) = known.begun.take_if(|service| is_mixed(service)) {
+                let group = groups.entry((service, known.version.clone())).or_default();
+                // A caller takes its stream up again before its deadline, or not at all.
+                let left = Span(known.expires.since(now).0.saturating_sub(RETENTION.0));
+                group.push((*stream, left));
+            }
+        }
+        let groups = groups.into_iter();
+        groups
+            .map(|((service, version), streams)| BegunStreams { service, version, streams })
+            .collect()
+    }
+
+    /// Registers begun streams that were saved before all hosts ended.
+    pub fn recall_streams(&mut self, now: Time, saved: Vec<BegunStreams>) {
+        for BegunStreams { version, streams, .. } in saved {
+            for (stream, left) in streams {
+                let (version, expires) = (version.clone(), now + left);
+                let recalled = Registered {
+                    version,
+                    expires,
+                    announced: None,
+                    unannounced: None,
+                    begun: None,
+                };
+                self.streams.entry(stream).or_insert(recalled);
+            }
+        }
+    }
+
     /// Takes the streams that other hosts have to know.
     pub fn take_announcements(&mut self, now: Time) -> Vec<VersionStreams> {
         let pending = mem::take(&mut self.pending).into_iter();
@@ -232,7 +286,8 @@
                 }
                 let announced = last.or(Some(sent));
                 let version = version.clone();
-                let registered = Registered { version, expires, announced, unannounced: None };
+                let registered =
+                    Registered { version, expires, announced, unannounced: None, begun: None };
                 self.streams.insert(stream, registered);
             }
         }
--- a/crates/oleander-relay/tests/streams.rs
+++ b/crates/oleander-relay/tests/streams.rs
@@ -3,7 +3,9 @@
 use std::collections::BTreeSet;
 
 use oleander_core::{ServiceId, Span, Time};
-use oleander_relay::{ListState, SoftwareVersion, StreamAnswer, StreamId, StreamRegister};
+use oleander_relay::{
+    BegunStreams, ListState, SoftwareVersion, StreamAnswer, StreamId, StreamRegister,
+};
 
 const START: Time = Time(1_000_000_000);
 /// Longer than any stream is kept.
@@ -202,3 +204,46 @@
     host.record_version(now, &service(), &version("v1"));
     assert_eq!(lookup(&host, START + LONG, 2), Some(version("v1")));
 }
+
+/// Versions and streams that are to be saved now.
+fn saved(host: &mut StreamRegister, now: Time) -> Vec<(SoftwareVersion, Vec<StreamId>)> {
+    let begun = host.take_begun(now).into_iter();
+    let ids = |streams: Vec<(StreamId, Span)>| streams.into_iter().map(|(id, _)| id).collect();
+    begun.map(|begun| (begun.version, ids(begun.streams))).collect()
+}
+
+/// Guards against a stream that is saved with a version that sent no event of it.
+#[test]
+fn a_stream_is_saved_once_and_only_with_the_version_whose_head_its_caller_got() {
+    let mut host = host(&["v1", "v2"], LONG);
+    begin(&mut host, START, 1, "v1");
+    assert_eq!(saved(&mut host, START), []);
+    begin(&mut host, START, 1, "v2");
+    host.record_begun(&service(), stream(1), &version("v1"));
+    assert_eq!(saved(&mut host, START), []);
+    host.record_begun(&service(), stream(1), &version("v2"));
+    assert_eq!(saved(&mut host, START), [(version("v2"), vec![stream(1)])]);
+    assert_eq!(saved(&mut host, START), []);
+}
+
+#[test]
+fn streams_of_a_service_with_one_version_are_saved_when_a_second_one_comes() {
+    let mut host = settled_host("v1");
+    begin(&mut host, START, 1, "v1");
+    host.record_begun(&service(), stream(1), &version("v1"));
+    assert_eq!(saved(&mut host, START), []);
+    let later = START + SECOND;
+    host.set_listed(later, &service(), versions(&["v1", "v2"]), SECOND);
+    assert_eq!(saved(&mut host, later), [(version("v1"), vec![stream(1)])]);
+}
+
+#[test]
+fn what_is_recalled_does_not_replace_what_is_known() {
+    let mut host = host(&["v1", "v2"], LONG);
+    begin(&mut host, START, 1, "v1");
+    let streams = vec![(stream(1), SECOND), (stream(2), SECOND)];
+    let saved = BegunStreams { service: service(), version: version("v2"), streams };
+    host.recall_streams(START, vec![saved]);
+    assert_eq!(lookup(&host, START, 1), Some(version("v1")));
+    assert_eq!(lookup(&host, START, 2), Some(version("v2")));
+}
