Let streams that are taken up again wait for a slot until their deadline

Cause: such a request was queued as a new one. Its latest start was its deadline less the time of a whole request, though the rest of a stream is shorter, or one latency goal from now, though its first event came long ago. Where the queue was longer than that, it was refused without a wait. A stream that goes on within one response has been without a goal all along. Class: a permanent rejection for what time would mend.

Fix: the same holds for a stream whose head an earlier attempt has sent. It waits, at most until its own deadline.

Red before: a_resumed_stream_waits_for_a_slot_until_its_deadline, "left: \"\" right: \"id: 2\ndata: b\n\n\"", refused.

--- a/crates/oleander-relay/src/relay/choice.rs
+++ b/crates/oleander-relay/src/relay/choice.rs
@@ -98,10 +98,11 @@
 
     /// The pick of this request, which may wait for as long as it can still be served.
     ///
-    /// A stream whose head has been sent has no latency goal any more, and may be short.
+    /// A stream whose head has been sent, now or to an earlier attempt, has no latency goal any more,
+    /// and may be short.
     fn pick(&self, now: Time, ticket: TicketId, service_time: Span) -> Pick {
         let pick = Pick::online(ticket).size(self.relay.transport.size(self.request));
-        if self.head_sent {
+        if self.head_sent || self.request.resume_after.is_some() {
             return pick.deadline(self.deadline);
         }
         let (received, goal) = (self.request.received, self.route.latency_goal);
--- a/crates/oleander-relay/tests/versions.rs
+++ b/crates/oleander-relay/tests/versions.rs
@@ -5,10 +5,12 @@
 
 mod support;
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use oleander_core::Span;
-use oleander_relay::{Pools, RefusalReason, Request, RetryPolicy, Route};
+use oleander_host::clock;
+use oleander_relay::{Pools, RefusalReason, Request, RetryPolicy, Route, TargetEntry};
+use tokio::time::sleep;
 
 use crate::support::{
     FIRST, Forwarded, SECOND, Step, forward_for_host, forward_request, forward_to, pools_of,
@@ -126,3 +128,31 @@
     assert_eq!(forwarded.caller.text, FIRST, "{:?}", forwarded.summary);
     assert_eq!(saved(&pools), Vec::<String>::new());
 }
+
+/// Guards against a stream that its caller takes up again, and that is refused while a slot becomes
+/// free in time: what is left of a stream takes less than a whole request, and has no goal any more.
+#[tokio::test]
+async fn a_resumed_stream_waits_for_a_slot_until_its_deadline() {
+    let target = TargetEntry { slots: 1, ..target_of(1, "v1") };
+    let pools = pools_of(vec![target]);
+    let long = Duration::from_millis(900);
+    let whole = || Step::complete(&[FIRST]).delayed(long);
+    let route = || route(RetryPolicy::Resume, 1);
+    for _ in 0..3 {
+        forward_to(Arc::clone(&pools), route(), vec![whole()]).await;
+    }
+    let holder = forward_to(Arc::clone(&pools), route(), vec![whole()]);
+    let resumed = async {
+        sleep(long / 3).await;
+        let resuming = resuming("request-1");
+        let request = Request {
+            budget: Some(Span::from_secs(1)),
+            received: clock::steady(),
+            ..Request::clone(&resuming)
+        };
+        let steps = vec![Step::complete(&[SECOND])];
+        forward_request(Arc::clone(&pools), Arc::new(request), route(), steps).await
+    };
+    let (_, resumed) = tokio::join!(holder, resumed);
+    assert_eq!(resumed.caller.text, SECOND, "{:?}", resumed.summary);
+}
