--- a/crates/oleander-cluster/src/cluster.rs
+++ b/crates/oleander-cluster/src/cluster.rs
@@ -27,6 +27,7 @@
 pub use self::hosts::Liveness;
 pub(crate) use self::hosts::PossiblePeer;
 use crate::{
+    begun::UnsavedStreams,
     disconnected::DisconnectedHosts,
     failover::FailoverStore,
     message::{PeerRequest, PeerResponse},
@@ -73,6 +74,8 @@
     records: RwLock<BTreeMap<HostId, HostRecord>>,
     leaving: AtomicBool,
     pub(crate) disconnected: Mutex<DisconnectedHosts>,
+    /// Streams that this host is to save.
+    pub(crate) unsaved: Mutex<UnsavedStreams>,
 }
 
 impl Cluster {
@@ -97,6 +100,7 @@
             records: RwLock::default(),
             leaving: AtomicBool::new(false),
             disconnected: Mutex::default(),
+            unsaved: Mutex::default(),
             pools,
             local,
         })
@@ -152,6 +156,10 @@
                         cluster.receive_rates(news);
                         PeerResponse::Noted
                     }
+                    PeerRequest::Begun(begun) => {
+                        cluster.receive_begun(begun);
+                        PeerResponse::Noted
+                    }
                     PeerRequest::StreamVersion(service, stream) => {
                         let answer = cluster.pools.streams.answer(&service, stream);
                         PeerResponse::StreamVersion(answer)
--- a/crates/oleander-relay/tests/versions.rs
+++ b/crates/oleander-relay/tests/versions.rs
@@ -5,14 +5,16 @@
 
 mod support;
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use oleander_core::Span;
-use oleander_relay::{RefusalReason, Request, RetryPolicy, Route};
+use oleander_host::clock;
+use oleander_relay::{Pools, RefusalReason, Request, RetryPolicy, Route, TargetEntry};
+use tokio::time::sleep;
 
 use crate::support::{
-    FIRST, Forwarded, SECOND, Step, forward_request, forward_to, pools_of, resuming, route,
-    target_of,
+    FIRST, Forwarded, SECOND, Step, forward_for_host, forward_request, forward_to, pools_of,
+    request, resuming, route, target_of,
 };
 
 /// The versions to which a request was sent, in order.
@@ -95,3 +97,62 @@
     assert_eq!(versions(&first), versions(&second), "{:?}", second.summary);
     assert_eq!(second.caller.text, SECOND);
 }
+
+/// The versions with which streams are to be saved.
+fn saved(pools: &Pools) -> Vec<String> {
+    pools.streams.take_begun().into_iter().map(|begun| begun.version.to_string()).collect()
+}
+
+/// Guards against a stream that is saved with the version of an attempt that sent nothing.
+#[tokio::test]
+async fn a_stream_is_saved_with_the_version_of_its_events() {
+    for first in [Step::broken(&[]), Step::silent(&[])] {
+        let pools = pools_of(vec![target_of(1, "v1"), target_of(2, "v2")]);
+        let route = Route { timeout: Span::from_secs(1), ..route(RetryPolicy::Resume, 2) };
+        let steps = vec![first, Step::complete(&[FIRST])];
+        let forwarded = forward_to(Arc::clone(&pools), route, steps).await;
+        assert_eq!(forwarded.caller.text, FIRST, "{:?}", forwarded.summary);
+        let versions = versions(&forwarded);
+        assert_ne!(versions[0], versions[1], "{:?}", forwarded.summary);
+        assert_eq!(saved(&pools), versions[1..]);
+    }
+}
+
+/// Guards against a stream that is saved by a host whose response may not reach the caller.
+#[tokio::test]
+async fn a_stream_of_another_host_is_not_saved() {
+    let pools = pools_of(vec![target_of(1, "v1"), target_of(2, "v2")]);
+    let steps = vec![Step::complete(&[FIRST])];
+    let route = route(RetryPolicy::Resume, 2);
+    let forwarded = forward_for_host(Arc::clone(&pools), request(), route, steps).await;
+    assert_eq!(forwarded.caller.text, FIRST, "{:?}", forwarded.summary);
+    assert_eq!(saved(&pools), Vec::<String>::new());
+}
+
+/// Guards against a stream that its caller takes up again, and that is refused while a slot becomes
+/// free in time: what is left of a stream takes less than a whole request, and has no goal any more.
+#[tokio::test]
+async fn a_resumed_stream_waits_for_a_slot_until_its_deadline() {
+    let target = TargetEntry { slots: 1, ..target_of(1, "v1") };
+    let pools = pools_of(vec![target]);
+    let long = Duration::from_millis(900);
+    let whole = || Step::complete(&[FIRST]).delayed(long);
+    let route = || route(RetryPolicy::Resume, 1);
+    for _ in 0..3 {
+        forward_to(Arc::clone(&pools), route(), vec![whole()]).await;
+    }
+    let holder = forward_to(Arc::clone(&pools), route(), vec![whole()]);
+    let resumed = async {
+        sleep(long / 3).await;
+        let resuming = resuming("request-1");
+        let request = Request {
+            budget: Some(Span::from_secs(1)),
+            received: clock::steady(),
+            ..Request::clone(&resuming)
+        };
+        let steps = vec![Step::complete(&[SECOND])];
+        forward_request(Arc::clone(&pools), Arc::new(request), route(), steps).await
+    };
+    let (_, resumed) = tokio::join!(holder, resumed);
+    assert_eq!(resumed.caller.text, SECOND, "{:?}", resumed.summary);
+}
