--- a/crates/oleander-relay/src/streams/begun_sink.rs
+++ b/crates/oleander-relay/src/streams/begun_sink.rs
@@ -49,6 +49,14 @@
         self.sink.chunk(bytes)
     }
 
+    fn held(&self) -> usize {
+        self.sink.held()
+    }
+
+    fn discard(&mut self) {
+        self.sink.discard();
+    }
+
     fn closed(&self) -> impl Future<Output = ()> + Send {
         self.sink.closed()
     }
