Do not open a job again that was ended before its acceptance was confirmed

What callers saw: nothing yet; found by reading and by a new test. A job whose end was acknowledged was open again, and ran, once its host gave its jobs away.

Cause: when the answer to the create of a job's record was lost, `JobStore::accept` read the record, compared the owner only, and returned the revision that it read. If the job had been ended meanwhile, the host indexed its own open record at the revision of the end. No later news of that revision counted, and the next write (give-away, done) at that revision replaced the end. Class: a final decision on a view of unknown age.

Evidence: a_job_that_is_ended_before_it_is_known_as_accepted_is_not_opened_again, red before: "the record is open again".

Fix: only a record that is the one written counts as accepted by this call; one that has changed is left to the watch.

--- a/crates/oleander-worklist/src/store.rs
+++ b/crates/oleander-worklist/src/store.rs
@@ -45,7 +45,8 @@
         Ok(Some((object.revision, decode_value(&object.body)?)))
     }
 
-    /// Accepts a job by creating its record; `Ok(None)` if the id exists already.
+    /// Accepts a job by creating its record; `Ok(None)` if the id exists already, or if the record
+    /// has changed before the answer to the create was known.
     ///
     /// # Errors
     ///
@@ -59,7 +60,7 @@
             Err(error) if error.may_have_written() => {
                 for _ in 0..CONFIRM_READS {
                     if let Ok(Some((revision, stored))) = self.record(&record.job).await {
-                        return Ok((stored.owner == record.owner).then_some(revision));
+                        return Ok((stored == *record).then_some(revision));
                     }
                 }
                 Err(error.into())
--- a/crates/oleander-worklist/tests/ends/fleet.rs
+++ b/crates/oleander-worklist/tests/ends/fleet.rs
@@ -7,7 +7,7 @@
 use oleander_host::clock;
 use oleander_members::MemberRole;
 use oleander_platform::{MemoryPlatform, ObjectStore, Updated};
-use oleander_worklist::Submission;
+use oleander_worklist::{JobPhase, JobStore, Submission};
 use tokio::time::sleep;
 
 use crate::{
@@ -43,6 +43,12 @@
     assert!(matches!(updated, Ok(Updated::Done(_))), "{updated:?}");
 }
 
+/// Whether the job's record says that it has been ended.
+pub(crate) async fn is_ended(platform: &MemoryPlatform, job: &JobId) -> bool {
+    let record = JobStore::new(platform.clone()).record(job).await;
+    record.expect("up").is_some_and(|(_, record)| record.phase == JobPhase::Cancelled)
+}
+
 impl Fleet {
     /// Starts `count` hosts and a feeder, and waits until they know each other.
     pub(crate) async fn start(count: usize) -> Self {
@@ -105,6 +111,11 @@
         starts.iter().filter(|start| start.item.starts_with(&prefix)).cloned().collect()
     }
 
+    /// Whether the job's record says that it has been ended.
+    pub(crate) async fn is_ended(&self, job: &JobId) -> bool {
+        is_ended(&self.platform, job).await
+    }
+
     /// Sets the path of all processes to the platform.
     pub(crate) fn set_paths(&self, path: Path) {
         let processes = self.live().chain(&self.earlier).chain([&self.feeder]);
--- a/crates/oleander-worklist/tests/ends/main.rs
+++ b/crates/oleander-worklist/tests/ends/main.rs
@@ -1,5 +1,6 @@
 //! Ends of jobs at several hosts with real links, while hosts, links and the platform fail.
 
+mod accepting;
 mod draw;
 mod fleet;
 mod jobs;
--- a/crates/oleander-worklist/tests/ends/plays.rs
+++ b/crates/oleander-worklist/tests/ends/plays.rs
@@ -7,13 +7,12 @@
 
 use oleander_core::JobId;
 use oleander_platform::MemoryPlatform;
-use oleander_worklist::{JobPhase, JobStore};
 use parking_lot::Mutex;
 use tokio::time::{sleep, sleep_until};
 
 use crate::{
     draw::Draw,
-    fleet::Fleet,
+    fleet::{self, Fleet},
     jobs::{job, submission},
     process::{ANSWER_LOST, ANSWERED, Ending, MESSAGE_LOST},
     store::{NextWrite, Path},
@@ -309,13 +308,7 @@
 /// Waits until the end has been written, or the call is over.
 async fn wait_for_write(platform: &MemoryPlatform, job: &JobId, cancel: &Ending) {
     let end = Instant::now() + CALL;
-    while !is_ended(platform, job).await && !cancel.is_finished() && Instant::now() < end {
+    while !fleet::is_ended(platform, job).await && !cancel.is_finished() && Instant::now() < end {
         sleep(PAUSE).await;
     }
 }
-
-/// Whether the job's record says that it has been ended.
-async fn is_ended(platform: &MemoryPlatform, job: &JobId) -> bool {
-    let record = JobStore::new(platform.clone()).record(job).await;
-    record.expect("up").is_some_and(|(_, record)| record.phase == JobPhase::Cancelled)
-}
