Tell the owner of an ended job with each acknowledgement

What callers saw: nothing yet; found by reading. In a release with both builds, an owner of an earlier build, which has no lease, heard of an end by its watch only, if a host acknowledged the end that had known it for longer than a lease lasts.

Cause: work without a message: with no lease left to wait for, `wait_until_stopped` returned before it told the owner.

Evidence: an_owner_of_an_earlier_build_is_told_of_an_end_that_is_acknowledged_long_after, red before: "left: 0, right: 1" messages.

Fix: the owner is told once, in a task of its own, also if every lease is over.

--- a/crates/oleander-worklist/src/ending.rs
+++ b/crates/oleander-worklist/src/ending.rs
@@ -104,10 +104,15 @@
             return Stopped::Here;
         }
         let remaining = self.ends.lock().remaining(job, clock::since_boot());
-        let Some(owner) = self.remote_owner(record).filter(|_| remaining > Span::ZERO) else {
+        let Some(owner) = self.remote_owner(record) else {
             time::sleep(remaining.to_duration()).await;
             return Stopped::Lapsed;
         };
+        if remaining == Span::ZERO {
+            // An owner of an earlier build has no lease.
+            self.notify_changed(owner, job.clone());
+            return Stopped::Lapsed;
+        }
         tokio::select! {
             () = self.notify_until_confirmed(&owner, job) => {
                 self.ends.lock().confirm(job);
--- a/crates/oleander-worklist/tests/ends/main.rs
+++ b/crates/oleander-worklist/tests/ends/main.rs
@@ -2,6 +2,7 @@
 
 mod accepting;
 mod draw;
+mod earlier_build;
 mod fleet;
 mod jobs;
 mod plays;
--- a/crates/oleander-worklist/tests/ends/process.rs
+++ b/crates/oleander-worklist/tests/ends/process.rs
@@ -6,7 +6,7 @@
     net::{Ipv4Addr, SocketAddr},
     sync::{
         Arc,
-        atomic::{AtomicU8, AtomicU16, Ordering},
+        atomic::{AtomicU8, AtomicU16, AtomicUsize, Ordering},
     },
     time::Duration,
 };
@@ -42,6 +42,8 @@
 pub(crate) const ANSWERED: u8 = 0;
 pub(crate) const MESSAGE_LOST: u8 = 1;
 pub(crate) const ANSWER_LOST: u8 = 2;
+/// As an earlier build did: answered whatever comes of it.
+pub(crate) const NOTED_UNREAD: u8 = 3;
 /// Time for which a lost message occupies its sender.
 const LOST: Duration = Duration::from_secs(1);
 
@@ -58,6 +60,7 @@
 struct Receiver {
     jobs: Arc<Jobs>,
     loss: Arc<AtomicU8>,
+    told: Arc<AtomicUsize>,
 }
 
 impl Handler<JobRequest, JobResponse> for Receiver {
@@ -67,6 +70,12 @@
             tokio::time::sleep(LOST).await;
             return JobResponse::NotHere;
         }
+        if matches!(request, JobRequest::Changed { .. }) {
+            self.told.fetch_add(1, Ordering::Relaxed);
+            if loss == NOTED_UNREAD {
+                return JobResponse::Noted;
+            }
+        }
         let response = Arc::clone(&self.jobs).handle(peer, request).await;
         if loss == ANSWER_LOST {
             tokio::time::sleep(LOST).await;
@@ -82,6 +91,8 @@
     pub(crate) jobs: Arc<Jobs>,
     pub(crate) path: FaultyStore,
     loss: Arc<AtomicU8>,
+    /// Messages of changed jobs that arrived.
+    pub(crate) told: Arc<AtomicUsize>,
     cluster: Arc<Cluster>,
     store: Store,
     server: Mutex<Option<Server>>,
@@ -156,6 +167,7 @@
             jobs,
             path,
             loss: Arc::default(),
+            told: Arc::default(),
             cluster,
             store,
             server: Mutex::default(),
@@ -177,7 +189,8 @@
             return;
         }
         let jobs = Arc::clone(&self.jobs);
-        let receiver = Arc::new(Receiver { jobs, loss: Arc::clone(&self.loss) });
+        let (loss, told) = (Arc::clone(&self.loss), Arc::clone(&self.told));
+        let receiver = Arc::new(Receiver { jobs, loss, told });
         *server = self.cluster.serve(receiver, self.store.clone()).ok();
         self.store.set_fallback(Arc::clone(&self.cluster));
         *self.probing.lock() = Some(tokio::spawn(Arc::clone(&self.cluster).run_probes()));
