--- a/crates/oleander-worklist/src/ending.rs
+++ b/crates/oleander-worklist/src/ending.rs
@@ -32,7 +32,7 @@
 enum Stopped {
     /// This process was the owner, or there was none.
     Here,
-    /// The owner has confirmed it.
+    /// The owner has confirmed it, or it was known before.
     Confirmed,
     /// Every lease from before the end is over.
     Lapsed,
@@ -71,6 +71,7 @@
                 // An owner may go on in an outage of the platform; then nobody acknowledges an end.
                 self.store.record(job).await?;
             }
+            self.ends.lock().confirm(job);
             let took = clock::steady().since(started);
             log::info!(job:% = job, owner:? = record.owner, stopped:% = stopped,
                 took_ms = took.as_millis(); "end of a job acknowledged");
@@ -106,16 +107,19 @@
         if record.owner.as_ref().is_none_or(|owner| *owner == self.local) {
             return Stopped::Here;
         }
+        let is_confirmed = self.ends.lock().is_confirmed(job);
         let remaining = self.ends.lock().remaining(job, clock::since_boot());
-        let Some(owner) = self.remote_owner(record).filter(|_| remaining > Span::ZERO) else {
+        let Some(owner) = self.remote_owner(record) else {
             time::sleep(remaining.to_duration()).await;
-            return Stopped::Lapsed;
+            return if is_confirmed { Stopped::Confirmed } else { Stopped::Lapsed };
         };
+        if is_confirmed || remaining == Span::ZERO {
+            // An owner of an earlier build has no lease, and is told again.
+            self.notify_changed(owner, job.clone());
+            return if is_confirmed { Stopped::Confirmed } else { Stopped::Lapsed };
+        }
         tokio::select! {
-            () = self.notify_until_confirmed(&owner, job) => {
-                self.ends.lock().confirm(job);
-                Stopped::Confirmed
-            }
+            () = self.notify_until_confirmed(&owner, job) => Stopped::Confirmed,
             () = time::sleep(remaining.to_duration()) => Stopped::Lapsed,
         }
     }
--- a/crates/oleander-worklist/src/ends.rs
+++ b/crates/oleander-worklist/src/ends.rs
@@ -10,18 +10,26 @@
 /// [`since_boot`](oleander_host::clock::since_boot).
 #[derive(Debug, Default)]
 pub(crate) struct JobEnds {
-    known: HashMap<JobId, Time>,
+    /// `None` once the end is confirmed.
+    known: HashMap<JobId, Option<Time>>,
 }
 
 impl JobEnds {
     /// Records that a job has ended, unless that is known.
     pub(crate) fn learn(&mut self, job: &JobId, now: Time) {
-        self.known.entry(job.clone()).or_insert(now);
+        self.known.entry(job.clone()).or_insert(Some(now));
     }
 
-    /// Records that the owner of an ended job has stopped its items.
+    /// Records that no process starts items of an ended job any more.
     pub(crate) fn confirm(&mut self, job: &JobId) {
-        self.known.insert(job.clone(), Time(0));
+        if let Some(known) = self.known.get_mut(job) {
+            *known = None;
+        }
+    }
+
+    /// Whether it is known that no process starts items of an ended job any more.
+    pub(crate) fn is_confirmed(&self, job: &JobId) -> bool {
+        self.known.get(job).is_some_and(Option::is_none)
     }
 
     /// Removes a job.
@@ -31,7 +39,10 @@
 
     /// Time until no process has a lease for the job's items any more.
     pub(crate) fn remaining(&self, job: &JobId, now: Time) -> Span {
-        let known = self.known.get(job).copied().unwrap_or(now);
-        (known + START_LEASE).since(now)
+        match self.known.get(job) {
+            Some(None) => Span::ZERO,
+            Some(Some(known)) => (*known + START_LEASE).since(now),
+            None => START_LEASE,
+        }
     }
 }
--- a/crates/oleander-worklist/src/lease.rs
+++ b/crates/oleander-worklist/src/lease.rs
@@ -12,6 +12,8 @@
 pub(crate) const START_LEASE: Span = Span::from_millis(2_500);
 /// Age of a lease from which it is renewed when an item starts.
 const RENEWAL_AGE: Span = Span::from_millis(1_500);
+/// Time that a read may take to fail on all paths when an outage of the platform begins.
+const OUTAGE_DELAY: Span = Span::from_secs(3);
 
 /// How a job's record reached this process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -64,14 +66,14 @@
         self.revision = self.revision.max(revision);
     }
 
-    /// Extends the lease without a call of the platform, unless it was over at `asked`; returns
-    /// whether it is extended.
+    /// Extends the lease without a call of the platform, unless it has long been over at `asked`;
+    /// returns whether it is extended.
     pub fn extend(&mut self, asked: Time) -> bool {
-        let is_running = self.allows(asked);
-        if is_running {
+        let is_recent = self.age(asked).is_some_and(|age| age < START_LEASE + OUTAGE_DELAY);
+        if is_recent {
             self.confirmed = self.confirmed.max(Some(asked));
         }
-        is_running
+        is_recent
     }
 
     /// Ends the lease until a call of the platform that begins at `now` or later renews it.
--- a/crates/oleander-worklist/src/renewal.rs
+++ b/crates/oleander-worklist/src/renewal.rs
@@ -76,13 +76,14 @@
                 self.remove_job(&job);
                 false
             }
-            Err(fault) => self.renew_in_outage(loaded, asked, &fault).await,
+            Err(fault) => self.renew_in_outage(loaded, &fault).await,
         }
     }
 
     /// Extends the lease of a job whose record can't be read if no other host reaches the platform
     /// either: then none of them can acknowledge the job's end.
-    async fn renew_in_outage(&self, loaded: &LoadedJob, asked: Time, fault: &StoreError) -> bool {
+    async fn renew_in_outage(&self, loaded: &LoadedJob, fault: &StoreError) -> bool {
+        let asked = clock::since_boot();
         let is_outage = self.cluster.is_platform_out().await;
         log::warn!(job:% = loaded.job.lock().record.job, error:% = fault, is_outage;
             "lease of a job can't be renewed by a read");
--- a/crates/oleander-worklist/tests/ends/main.rs
+++ b/crates/oleander-worklist/tests/ends/main.rs
@@ -1,6 +1,8 @@
 //! Ends of jobs at several hosts with real links, while hosts, links and the platform fail.
 
+mod accepting;
 mod draw;
+mod earlier_build;
 mod fleet;
 mod jobs;
 mod plays;
