--- a/crates/oleander-worklist/src/lease.rs
+++ b/crates/oleander-worklist/src/lease.rs
@@ -39,7 +39,8 @@
     }
 }
 
-/// Permission to start items of a job: when the platform last confirmed that this process owns an open job; never, by default.
+/// Permission to start items of a job: when the platform last confirmed that the job is open and
+/// that this process owns it; never, by default.
 ///
 /// Times are on the clock [`since_boot`](oleander_host::clock::since_boot).
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
--- a/crates/oleander-worklist/src/lib.rs
+++ b/crates/oleander-worklist/src/lib.rs
@@ -4,7 +4,8 @@
 //! results form a log of segments, each created under its index, so that the position of a result
 //! never changes, whichever host writes. The record names the owner: the process that runs the
 //! items and answers reads from memory. Ownership only avoids duplicate work; two simultaneous
-//! owners do no harm. All entry hosts follow the records, and so learn of cancelled jobs, of jobs
+//! owners do no harm, since each starts items only under a [`StartLease`] that a read of the record
+//! renews. All entry hosts follow the records, and so learn of cancelled jobs, of jobs
 //! whose owner is gone, and of the tokens that are queued on each route.
 //!
 //! [`Job`], [`JobIndex`] and [`Backlog`] make the decisions, without I/O; [`JobManager`] carries
