Versions: a host that starts takes over from others that a service has had one version

Cause: only a host that has followed one version for 15 s may tell it for any stream, and it announces its streams to nobody. Each restart threw that away, though the next host could have told the one that started; the killed host was the last that knew.

Evidence: a log line with what the conclusion rests on was added first.

Fix: a host that starts asks the others, by the question that all builds know, and takes over that a service has had one version. The record of versions must have been read, and no host may know of another version, so that a list that is out of date is outweighed.

--- a/crates/oleander-cluster/src/lib.rs
+++ b/crates/oleander-cluster/src/lib.rs
@@ -21,6 +21,7 @@
 mod rates;
 mod record;
 mod retirement;
+mod settled;
 mod sharing;
 mod streams;
 mod versions;
--- a/crates/oleander-cluster/src/streams.rs
+++ b/crates/oleander-cluster/src/streams.rs
@@ -73,10 +73,9 @@
             // The other hosts are not known yet.
             return vec![StreamAnswer::Unreached];
         }
-        let request: PeerRequest<()> =
-            PeerRequest::StreamVersion(query.service.clone(), query.stream);
+        let request = PeerRequest::StreamVersion(query.service.clone(), query.stream);
         let peers = self.possible_peers();
-        let calls = peers.iter().map(|peer| self.ask(peer.address, &request));
+        let calls = peers.iter().map(|peer| self.ask_version(peer.address, &request));
         let mut calls: FuturesUnordered<_> = calls.collect();
         let mut answers = Vec::new();
         while let Some(answer) = calls.next().await {
@@ -89,7 +88,12 @@
         answers
     }
 
-    async fn ask(&self, address: SocketAddr, request: &PeerRequest<()>) -> StreamAnswer {
+    /// The answer of one host to a [`PeerRequest::StreamVersion`].
+    pub(crate) async fn ask_version(
+        &self,
+        address: SocketAddr,
+        request: &PeerRequest<()>,
+    ) -> StreamAnswer {
         match self.link.call(&address.to_string(), request, QUERY_TIMEOUT).await {
             Ok(PeerResponse::<()>::StreamVersion(answer)) => answer,
             Ok(_) => StreamAnswer::Unreached,
--- a/crates/oleander-cluster/tests/streams/main.rs
+++ b/crates/oleander-cluster/tests/streams/main.rs
@@ -3,6 +3,7 @@
 mod hosts;
 mod outdated;
 mod power;
+mod restarts;
 #[path = "../support/hosts.rs"]
 mod support;
 
--- a/crates/oleander-cluster/tests/streams/outdated.rs
+++ b/crates/oleander-cluster/tests/streams/outdated.rs
@@ -16,7 +16,7 @@
 };
 
 /// Time after which a service with one version counts as having no other.
-const SETTLE_TIME: Duration = Duration::from_millis(15_500);
+pub(crate) const SETTLE_TIME: Duration = Duration::from_millis(15_500);
 /// Time after which a new version begins streams.
 const NEW_VERSION: Duration = Duration::from_millis(2_300);
 /// The host that begins the streams and then fails.
--- a/crates/oleander-cluster/tests/support/hosts.rs
+++ b/crates/oleander-cluster/tests/support/hosts.rs
@@ -130,6 +130,7 @@
             tokio::spawn(Arc::clone(cluster).share_links()),
             tokio::spawn(Arc::clone(cluster).share_rates()),
             tokio::spawn(Arc::clone(cluster).share_versions(platform.clone())),
+            tokio::spawn(Arc::clone(cluster).inherit_versions()),
             tokio::spawn(Arc::clone(cluster).ask_about_streams(pools.streams.queries())),
         ];
         if probes {
--- a/crates/oleander-relay/src/lib.rs
+++ b/crates/oleander-relay/src/lib.rs
@@ -67,7 +67,7 @@
 };
 pub use streams::{
     BegunStreams, ListState, StreamAnswer, StreamId, StreamQuery, StreamRegister, StreamVersions,
-    VersionStreams,
+    VersionEvidence, VersionStreams,
 };
 pub use summary::RequestSummary;
 pub use table::RouteTable;
--- a/crates/oleander-relay/src/streams.rs
+++ b/crates/oleander-relay/src/streams.rs
@@ -13,6 +13,10 @@
 //! moment ago. Else it asks the others. If none knows the stream, and the service may have had
 //! another version, the stream is refused: without its version it can't go on.
 //!
+//! That a service has long had one version is known by the hosts that have followed it. A host that
+//! has just started [takes it over](StreamVersions::inherit) from those, so that it does not end
+//! with them while hosts are restarted one after another.
+//!
 //! If all hosts end at once, nobody knows the streams any more. So those whose head has reached the
 //! caller are [taken](StreamVersions::take_begun) to be saved while a service has several versions,
 //! by the attempt only: an id of an attempt is used once, while the same content may begin again at
@@ -20,6 +24,7 @@
 
 mod begun_sink;
 mod register;
+mod service_versions;
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -41,7 +46,10 @@
 };
 
 pub(crate) use self::begun_sink::{BegunSink, BegunStream};
-pub use self::register::{ListState, StreamRegister};
+pub use self::{
+    register::{ListState, StreamRegister},
+    service_versions::VersionEvidence,
+};
 use crate::{
     confirmations::{ConfirmRequests, Confirmations},
     version::SoftwareVersion,
@@ -56,6 +64,9 @@
 pub struct StreamId(u64);
 
 impl StreamId {
+    /// No stream: a question about it asks only what a host knows of the versions of a service.
+    pub const NONE: Self = Self(0);
+
     /// The stream that the attempt `id` of a caller began.
     #[must_use]
     pub fn new(id: &str) -> Self {
@@ -119,6 +130,20 @@
             Self::Settled(_) | Self::Mixed | Self::Unknown | Self::Unreached => None,
         }
     }
+
+    /// Whether it tells that `version` has long been the only one of the service.
+    fn is_settled_at(&self, version: &SoftwareVersion) -> bool {
+        matches!(self, Self::Settled(other) if other == version)
+    }
+
+    /// Whether it tells that the service has, or lately had, another version than this one.
+    fn differs_from(&self, version: &SoftwareVersion) -> bool {
+        match self {
+            Self::Mixed => true,
+            Self::Settled(other) | Self::Registered(other) => other != version,
+            Self::Unknown | Self::Unreached => false,
+        }
+    }
 }
 
 /// A question to the other hosts.
@@ -223,7 +248,13 @@
             return only;
         }
         let answers = self.ask(service, stream).await;
-        self.register.lock().conclude(clock::steady(), service, list, &answers)
+        let (now, register) = (clock::steady(), self.register.lock());
+        let version = register.conclude(now, service, list, &answers);
+        if version.is_none() {
+            log::info!(stream:% = stream, service:% = service, list:? = list, answers:? = answers,
+                evidence:? = register.evidence(now, service); "version of a stream is not known");
+        }
+        version
     }
 
     /// Asks for a read that brings the list of targets up to date, and waits a short time for it.
@@ -290,6 +321,20 @@
         self.register.lock().expect_recall(false);
     }
 
+    /// The services of which other hosts may tell that their listed version has long been the only
+    /// one.
+    #[must_use]
+    pub fn unsettled(&self) -> Vec<ServiceId> {
+        self.register.lock().unsettled(clock::steady())
+    }
+
+    /// Takes over what other hosts answer about the versions of a service; returns whether the
+    /// listed version now counts as the only one.
+    #[must_use]
+    pub fn inherit(&self, service: &ServiceId, answers: &[StreamAnswer]) -> bool {
+        self.register.lock().inherit(clock::steady(), service, answers)
+    }
+
     /// Records that a version was listed, if only for a moment.
     pub(crate) fn record_version(&self, service: &ServiceId, version: &SoftwareVersion) {
         self.register.lock().record_version(clock::steady(), service, version);
--- a/crates/oleander-relay/src/streams/register.rs
+++ b/crates/oleander-relay/src/streams/register.rs
@@ -7,15 +7,12 @@
 
 use oleander_core::{ServiceId, Span, Time};
 
-use super::{BegunStreams, StreamAnswer, StreamId, VersionStreams};
+use super::{
+    BegunStreams, StreamAnswer, StreamId, VersionStreams,
+    service_versions::{RETENTION, ServiceVersions, VersionEvidence},
+};
 use crate::version::SoftwareVersion;
 
-/// Time for which a stream is kept beyond its deadline, and for which a service must have had a
-/// single version, beyond the longest time that a stream may take, before that version is assumed
-/// for a stream without a record. Targets that leave are listed, or serve, for some seconds more.
-const RETENTION: Span = Span::from_secs(10);
-/// Least time that a stream is assumed to take.
-const MIN_LIFETIME: Span = Span::from_secs(5);
 /// Time for which a stream of another host is kept.
 const ANNOUNCED_RETENTION: Span = Span::from_secs(60);
 /// Interval at which expired streams are removed.
@@ -56,47 +53,6 @@
     begun: Option<ServiceId>,
 }
 
-/// The versions of a service's listed targets.
-#[derive(Debug, Clone)]
-struct ServiceVersions {
-    listed: BTreeSet<SoftwareVersion>,
-    /// Time since which the list has had the versions that it has now, as far as it tells.
-    since: Time,
-    /// When this process first had a list.
-    first: Time,
-    /// Versions that left while this process followed them, and when.
-    left: BTreeMap<SoftwareVersion, Time>,
-    /// Longest time that a stream may take.
-    longest: Span,
-}
-
-impl ServiceVersions {
-    /// The only version that a stream of this service can have, as this process has followed it
-    /// for long enough.
-    fn settled(&self, now: Time) -> Option<&SoftwareVersion> {
-        self.assumed(now).filter(|_| now.since(self.first) >= self.lifetime())
-    }
-
-    /// The only version that the list tells of. Another one may have left just before the start of
-    /// this process, which hosts that ran then know.
-    fn assumed(&self, now: Time) -> Option<&SoftwareVersion> {
-        let is_alone = self.listed.len() == 1 && now.since(self.since) >= self.lifetime();
-        self.listed.first().filter(|_| is_alone)
-    }
-
-    /// Whether streams of this service may have different versions.
-    fn is_mixed(&self, now: Time) -> bool {
-        let lifetime = self.lifetime();
-        let mut recent = self.left.iter().filter(|(_, left)| now.since(**left) < lifetime);
-        self.listed.len() > 1 || recent.any(|(version, _)| !self.listed.contains(version))
-    }
-
-    /// Time after which a stream that a version began has ended.
-    fn lifetime(&self) -> Span {
-        self.longest + RETENTION
-    }
-}
-
 impl StreamRegister {
     /// Applies the versions of a service's listed targets.
     ///
@@ -112,22 +68,11 @@
         let was_settled = self.settled(now, service).is_some();
         let recalled = &self.recalled;
         let known = self.services.entry(service.clone()).or_insert_with(|| {
-            let since = Time(now.0.saturating_sub(youngest.0));
-            ServiceVersions {
-                listed: listed.clone(),
-                since,
-                first: now,
-                left: recalled.get(service).cloned().unwrap_or_default(),
-                longest: MIN_LIFETIME,
-            }
+            let left = recalled.get(service).cloned().unwrap_or_default();
+            ServiceVersions::new(now, listed.clone(), youngest, left)
         });
         if known.listed != listed {
-            let gone = known.listed.difference(&listed).cloned();
-            let lifetime = known.lifetime();
-            known.left.retain(|_, left| now.since(*left) < lifetime);
-            known.left.extend(gone.map(|version| (version, now)));
-            known.listed = listed;
-            known.since = now;
+            known.replace(now, listed);
         }
         if was_settled && self.settled(now, service).is_none() {
             self.announce_known(service);
@@ -167,6 +112,24 @@
         self.recalled.insert(service.clone(), left);
     }
 
+    /// The services of which other hosts may tell that their listed version has long been the only
+    /// one.
+    #[must_use]
+    pub fn unsettled(&self, now: Time) -> Vec<ServiceId> {
+        if self.expects_recall {
+            return Vec::new();
+        }
+        let unsettled = self.services.iter().filter(|(_, versions)| versions.is_unsettled(now));
+        unsettled.map(|(service, _)| service.clone()).collect()
+    }
+
+    /// Takes over what other hosts [answer](Self::answer) about the versions of a service; returns
+    /// whether the listed version now counts as the only one.
+    pub fn inherit(&mut self, now: Time, service: &ServiceId, answers: &[StreamAnswer]) -> bool {
+        let versions = self.services.get_mut(service).filter(|_| !self.expects_recall);
+        versions.is_some_and(|versions| versions.inherit(now, answers))
+    }
+
     /// Records that a version was listed, if only for a moment between two lists.
     pub fn record_version(&mut self, now: Time, service: &ServiceId, version: &SoftwareVersion) {
         let was_settled = self.settled(now, service).is_some();
@@ -346,20 +309,22 @@
         }
         let versions = self.services.get(service)?;
         let own = versions.listed.first().filter(|_| !versions.is_mixed(now))?;
-        let settled = answers.iter().any(|answer| *answer == StreamAnswer::Settled(own.clone()));
+        let settled = answers.iter().any(|answer| answer.is_settled_at(own));
         let all_answered = !answers.contains(&StreamAnswer::Unreached);
         let assumed = all_answered
             && !self.expects_recall
             && list == ListState::Confirmed
             && versions.assumed(now).is_some();
-        let differs = answers.iter().any(|answer| match answer {
-            StreamAnswer::Mixed => true,
-            StreamAnswer::Settled(version) => version != own,
-            StreamAnswer::Registered(_) | StreamAnswer::Unknown | StreamAnswer::Unreached => false,
-        });
+        let differs = answers.iter().any(|answer| answer.differs_from(own));
         ((settled || assumed) && !differs).then(|| own.clone())
     }
 
+    /// What this host knows of the versions of a service.
+    #[must_use]
+    pub fn evidence(&self, now: Time, service: &ServiceId) -> Option<VersionEvidence> {
+        Some(self.services.get(service)?.evidence(now, self.expects_recall))
+    }
+
     fn settled(&self, now: Time, service: &ServiceId) -> Option<&SoftwareVersion> {
         self.services.get(service)?.settled(now)
     }
--- a/crates/oleander-relay/tests/streams.rs
+++ b/crates/oleander-relay/tests/streams.rs
@@ -163,6 +163,63 @@
     assert_eq!(conclude(&restarted, START, &silent), None);
 }
 
+/// Guards against knowledge of versions that ends with the hosts that were restarted one after
+/// another, though each could have told the next.
+#[test]
+fn a_restarted_host_takes_over_that_a_service_has_long_had_one_version() {
+    let mut restarted = host(&["v1"], LONG);
+    assert_eq!(restarted.unsettled(START), [service()]);
+    let told = settled_host("v1").answer(START, &service(), StreamId::NONE);
+    let answers = [StreamAnswer::Unreached, StreamAnswer::Unknown, told];
+    assert!(restarted.inherit(START, &service(), &answers));
+    assert_eq!(lookup(&restarted, START, 1), Some(version("v1")));
+    assert!(restarted.unsettled(START).is_empty());
+    let mut next = host(&["v1"], Span::from_secs(5));
+    let told = restarted.answer(START, &service(), StreamId::NONE);
+    assert!(next.inherit(START, &service(), &[told]), "a young target is not of another version");
+    assert_eq!(lookup(&next, START, 1), Some(version("v1")));
+}
+
+/// Guards against streams of two versions: what another host knows by an old list is taken over.
+#[test]
+fn a_restarted_host_takes_over_nothing_that_another_host_contradicts() {
+    let told = StreamAnswer::Settled(version("v1"));
+    let contradicting = [
+        vec![],
+        vec![StreamAnswer::Unknown, StreamAnswer::Unreached],
+        vec![told.clone(), StreamAnswer::Mixed],
+        vec![told.clone(), StreamAnswer::Settled(version("v2"))],
+        vec![StreamAnswer::Settled(version("v2"))],
+    ];
+    for answers in contradicting {
+        let mut restarted = host(&["v1"], LONG);
+        assert!(!restarted.inherit(START, &service(), &answers), "{answers:?}");
+        assert_eq!(lookup(&restarted, START, 1), None, "{answers:?}");
+    }
+    let mut mixed = host(&["v1", "v2"], LONG);
+    assert!(!mixed.inherit(START, &service(), std::slice::from_ref(&told)));
+    let mut recalling = host(&["v1"], LONG);
+    recalling.expect_recall(true);
+    assert!(!recalling.inherit(START, &service(), std::slice::from_ref(&told)));
+    assert!(recalling.unsettled(START).is_empty());
+    recalling.expect_recall(false);
+    recalling.recall(START, &service(), [(version("v2"), SECOND)].into());
+    assert!(!recalling.inherit(START, &service(), &[told]), "v2 has left a second ago");
+}
+
+/// Guards against a version that joins later and finds streams which nobody else knows.
+#[test]
+fn a_host_that_took_over_a_version_announces_its_streams_when_another_joins() {
+    let mut restarted = host(&["v1"], LONG);
+    assert!(restarted.inherit(START, &service(), &[StreamAnswer::Settled(version("v1"))]));
+    begin(&mut restarted, START, 1, "v1");
+    assert!(restarted.take_announcements(START).is_empty());
+    let now = START + SECOND;
+    restarted.set_listed(now, &service(), versions(&["v1", "v2"]), Span::ZERO);
+    assert_eq!(restarted.take_announcements(now).len(), 1);
+    assert_eq!(lookup(&restarted, now, 2), None);
+}
+
 /// Guards against taking a service for one of two versions when its only one was away for a moment.
 #[test]
 fn a_version_that_comes_back_alone_is_not_mixed_with_itself() {
