Items: what they prefer ends, and what one can't use is not full for all

Cause, two faults in one place: an item was not placed at the target of its last run unless its service had no other target, and one that drains counted as another; and a search without a result was kept for the service and versions only, so that what one item could not use was full for all items of all jobs.

Evidence: nothing was started for 16 s, so no target refused. Each of the four tests in tests/manager/placement.rs fails without the fix, 0 of 4 passed on: "items wait beside an idle target" with the others draining, beginning to drain, or full; "a job waits beside an idle target".

Fix: the target of the last run is avoided for 1 s, and only while another one takes the item; an item that has failed waits for another one as before. What is unmet is kept with all that it was found for. The decisions are in placement.rs, without I/O; dispatch.rs is split from runner.rs, and place_next into steps.

--- a/crates/oleander-relay/src/pool/acquire.rs
+++ b/crates/oleander-relay/src/pool/acquire.rs
@@ -94,6 +94,13 @@
         !self.is_disconnected() && self.router.lock().has_batch_slot(clock::steady(), &restricted)
     }
 
+    /// Whether a target of a permitted version takes such a request, now or once it has capacity.
+    #[must_use]
+    pub fn has_usable(&self, pick: &Pick, versions: &VersionChoice) -> bool {
+        let restricted = self.restrict(pick, versions, &Standing::Clear);
+        self.router.lock().has_usable(clock::steady(), &restricted)
+    }
+
     /// Leases a target of a permitted version for a batch item with these parts, if one has
     /// capacity now. Items are no cause of crashes, so that blocks don't hold them.
     pub fn try_acquire_batch_version(
--- a/crates/oleander-routing/src/router/admit.rs
+++ b/crates/oleander-routing/src/router/admit.rs
@@ -77,6 +77,12 @@
         !self.available_for_batch(now, request).is_empty()
     }
 
+    /// Whether a target accepts the request and is not ejected, be it full or not.
+    #[must_use]
+    pub fn has_usable(&self, now: Time, request: &Pick) -> bool {
+        !self.usable(now, request).is_empty()
+    }
+
     fn pick_batch(&mut self, now: Time, request: &Pick) -> Decision {
         let available = self.available_for_batch(now, request);
         let candidates = self.candidates(now, request, available);
--- a/crates/oleander-worklist/src/lib.rs
+++ b/crates/oleander-worklist/src/lib.rs
@@ -8,13 +8,14 @@
 //! renews. All entry hosts follow the records, and so learn of cancelled jobs, of jobs
 //! whose owner is gone, and of the tokens that are queued on each route.
 //!
-//! [`Job`], [`JobIndex`] and [`Backlog`] make the decisions, without I/O; [`JobManager`] carries
+//! [`Job`], [`JobIndex`], [`Backlog`] and [`UnmetNeeds`] make the decisions, without I/O; [`JobManager`] carries
 //! them out.
 
 mod admission;
 mod backlog;
 mod backoff;
 mod commit;
+mod dispatch;
 mod ending;
 mod ends;
 mod guard;
@@ -26,6 +27,7 @@
 mod manager;
 mod message;
 mod output;
+mod placement;
 mod preemption;
 mod reads;
 mod record;
@@ -45,6 +47,7 @@
 pub use lease::StartLease;
 pub use manager::{JobManager, JobManagerConfig, StateUnknown};
 pub use message::{JobRequest, JobResponse, Results};
+pub use placement::{AVOID_WAIT, Avoidance, SlotNeed, UnmetNeeds};
 pub use record::{ItemOutcome, ItemResult, JobPhase, JobRecord, Owner, Part, Segment};
 pub use size::{ResultLimits, escaped_len};
 pub use store::{JOB_PREFIX, JobStore};
--- a/crates/oleander-worklist/src/runner.rs
+++ b/crates/oleander-worklist/src/runner.rs
@@ -1,36 +1,29 @@
-//! Dispatch of waiting items, and their runs at targets.
+//! Runs of items at targets.
 
 use std::{
-    collections::HashSet,
     mem,
     sync::{Arc, atomic::Ordering},
 };
 
 use http::StatusCode;
-use oleander_core::{ServiceId, Span, TargetId, Time};
+use oleander_core::{Span, TargetId};
 use oleander_host::clock;
 use oleander_platform::ObjectStore;
-use oleander_quarantine::RequestParts;
 use oleander_relay::{
-    Attempt, AttemptOutcome, AttemptTimeouts, Pool, Request, TargetEntry, TargetLease,
-    TargetTransport, VersionChoice, batch_pick, run_attempt,
-};
-use tokio::{
-    sync::Notify,
-    time::{self, Instant},
+    Attempt, AttemptOutcome, AttemptTimeouts, Request, TargetEntry, TargetLease, TargetTransport,
+    run_attempt,
 };
+use tokio::{sync::Notify, time::Instant};
 
 use crate::{
     guard::RunGuard,
-    item::{Item, Progress, RunOutcome},
+    item::{Progress, RunOutcome},
     job::NextItem,
     manager::{JobManager, LoadedJob},
     output::{OutputSink, RunLimits},
     size::ResultLimits,
 };
 
-/// Time between two checks for free slots while items wait or run.
-const DISPATCH_INTERVAL: std::time::Duration = std::time::Duration::from_millis(40);
 /// Time without data after which an item resumes at another target. No caller waits for an item,
 /// but a stream that is silent for this long has most likely lost its target.
 const SILENCE_LIMITS: AttemptTimeouts = AttemptTimeouts {
@@ -38,10 +31,6 @@
     idle: Some(Span::from_millis(600)),
 };
 
-/// Time for which an item waits for a target of the version that wrote its output; then it starts
-/// again at any.
-const VERSION_WAIT: Span = Span::from_secs(3);
-
 /// A running item.
 #[derive(Debug, Clone)]
 pub(crate) struct Run {
@@ -50,110 +39,7 @@
     pub(crate) preempted: Arc<Notify>,
 }
 
-/// Result of placing the next item of a job.
-enum Placement {
-    /// An item was started.
-    Placed,
-    /// No item of the job can start now.
-    Blocked,
-}
-
 impl<S: ObjectStore, T: TargetTransport> JobManager<S, T> {
-    /// Starts items at targets with free slots and preempts items at overloaded ones; never
-    /// returns.
-    pub async fn dispatch(self: Arc<Self>) {
-        tokio::join!(self.place_items(), self.fail_unrouted());
-    }
-
-    async fn place_items(self: &Arc<Self>) {
-        loop {
-            self.preempt_excess();
-            if self.start_items() || !self.runs.lock().is_empty() {
-                // Free slots also depend on the work of other hosts, which doesn't wake this task.
-                let _ = time::timeout(DISPATCH_INTERVAL, self.wake.notified()).await;
-            } else {
-                self.wake.notified().await;
-            }
-        }
-    }
-
-    /// Starts as many items as possible, those of the job that is due first before all others;
-    /// returns whether any job had waiting items.
-    fn start_items(self: &Arc<Self>) -> bool {
-        if self.is_draining() {
-            return false;
-        }
-        let mut jobs: Vec<Arc<LoadedJob>> = self.loaded.lock().values().cloned().collect();
-        jobs.retain(|loaded| !loaded.is_stopped() && loaded.job.lock().has_waiting());
-        jobs.sort_by_key(|loaded| loaded.job.lock().record.due_at());
-        let mut full = HashSet::new();
-        let startable = if self.relay.pools.is_disconnected() { &[] } else { &jobs[..] };
-        for loaded in startable {
-            while matches!(self.place_next(loaded, &mut full), Placement::Placed) {}
-        }
-        !jobs.is_empty()
-    }
-
-    /// Starts the next item of a job for which a target has a free slot; adds to `full` what has none.
-    fn place_next(
-        self: &Arc<Self>,
-        loaded: &Arc<LoadedJob>,
-        full: &mut HashSet<(ServiceId, VersionChoice)>,
-    ) -> Placement {
-        let now = clock::steady();
-        let Some(table) = self.relay.table() else { return Placement::Blocked };
-        let mut job = loaded.job.lock();
-        if loaded.is_stopped() {
-            return Placement::Blocked;
-        }
-        let lease = *loaded.lease.lock();
-        let boot_now = clock::since_boot();
-        let local_only = job.prefers_local(Self::wall_now());
-        let startable: Vec<usize> = job.startable(now).map(|(index, _)| index).collect();
-        for index in startable {
-            let item = job.item(index);
-            let Some(route) = table.find(&item.request.host, &item.request.path) else {
-                self.unrouted.notify_one();
-                continue;
-            };
-            let Some(service) = route.service(&item.request.id) else { continue };
-            let Some(pool) = self.relay.pools.get(service) else { continue };
-            let parts = item.parts(self.relay.transport.as_ref());
-            let versions = permitted_versions(now, &pool, item);
-            let requirement = (service.clone(), versions.clone());
-            if full.contains(&requirement) {
-                continue;
-            }
-            if !lease.allows(boot_now) {
-                if pool.has_batch_slot(&batch_pick(Vec::new(), local_only), &versions) {
-                    self.spawn_renewal(loaded);
-                    return Placement::Blocked;
-                }
-                full.insert(requirement);
-                continue;
-            }
-            let avoid = item.avoid.clone();
-            let Some(granted) = reserve_slot(&pool, avoid, local_only, &versions, &parts) else {
-                full.insert(requirement);
-                continue;
-            };
-            if lease.is_due(boot_now) {
-                self.spawn_renewal(loaded);
-            }
-            if versions == VersionChoice::Any {
-                job.drop_output(index);
-            }
-            let next = job.start(index);
-            drop(job);
-            let run = self.register_run(&granted.target.id);
-            let guard = RunGuard::new(Arc::clone(self), Arc::clone(loaded), index, run);
-            let manager = Arc::clone(self);
-            tokio::spawn(async move { manager.run_item(guard, next, granted).await });
-            return Placement::Placed;
-        }
-        Placement::Blocked
-    }
-
     /// Limits of a run of an item that begins now.
     fn run_limits(&self, loaded: &LoadedJob, request: &Request) -> RunLimits {
         let expires_at = loaded.job.lock().record.expires_at();
@@ -167,7 +53,7 @@
         }
     }
 
-    fn register_run(&self, target: &TargetId) -> Run {
+    pub(crate) fn register_run(&self, target: &TargetId) -> Run {
         let mut runs = self.runs.lock();
         let number = self.run_count.fetch_add(1, Ordering::Relaxed);
         let run = Run { number, target: target.clone(), preempted: Arc::new(Notify::new()) };
@@ -176,7 +62,7 @@
     }
 
     /// Runs an item at a target and records the outcome.
-    async fn run_item(
+    pub(crate) async fn run_item(
         self: Arc<Self>,
         guard: RunGuard<S, T>,
         next: NextItem,
@@ -243,37 +129,6 @@
     }
 }
 
-/// The versions at which an item may run: the one that wrote its output, if it is still served and
-/// the item has not waited long for it.
-fn permitted_versions(now: Time, pool: &Pool, item: &Item) -> VersionChoice {
-    let written = item.progress.version.as_ref();
-    let kept = written.filter(|version| {
-        pool.serves_version(version) && now.since(item.not_before) < VERSION_WAIT
-    });
-    kept.map_or(VersionChoice::Any, |version| VersionChoice::Only(version.clone()))
-}
-
-/// Reserves a slot for an item at a target of the pool, if one is free.
-fn reserve_slot(
-    pool: &Arc<Pool>,
-    avoid: Option<TargetId>,
-    local_only: bool,
-    versions: &VersionChoice,
-    parts: &Arc<RequestParts>,
-) -> Option<TargetLease> {
-    let avoided = avoid.into_iter().collect();
-    let lease = pool.try_acquire_batch_version(&batch_pick(avoided, local_only), versions, parts);
-    // The target to avoid is used if it may be the only one.
-    if lease.is_none() && (pool.len() == 1 || *versions != VersionChoice::Any) {
-        return pool.try_acquire_batch_version(
-            &batch_pick(Vec::new(), local_only),
-            versions,
-            parts,
-        );
-    }
-    lease
-}
-
 /// Outcome of a run, by the end of its attempt.
 fn run_outcome(outcome: &AttemptOutcome) -> RunOutcome {
     match outcome {
--- a/crates/oleander-worklist/tests/manager/main.rs
+++ b/crates/oleander-worklist/tests/manager/main.rs
@@ -5,6 +5,7 @@
 mod forgotten;
 mod odd_records;
 mod outage_ends;
+mod placement;
 mod routes;
 mod sizes;
 
