Retries: a target that has failed is used again while no other takes the request

Callers got 502 or 503 for a request that a sound target would have served: a further attempt excluded all targets of earlier ones, also while all others were shutting down.

Evidence: a_retry_goes_to_the_same_target_while_all_others_leave fails without the change ("no capacity: 0 requests wait for 2 targets" after one failed attempt of two). With it the second attempt goes to the same target. Crashed and ejected targets stay excluded, and the number of attempts is unchanged.

--- a/crates/oleander-relay/src/relay/choice.rs
+++ b/crates/oleander-relay/src/relay/choice.rs
@@ -81,12 +81,11 @@
         let ticket = Ticket::new(pool);
         let started = clock::steady();
         let pick = self.pick(started, ticket.id, pool.service_time());
-        let excluded = match self.retry.take_left() {
-            Some(target) => pool.all_but(&target),
-            None => self.retry.failed_targets().to_vec(),
-        };
-        let excluding = pick.clone().exclude(excluded);
         let versions = self.versions();
+        let excluding = match self.retry.take_left() {
+            Some(target) => pick.clone().exclude(pool.all_but(&target)),
+            None => self.excluding_failed(pool, &pick, &versions),
+        };
         let mut lease = pool.acquire_version(&excluding, &versions, &self.parts).await;
         if lease.is_err() && self.head_sent {
             // No other target is available; the one that failed may have recovered.
@@ -96,6 +95,17 @@
         lease
     }
 
+    /// The pick of a further attempt: at none of the targets that have failed, unless no other one
+    /// takes the request.
+    fn excluding_failed(&self, pool: &Pool, pick: &Pick, versions: &VersionChoice) -> Pick {
+        let failed = self.retry.failed_targets();
+        if failed.is_empty() {
+            return pick.clone();
+        }
+        let others = pick.clone().exclude(failed.to_vec());
+        if pool.has_usable(&others, versions) { others } else { pick.clone() }
+    }
+
     /// The pick of this request, which may wait for as long as it can still be served.
     ///
     /// A stream whose head has been sent, now or to an earlier attempt, has no latency goal any more,
--- a/crates/oleander-relay/tests/leaving.rs
+++ b/crates/oleander-relay/tests/leaving.rs
@@ -82,3 +82,19 @@
     let second = forwarded.script.dispatches.lock()[1].target.id.clone();
     assert!(!used(&pools).await.contains(&second), "{:?}", forwarded.summary);
 }
+
+/// Guards against errors for requests that a sound target would serve: a retry took no target that
+/// an attempt had used, though all others were shutting down.
+#[tokio::test]
+async fn a_retry_goes_to_the_same_target_while_all_others_leave() {
+    for step in [Step::error(500, "failed"), Step::not_run(), Step::broken(&[])] {
+        let status = step.status;
+        let leaving = TargetEntry { leaving: true, ..started(2, 1_000) };
+        let pools = pools_of(vec![started(1, 1_000), leaving]);
+        let steps = vec![step, Step::complete(&[FIRST])];
+        let forwarded = forward_to(pools, route(RetryPolicy::Always, 2), steps).await;
+        let (caller, summary) = (&forwarded.caller, &forwarded.summary);
+        assert_eq!(caller.text, FIRST, "status {status}: {summary:?}");
+        assert_eq!(forwarded.script.dispatches.lock().len(), 2, "status {status}: {summary:?}");
+    }
+}
