Statuses: only 200 to 599 ends an exchange, from targets, hosts and stores

Cause: a status was only compared with those that are handled, and any other counted as the rest.

Fix: FinalStatus, checked by each client where a response arrives; such a response counts as none, and nothing is said of whether the request has run. The store's removal asks for a success.

--- a/crates/oleander-platform/src/client.rs
+++ b/crates/oleander-platform/src/client.rs
@@ -10,7 +10,7 @@
     rt::TokioExecutor,
 };
 use oleander_core::Revision;
-use oleander_http::{LimitedConnector, count_content};
+use oleander_http::{FinalStatus, LimitedConnector, count_content};
 use serde::Deserialize;
 
 use crate::{
@@ -80,11 +80,12 @@
             let response = self.client.request(request).await.map_err(client_error)?;
             let response = count_content(response);
             let (parts, body) = response.into_parts();
+            let status = FinalStatus::try_from(parts.status).map_err(no_response)?.into();
             let body = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
             let body = body.map_err(no_response)?.to_bytes();
             let revision = parts.headers.get(REVISION_HEADER).and_then(|v| v.to_str().ok());
             let revision = revision.and_then(|v| v.parse().ok());
-            Ok(Response { status: parts.status, revision, body })
+            Ok(Response { status, revision, body })
         };
         let response =
             tokio::time::timeout(REQUEST_TIMEOUT, exchange).await.map_err(no_response)??;
@@ -93,7 +94,9 @@
             StatusCode::BAD_REQUEST | StatusCode::PAYLOAD_TOO_LARGE => {
                 Err(PlatformError::Rejected(response.status.to_string()))
             }
-            _ => Ok(response),
+            StatusCode::NOT_FOUND | StatusCode::PRECONDITION_FAILED => Ok(response),
+            status if status.is_success() => Ok(response),
+            status => Err(no_response(status)),
         }
     }
 
--- a/crates/oleander-target/src/client.rs
+++ b/crates/oleander-target/src/client.rs
@@ -10,7 +10,7 @@
     client::legacy::{Client, connect::HttpConnector},
     rt::TokioExecutor,
 };
-use oleander_http::{CountedBody, LimitedConnector, count_content};
+use oleander_http::{CountedBody, FinalStatus, LimitedConnector, count_content};
 use parking_lot::Mutex;
 use tokio::net::TcpStream;
 
@@ -187,7 +187,11 @@
             ConnectionMode::Dedicated => new_client(&self.timeouts, 0),
         };
         match tokio::time::timeout(self.timeouts.first_byte, client.request(request)).await {
-            Ok(Ok(response)) => Ok(count_content(response)),
+            Ok(Ok(response)) => {
+                FinalStatus::try_from(response.status())
+                    .map_err(|error| TargetError::Interrupted(error.to_string()))?;
+                Ok(count_content(response))
+            }
             Ok(Err(error)) if error.is_connect() => Err(TargetError::Connect(error.to_string())),
             Ok(Err(error)) => Err(TargetError::Interrupted(error.to_string())),
             Err(_) => {
