Early answers: an end of the connection is not believed while the request is being written

Cause: the end of the connection ended the body, and nobody asked whether the request had been written. It couldn't be asked either, as the operating system takes megabytes for a peer that reads nothing.

--- a/crates/oleander-http/src/connector.rs
+++ b/crates/oleander-http/src/connector.rs
@@ -50,6 +50,6 @@
 
 impl Connection for LimitedStream {
     fn connected(&self) -> Connected {
-        self.stream().connected().extra(self.limit().clone())
+        self.stream().connected().extra(self.limit().clone()).extra(self.unwritten())
     }
 }
--- a/crates/oleander-http/src/read_limit.rs
+++ b/crates/oleander-http/src/read_limit.rs
@@ -19,6 +19,8 @@
     net::TcpStream,
 };
 
+use crate::unwritten::Unwritten;
+
 /// Maximum number of bytes read without content; several times the read buffer of a connection.
 const MAX_BYTES_WITHOUT_CONTENT: usize = 2 << 20;
 
@@ -43,18 +45,26 @@
     }
 }
 
-/// A connection whose reads fail once its limit is exceeded.
+/// A connection whose reads fail once its limit is exceeded, and that tells what is unwritten.
 #[derive(Debug)]
 pub struct LimitedStream {
     stream: TcpStream,
     limit: ReadLimit,
+    unwritten: Unwritten,
 }
 
 impl LimitedStream {
     /// Limits the reads of `stream`.
     #[must_use]
-    pub const fn new(stream: TcpStream, limit: ReadLimit) -> Self {
-        Self { stream, limit }
+    pub fn new(stream: TcpStream, limit: ReadLimit) -> Self {
+        let unwritten = Unwritten::of(&stream);
+        Self { stream, limit, unwritten }
+    }
+
+    /// What is unwritten, also after the stream has been moved.
+    #[must_use]
+    pub fn unwritten(&self) -> Unwritten {
+        self.unwritten.clone()
     }
 
     pub(crate) const fn stream(&self) -> &TcpStream {
@@ -84,7 +94,9 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+        let written = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.unwritten.record(bytes.len(), &written);
+        written
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Result<()>> {
@@ -100,7 +112,10 @@
         context: &mut Context<'_>,
         buffers: &[std::io::IoSlice<'_>],
     ) -> Poll<Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, buffers)
+        let written = Pin::new(&mut self.stream).poll_write_vectored(context, buffers);
+        let length = buffers.iter().map(|buffer| buffer.len()).sum();
+        self.unwritten.record(length, &written);
+        written
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/oleander-target/src/client.rs
+++ b/crates/oleander-target/src/client.rs
@@ -10,7 +10,9 @@
     client::legacy::{Client, connect::HttpConnector},
     rt::TokioExecutor,
 };
-use oleander_http::{CountedBody, FinalStatus, LimitedConnector, count_content};
+use oleander_http::{
+    CountedBody, FinalStatus, LimitedConnector, Unwritten, count_content, is_framed,
+};
 use parking_lot::Mutex;
 use tokio::net::TcpStream;
 
@@ -207,8 +209,14 @@
         response: Response<CountedBody<Incoming>>,
     ) -> Result<TargetResponse, TargetError> {
         let status = response.status().as_u16();
+        let unwritten = response.extensions().get::<Unwritten>().cloned();
+        let unwritten = unwritten.filter(|_| !is_framed(response.headers()));
         let body = Limited::new(response.into_body(), MAX_BODY_BYTES).collect();
         match tokio::time::timeout(self.timeouts.first_byte, body).await {
+            Ok(Ok(_)) if unwritten.is_some_and(|unwritten| unwritten.is_waiting()) => {
+                let reason = "connection ended before the request was written";
+                Err(TargetError::Interrupted(reason.to_owned()))
+            }
             Ok(Ok(body)) => Ok(TargetResponse { status, body: body.to_bytes() }),
             Ok(Err(error)) => Err(TargetError::Interrupted(error.to_string())),
             Err(_) => {
