Answers without a body by their status are whole

Evidence: an_answer_that_has_no_body_by_its_status_is_whole, 502 where 204 is due on. Fix: the status tells the end of the body, too (204, 304). An empty 200 without a length stays broken off, since a target that crashes may close its connection.

--- a/crates/oleander-target/src/client.rs
+++ b/crates/oleander-target/src/client.rs
@@ -210,7 +210,7 @@
     ) -> Result<TargetResponse, TargetError> {
         let status = response.status().as_u16();
         let unwritten = response.extensions().get::<Unwritten>().cloned();
-        let unwritten = unwritten.filter(|_| !is_framed(response.headers()));
+        let unwritten = unwritten.filter(|_| !is_framed(response.status(), response.headers()));
         let body = Limited::new(response.into_body(), MAX_BODY_BYTES).collect();
         match tokio::time::timeout(self.timeouts.first_byte, body).await {
             Ok(Ok(_)) if unwritten.is_some_and(|unwritten| unwritten.is_waiting()) => {
