Tests: each server of a test has a loopback address of its own (oleander-ports)

Eight test files had such a function, of three kinds.

Now one small crate gives each call an IP of its own, which no outgoing connection takes.

--- a/crates/oleander-batch/tests/cluster/mod.rs
+++ b/crates/oleander-batch/tests/cluster/mod.rs
@@ -3,7 +3,7 @@
 use std::{
     collections::BTreeMap,
     fs,
-    net::{SocketAddr, TcpListener},
+    net::SocketAddr,
     path::PathBuf,
     process::{Child, Command},
     sync::{
@@ -23,6 +23,7 @@
 use hyper_util::{client::legacy::Client, rt::TokioExecutor};
 use oleander_document::Document;
 use oleander_platform::{Created, HttpPlatform, ObjectStore as _};
+use oleander_ports::free_address;
 use serde_json::{Value, json};
 use standin::{
     engine::{Engine, Faults, Options},
@@ -348,10 +349,6 @@
     Options { step_base_us, models: vec!["alarma-7b".to_owned()], ..Options::default() }
 }
 
-fn free_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
-}
-
 fn document(engines: &[EngineServer], lot_items: u32) -> String {
     let targets: Vec<Value> = engines
         .iter()
--- a/crates/oleander-cluster/tests/directory.rs
+++ b/crates/oleander-cluster/tests/directory.rs
@@ -1,7 +1,7 @@
 //! Selection of the addresses that callers get.
 
 use std::{
-    net::{Ipv4Addr, SocketAddr, TcpListener},
+    net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -12,6 +12,7 @@
 use oleander_link::Server;
 use oleander_members::{MemberRole, MemberState};
 use oleander_platform::MemoryPlatform;
+use oleander_ports::free_address;
 use oleander_relay::Pools;
 use tokio::{task::JoinSet, time::sleep};
 
@@ -83,11 +84,6 @@
     async fn handle(self: Arc<Self>, _: HostId, (): ()) {}
 }
 
-fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a free port");
-    listener.local_addr().expect("bound")
-}
-
 /// Address for callers of a host that these tests number.
 fn callers(number: u8) -> SocketAddr {
     SocketAddr::from(([10, 0, 0, number], 80))
--- a/crates/oleander-cluster/tests/support/hosts.rs
+++ b/crates/oleander-cluster/tests/support/hosts.rs
@@ -2,14 +2,7 @@
 
 #![allow(dead_code)]
 
-use std::{
-    net::{Ipv4Addr, SocketAddr},
-    sync::{
-        Arc,
-        atomic::{AtomicU16, Ordering},
-    },
-    time::Duration,
-};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http::{HeaderMap, Method};
@@ -19,6 +12,7 @@
 use oleander_link::{LinkKey, Server};
 use oleander_members::MemberRole;
 use oleander_platform::{MemoryPlatform, ObjectStore, Updated};
+use oleander_ports::free_address;
 use oleander_relay::{
     Pools, Relay, Request, RequestSummary, ResponseHead, ResponseSink, RetryPolicy, Route,
     RouteKind, SinkClosed, StreamAnswer, StreamId, StreamQuery, TargetEntry, TargetList,
@@ -39,18 +33,6 @@
 const PAUSE: Duration = Duration::from_millis(50);
 const LIMIT: Duration = Duration::from_secs(20);
 
-/// Number of addresses that this process has handed out.
-static ADDRESSES: AtomicU16 = AtomicU16::new(0);
-
-/// An address that no other host of any test uses: a port that is free on a loopback address of
-/// this process could otherwise be taken by another test before the host listens.
-fn free_address() -> SocketAddr {
-    let [low, high, ..] = std::process::id().to_le_bytes();
-    let [first, second] = ADDRESSES.fetch_add(1, Ordering::Relaxed).to_le_bytes();
-    let ip = Ipv4Addr::new(127, 1 + high % 250, low, 1 + first % 250);
-    SocketAddr::from((ip, 20_000 + u16::from(second)))
-}
-
 /// What reaches the caller.
 #[derive(Default)]
 struct Caller {
--- a/crates/oleander-link/tests/faults.rs
+++ b/crates/oleander-link/tests/faults.rs
@@ -3,7 +3,6 @@
 #![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
 
 use std::{
-    net::TcpListener as StdListener,
     sync::Arc,
     thread,
     time::{Duration, SystemTime, UNIX_EPOCH},
@@ -31,7 +30,7 @@
 }
 
 fn free_address() -> String {
-    StdListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap().to_string()
+    oleander_ports::free_address().to_string()
 }
 
 fn serve_echo(address: &str) -> Server {
--- a/crates/oleander-link/tests/link.rs
+++ b/crates/oleander-link/tests/link.rs
@@ -31,7 +31,7 @@
 }
 
 fn free_address() -> String {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap().to_string()
+    oleander_ports::free_address().to_string()
 }
 
 fn serve_echo(address: &str, workers: usize) -> Server {
--- a/crates/oleander-members/tests/links.rs
+++ b/crates/oleander-members/tests/links.rs
@@ -4,7 +4,7 @@
 
 use std::{
     collections::BTreeMap,
-    net::{SocketAddr, TcpListener},
+    net::SocketAddr,
     sync::{Arc, Mutex},
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
@@ -15,6 +15,7 @@
     HostList, ListedHost, MemberAction, MemberEvent, MemberRole, MemberState, Members,
     MembersConfig, Message, Profile,
 };
+use oleander_ports::free_address;
 use tokio::{task::JoinHandle, time};
 
 const HOSTS: usize = 5;
@@ -26,10 +27,6 @@
     Time(Span::from(SystemTime::now().duration_since(UNIX_EPOCH).unwrap()).0)
 }
 
-fn free_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
-}
-
 /// A host that runs membership only.
 struct TestHost {
     host: HostId,
--- a/crates/oleander-worklist/tests/ends/process.rs
+++ b/crates/oleander-worklist/tests/ends/process.rs
@@ -3,10 +3,9 @@
 //! Each process has a runtime of its own with one thread, so that it can be killed and frozen.
 
 use std::{
-    net::{Ipv4Addr, SocketAddr},
     sync::{
         Arc,
-        atomic::{AtomicU8, AtomicU16, AtomicUsize, Ordering},
+        atomic::{AtomicU8, AtomicUsize, Ordering},
     },
     time::Duration,
 };
@@ -16,6 +15,7 @@
 use oleander_core::{HostId, JobId, Span, Time};
 use oleander_link::{LinkKey, Server};
 use oleander_members::MemberRole;
+use oleander_ports::free_address;
 use oleander_relay::{Pools, Relay, RouteTable, TargetEntry, TargetList};
 use oleander_worklist::{
     JOB_PREFIX, JobManager, JobManagerConfig, JobRequest, JobResponse, StateUnknown, Submission,
@@ -47,15 +47,6 @@
 /// Time for which a lost message occupies its sender.
 const LOST: Duration = Duration::from_secs(1);
 
-/// An address that nothing else in this process uses.
-pub(crate) fn free_address() -> SocketAddr {
-    static ADDRESSES: AtomicU16 = AtomicU16::new(0);
-    let [low, high, ..] = std::process::id().to_le_bytes();
-    let [first, second] = ADDRESSES.fetch_add(1, Ordering::Relaxed).to_le_bytes();
-    let ip = Ipv4Addr::new(127, 1 + high % 250, low, 1 + first % 250);
-    SocketAddr::from((ip, 20_000 + u16::from(second)))
-}
-
 /// Jobs behind a link that may lose messages.
 struct Receiver {
     jobs: Arc<Jobs>,
--- a/crates/oleander-worklist/tests/manager/outage_ends.rs
+++ b/crates/oleander-worklist/tests/manager/outage_ends.rs
@@ -1,7 +1,6 @@
 //! Ends of jobs just before an outage of the platform, at hosts with real links.
 
 use std::{
-    net::{Ipv4Addr, SocketAddr, TcpListener},
     sync::{Arc, atomic::Ordering},
     time::Duration,
 };
@@ -13,6 +12,7 @@
 use oleander_link::Server;
 use oleander_members::MemberRole;
 use oleander_platform::{MemoryFaults, MemoryPlatform};
+use oleander_ports::free_address;
 use oleander_relay::{Pools, Relay, RouteTable, TargetEntry, TargetList};
 use oleander_worklist::{JobManager, JobManagerConfig, JobPhase, JobStore};
 use tokio::task::JoinSet;
@@ -36,11 +36,6 @@
     _tasks: JoinSet<()>,
 }
 
-fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a free port");
-    listener.local_addr().expect("bound")
-}
-
 fn targets() -> TargetList {
     let mut list = TargetList::default();
     list.upsert(TargetEntry {
