--- a/crates/oleander-batch/tests/cluster/mod.rs
+++ b/crates/oleander-batch/tests/cluster/mod.rs
@@ -30,13 +30,19 @@
     platform::{self, Platform},
     server::Server,
 };
-use tokio::{sync::Mutex, time};
+use tokio::{
+    net::TcpStream,
+    sync::Mutex,
+    time::{self, Instant},
+};
 use tower::ServiceExt;
 
 const MAX_BODY_BYTES: usize = 64 << 20;
 pub(crate) const LINK_SECRET: &str = "a link secret of the tests";
 const OPERATOR_KEY: &str = "an operator key of the tests";
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
+/// Limit for all processes to listen to their peers.
+const START_LIMIT: Duration = Duration::from_secs(20);
 
 static NEXT_CLUSTER: AtomicU32 = AtomicU32::new(0);
 
@@ -121,9 +127,21 @@
         for number in 0..config.hosts {
             cluster.start_host(number).await;
         }
+        cluster.wait_for_links().await;
         cluster
     }
 
+    /// Waits until peers can reach all hosts.
+    async fn wait_for_links(&self) {
+        let end = Instant::now() + START_LIMIT;
+        for Host { link, .. } in &self.hosts {
+            while TcpStream::connect(link).await.is_err() {
+                assert!(Instant::now() < end, "{link} is not listened on");
+                time::sleep(POLL_INTERVAL).await;
+            }
+        }
+    }
+
     pub(crate) fn client(&self) -> HttpPlatform {
         HttpPlatform::new(&self.platform_server.address().to_string())
     }
