Show that a machine with an old list of workers joins streams of two software versions

What callers see: within one answer of status 200, events of a worker of version v1 and then those of a worker of version v2. Cause: while the store turns away a machine and the feeder of its zone, the machine asks no other feeder and keeps its list; it continues streams at a worker that has started again under its id with another version, without a read that confirms the list.

--- a/review/standins-3/fleet.py
+++ b/review/standins-3/fleet.py
@@ -242,7 +242,8 @@
         self.fleet, self.name, self.zone, self.slots = fleet, name, zone, slots
         self.pace_s, self.version, self.seq = pace_s, version, 0
         self.state, self.runs, self.running, self.behave = "ready", [], 0, None
-        self.born = int(time.time() * 1000)
+        self.open, self.text = set(), event_text
+        self.born, self.service = int(time.time() * 1000), fleet.service
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, self.fleet.ip(200), 0, limit=32 << 20)
@@ -250,14 +251,25 @@
         self.beating = asyncio.create_task(self.beat())
         return self
 
-    async def stop(self):
-        """Ends the worker; its entry stays for three heartbeats, as after a crash."""
+    def crash(self):
+        """Ends the worker without notice; its entry stays until three heartbeats are missed."""
+        self.fleet.note(f"worker {self.name} ({self.version}) crashes")
         self.beating.cancel()
         self.server.close()
+        for writer in list(self.open):
+            writer.transport.abort()
+
+    async def restart(self, version):
+        """Starts the worker again at its address, under its id and with another version."""
+        self.version, self.seq, self.running = version, 0, 0
+        self.born = int(time.time() * 1000)
+        self.fleet.note(f"worker {self.name} starts again with version {version}")
+        self.server = await asyncio.start_server(self.serve, *self.address, limit=32 << 20)
+        self.beating = asyncio.create_task(self.beat())
 
     def entry(self):
         return {
-            "service": self.fleet.service, "address": "%s:%d" % self.address, "zone": self.zone,
+            "service": self.service, "address": "%s:%d" % self.address, "zone": self.zone,
             "version": self.version, "slots": self.slots, "state": self.state, "cold_left_ms": 0,
             "stage": "dual", "models": [{"name": "m", "version": 1, "adapters": []}],
             "seq": self.seq, "born": self.born,
@@ -270,6 +282,7 @@
             await asyncio.sleep(1.2)
 
     async def serve(self, reader, writer):
+        self.open.add(writer)
         try:
             while True:
                 request = await read_head(reader)
@@ -288,6 +301,7 @@
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
             pass
         finally:
+            self.open.discard(writer)
             writer.close()
 
     def heads(self, request):
@@ -309,7 +323,7 @@
                 if gone.done():
                     run["end"] = "left by the system"
                     raise ConnectionError
-                data = f"id: {number}\ndata: {event_text(item, number)}\n\n".encode()
+                data = f"id: {number}\ndata: {self.text(item, number)}\n\n".encode()
                 writer.write(b"%x\r\n%s\r\n" % (len(data), data))
                 await writer.drain()
             writer.write(b"0\r\n\r\n")
@@ -338,8 +352,9 @@
 class Machine:
     """A machine with one process of the system."""
 
-    def __init__(self, fleet, number, name, role):
+    def __init__(self, fleet, number, name, role, zone):
         self.fleet, self.name, self.role, self.ip = fleet, name, role, fleet.ip(number)
+        self.zone = zone
         self.process, self.starts = None, 0
         self.front, self.ready = (self.ip, 8161), (self.ip, 8167)
         self.directory = (self.ip, 8164)
@@ -357,7 +372,7 @@
 machine_class = "{'frontend' if entry else 'storage'}"
 serves = [{'"frontend","directory"' if entry else '"storage"'}]
 ip = "{self.ip}"
-zone = "zone-a"
+zone = "{self.zone}"
 region = "region-a"
 port_range = [7720,7735]
 seeds = []
@@ -369,6 +384,8 @@
 contracts = ["base","drain","config","cost","recover","batch","stream","engine","platform"]
 [zones]
 zone-a = "region-a"
+zone-b = "region-a"
+zone-c = "region-a"
 [listen]
 {listen}[limits]
 cpu_share = 0.25
@@ -454,8 +471,8 @@
         self.record.write(f"{self.now():8.3f} {text}\n")
         self.record.flush()
 
-    def machine(self, number, name, role="entry"):
-        machine = Machine(self, number, name, role)
+    def machine(self, number, name, role="entry", zone="zone-a"):
+        machine = Machine(self, number, name, role, zone)
         self.machines.append(machine)
         return machine
 
