--- a/review/standins-3/fleet.py
+++ b/review/standins-3/fleet.py
@@ -589,7 +589,7 @@
         # The loop is not closed: connections of the stand-ins may still be open.
         held = asyncio.new_event_loop().run_until_complete(bounded())
         code = HELD if held else BROKEN
-    except (CannotRun, OSError, asyncio.TimeoutError) as error:
+    except Exception as error:  # a fault of the script itself is no broken rule
         fleet.note(f"could not run: {error!r}")
         code = NOT_RUN
     finally:
