A stream goes on only at a run that a list younger than any sign of its end still has

Cause: an entry of the list was taken for what serves now. 3 s after the host had seen a target crash it used the old entry again, at the version of the run that was over; the list stood still for 9 s, as retries of a watch went by the direct path only; and nobody confirmed it before a stream went on.

Evidence: the log of the host has both crashes at 0.5 s, "the last list stands" until 9 s, and streams that go on at just these two targets after 7 s; the hosts of other data centres list them as v2.

Why this works: whether a run may have ended is decided by the age of the list, which is confirmed as of the break before a stream goes on, directly or through another host that reads the platform for it. Without such a read, a stream goes on only where nothing speaks against the list, and one that begins where nothing tells the version goes on nowhere else.

New tests failed before: streams/replaced.rs ("versions: v1, v2", "v2, v3"), two in failover.rs (not seen in 1.5 s; no read in 150 ms).

--- a/crates/oleander-cluster/src/failover.rs
+++ b/crates/oleander-cluster/src/failover.rs
@@ -13,7 +13,7 @@
 use oleander_core::{Revision, Span};
 use oleander_host::clock;
 use oleander_platform::{
-    Changes, Created, Listing, Object, ObjectStore, Page, PlatformError, Updated,
+    Changes, Created, Listing, Object, ObjectStore, POLL_WAIT, Page, PlatformError, Updated,
 };
 use parking_lot::{Mutex, RwLock};
 use serde::{Deserialize, Serialize};
@@ -38,6 +38,9 @@
     Update(String, Bytes, Revision),
     /// Waits for changes below a prefix after a revision; served by feeders only.
     Watch(String, Revision, Span),
+    /// Reads the changes below a prefix after a revision at the platform, without waiting for one.
+    /// A host that does not know this request fails to decode it.
+    Poll(String, Revision),
 }
 
 /// The response to a [`StoreRequest`].
@@ -74,12 +77,23 @@
         from: Revision,
         wait: Duration,
     ) -> impl Future<Output = Option<Changes>> + Send;
+
+    /// Reads changes at the platform through another host; `None` if none reaches it.
+    fn poll(&self, prefix: &str, from: Revision) -> impl Future<Output = Option<Changes>> + Send {
+        let response = self.call(StoreRequest::Poll(prefix.to_owned(), from));
+        async move {
+            match response.await {
+                StoreResponse::Changes(changes) => Some(changes),
+                _ => None,
+            }
+        }
+    }
 }
 
 /// A store with a direct path and a fallback through other hosts.
 #[derive(Debug)]
 pub struct FailoverStore<S, F> {
-    store: S,
+    pub(crate) store: S,
     breaker: Arc<Mutex<CircuitBreaker>>,
     fallback: Arc<RwLock<Option<Arc<F>>>>,
     feeds: ChangeFeeds,
@@ -120,6 +134,12 @@
             _ if self.breaker.lock().is_open() => {
                 StoreResponse::Refused("this host has no path to the platform either".to_owned())
             }
+            StoreRequest::Poll(prefix, from) => {
+                match self.record(self.store.watch(&prefix, from, POLL_WAIT).await) {
+                    Ok(changes) => StoreResponse::Changes(changes),
+                    Err(error) => failure_response(&error),
+                }
+            }
             StoreRequest::Get(key) => match self.record(self.store.get(&key).await) {
                 Ok(object) => StoreResponse::Got(object),
                 Err(error) => failure_response(&error),
@@ -141,8 +161,18 @@
         }
     }
 
+    /// Whether requests take the direct path, as far as known.
+    pub(crate) fn is_path_open(&self) -> bool {
+        !self.breaker.lock().is_open()
+    }
+
+    /// Other hosts, if there may be any.
+    pub(crate) fn fallback(&self) -> Option<Arc<F>> {
+        self.fallback.read().clone()
+    }
+
     /// Updates the breaker with the result of a direct request.
-    fn record<T>(&self, result: Result<T, PlatformError>) -> Result<T, PlatformError> {
+    pub(crate) fn record<T>(&self, result: Result<T, PlatformError>) -> Result<T, PlatformError> {
         let now = clock::steady();
         let mut breaker = self.breaker.lock();
         let was_open = breaker.is_open();
@@ -195,8 +225,7 @@
     }
 
     async fn call_fallback(&self, request: StoreRequest, error: PlatformError) -> StoreResponse {
-        let fallback = self.fallback.read().clone();
-        match fallback {
+        match self.fallback() {
             Some(fallback) => fallback.call(request).await,
             None => failure_response(&error),
         }
@@ -296,13 +325,13 @@
         from: Revision,
         wait: Duration,
     ) -> Result<Changes, PlatformError> {
-        let fallback = self.fallback.read().clone();
+        let fallback = self.fallback();
         // A watch with a minimal wait tests whether the platform responds.
         if let Some(fallback) = fallback.filter(|_| wait >= MIN_FEED_WAIT)
             && let Some(changes) = fallback.watch_feed(prefix, from, wait).await
         {
             return Ok(changes);
         }
-        self.record(self.store.watch(prefix, from, wait).await)
+        self.watch_platform(prefix, from, wait).await
     }
 }
--- a/crates/oleander-cluster/src/fallback.rs
+++ b/crates/oleander-cluster/src/fallback.rs
@@ -2,12 +2,13 @@
 
 use std::{net::SocketAddr, time::Duration};
 
+use futures_util::{StreamExt, stream::FuturesUnordered};
 use oleander_core::{HostId, Revision, Span, hash};
 use oleander_host::clock;
 use oleander_link::Link;
 use oleander_members::{MemberRole, MemberState};
 use oleander_platform::Changes;
-use tokio::task::JoinSet;
+use tokio::{task::JoinSet, time};
 
 use crate::{
     cluster::{Cluster, PossiblePeer},
@@ -25,6 +26,10 @@
 const REPORT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time for which the answers of all hosts are taken for news.
 const REPORT_AGE: Span = Span::from_millis(500);
+/// Time allowed for a host that reads changes at the platform.
+const POLL_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time after which the next host is asked to read changes as well.
+const POLL_STAGGER: Duration = Duration::from_millis(30);
 /// Maximum number of hosts through which a platform request is tried.
 const MAX_PROXIES: usize = 3;
 
@@ -51,13 +56,19 @@
         Some((feeder.host, feeder.address))
     }
 
-    /// Hosts that may reach the platform, those of this data centre first.
+    /// Hosts that may reach the platform: one of this data centre, if there is one, and then some of
+    /// others, as a whole data centre may be turned away.
     fn proxies(&self) -> Vec<SocketAddr> {
         let mut peers = self.peers();
-        peers.sort_by_key(|(host, zone, _)| {
-            (*zone != self.local.zone, hash::hash_parts(&[self.local.host.as_str(), host.as_str()]))
+        peers.sort_by_key(|(host, _, _)| {
+            hash::hash_parts(&[self.local.host.as_str(), host.as_str()])
         });
-        peers.into_iter().map(|(_, _, address)| address).take(MAX_PROXIES).collect()
+        let (mut near, mut far): (Vec<_>, Vec<_>) =
+            peers.into_iter().partition(|(_, zone, _)| *zone == self.local.zone);
+        let others = near.split_off(near.len().min(1));
+        far.extend(others);
+        near.extend(far);
+        near.into_iter().map(|(_, _, address)| address).take(MAX_PROXIES).collect()
     }
 }
 
@@ -123,6 +134,28 @@
     }
 }
 
+/// Reads changes through the host at `address` after a delay; `None` if it does not reach the
+/// platform.
+async fn poll_at(
+    link: &Link,
+    address: SocketAddr,
+    request: &PeerRequest<()>,
+    delay: Duration,
+) -> Option<Changes> {
+    time::sleep(delay).await;
+    match link.call(&address.to_string(), request, POLL_TIMEOUT).await {
+        Ok(PeerResponse::<()>::Store(StoreResponse::Changes(changes))) => Some(changes),
+        Ok(response) => {
+            log::debug!(address:% = address, response:? = response; "host reads no changes");
+            None
+        }
+        Err(error) => {
+            log::debug!(address:% = address, error:% = error; "host reads no changes");
+            None
+        }
+    }
+}
+
 impl StoreFallback for Cluster {
     async fn call(&self, request: StoreRequest) -> StoreResponse {
         let mut last_refusal = StoreResponse::Refused("no other host is available".to_owned());
@@ -161,4 +194,19 @@
         *self.direct_until.lock() = clock::steady() + DIRECT_WATCH_TIME;
         None
     }
+
+    async fn poll(&self, prefix: &str, from: Revision) -> Option<Changes> {
+        let request: PeerRequest<()> =
+            PeerRequest::Store(StoreRequest::Poll(prefix.to_owned(), from));
+        let mut polls: FuturesUnordered<_> = (0..)
+            .zip(self.proxies())
+            .map(|(turn, address)| poll_at(&self.link, address, &request, POLL_STAGGER * turn))
+            .collect();
+        while let Some(changes) = polls.next().await {
+            if changes.is_some() {
+                return changes;
+            }
+        }
+        None
+    }
 }
--- a/crates/oleander-cluster/src/lib.rs
+++ b/crates/oleander-cluster/src/lib.rs
@@ -16,6 +16,7 @@
 mod feed;
 mod join;
 mod message;
+mod poll;
 mod probing;
 mod quarantine;
 mod rates;
--- a/crates/oleander-cluster/tests/failover.rs
+++ b/crates/oleander-cluster/tests/failover.rs
@@ -12,9 +12,15 @@
 use oleander_cluster::{FailoverStore, StoreFallback, StoreRequest, StoreResponse};
 use oleander_core::Revision;
 use oleander_platform::{
-    Changes, Created, Listing, MemoryFaults, MemoryPlatform, Object, ObjectStore, Page,
-    PlatformError, Updated,
+    Changes, Created, FollowEvent, Follower, Listing, MemoryFaults, MemoryPlatform, Object,
+    ObjectStore, POLL_WAIT, Page, PlatformError, SHORT_WAIT, Updated,
 };
+use tokio::time::timeout;
+
+/// Time within which a host that is turned away sees a change.
+const TURNED_AWAY_LAG: Duration = Duration::from_millis(1_500);
+/// Time for which whoever needs the present state waits for it.
+const CONFIRM_LIMIT: Duration = Duration::from_millis(150);
 
 /// Another host, whose path may fail as well.
 struct Proxy(FailoverStore<MemoryPlatform, Proxy>);
@@ -207,3 +213,44 @@
     }
     assert!(used_again, "the direct path is used again once it works");
 }
+
+/// Guards against a host that follows nothing for as long as the platform turns it away, while
+/// other hosts are served.
+#[tokio::test]
+async fn a_host_that_the_platform_turns_away_follows_changes_through_another() {
+    let (store, direct, other) = paths();
+    let mut follow = Follower::new(store.clone(), "a/", SHORT_WAIT);
+    assert!(matches!(follow.next().await, FollowEvent::Snapshot(_)));
+    direct.set_faults(down());
+    for n in 0..6 {
+        let key = format!("a/{n}");
+        other.create(&key, body()).await.expect("up");
+        let seen = async {
+            loop {
+                match follow.next().await {
+                    FollowEvent::Changes(changes) if changes.iter().any(|c| c.key == key) => break,
+                    _ => {}
+                }
+            }
+        };
+        timeout(TURNED_AWAY_LAG, seen).await.expect("seen in time");
+        tokio::time::sleep(Duration::from_millis(150)).await;
+    }
+}
+
+/// Guards against a read that waits for a silent platform while another host is served.
+#[tokio::test]
+async fn a_read_of_changes_waits_for_no_silent_platform() {
+    let (direct, other) = (MemoryPlatform::new(), MemoryPlatform::new());
+    let disconnected = Arc::new(AtomicBool::new(true));
+    let path = UnresponsiveStore { store: direct, disconnected };
+    let store: FailoverStore<UnresponsiveStore, Proxy> = FailoverStore::new(path);
+    store.set_fallback(Arc::new(Proxy(Store::new(other.clone()))));
+    let from = other.scan("a/", "").await.expect("up").revision;
+    other.create("a/1", body()).await.expect("up");
+    for _ in 0..4 {
+        let read = timeout(CONFIRM_LIMIT, store.watch("a/", from, POLL_WAIT)).await;
+        let changes = read.expect("in time").expect("read through the other host");
+        assert_eq!(changes.changes.len(), 1, "{changes:?}");
+    }
+}
--- a/crates/oleander-cluster/tests/streams/main.rs
+++ b/crates/oleander-cluster/tests/streams/main.rs
@@ -3,7 +3,9 @@
 mod hosts;
 mod outdated;
 mod power;
+mod replaced;
 mod restarts;
+mod runs;
 #[path = "../support/hosts.rs"]
 mod support;
 
--- a/crates/oleander-cluster/tests/support/hosts.rs
+++ b/crates/oleander-cluster/tests/support/hosts.rs
@@ -125,6 +125,11 @@
         self.feed.stand_still(stands_still);
     }
 
+    /// Lets the host lose the list of targets, of which no other host tells it, or reach it again.
+    pub(crate) fn lose_list(&self, lost: bool) {
+        self.feed.cut(lost);
+    }
+
     /// Cuts the host off from the platform and the other hosts, but not from callers and targets.
     fn cut_off(&mut self) {
         self.tasks.drain(..).for_each(|task| task.abort());
--- a/crates/oleander-quarantine/src/crash.rs
+++ b/crates/oleander-quarantine/src/crash.rs
@@ -19,6 +19,16 @@
     pub(crate) is_reached: bool,
 }
 
+/// The last crash of a target, as far as known.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LastCrash {
+    /// When this host learned of it.
+    pub known_at: Time,
+    /// Whether the target accepts connections of this host all the same: the report was wrong, or
+    /// the target has started again.
+    pub is_reached: bool,
+}
+
 impl Crash {
     pub(crate) const fn new(now: Time) -> Self {
         let cleared = PartSet(BTreeSet::new());
--- a/crates/oleander-quarantine/src/lib.rs
+++ b/crates/oleander-quarantine/src/lib.rs
@@ -21,6 +21,7 @@
 mod parts;
 mod quarantine;
 
+pub use crash::LastCrash;
 pub use news::{BlockNews, CrashNews, QuarantineNews};
 pub use parts::{PartSet, RequestParts, TargetRun};
 pub use quarantine::{Quarantine, Standing};
--- a/crates/oleander-quarantine/src/quarantine/runs.rs
+++ b/crates/oleander-quarantine/src/quarantine/runs.rs
@@ -3,7 +3,10 @@
 use oleander_core::{Span, TargetId, Time};
 
 use super::Quarantine;
-use crate::{crash::Crash, parts::TargetRun};
+use crate::{
+    crash::{Crash, LastCrash},
+    parts::TargetRun,
+};
 
 /// Time after a crash in which the target is taken to be down.
 const RESTART_TIME: Span = Span::from_secs(1);
@@ -42,6 +45,15 @@
         crashes.any(|(run, crash)| crash.may_last(run) && now.since(crash.known_at) < age)
     }
 
+    /// The last crash of a listed run of a target, or of one that followed it; `None` if there is
+    /// none that has not been refuted.
+    #[must_use]
+    pub fn last_crash(&self, listed: &TargetRun) -> Option<LastCrash> {
+        let crashes = self.crashes_from(listed).filter(|(run, crash)| !crash.is_refuted(run));
+        let last = crashes.map(|(_, crash)| crash).max_by_key(|crash| crash.known_at)?;
+        Some(LastCrash { known_at: last.known_at, is_reached: last.is_reached })
+    }
+
     /// Whether a target that does not state its start has just crashed.
     #[must_use]
     pub fn is_down(&self, now: Time, target: &TargetId) -> bool {
--- a/crates/oleander-relay/src/confirmations.rs
+++ b/crates/oleander-relay/src/confirmations.rs
@@ -33,14 +33,20 @@
     /// new as that read.
     pub(crate) async fn confirm(&self) -> bool {
         let mut answered = self.answered.subscribe();
+        let number = self.request();
+        // The sender lives as long as `self`.
+        let answer = answered.wait_for(|answer| answer.number >= number).await;
+        answer.is_ok_and(|answer| answer.is_confirmed)
+    }
+
+    /// Asks for a read that begins after this call; returns the number of the request.
+    pub(crate) fn request(&self) -> u64 {
         let mut number = 0;
         self.asked.send_modify(|asked| {
             *asked += 1;
             number = *asked;
         });
-        // The sender lives as long as `self`.
-        let answer = answered.wait_for(|answer| answer.number >= number).await;
-        answer.is_ok_and(|answer| answer.is_confirmed)
+        number
     }
 
     /// Whether a task reads on request.
--- a/crates/oleander-relay/src/crash.rs
+++ b/crates/oleander-relay/src/crash.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use oleander_core::{Span, hash};
+use oleander_host::clock;
 use oleander_quarantine::RequestParts;
 
 use crate::{
@@ -46,11 +47,13 @@
     };
     drop(lease);
     let check = async move {
-        let ended = check.has_ended().await;
-        log::info!(target:% = run.target, address:% = check.target.address, has_output, ended;
+        let state = check.state().await;
+        log::info!(target:% = run.target, address:% = check.target.address, has_output, state:?;
             "target broke off");
-        if ended {
-            check.pool.record_crash(&run);
+        match state {
+            RunState::GoesOn => {}
+            RunState::Unclear => check.pool.record_doubt(clock::steady(), check.target.run()),
+            RunState::Ended => check.pool.record_crash(&run),
         }
         drop(alone);
     };
@@ -61,6 +64,17 @@
     }
 }
 
+/// What is known of the run of a target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum RunState {
+    /// It accepts connections.
+    GoesOn,
+    /// It does not, and nor do others.
+    Unclear,
+    /// It refuses connections, and another target does not.
+    Ended,
+}
+
 /// The check of a target that failed.
 struct Check<T> {
     transport: Arc<T>,
@@ -71,19 +85,22 @@
 }
 
 impl<T: TargetTransport> Check<T> {
-    /// Whether the target's process has ended: it refuses connections, and another target does not.
-    async fn has_ended(&self) -> bool {
-        if !self.is_refused && self.transport.connect(&self.target).await != Reach::Refused {
-            return false;
+    async fn state(&self) -> RunState {
+        if !self.is_refused {
+            match self.transport.connect(&self.target).await {
+                Reach::Accepted => return RunState::GoesOn,
+                Reach::Failed => return RunState::Unclear,
+                Reach::Refused => {}
+            }
         }
         let others = self.pool.others(&self.target.id, CONTROLS);
         for other in &others {
             if self.transport.connect(other).await == Reach::Accepted {
-                return true;
+                return RunState::Ended;
             }
         }
         // A host that reaches no target can't tell; without another target, the refusal decides.
-        others.is_empty()
+        if others.is_empty() { RunState::Ended } else { RunState::Unclear }
     }
 }
 
--- a/crates/oleander-relay/src/follow.rs
+++ b/crates/oleander-relay/src/follow.rs
@@ -51,9 +51,13 @@
         match step {
             Step::Followed(event) => listing.apply(event),
             Step::Outdated(number) => {
+                let began = clock::steady();
                 let event = follow.poll().await;
                 let is_confirmed = !matches!(event, FollowEvent::Failed(_));
                 listing.apply(event);
+                if is_confirmed {
+                    listing.pools.record_list_time(began);
+                }
                 requests.answer(number, is_confirmed);
             }
         }
@@ -124,8 +128,12 @@
                 }
                 number = requests.next() => number,
             };
+            let began = clock::steady();
             match confirm(number).await {
-                Confirmed::Unchanged(number) => requests.answer(number, true),
+                Confirmed::Unchanged(number) => {
+                    self.pools.record_list_time(began);
+                    requests.answer(number, true);
+                }
                 Confirmed::Changed(number) => return Step::Outdated(number),
                 Confirmed::Unknown(number, reason) => {
                     log::info!(reason; "list of targets is not confirmed");
--- a/crates/oleander-relay/src/lease.rs
+++ b/crates/oleander-relay/src/lease.rs
@@ -3,6 +3,7 @@
 use std::{fmt, sync::Arc};
 
 use oleander_core::{Span, Time};
+use oleander_host::clock;
 use oleander_quarantine::{RequestParts, TargetRun};
 use oleander_routing::{Class, Failure, LeaseId, LoadReport, Observation, RequestRate, TicketId};
 
@@ -126,7 +127,7 @@
             self.pool.quarantine.record_output(&self.parts);
             self.alone = None;
         }
-        self.pool.quarantine.record_life(&self.run, self.sent);
+        self.pool.record_life(clock::steady(), &self.run, &self.target, self.sent);
         self.record_sign();
     }
 
--- a/crates/oleander-relay/src/lib.rs
+++ b/crates/oleander-relay/src/lib.rs
@@ -22,6 +22,7 @@
 mod lease;
 mod link_check;
 mod links;
+mod list_time;
 mod memory;
 mod pool;
 mod pools;
--- a/crates/oleander-relay/src/pool.rs
+++ b/crates/oleander-relay/src/pool.rs
@@ -1,6 +1,7 @@
 //! The targets of one service, behind the router that selects among them.
 
 mod acquire;
+mod doubts;
 mod error;
 mod leaving;
 mod limits;
@@ -20,10 +21,11 @@
 use tokio::sync::{Notify, mpsc::UnboundedSender};
 
 pub use self::error::AcquireError;
-use self::leaving::LeavingRuns;
+use self::{doubts::DoubtedRuns, leaving::LeavingRuns};
 use crate::{
     lease::{TargetLease, TargetLoad},
     links::Links,
+    list_time::ListTime,
     quarantine::SharedQuarantine,
     rates::TargetRates,
     target_list::TargetEntry,
@@ -89,8 +91,12 @@
     links_checked: Notify,
     /// Runs of targets that have said that they are about to stop.
     leaving: Mutex<LeavingRuns>,
+    /// Runs whose connections have failed.
+    doubts: Mutex<DoubtedRuns>,
     /// Signals that links may have to be checked.
     link_failed: Arc<Notify>,
+    /// The age of the list.
+    list_time: Arc<ListTime>,
     changed: Arc<Notify>,
 }
 
@@ -102,6 +108,7 @@
         yields: UnboundedSender<YieldRequest>,
         news: Arc<Notify>,
         link_failed: Arc<Notify>,
+        list_time: Arc<ListTime>,
     ) -> Self {
         let changed = Arc::new(Notify::new());
         let config = RouterConfig::new(host.clone(), zone.clone())
@@ -123,7 +130,9 @@
             links: Mutex::default(),
             links_checked: Notify::new(),
             leaving: Mutex::default(),
+            doubts: Mutex::default(),
             link_failed,
+            list_time,
             changed,
         }
     }
@@ -138,6 +147,7 @@
         drop(router);
         self.set_versions(&entries);
         self.record_replaced(&entries);
+        self.doubts.lock().retain_listed(&entries);
         let entries = entries.into_iter().map(|entry| (entry.id.clone(), entry));
         *self.targets.write() = entries.collect();
         *self.assigned.lock() = None;
@@ -259,10 +269,13 @@
         lease: LeaseId,
         parts: &Arc<RequestParts>,
     ) -> Option<TargetLease> {
-        let Some(target) = self.targets.read().get(target).cloned() else {
+        let Some(mut target) = self.targets.read().get(target).cloned() else {
             self.observe(lease, Observation::Cancelled);
             return None;
         };
+        if self.may_have_ended(&target) {
+            target.version = SoftwareVersion::unlisted(&target.run());
+        }
         let load = self.router.lock().status(&target.id).map(|status| TargetLoad {
             online: status.online,
             batch: status.batch,
--- a/crates/oleander-relay/src/pool/restrict.rs
+++ b/crates/oleander-relay/src/pool/restrict.rs
@@ -7,17 +7,13 @@
 use oleander_quarantine::Standing;
 use oleander_routing::{Pick, TargetState};
 
-use super::{Pool, VersionChoice};
+use super::{Pool, VersionChoice, doubts::CRASH_EXCLUSION};
 use crate::target_list::TargetEntry;
 
 /// Time for which a version that is new in a service begins no streams, unless it is the only one;
 /// by then all hosts know of it.
 const NEW_VERSION_DELAY: Span = Span::from_secs(2);
 
-/// Time after its crash for which a target gets no requests; by then it is no longer listed, unless
-/// its connections were refused for another reason.
-const CRASH_EXCLUSION: Span = Span::from_secs(3);
-
 impl Pool {
     /// Excludes the targets that may not take a request.
     pub(super) fn restrict<'a>(
@@ -29,6 +25,9 @@
         let targets = self.targets.read();
         let mut excluded = self.other_versions(&targets, versions);
         excluded.extend(self.crashed(&targets));
+        if *versions != VersionChoice::Any {
+            excluded.extend(self.ended(&targets, versions));
+        }
         if let Standing::Suspect { part, .. } | Standing::Alone { content: part } = standing {
             excluded.extend(pick.exclude.iter().cloned());
             excluded.extend(self.ejected());
@@ -76,6 +75,28 @@
         crashed.map(|target| target.id.clone()).collect()
     }
 
+    /// Targets at which no stream goes on, as their listed run may have ended. New streams may begin
+    /// there unless it is known to have crashed, and at all if no others are left.
+    fn ended(
+        &self,
+        targets: &HashMap<TargetId, TargetEntry>,
+        versions: &VersionChoice,
+    ) -> Vec<TargetId> {
+        if *versions != VersionChoice::Established {
+            let ended = targets.values().filter(|target| self.may_have_ended(target));
+            return ended.map(|target| target.id.clone()).collect();
+        }
+        let is_crashed = |target: &&TargetEntry| {
+            let crash = self.quarantine.last_crash(&target.run());
+            crash.is_some_and(|crash| !crash.is_reached && self.is_unlisted(crash))
+        };
+        let (crashed, others): (Vec<_>, Vec<_>) = targets.values().partition(is_crashed);
+        if others.iter().all(|target| target.leaving) {
+            return Vec::new();
+        }
+        crashed.into_iter().map(|target| target.id.clone()).collect()
+    }
+
     /// Other targets of the service that have not crashed lately, the same ones for each call.
     pub(crate) fn others(&self, target: &TargetId, count: usize) -> Vec<TargetEntry> {
         let targets = self.targets.read();
--- a/crates/oleander-relay/src/pools.rs
+++ b/crates/oleander-relay/src/pools.rs
@@ -16,6 +16,7 @@
 
 use crate::{
     host::{Helper, HelperUse},
+    list_time::ListTime,
     pool::{Pool, YieldRequest},
     streams::StreamVersions,
     target_list::{TargetEntry, TargetList},
@@ -29,6 +30,7 @@
 pub struct Pools {
     /// The streams of all services, by their software version.
     pub streams: StreamVersions,
+    list_time: Arc<ListTime>,
     host: HostId,
     zone: ZoneId,
     seed: u64,
@@ -58,10 +60,12 @@
     #[must_use]
     pub fn new(host: HostId, zone: ZoneId, seed: u64) -> (Self, UnboundedReceiver<YieldRequest>) {
         let (yields, receiver) = mpsc::unbounded_channel();
-        let streams = StreamVersions::default();
+        let list_time = Arc::new(ListTime::default());
+        let streams = StreamVersions::new(Arc::clone(&list_time));
         let (pools, news) = (RwLock::default(), Arc::new(Notify::new()));
         let pools = Self {
             streams,
+            list_time,
             host,
             zone,
             seed,
@@ -96,10 +100,16 @@
         }
     }
 
+    /// Records that a read of the platform which began at `began` has confirmed the list of targets.
+    pub(crate) fn record_list_time(&self, began: Time) {
+        self.list_time.record(began);
+    }
+
     fn new_pool(&self) -> Pool {
         let (yields, news) = (self.yields.clone(), Arc::clone(&self.news));
         let link_failed = Arc::clone(&self.link_failed);
-        Pool::new(&self.host, &self.zone, self.seed, yields, news, link_failed)
+        let list_time = Arc::clone(&self.list_time);
+        Pool::new(&self.host, &self.zone, self.seed, yields, news, link_failed, list_time)
     }
 
     /// Completes when links may have to be checked.
--- a/crates/oleander-relay/src/quarantine.rs
+++ b/crates/oleander-relay/src/quarantine.rs
@@ -5,7 +5,7 @@
 use oleander_core::{HostId, PromptPart, Span, Time, hash};
 use oleander_host::clock;
 use oleander_quarantine::{
-    BlockNews, PartSet, Quarantine, QuarantineNews, RequestParts, Standing, TargetRun,
+    BlockNews, LastCrash, PartSet, Quarantine, QuarantineNews, RequestParts, Standing, TargetRun,
 };
 use parking_lot::Mutex;
 use tokio::sync::Notify;
@@ -76,6 +76,11 @@
         self.state.lock().has_crashed(clock::steady(), run, age)
     }
 
+    /// The last crash of a listed run of a target, or of one that followed it.
+    pub(crate) fn last_crash(&self, run: &TargetRun) -> Option<LastCrash> {
+        self.state.lock().last_crash(run)
+    }
+
     /// The run that a target is in, by the run that is listed.
     pub(crate) fn run_after(&self, listed: &TargetRun) -> TargetRun {
         self.state.lock().run_after(clock::steady(), listed)
--- a/crates/oleander-relay/src/relay.rs
+++ b/crates/oleander-relay/src/relay.rs
@@ -135,6 +135,7 @@
             retry: RetryState::new(route).after(origin.sent),
             events: route.is_stream().then(|| EventReader::after(request.resume_after)),
             head_sent: false,
+            list_needed: request.received,
             version: origin.version.clone(),
             current: None,
             origin,
@@ -168,6 +169,9 @@
     parts: Arc<RequestParts>,
     pub(crate) events: Option<EventReader>,
     pub(crate) head_sent: bool,
+    /// Time as of which the list of targets must be known for the next attempt, if that goes on with
+    /// a stream.
+    pub(crate) list_needed: Time,
     /// Version that began the stream; `None` before its first event.
     pub(crate) version: Option<SoftwareVersion>,
     /// Target, or other host, of the attempt in progress.
@@ -224,6 +228,7 @@
             self.current = Some(lease.to_string());
             let (outcome, next) = self.attempt(&pool, &mut lease, sending, sink).await;
             self.current = None;
+            self.list_needed = clock::steady();
             let target = lease.target.id.clone();
             self.record_attempt(&lease, &outcome);
             let has_begun =
--- a/crates/oleander-relay/src/relay/choice.rs
+++ b/crates/oleander-relay/src/relay/choice.rs
@@ -24,6 +24,10 @@
         sink: &S,
     ) -> Result<TargetLease, NextStep> {
         let (relay, deadline, may_refuse) = (self.relay, self.deadline, !self.head_sent);
+        if self.version.as_ref().is_some_and(SoftwareVersion::is_unlisted) {
+            self.summary.attempts.push("the version that began the stream is not known".to_owned());
+            return Err(self.give_up());
+        }
         let lease = tokio::select! {
             lease = self.acquire(pool) => lease,
             () = sink.closed() => return Err(NextStep::Cancelled),
@@ -78,8 +82,13 @@
     }
 
     async fn acquire(&mut self, pool: &Arc<Pool>) -> Result<TargetLease, AcquireError> {
-        let ticket = Ticket::new(pool);
         let started = clock::steady();
+        if self.version.is_some() {
+            self.relay.pools.streams.confirm_as_of(self.list_needed).await;
+        } else if self.route.is_stream() && pool.needs_list() {
+            self.relay.pools.streams.request_list();
+        }
+        let ticket = Ticket::new(pool);
         let pick = self.pick(started, ticket.id, pool.service_time());
         let versions = self.versions();
         let excluding = match self.retry.take_left() {
--- a/crates/oleander-relay/src/streams.rs
+++ b/crates/oleander-relay/src/streams.rs
@@ -29,7 +29,7 @@
 use std::{
     collections::{BTreeMap, BTreeSet},
     fmt,
-    time::Duration,
+    sync::Arc,
 };
 
 use oleander_core::{ServiceId, Span, Time, hash, value};
@@ -52,12 +52,16 @@
 };
 use crate::{
     confirmations::{ConfirmRequests, Confirmations},
+    list_time::ListTime,
     version::SoftwareVersion,
 };
 
 /// Maximum wait for a read that confirms the list of targets; a caller that resumes has waited for
 /// its first host already.
-const CONFIRM_WAIT: Duration = Duration::from_millis(150);
+const CONFIRM_WAIT: Span = Span::from_millis(150);
+
+/// Time between two requests for a read of the list that nobody waits for.
+const REQUEST_INTERVAL: Span = Span::from_secs(1);
 
 /// A stream over all tries of its caller.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
@@ -166,9 +170,17 @@
     /// Signals that the list of targets has been updated.
     listed: Notify,
     confirmations: Confirmations,
+    /// The age of the list of targets.
+    list_time: Arc<ListTime>,
+    /// When the list was last asked for without a wait.
+    requested: Mutex<Time>,
 }
 
 impl StreamVersions {
+    pub(crate) fn new(list_time: Arc<ListTime>) -> Self {
+        Self { list_time, ..Self::default() }
+    }
+
     /// Subscribes to the questions to other hosts; without a subscriber, nobody is asked.
     pub fn queries(&self) -> UnboundedReceiver<StreamQuery> {
         let (sender, receiver) = mpsc::unbounded_channel();
@@ -262,12 +274,43 @@
         if !self.confirmations.has_reader() {
             return ListState::Unconfirmed;
         }
-        match time::timeout(CONFIRM_WAIT, self.confirmations.confirm()).await {
+        match time::timeout(CONFIRM_WAIT.to_duration(), self.confirmations.confirm()).await {
             Ok(true) => ListState::Confirmed,
             Ok(false) | Err(_) => ListState::Unconfirmed,
         }
     }
 
+    /// Brings the list of targets up to date as of `needed`, if the platform is reached in a short
+    /// time.
+    pub(crate) async fn confirm_as_of(&self, needed: Time) -> ListState {
+        if self.list_time.get() >= needed {
+            return ListState::Confirmed;
+        }
+        self.confirm().await
+    }
+
+    /// Whether what broke off at `needed` should wait for a list as of then, which is asked for, before
+    /// it goes on.
+    #[must_use]
+    pub fn awaits_list(&self, now: Time, needed: Time) -> bool {
+        let is_known = self.list_time.get() >= needed;
+        if is_known || !self.confirmations.has_reader() || now.since(needed) >= CONFIRM_WAIT {
+            return false;
+        }
+        self.request_list();
+        true
+    }
+
+    /// Asks for a read that brings the list of targets up to date, once per interval.
+    pub(crate) fn request_list(&self) {
+        let now = clock::steady();
+        let mut requested = self.requested.lock();
+        if now.since(*requested) >= REQUEST_INTERVAL {
+            *requested = now;
+            self.confirmations.request();
+        }
+    }
+
     /// Requests to confirm the list of targets.
     pub(crate) fn confirm_requests(&self) -> ConfirmRequests {
         self.confirmations.requests()
--- a/crates/oleander-relay/src/takeover.rs
+++ b/crates/oleander-relay/src/takeover.rs
@@ -33,6 +33,9 @@
 /// Time for which two targets may have the same request; longer than a connect timeout.
 const MAX_OVERLAP: Span = Span::from_millis(250);
 
+/// Age of the list of targets up to which another target may take over a stream; a target that ends
+/// and starts again is away for longer.
+const MAX_LIST_AGE: Span = Span::from_secs(1);
 /// Further time in which a response is read that arrived while this process paused.
 const PAUSE_MARGIN: Span = Span::from_millis(5);
 
@@ -142,6 +145,10 @@
             // The silent target may be about to crash, and so would the other one.
             return false;
         }
+        if progress.has_output() {
+            let needed = clock::steady() - MAX_LIST_AGE;
+            self.relay.pools.streams.confirm_as_of(needed).await;
+        }
         let lease = self.pool.acquire_version(&pick, &versions, self.parts).await;
         let Ok(lease) = lease else { return false };
         let dispatch = Dispatch {
--- a/crates/oleander-relay/src/version.rs
+++ b/crates/oleander-relay/src/version.rs
@@ -2,6 +2,7 @@
 
 use std::{fmt, str::FromStr};
 
+use oleander_quarantine::TargetRun;
 use serde::{Deserialize, Serialize};
 
 /// A version of a target's software; versions have no order.
@@ -9,6 +10,23 @@
 #[serde(try_from = "String", into = "String")]
 pub struct SoftwareVersion(String);
 
+/// Begin of the name that stands for a version that is not known. Names of this kind differ by the run,
+/// so that nothing counts as written by the same version.
+const UNLISTED: &str = "unlisted ";
+
+impl SoftwareVersion {
+    /// Stands for the version of a run that has followed `ended`, and is not listed yet.
+    pub(crate) fn unlisted(ended: &TargetRun) -> Self {
+        let started = ended.started.unwrap_or(0);
+        Self(format!("{UNLISTED}{} {started}", ended.target))
+    }
+
+    /// Whether it stands for a version that is not known.
+    pub(crate) fn is_unlisted(&self) -> bool {
+        self.0.starts_with(UNLISTED)
+    }
+}
+
 /// A target states no version.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct EmptyVersion;
--- a/crates/oleander-worklist/src/dispatch.rs
+++ b/crates/oleander-worklist/src/dispatch.rs
@@ -136,6 +136,10 @@
         let service = route.service(&item.request.id).ok_or(Unplaced::Waiting)?;
         let pool = self.relay.pools.get(service).ok_or(Unplaced::Waiting)?;
         let versions = permitted_versions(*now, &pool, item);
+        let streams = &self.relay.pools.streams;
+        if versions != VersionChoice::Any && streams.awaits_list(*now, item.not_before) {
+            return Err(Unplaced::Waiting);
+        }
         let (service, local_only) = (service.clone(), *local_only);
         let mut need = SlotNeed { service, versions, avoid: None, local_only };
         if unmet.covers(&need) {
