A job waits for a host that nobody has heard of no longer than 3 s, and its owner is asked at once

Cause: each listed host was a candidate until probed, one in four rounds of 0.3 s; a job waited for its dead owner to be probed, and for each dead host that the hash prefers.

Why this works: the owners of open jobs are contacted beside the rounds, a refused connection counts at once and two unanswered probes do; a host that nobody has heard of in 3 s takes nothing over, which needs no agreement, as takeover is a conditional write. Costs stay flat: only owners are contacted.

a_refused_connection_is_unreachable asserted LinkError::Unreachable; such connections have an error of their own now, which the test asserts instead.

--- a/crates/oleander-cluster/src/lib.rs
+++ b/crates/oleander-cluster/src/lib.rs
@@ -9,6 +9,7 @@
 mod begun;
 mod breaker;
 mod cluster;
+mod contact;
 mod directory;
 mod disconnected;
 mod failover;
--- a/crates/oleander-cluster/src/probing.rs
+++ b/crates/oleander-cluster/src/probing.rs
@@ -4,6 +4,7 @@
 
 use oleander_core::HostId;
 use oleander_host::clock;
+use oleander_link::LinkError;
 use oleander_members::{MemberAction, MemberEvent, Message, MessageKind};
 use tokio::time::{self, MissedTickBehavior};
 
@@ -52,7 +53,7 @@
         replies.collect()
     }
 
-    fn execute(self: &Arc<Self>, actions: Vec<MemberAction>) {
+    pub(crate) fn execute(self: &Arc<Self>, actions: Vec<MemberAction>) {
         self.apply_changes(&actions);
         for action in actions {
             let MemberAction::Send { to, message } = action else { continue };
@@ -75,8 +76,14 @@
                 }
             }
             Ok(_) => log::warn!(host:% = to; "unexpected kind of response"),
-            // The membership protocol detects a missing response by itself.
-            Err(error) if is_probe => log::debug!(host:% = to, error:% = error; "probe failed"),
+            // The membership protocol detects a missing response of a running host by itself.
+            Err(error) if is_probe => {
+                log::debug!(host:% = to, error:% = error; "probe failed");
+                let is_refused = matches!(error, LinkError::Refused(_));
+                let event = MemberEvent::Unanswered { host: to, is_refused };
+                let actions = self.members.lock().handle(clock::steady(), event);
+                self.execute(actions);
+            }
             Err(error) => log::debug!(host:% = to, error:% = error; "message was not delivered"),
         }
     }
--- a/crates/oleander-entry/src/app.rs
+++ b/crates/oleander-entry/src/app.rs
@@ -68,7 +68,7 @@
             match response {
                 Ok(PeerResponse::Shard(ShardReply::Buffered(records))) => gathered.extend(records),
                 // No process listens at this address, so it holds no outcomes.
-                Err(LinkError::Unreachable(_)) => {}
+                Err(LinkError::Unreachable(_) | LinkError::Refused(_)) => {}
                 _ => complete = false,
             }
         }
--- a/crates/oleander-link/src/connection.rs
+++ b/crates/oleander-link/src/connection.rs
@@ -6,6 +6,7 @@
 //! continue until they complete or time out.
 
 use std::{
+    io,
     sync::{
         Arc,
         atomic::{AtomicBool, Ordering},
@@ -28,12 +29,19 @@
     retired: Arc<AtomicBool>,
 }
 
+fn connect_error(error: &io::Error) -> LinkError {
+    match error.kind() {
+        io::ErrorKind::ConnectionRefused => LinkError::Refused(error.to_string()),
+        _ => LinkError::Unreachable(error.to_string()),
+    }
+}
+
 impl Connection {
     /// Connects to `peer`.
     ///
     /// A plain TCP connect comes first, since it reports a refused connection immediately.
     pub(crate) async fn dial(peer: &str) -> Result<Self, LinkError> {
-        TcpStream::connect(peer).await.map_err(|e| LinkError::Unreachable(e.to_string()))?;
+        TcpStream::connect(peer).await.map_err(|error| connect_error(&error))?;
         let retired = Arc::new(AtomicBool::new(false));
         let socket = open_socket(peer, &retired).map_err(unreachable_error)?;
         Ok(Self { socket, retired })
--- a/crates/oleander-link/src/counts.rs
+++ b/crates/oleander-link/src/counts.rs
@@ -41,7 +41,10 @@
             LinkError::Codec(_) => &self.codec,
             LinkError::TooLarge(_) => &self.oversized,
             LinkError::NoResponse(_) => &self.no_response,
-            LinkError::Unreachable(_) | LinkError::Key(_) | LinkError::Listen(_) => return,
+            LinkError::Unreachable(_)
+            | LinkError::Refused(_)
+            | LinkError::Key(_)
+            | LinkError::Listen(_) => return,
         };
         counter.fetch_add(1, Ordering::Relaxed);
     }
--- a/crates/oleander-link/src/error.rs
+++ b/crates/oleander-link/src/error.rs
@@ -7,6 +7,8 @@
 pub enum LinkError {
     /// There is no connection to the peer; the request was not sent.
     Unreachable(String),
+    /// The connection was refused: nothing listens at the peer's address; the request was not sent.
+    Refused(String),
     /// No response arrived, or the handler failed; the peer may have processed the request.
     NoResponse(String),
     /// The MAC, time or nonce of a frame is wrong.
@@ -35,6 +37,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Unreachable(reason) => write!(f, "peer is unreachable: {reason}"),
+            Self::Refused(reason) => write!(f, "peer refuses the connection: {reason}"),
             Self::NoResponse(reason) => write!(f, "no response from the peer: {reason}"),
             Self::Unauthenticated => f.write_str("frame authentication failed"),
             Self::Version(version) => write!(f, "peer uses protocol version {version}"),
--- a/crates/oleander-link/src/link.rs
+++ b/crates/oleander-link/src/link.rs
@@ -67,8 +67,8 @@
     ///
     /// # Errors
     ///
-    /// Fails if no valid response arrives within `timeout`. [`LinkError::Unreachable`] and
-    /// [`LinkError::TooLarge`] mean that the request was not sent. For each error,
+    /// Fails if no valid response arrives within `timeout`. [`LinkError::Unreachable`],
+    /// [`LinkError::Refused`] and [`LinkError::TooLarge`] mean that the request was not sent. For each error,
     /// [`LinkError::may_have_run`] tells whether the peer may have processed the request.
     pub async fn call<Req, Res>(
         &self,
--- a/crates/oleander-link/tests/link.rs
+++ b/crates/oleander-link/tests/link.rs
@@ -115,9 +115,9 @@
 }
 
 #[tokio::test]
-async fn a_refused_connection_is_unreachable() {
+async fn a_refused_connection_is_told_as_such() {
     let response = echo(&link("caller"), &free_address(), 1, TEST_TIMEOUT).await;
-    assert!(matches!(response, Err(LinkError::Unreachable(_))), "{response:?}");
+    assert!(matches!(response, Err(LinkError::Refused(_))), "{response:?}");
 }
 
 #[tokio::test]
--- a/crates/oleander-members/src/event.rs
+++ b/crates/oleander-members/src/event.rs
@@ -19,6 +19,18 @@
     },
     /// The platform's host list was read.
     Listed(HostList),
+    /// Somebody waits for a host: it is probed at once if it is a candidate.
+    Contact {
+        /// The host.
+        host: HostId,
+    },
+    /// A probe of a host has failed.
+    Unanswered {
+        /// The host.
+        host: HostId,
+        /// Whether the connection was refused, so that nothing listens at its address.
+        is_refused: bool,
+    },
     /// This host published new facts about itself.
     Published {
         /// Configuration revision in force.
--- a/crates/oleander-members/src/lib.rs
+++ b/crates/oleander-members/src/lib.rs
@@ -14,6 +14,7 @@
 
 mod compose;
 mod config;
+mod contact;
 mod event;
 mod host_list;
 mod member;
--- a/crates/oleander-members/src/member.rs
+++ b/crates/oleander-members/src/member.rs
@@ -53,6 +53,8 @@
     pub(crate) profile_acked: bool,
     pub(crate) facts: Facts,
     pub(crate) last_seen: Option<Time>,
+    /// Probes that it has not answered while it was a candidate.
+    pub(crate) unanswered: u32,
     /// When its liveness last changed.
     pub(crate) changed_at: Time,
 }
@@ -70,6 +72,7 @@
             profile_acked: false,
             facts: Facts::default(),
             last_seen: None,
+            unanswered: 0,
             changed_at: now,
         }
     }
@@ -101,6 +104,11 @@
         }
     }
 
+    /// Whether nobody has seen it run.
+    pub(crate) const fn is_candidate(&self) -> bool {
+        self.liveness.is_none()
+    }
+
     /// Whether it is live or suspect; such members are probed in most rounds.
     pub(crate) const fn is_up(&self) -> bool {
         matches!(self.liveness, Some(Liveness::Live | Liveness::Suspect))
--- a/crates/oleander-members/src/members.rs
+++ b/crates/oleander-members/src/members.rs
@@ -7,8 +7,8 @@
 use rand_pcg::Pcg32;
 
 use crate::{
-    Facts, Liveness, MAX_PAYLOAD_BYTES, MemberAction, MemberEvent, MemberState, MemberView,
-    MembersConfig, Message, MessageKind, Profile,
+    Facts, ListedState, Liveness, MAX_PAYLOAD_BYTES, MemberAction, MemberEvent, MemberState,
+    MemberView, MembersConfig, Message, MessageKind, Profile,
     member::Member,
     message::Cursor,
     probe::{ProbeOrder, Probes},
@@ -100,6 +100,10 @@
             MemberEvent::Received { from, message } => self.receive(now, &from, message),
             MemberEvent::Listed(list) => self.apply_host_list(now, list),
             MemberEvent::Published { revision, payload } => self.publish(revision, payload),
+            MemberEvent::Contact { host } => self.contact(&host),
+            MemberEvent::Unanswered { host, is_refused } => {
+                self.record_unanswered(now, &host, is_refused);
+            }
             MemberEvent::Leave => self.leave(),
         }
         mem::take(&mut self.actions)
@@ -116,6 +120,19 @@
         self.table.get(host).map(Member::state)
     }
 
+    /// Whether the list had one other member and has it no more.
+    #[must_use]
+    pub fn was_dropped(&self, host: &HostId) -> bool {
+        self.table.get(host).is_some_and(|member| member.is_listed_as(ListedState::Absent))
+    }
+
+    /// Since when one other member has counted as failed.
+    #[must_use]
+    pub fn failed_since(&self, host: &HostId) -> Option<Time> {
+        let member = self.table.get(host)?;
+        (member.state() == MemberState::Failed).then_some(member.changed_at)
+    }
+
     /// Address of one other member.
     #[must_use]
     pub fn address(&self, host: &HostId) -> Option<SocketAddr> {
--- a/crates/oleander-members/src/probe.rs
+++ b/crates/oleander-members/src/probe.rs
@@ -88,7 +88,7 @@
 }
 
 impl Probes {
-    fn next_sequence(&mut self) -> u32 {
+    pub(crate) fn next_sequence(&mut self) -> u32 {
         self.last_sequence = self.last_sequence.wrapping_add(1);
         self.last_sequence
     }
--- a/crates/oleander-members/tests/network/mod.rs
+++ b/crates/oleander-members/tests/network/mod.rs
@@ -13,7 +13,7 @@
 use oleander_core::{HostId, Revision, Span, Time};
 use oleander_members::{
     HostList, ListedHost, MemberAction, MemberEvent, MemberRole, MemberState, Members,
-    MembersConfig, Message, Profile,
+    MembersConfig, Message, MessageKind, Profile,
 };
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg32;
@@ -59,6 +59,8 @@
     pub loss_percent: u32,
     /// Time spent in the state machines of all hosts.
     pub handle_time: Duration,
+    /// Probes of hosts that do not run: when they were sent, by which host and to which.
+    pub unanswered: Vec<(Time, usize, HostId)>,
     indices: BTreeMap<HostId, usize>,
     queue: BTreeMap<(Time, u64), Delivery>,
     sent_count: u64,
@@ -101,6 +103,7 @@
             nodes: Vec::new(),
             loss_percent: 0,
             handle_time: Duration::ZERO,
+            unanswered: Vec::new(),
             indices: (0..n).map(|n| (host(n), n)).collect(),
             queue: BTreeMap::new(),
             sent_count: 0,
@@ -188,6 +191,9 @@
         self.nodes[from].messages += 1;
         let lost = self.rng.random_ratio(self.loss_percent, 100);
         let Some(&to) = self.indices.get(to) else { return };
+        if !self.nodes[to].alive && matches!(message.kind, MessageKind::Probe { .. }) {
+            self.unanswered.push((self.now, from, host(to)));
+        }
         let partitioned = self.nodes[from].partition != self.nodes[to].partition;
         if lost || partitioned {
             return;
--- a/crates/oleander-worklist/src/handover.rs
+++ b/crates/oleander-worklist/src/handover.rs
@@ -77,7 +77,7 @@
             Ok(Some(at)) => {
                 log::info!(job:% = id, revision = at.0; "job given away");
                 self.apply_record(at, released, RecordSource::Write);
-                if let Some(next) = next_owner(id, &self.cluster.serving_hosts()) {
+                if let Some(next) = next_owner(id, &self.cluster.successors()) {
                     self.notify_changed(next.clone(), id.clone());
                 }
             }
--- a/crates/oleander-worklist/src/index.rs
+++ b/crates/oleander-worklist/src/index.rs
@@ -1,8 +1,8 @@
 //! Index of all jobs known to this host.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeSet, HashMap, HashSet};
 
-use oleander_core::{JobId, Revision, Time, hash};
+use oleander_core::{HostId, JobId, Revision, Time, hash};
 
 use crate::record::{JobPhase, JobRecord, Owner};
 
@@ -71,6 +71,13 @@
         self.records.values().map(|(_, record)| record)
     }
 
+    /// Hosts of the owners of open jobs.
+    #[must_use]
+    pub fn owners(&self) -> BTreeSet<HostId> {
+        let open = self.records().filter(|record| record.phase == JobPhase::Open);
+        open.filter_map(|record| Some(record.owner.as_ref()?.host.clone())).collect()
+    }
+
     /// Open jobs that have no running owner and whose next owner is `local`.
     ///
     /// Hosts that see the same `live` hosts agree on the next owner; if they don't, the
--- a/crates/oleander-worklist/src/takeover.rs
+++ b/crates/oleander-worklist/src/takeover.rs
@@ -51,6 +51,7 @@
                 self.release_jobs(false).await;
                 continue;
             }
+            self.contact_owners();
             for (revision, record) in self.orphans() {
                 let former = record.owner.clone();
                 let taken = JobRecord { owner: Some(self.local.clone()), ..record };
@@ -104,10 +105,18 @@
         }
     }
 
+    /// Contacts the owners of open jobs that nobody has seen run, so that those of hosts that are gone
+    /// are known as orphans.
+    fn contact_owners(&self) {
+        let index = self.index.lock();
+        let owners = index.owners();
+        self.cluster.contact(owners.iter());
+    }
+
     /// Open jobs without a running owner process that this host takes over next, up to
     /// [`MAX_TAKEOVERS`].
     fn orphans(&self) -> Vec<(Revision, JobRecord)> {
-        let live = self.cluster.serving_hosts();
+        let live = self.cluster.successors();
         let index = self.index.lock();
         let is_gone = |owner: &Owner| {
             let liveness = self.cluster.liveness(&owner.host, owner.started);
