A host that has left counts no more, and the record of one that is long gone is removed

Cause: nothing removed a host's record, which each list, watch and majority then held for ever.

Why this works: a host that stops as planned says so in its record, which keeps the time of its last start; it is left out of the list until it starts again. An earlier build ignores the new field of the stored JSON, and drops it when the host starts again. Majorities count a failed host while it is listed, as it may run beyond a partition.

--- a/crates/oleander-cluster/src/cluster.rs
+++ b/crates/oleander-cluster/src/cluster.rs
@@ -31,7 +31,7 @@
     disconnected::DisconnectedHosts,
     failover::FailoverStore,
     message::{PeerRequest, PeerResponse},
-    record::{HostRecord, PREFIX},
+    record::{HostRecord, PREFIX, StoredRecord},
     zone_load::ZoneLoad,
 };
 
@@ -214,7 +214,7 @@
 
     /// Keeps the records of all hosts up to date; never returns.
     pub async fn follow_records<S: ObjectStore>(self: Arc<Self>, store: S) {
-        let mut follow = Follower::new(store, PREFIX, WATCH_WAIT);
+        let mut follow = Follower::new(store.clone(), PREFIX, WATCH_WAIT);
         loop {
             let changed = match follow.next().await {
                 FollowEvent::Snapshot(objects) => {
@@ -229,6 +229,9 @@
             };
             if let (true, Some(revision)) = (changed, follow.revision()) {
                 self.update_members(revision);
+                if !self.is_listed() {
+                    self.restore_record(&store).await;
+                }
             }
         }
     }
@@ -242,13 +245,17 @@
                 continue;
             };
             changed = true;
-            match change.object.map(|object| serde_json::from_slice::<HostRecord>(&object.body)) {
-                Some(Ok(record)) if record.host != host => {
+            match change.object.map(|object| serde_json::from_slice::<StoredRecord>(&object.body)) {
+                Some(Ok(StoredRecord { left: Some(left), .. })) => {
+                    log::info!(host:% = host, left:% = left; "host has left");
+                    records.remove(&host);
+                }
+                Some(Ok(StoredRecord { record, .. })) if record.host != host => {
                     log::warn!(host:% = host, named:% = record.host;
                         "record of another host ignored");
                     records.remove(&host);
                 }
-                Some(Ok(record)) => {
+                Some(Ok(StoredRecord { record, .. })) => {
                     log::info!(host:% = record.host, started:% = record.started; "host is listed");
                     records.insert(host, record);
                 }
--- a/crates/oleander-cluster/src/cluster/hosts.rs
+++ b/crates/oleander-cluster/src/cluster/hosts.rs
@@ -138,7 +138,8 @@
         live
     }
 
-    /// Number of entry hosts that are listed or have been heard of, with this one.
+    /// Number of entry hosts that are listed or have been heard of, with this one. One that has failed
+    /// counts unless the list has dropped it, as it may run beyond a partition.
     pub(crate) fn entry_host_count(&self) -> usize {
         let is_other =
             |host: &HostId, role: MemberRole| role == MemberRole::Entry && *host != self.local.host;
@@ -146,7 +147,11 @@
         let listed = records.values().filter(|record| is_other(&record.host, record.role)).count();
         drop(records);
         let members = self.members.lock();
-        let heard = members.view().filter(|view| is_other(&view.profile.host, view.profile.role));
+        let heard = members.view().filter(|view| {
+            let host = &view.profile.host;
+            let is_gone = view.state == MemberState::Failed && members.was_dropped(host);
+            !is_gone && is_other(host, view.profile.role)
+        });
         1 + listed.max(heard.count())
     }
 
--- a/crates/oleander-cluster/src/lib.rs
+++ b/crates/oleander-cluster/src/lib.rs
@@ -10,6 +10,7 @@
 mod breaker;
 mod cluster;
 mod contact;
+mod departure;
 mod directory;
 mod disconnected;
 mod failover;
--- a/crates/oleander-cluster/src/record.rs
+++ b/crates/oleander-cluster/src/record.rs
@@ -26,6 +26,18 @@
     }
 }
 
+value! {
+    /// A record as it is stored.
+    pub(crate) struct StoredRecord {
+        /// The record that the process wrote at its start.
+        #[serde(flatten)]
+        pub(crate) record: HostRecord,
+        /// When the process stopped as planned; an earlier build neither writes nor reads it.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        pub(crate) left: Option<Time>,
+    }
+}
+
 impl HostRecord {
     /// Key of the record of `host`.
     pub(crate) fn key(host: &HostId) -> String {
