A host starts its first batch item though there are more hosts than slots

Cause: until a host had started a batch item, it took all peers for hosts that run batch, too. With 21 hosts and two targets of 8 slots, some hosts have no share at either target, and never start the first.

Why this works: a host has batch items from the first that waits. 300 ms later it counts those peers only that run some, and hosts that started an item meanwhile have said so.

--- a/crates/oleander-relay/src/takeover.rs
+++ b/crates/oleander-relay/src/takeover.rs
@@ -33,8 +33,8 @@
 /// Time for which two targets may have the same request; longer than a connect timeout.
 const MAX_OVERLAP: Span = Span::from_millis(250);
 
-/// Age of the list of targets up to which another target may take over a stream; a target that ends
-/// and starts again is away for longer.
+/// Age of the list of targets up to which another target may take over a stream; many streams may
+/// meet silence again and again, so that not each has the list read.
 const MAX_LIST_AGE: Span = Span::from_secs(1);
 /// Further time in which a response is read that arrived while this process paused.
 const PAUSE_MARGIN: Span = Span::from_millis(5);
--- a/crates/oleander-routing/src/router/admit.rs
+++ b/crates/oleander-routing/src/router/admit.rs
@@ -73,7 +73,8 @@
 
     /// Whether a batch item could be sent now.
     #[must_use]
-    pub fn has_batch_slot(&self, now: Time, request: &Pick) -> bool {
+    pub fn has_batch_slot(&mut self, now: Time, request: &Pick) -> bool {
+        self.record_batch_activity(now);
         !self.available_for_batch(now, request).is_empty()
     }
 
@@ -84,6 +85,7 @@
     }
 
     fn pick_batch(&mut self, now: Time, request: &Pick) -> Decision {
+        self.record_batch_activity(now);
         let available = self.available_for_batch(now, request);
         let candidates = self.candidates(now, request, available);
         match self.chooser.choose(&mut self.rng, &candidates) {
--- a/crates/oleander-routing/src/router/capacity.rs
+++ b/crates/oleander-routing/src/router/capacity.rs
@@ -28,8 +28,9 @@
 
 /// Age at which the shares are computed again even if messages of peers are missing.
 const MAX_SHARE_AGE: Span = Span::from_millis(500);
-/// Time for which a host that starts batch, at first or after [`ACTIVE_WINDOW`] without any,
-/// assumes that all its peers run batch too.
+/// Time for which a host that has batch items, at first or after [`ACTIVE_WINDOW`] without any,
+/// assumes that all its peers have some too. By then those that have started an item have said so;
+/// one that has no share while all compete would else never start any.
 const BATCH_WARMUP: Span = Span::from_millis(300);
 /// Starts that the start interval allows, as a multiple of those needed to keep all slots in use.
 const START_HEADROOM: u64 = 4;
@@ -267,7 +268,7 @@
         self.peers.active_counts(now, class, backend.key).collect()
     }
 
-    /// Records that this host has started or ended a batch item.
+    /// Records that this host has batch items: that one waits for a slot, has started or has ended.
     pub(super) fn record_batch_activity(&mut self, now: Time) {
         let resumed = self.last_batch.is_none_or(|last| now.since(last) >= ACTIVE_WINDOW);
         self.last_batch = Some(now);
