Say of each slow or unanswered read of a job what it waited for, and whether its caller left

Each read is now counted by its end (memory, owner, platform, unknown, abandoned); a slow or unanswered one is logged with the time for the job's record and for the owner, and with the segments that it got from the platform. No decision changes.

--- a/crates/oleander-worklist/src/lib.rs
+++ b/crates/oleander-worklist/src/lib.rs
@@ -29,6 +29,7 @@
 mod output;
 mod placement;
 mod preemption;
+mod read_trace;
 mod reads;
 mod record;
 mod renewal;
--- a/crates/oleander-worklist/src/reads.rs
+++ b/crates/oleander-worklist/src/reads.rs
@@ -15,6 +15,7 @@
     lease::RecordSource,
     manager::{JobManager, StateUnknown},
     message::{JobRequest, JobResponse, Results},
+    read_trace::{ReadSource, ReadTrace},
     record::{ItemResult, JobPhase, JobRecord, Segment},
 };
 
@@ -58,18 +59,41 @@
         wait: Span,
     ) -> Result<Option<Results>, StateUnknown> {
         let wait = wait.min(MAX_READ_WAIT);
-        let Some((_, record)) = self.record(job).await? else { return Ok(None) };
+        let mut trace = ReadTrace::new(job, wait);
+        let results = self.find_results(job, after, wait, &mut trace).await;
+        if results.is_err() {
+            trace.failed();
+        }
+        results
+    }
+
+    async fn find_results(
+        self: &Arc<Self>,
+        job: &JobId,
+        after: usize,
+        wait: Span,
+        trace: &mut ReadTrace,
+    ) -> Result<Option<Results>, StateUnknown> {
+        let record = self.record(job).await?;
+        trace.note_record();
+        let Some((_, record)) = record else {
+            trace.answered(ReadSource::Platform);
+            return Ok(None);
+        };
         if let Some(results) = self.read_loaded(job, after, wait).await {
+            trace.answered(ReadSource::Memory);
             return Ok(Some(results));
         }
         let request = JobRequest::Read { job: job.clone(), after, wait };
         let timeout = wait.to_duration() + OWNER_TIMEOUT;
-        if let Some(JobResponse::Results(results)) =
-            self.call_owner(&record, request, timeout).await
-        {
+        let response = self.call_owner(&record, request, timeout).await;
+        trace.note_owner();
+        if let Some(JobResponse::Results(results)) = response {
+            trace.answered(ReadSource::Owner);
             return Ok(Some(results));
         }
-        let committed = self.stored_results(&record).await?;
+        let committed = self.stored_results(&record, trace).await?;
+        trace.answered(ReadSource::Platform);
         let results = result_page(&committed, after);
         let results = results.iter().map(|result| ItemResult::clone(result)).collect();
         Ok(Some(Results { total: record.total, results }))
@@ -126,6 +150,7 @@
     async fn stored_results(
         &self,
         record: &JobRecord,
+        trace: &mut ReadTrace,
     ) -> Result<Vec<Arc<ItemResult>>, StateUnknown> {
         let cached = self.result_cache.lock().get(&record.job).cloned();
         let mut stored = cached.unwrap_or_default();
@@ -133,6 +158,7 @@
             let Some(segment) = self.store.segment(&record.job, stored.segments).await? else {
                 break;
             };
+            trace.note_segment();
             stored.apply(segment);
         }
         self.result_cache.lock().insert(record.job.clone(), stored.clone());
@@ -150,20 +176,44 @@
         job: &JobId,
         item: &str,
     ) -> Result<Option<Bytes>, StateUnknown> {
-        let Some((_, record)) = self.record(job).await? else { return Ok(None) };
+        let mut trace = ReadTrace::new(job, Span::ZERO);
+        let body = self.find_body(job, item, &mut trace).await;
+        if body.is_err() {
+            trace.failed();
+        }
+        body
+    }
+
+    async fn find_body(
+        self: &Arc<Self>,
+        job: &JobId,
+        item: &str,
+        trace: &mut ReadTrace,
+    ) -> Result<Option<Bytes>, StateUnknown> {
+        let record = self.record(job).await?;
+        trace.note_record();
+        let Some((_, record)) = record else {
+            trace.answered(ReadSource::Platform);
+            return Ok(None);
+        };
         if let Some(loaded) = self.loaded.lock().get(job).cloned() {
+            trace.answered(ReadSource::Memory);
             return Ok(loaded.job.lock().body(item));
         }
         let request = JobRequest::Body { job: job.clone(), item: item.to_owned() };
-        if let Some(JobResponse::Body(body)) =
-            self.call_owner(&record, request, OWNER_TIMEOUT).await
-        {
+        let response = self.call_owner(&record, request, OWNER_TIMEOUT).await;
+        trace.note_owner();
+        if let Some(JobResponse::Body(body)) = response {
+            trace.answered(ReadSource::Owner);
             return Ok(body);
         }
-        if self.stored_results(&record).await?.iter().any(|result| result.item == item) {
+        let committed = self.stored_results(&record, trace).await?;
+        if committed.iter().any(|result| result.item == item) {
+            trace.answered(ReadSource::Platform);
             return Ok(None);
         }
         let items = self.store.items(&record).await?;
+        trace.answered(ReadSource::Platform);
         Ok(items.into_iter().find(|stored| stored.id == item).map(|stored| stored.body))
     }
 }
