Test of reads whose callers leave before the log of a job has been read (red)

A job of 12 segments that nobody has in memory, and a store at 0.5 s a call: readers that stay 2.5 s get nothing from any of 15 reads, at the same host or at one that has just started; the same at 0.15 s a call if the owner counts as live and is silent. Bodies alike. ItemRecord is exported, so that tests can write parts.

--- a/crates/oleander-worklist/src/lib.rs
+++ b/crates/oleander-worklist/src/lib.rs
@@ -49,7 +49,7 @@
 pub use manager::{JobManager, JobManagerConfig, StateUnknown};
 pub use message::{JobRequest, JobResponse, Results};
 pub use placement::{AVOID_WAIT, Avoidance, SlotNeed, UnmetNeeds};
-pub use record::{ItemOutcome, ItemResult, JobPhase, JobRecord, Owner, Part, Segment};
+pub use record::{ItemOutcome, ItemRecord, ItemResult, JobPhase, JobRecord, Owner, Part, Segment};
 pub use size::{ResultLimits, escaped_len};
 pub use store::{JOB_PREFIX, JobStore};
 pub use submission::{Submission, SubmitError};
--- /dev/null
+++ b/crates/oleander-worklist/tests/reads/main.rs
@@ -0,0 +1,87 @@
+//! Reads of jobs that nobody has in memory, by callers who leave.
+
+mod fixture;
+mod store;
+
+use std::{sync::Arc, time::Duration};
+
+use tokio::time::{sleep, timeout};
+
+use fixture::{
+    PATIENCE, Reading, Shape, StoredJob, item_name, job, list_silent_host, output, owner_of,
+    start_host,
+};
+use store::SlowStore;
+
+/// Time of a call to the store, such that a log takes longer than a reader stays.
+const SLOW_CALL: Duration = Duration::from_millis(500);
+/// Time in which a host that has started knows the others.
+const HOSTS_KNOWN: Duration = Duration::from_secs(1);
+/// Number of segments of one result each.
+const SEGMENTS: usize = 12;
+/// Number of reads in which a job comes again: one for each result, and a few that find nothing yet.
+const READS: usize = SEGMENTS + 3;
+
+/// Guards against a job that never comes again because each read begins the log anew: the readers'
+/// patience ended before the log had been read, and what had been read was dropped with the read.
+#[tokio::test(start_paused = true)]
+async fn a_job_comes_again_whole_though_each_reader_leaves_before_the_log_is_read() {
+    let job = StoredJob::write(&Shape::finished(vec![1; SEGMENTS])).await;
+    let host = start_host("entry-1", &SlowStore::new(job.platform.clone(), SLOW_CALL));
+    let reading = Reading::read_whole(&job, READS, || Arc::clone(&host)).await;
+    reading.expect_whole(&job);
+}
+
+/// Guards against the same failure at hosts that have just started, as after a loss of power.
+#[tokio::test(start_paused = true)]
+async fn a_job_comes_again_whole_though_each_failed_reader_turns_to_a_host_that_has_just_started() {
+    let job = StoredJob::write(&Shape::finished(vec![1; SEGMENTS])).await;
+    let store = SlowStore::new(job.platform.clone(), SLOW_CALL);
+    let mut started = 0;
+    let next_host = || {
+        started += 1;
+        start_host(&format!("entry-{started}"), &store)
+    };
+    let reading = Reading::read_whole(&job, READS, next_host).await;
+    reading.expect_whole(&job);
+}
+
+/// Guards against reads that first wait for an owner which never answers, each one anew, and then
+/// have no time left for the store.
+#[tokio::test(start_paused = true)]
+async fn a_job_comes_again_whole_though_its_owner_counts_as_live_and_is_silent() {
+    let owner = Some(owner_of("entry-9"));
+    let shape = Shape { owner, ..Shape::finished(vec![1; SEGMENTS]) };
+    let job = StoredJob::write(&shape).await;
+    let silent = list_silent_host(&job.platform, "entry-9").await;
+    let store = SlowStore::new(job.platform.clone(), Duration::from_millis(150));
+    let host = start_host("entry-1", &store);
+    sleep(HOSTS_KNOWN).await;
+    let reading = Reading::read_whole(&job, READS, || Arc::clone(&host)).await;
+    reading.expect_whole(&job);
+    drop(silent);
+}
+
+/// Guards against bodies that are never found because each read begins the log and the parts anew.
+#[tokio::test(start_paused = true)]
+async fn a_body_is_found_though_each_reader_leaves_before_the_log_is_read() {
+    let shape = Shape { open_items: 1, owner: None, ..Shape::finished(vec![1; SEGMENTS]) };
+    let stored = StoredJob::write(&shape).await;
+    let host = start_host("entry-1", &SlowStore::new(stored.platform.clone(), SLOW_CALL));
+    let (open, listed) = (item_name(SEGMENTS), item_name(0));
+    let (mut found, mut failures) = (None, Vec::new());
+    for _ in 0..4 {
+        match timeout(PATIENCE, host.read_body(&job(), &open)).await {
+            Ok(Ok(body)) => {
+                found = body;
+                break;
+            }
+            failure => failures.push(format!("{failure:?}")),
+        }
+    }
+    let found =
+        found.unwrap_or_else(|| panic!("no body in {} reads: {failures:?}", failures.len()));
+    assert_eq!(found, output(SEGMENTS, shape.bytes));
+    let body = timeout(PATIENCE, host.read_body(&job(), &listed)).await;
+    assert_eq!(body.expect("in time"), Ok(None), "the item is listed");
+}
