Reads of jobs that nobody has in memory: what was read is kept and shared, and is an answer

Cause: a read took a job's segments one after another and kept them only when it had all. A caller that left dropped the read with all that it had read, so a log that takes longer than a caller stays never came. Before that, each read waited up to its wait + 0.5 s for an owner that counts as live, each time anew.

Now, and why it works: - A task per job and host reads the stored objects into a row that all readers share (rows.rs, row_reader.rs). It goes on for 10 s after the last reader asked, and tries failed reads again. Segments are read one at a time while calls are quick, as before, and up to 32 at a time once they are slow; they are added in order, up to the first that is missing. - A page of what has been read goes out 0.2 s after the row was asked, or at once if it is full or the end is known. An empty page needs an end that a read of the platform saw which began after the arrival; without that the read is put off (503). - A read is answered within its wait + 1.2 s, with the lookup of the record, which is shared and goes on as well (lookup.rs). - The platform is asked beside the owner from 0.25 s on (plus the wait, for an open job), at once if the owner did not answer within the last 5 s (read_choice.rs, owner_calls.rs). - Contents and positions have bounds for the process (24 and 16 MB); contents that were released are read again one object at a time. The former cache had none, and was copied whole by each read. Bodies go the same way, over the log and the parts (bodies.rs). Messages and records are unchanged.

--- a/crates/oleander-worklist/src/job.rs
+++ b/crates/oleander-worklist/src/job.rs
@@ -14,6 +14,7 @@
 use crate::{
     item::{Item, ItemStatus, NewItem, Progress, RunOutcome},
     record::{ItemOutcome, ItemResult, JobRecord, Segment},
+    row::fill_page,
     size::ResultLimits,
 };
 
@@ -28,8 +29,6 @@
 const MIN_UNSTORABLE: usize = 3;
 /// Rejections of a single result by the platform after which its output is dropped.
 const MAX_REJECTIONS: u32 = 3;
-/// Maximum size of the results in one page, in bytes of JSON.
-const PAGE_BYTES: usize = 900 << 10;
 
 /// Maximum size of an object at the platform, in bytes, if none is set.
 const DEFAULT_OBJECT_BYTES: usize = 1 << 20;
@@ -314,7 +313,7 @@
     /// One page of committed results from position `after` on.
     #[must_use]
     pub fn results(&self, after: usize) -> Vec<Arc<ItemResult>> {
-        result_page(&self.committed, after)
+        fill_page(self.committed.iter().skip(after)).entries
     }
 
     /// Request body of an item; `None` if its result is committed or the item is unknown.
@@ -335,17 +334,6 @@
     }
 }
 
-/// Results from `after` on, up to the maximum size of a page; at least one if there are any.
-pub(crate) fn result_page(committed: &[Arc<ItemResult>], after: usize) -> Vec<Arc<ItemResult>> {
-    let mut bytes = 0;
-    let rest = committed.get(after..).unwrap_or_default();
-    let fits = rest.iter().enumerate().take_while(|(index, result)| {
-        bytes += result.json_len();
-        *index == 0 || bytes <= PAGE_BYTES
-    });
-    fits.map(|(_, result)| Arc::clone(result)).collect()
-}
-
 /// Delay before an item runs again after this number of crashes in sequence.
 fn retry_delay(crashes: u32) -> Span {
     let doublings = crashes.min(MAX_RETRY_DELAY.0.ilog2());
--- a/crates/oleander-worklist/src/manager.rs
+++ b/crates/oleander-worklist/src/manager.rs
@@ -30,7 +30,7 @@
     item::NewItem,
     job::Job,
     lease::{RecordSource, StartLease},
-    reads::StoredResults,
+    read_state::{ReadMemory, ReadState},
     record::{JobPhase, JobRecord, Owner},
     runner::Run,
     store::{JOB_PREFIX, JobStore},
@@ -61,6 +61,13 @@
     }
 }
 
+impl StateUnknown {
+    /// What was needed was not read in time, perhaps for this reason.
+    pub(crate) fn not_read(fault: Option<String>) -> Self {
+        Self(fault.unwrap_or_else(|| "not read in time".to_owned()))
+    }
+}
+
 impl From<StoreError> for StateUnknown {
     fn from(fault: StoreError) -> Self {
         Self(fault.to_string())
@@ -118,8 +125,8 @@
     pub(crate) loaded: Mutex<HashMap<JobId, Arc<LoadedJob>>>,
     /// Jobs that are being accepted or loaded.
     pub(crate) starting: Mutex<HashSet<JobId>>,
-    /// Results of jobs without a running owner, as read from the platform.
-    pub(crate) result_cache: Mutex<HashMap<JobId, StoredResults>>,
+    /// What is kept for reads of jobs that are not loaded.
+    pub(crate) reads: ReadState,
     /// Ends of jobs, by the time since which this host knows them.
     pub(crate) ends: Mutex<JobEnds>,
     /// Items that are running, in order of their start.
@@ -153,7 +160,7 @@
             index: Mutex::default(),
             loaded: Mutex::default(),
             starting: Mutex::default(),
-            result_cache: Mutex::default(),
+            reads: ReadState::default(),
             ends: Mutex::default(),
             runs: Mutex::default(),
             run_count: AtomicU64::new(0),
@@ -179,6 +186,11 @@
         self.draining.load(Ordering::Relaxed)
     }
 
+    /// Memory that is kept for reads of jobs that are not loaded.
+    pub fn read_memory(&self) -> ReadMemory {
+        self.reads.memory()
+    }
+
     /// Stops starting items; running items continue.
     pub fn drain(&self) {
         self.draining.store(true, Ordering::Relaxed);
@@ -238,7 +250,7 @@
     pub(crate) fn remove_job(&self, job: &JobId) {
         self.index.lock().remove(job);
         self.ends.lock().forget(job);
-        self.result_cache.lock().remove(job);
+        self.reads.forget(job);
         let Some(loaded) = self.loaded.lock().remove(job) else { return };
         log::info!(job:% = job; "job stopped: its record has been removed");
         loaded.signal_stop();
--- a/crates/oleander-worklist/src/read_trace.rs
+++ b/crates/oleander-worklist/src/read_trace.rs
@@ -64,7 +64,7 @@
     record: Span,
     /// Time spent on the owner's answer.
     owner: Span,
-    /// Segments of the job's log that the platform returned to this read.
+    /// Segments of the job's log that were known to this read.
     segments: u64,
     end: ReadEnd,
 }
@@ -92,9 +92,9 @@
         self.owner = clock::steady().since(self.began + self.record);
     }
 
-    /// Notes a segment that was read at the platform.
-    pub(crate) fn note_segment(&mut self) {
-        self.segments += 1;
+    /// Notes how many segments of the job's log are known.
+    pub(crate) fn note_segments(&mut self, segments: usize) {
+        self.segments = segments as u64;
     }
 
     /// Ends the trace of a read that is answered.
@@ -112,7 +112,6 @@
     fn drop(&mut self) {
         let took = clock::steady().since(self.began);
         metrics::counter!("job_reads_total", "end" => self.end.to_string()).increment(1);
-        metrics::counter!("job_segments_read_total").increment(self.segments);
         metrics::histogram!("job_read_seconds").record(took.as_secs_f64());
         if matches!(self.end, ReadEnd::Answered(_)) && took < self.wait + SLOW_READ {
             return;
--- a/crates/oleander-worklist/src/reads.rs
+++ b/crates/oleander-worklist/src/reads.rs
@@ -1,49 +1,31 @@
-//! Reads of results and request bodies: from memory, from the owner or from the platform.
+//! Reads of results: from memory, from the owner or from the platform.
+//!
+//! Each read is answered by a time that its arrival sets. What it reads at the platform goes on without it and is shared, see
+//! [`rows`](crate::rows), so that a reader who comes again finds more.
 
-use std::{sync::Arc, time::Duration};
+use std::sync::Arc;
 
-use bytes::Bytes;
-use oleander_cluster::{Handler, Liveness};
+use oleander_cluster::Handler;
 use oleander_core::{HostId, JobId, Span};
 use oleander_host::clock;
 use oleander_platform::ObjectStore;
 use oleander_relay::TargetTransport;
-use tokio::time;
+use tokio::time::{self, Instant};
 
 use crate::{
-    job::result_page,
     lease::RecordSource,
     manager::{JobManager, StateUnknown},
     message::{JobRequest, JobResponse, Results},
+    owner_calls::OwnerCall,
+    read_choice::{Choice, ReadTimes, choose_page},
     read_trace::{ReadSource, ReadTrace},
-    record::{ItemResult, JobPhase, JobRecord, Segment},
+    record::{ItemResult, JobPhase, JobRecord},
+    row::Row,
+    rows::{Asked, Need},
 };
 
-/// Timeout for a call to the owner, on top of the wait that a reader asked for.
-const OWNER_TIMEOUT: Duration = Duration::from_millis(500);
 /// Maximum wait of one read.
-const MAX_READ_WAIT: Span = Span::from_secs(1);
-
-/// The part of a job's log that was read from the platform.
-///
-/// Segments never change, so the next read continues after the last one.
-#[derive(Debug, Clone, Default)]
-pub(crate) struct StoredResults {
-    segments: u64,
-    results: Vec<Arc<ItemResult>>,
-}
-
-impl StoredResults {
-    /// Adds the next segment; the first result of each item counts.
-    fn apply(&mut self, segment: Segment) {
-        self.segments += 1;
-        for result in segment.results {
-            if !self.results.iter().any(|known| known.item == result.item) {
-                self.results.push(Arc::new(result));
-            }
-        }
-    }
-}
+pub(crate) const MAX_READ_WAIT: Span = Span::from_secs(1);
 
 impl<S: ObjectStore, T: TargetTransport> JobManager<S, T> {
     /// Reads a page of results from position `after` on, and waits up to `wait` if there are none
@@ -74,52 +56,79 @@
         wait: Span,
         trace: &mut ReadTrace,
     ) -> Result<Option<Results>, StateUnknown> {
-        let record = self.record(job).await?;
+        let times = ReadTimes::new(Instant::now(), wait);
+        let record = self.find_record(job, times.deadline()).await?;
         trace.note_record();
-        let Some((_, record)) = record else {
+        let Some(record) = record else {
             trace.answered(ReadSource::Platform);
             return Ok(None);
         };
+        let wait = Span::from(times.rest(Instant::now()));
         if let Some(results) = self.read_loaded(job, after, wait).await {
             trace.answered(ReadSource::Memory);
             return Ok(Some(results));
         }
         let request = JobRequest::Read { job: job.clone(), after, wait };
-        let timeout = wait.to_duration() + OWNER_TIMEOUT;
-        let response = self.call_owner(&record, request, timeout).await;
+        let mut owner = self.ask_owner(&record, request, times);
+        let first = owner.first_answer().await;
         trace.note_owner();
-        if let Some(JobResponse::Results(results)) = response {
+        if let Some(JobResponse::Results(results)) = first {
             trace.answered(ReadSource::Owner);
             return Ok(Some(results));
         }
-        let committed = self.stored_results(&record, trace).await?;
-        trace.answered(ReadSource::Platform);
-        let results = result_page(&committed, after);
-        let results = results.iter().map(|result| ItemResult::clone(result)).collect();
-        Ok(Some(Results { total: record.total, results }))
+        let need = Need { arrived: times.arrived, position: after };
+        self.read_stored(&record, need, times, owner, trace).await.map(Some)
     }
 
-    /// Host of a job's owner, if the owner is another process and not known to be gone.
-    pub(crate) fn remote_owner(&self, record: &JobRecord) -> Option<HostId> {
-        let owner = record.owner.as_ref().filter(|owner| **owner != self.local)?;
-        let liveness = self.cluster.liveness(&owner.host, owner.started);
-        (liveness != Liveness::Ended).then(|| owner.host.clone())
+    /// A page of the results at the platform, or what the owner answers meanwhile.
+    async fn read_stored(
+        self: &Arc<Self>,
+        record: &JobRecord,
+        need: Need,
+        times: ReadTimes,
+        mut owner: OwnerCall,
+        trace: &mut ReadTrace,
+    ) -> Result<Results, StateUnknown> {
+        let asked_at = Instant::now();
+        loop {
+            let now = Instant::now();
+            let look = |row: &mut Row<ItemResult>| row.page(now, need.position);
+            let Asked { seen, mut changed, .. } = self.ask_row(record, need, look);
+            let known = self.reads.results.lock().state(&record.job);
+            trace.note_segments(known.objects);
+            let wait_end = match choose_page(now, times, asked_at, seen, owner.is_pending()) {
+                Choice::Answer(page) => return Ok(answer_stored(record, &page.entries, trace)),
+                Choice::Nothing => return Ok(answer_stored(record, &[], trace)),
+                Choice::Unknown => return Err(StateUnknown::not_read(known.fault)),
+                Choice::Wait(until) => until,
+            };
+            tokio::select! {
+                answer = owner.end() => {
+                    trace.note_owner();
+                    if let Some(JobResponse::Results(results)) = answer {
+                        return Ok(self.prefer_known(record, need, results, trace));
+                    }
+                }
+                _ = changed.changed() => {}
+                () = time::sleep_until(wait_end) => {}
+            }
+        }
     }
 
-    /// Calls the owner of a job; `None` if it isn't another process or doesn't answer in time.
-    async fn call_owner(
-        &self,
+    /// What the owner answered, unless that is empty and the platform has returned results.
+    fn prefer_known(
+        self: &Arc<Self>,
         record: &JobRecord,
-        request: JobRequest,
-        timeout: Duration,
-    ) -> Option<JobResponse> {
-        let owner = self.remote_owner(record)?;
-        match self.cluster.call(&owner, request, timeout).await {
-            Ok(response) => Some(response),
-            Err(error) => {
-                log::warn!(job:% = record.job, owner:% = owner, error:% = error;
-                    "owner did not answer a read");
-                None
+        need: Need,
+        answer: Results,
+        trace: &mut ReadTrace,
+    ) -> Results {
+        let look = |row: &mut Row<ItemResult>| row.page(Instant::now(), need.position);
+        match self.ask_row(record, need, look).seen.found {
+            Some(page) if answer.results.is_empty() => answer_stored(record, &page.entries, trace),
+            _ => {
+                trace.answered(ReadSource::Owner);
+                answer
             }
         }
     }
@@ -145,77 +154,17 @@
             let _ = time::timeout_at(deadline, committed).await;
         }
     }
+}
 
-    /// All results at the platform; those read before are cached.
-    async fn stored_results(
-        &self,
-        record: &JobRecord,
-        trace: &mut ReadTrace,
-    ) -> Result<Vec<Arc<ItemResult>>, StateUnknown> {
-        let cached = self.result_cache.lock().get(&record.job).cloned();
-        let mut stored = cached.unwrap_or_default();
-        while stored.results.len() < record.total as usize {
-            let Some(segment) = self.store.segment(&record.job, stored.segments).await? else {
-                break;
-            };
-            trace.note_segment();
-            stored.apply(segment);
-        }
-        self.result_cache.lock().insert(record.job.clone(), stored.clone());
-        Ok(stored.results)
-    }
-
-    /// Reads the request body of an item; `None` if its result is committed, or if there is no such
-    /// job or item.
-    ///
-    /// # Errors
-    ///
-    /// Returns [`StateUnknown`] if neither the owner nor the platform answers.
-    pub async fn read_body(
-        self: &Arc<Self>,
-        job: &JobId,
-        item: &str,
-    ) -> Result<Option<Bytes>, StateUnknown> {
-        let mut trace = ReadTrace::new(job, Span::ZERO);
-        let body = self.find_body(job, item, &mut trace).await;
-        if body.is_err() {
-            trace.failed();
-        }
-        body
-    }
-
-    async fn find_body(
-        self: &Arc<Self>,
-        job: &JobId,
-        item: &str,
-        trace: &mut ReadTrace,
-    ) -> Result<Option<Bytes>, StateUnknown> {
-        let record = self.record(job).await?;
-        trace.note_record();
-        let Some((_, record)) = record else {
-            trace.answered(ReadSource::Platform);
-            return Ok(None);
-        };
-        if let Some(loaded) = self.loaded.lock().get(job).cloned() {
-            trace.answered(ReadSource::Memory);
-            return Ok(loaded.job.lock().body(item));
-        }
-        let request = JobRequest::Body { job: job.clone(), item: item.to_owned() };
-        let response = self.call_owner(&record, request, OWNER_TIMEOUT).await;
-        trace.note_owner();
-        if let Some(JobResponse::Body(body)) = response {
-            trace.answered(ReadSource::Owner);
-            return Ok(body);
-        }
-        let committed = self.stored_results(&record, trace).await?;
-        if committed.iter().any(|result| result.item == item) {
-            trace.answered(ReadSource::Platform);
-            return Ok(None);
-        }
-        let items = self.store.items(&record).await?;
-        trace.answered(ReadSource::Platform);
-        Ok(items.into_iter().find(|stored| stored.id == item).map(|stored| stored.body))
-    }
+/// A page that was read at the platform.
+fn answer_stored(
+    record: &JobRecord,
+    results: &[Arc<ItemResult>],
+    trace: &mut ReadTrace,
+) -> Results {
+    trace.answered(ReadSource::Platform);
+    let results = results.iter().map(|result| ItemResult::clone(result)).collect();
+    Results { total: record.total, results }
 }
 
 impl<S: ObjectStore, T: TargetTransport> Handler<JobRequest, JobResponse> for JobManager<S, T> {
--- a/crates/oleander-worklist/src/store.rs
+++ b/crates/oleander-worklist/src/store.rs
@@ -110,18 +110,25 @@
     pub async fn items(&self, record: &JobRecord) -> Result<Vec<NewItem>, StoreError> {
         let mut items = Vec::new();
         for index in 0..record.parts {
-            let object = self.store.get(&part_key(&record.job, index)).await?;
-            let object =
-                object.ok_or_else(|| StoreError::InvalidValue("part is missing".to_owned()))?;
-            let part: Part = decode_value(&object.body)?;
-            for stored in part.items {
-                let item = NewItem::try_from(stored);
-                items.push(item.map_err(|e| StoreError::InvalidValue(e.to_string()))?);
-            }
+            items.extend(self.part_items(&record.job, index).await?);
         }
         Ok(items)
     }
 
+    /// Reads the items of one part of a job.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the part is missing or can't be read.
+    pub async fn part_items(&self, job: &JobId, index: u32) -> Result<Vec<NewItem>, StoreError> {
+        let object = self.store.get(&part_key(job, index)).await?;
+        let object =
+            object.ok_or_else(|| StoreError::InvalidValue("part is missing".to_owned()))?;
+        let part: Part = decode_value(&object.body)?;
+        let items = part.items.into_iter().map(NewItem::try_from);
+        items.map(|item| item.map_err(|e| StoreError::InvalidValue(e.to_string()))).collect()
+    }
+
     /// Reads a segment of a job's result log.
     ///
     /// # Errors
