Reader of consecutive objects that keeps what it has read and reads ahead while the platform is slow

For loads and reads of jobs, which read parts and segments one after another and begin anew after a failure. Nothing uses it yet. ReadWindow decides how many objects are read at a time from the time that calls take; SequenceReader reads them, keeps what arrives over failures and dropped callers, and repeats only what failed.

--- a/crates/oleander-worklist/src/lib.rs
+++ b/crates/oleander-worklist/src/lib.rs
@@ -39,6 +39,7 @@
 mod sweep;
 mod takeover;
 mod unrouted;
+mod window;
 
 pub use backlog::{Backlog, BacklogFull};
 pub use index::{JobAction, JobIndex};
@@ -53,3 +54,4 @@
 pub use store::{JOB_PREFIX, JobStore};
 pub use submission::{Submission, SubmitError};
 pub use sweep::{sweep, sweep_once};
+pub use window::{ReadWindow, SequenceReader};
