--- a/crates/oleander-relay/src/follow.rs
+++ b/crates/oleander-relay/src/follow.rs
@@ -53,7 +53,8 @@
             Step::Outdated(number) => {
                 let began = clock::steady();
                 let event = follow.poll().await;
-                let is_confirmed = !matches!(event, FollowEvent::Failed(_));
+                let is_read = !matches!(event, FollowEvent::Failed(_));
+                let is_confirmed = is_read && follow.is_current();
                 listing.apply(event);
                 if is_confirmed {
                     listing.pools.record_list_time(began);
