The load of a job keeps the parts and segments that it has read

What callers saw: a job whose owner is lost is taken over and doesn't go on: its results stand still, and reads of it wait for an owner that never has it in memory.

Cause: JobManager::load read all parts and then all segments, one after another, and began with the first part again after any failed call. A log of 200 segments at a store that refuses one call in 50 never loads; at 0.5 s a call it takes 110 s. A load also went on after the job had gone to another owner, and fenced that owner's log.

Now each call that fails is repeated by itself, after the backoff as before, and what has been read stays. While calls take long, parts and segments are read ahead, up to 32 for a job and 32 beyond the next ones in a process, and applied in order up to the first missing one, where the fence is appended as before. Each step first asks whether this process still owns the job.

The in-memory platform of the tests gets a latency and refusals, off by default.

--- a/crates/oleander-platform/src/memory.rs
+++ b/crates/oleander-platform/src/memory.rs
@@ -31,6 +31,10 @@
     pub oldest_revision: u64,
     /// Maximum size of an object in bytes; writes of larger ones are rejected. `None` for no limit.
     pub max_bytes: Option<usize>,
+    /// Time that each request takes, watches excepted.
+    pub latency: Duration,
+    /// One request in so many is refused without effect, watches excepted; 0 for none.
+    pub refuse_every: u32,
 }
 
 #[derive(Debug, Default)]
@@ -41,6 +45,8 @@
     removed: BTreeMap<String, Revision>,
     hosts: Option<HostListing>,
     faults: MemoryFaults,
+    /// Number of requests, watches excepted.
+    requests: u32,
 }
 
 /// A platform in memory; clones share its objects and its path to them.
@@ -74,6 +80,29 @@
         self.disconnected.store(disconnected, Ordering::Relaxed);
     }
 
+    /// Number of requests so far, watches excepted.
+    #[must_use]
+    pub fn requests(&self) -> u32 {
+        self.state.lock().requests
+    }
+
+    /// Lets a request take its time, and refuses it if that is its turn.
+    async fn begin_request(&self) -> Result<(), PlatformError> {
+        let (latency, is_refused) = {
+            let mut state = self.state.lock();
+            state.requests += 1;
+            let MemoryFaults { latency, refuse_every, .. } = state.faults;
+            (latency, refuse_every > 0 && state.requests.is_multiple_of(refuse_every))
+        };
+        if !latency.is_zero() {
+            tokio::time::sleep(latency).await;
+        }
+        if is_refused {
+            return Err(PlatformError::Busy("refused by the test".to_owned()));
+        }
+        self.check_connected()
+    }
+
     fn check_connected(&self) -> Result<(), PlatformError> {
         if self.disconnected.load(Ordering::Relaxed) {
             return Err(PlatformError::Unreachable("path disconnected by the test".to_owned()));
@@ -133,14 +162,14 @@
 
 impl ObjectStore for MemoryPlatform {
     async fn get(&self, key: &str) -> Result<Option<Object>, PlatformError> {
-        self.check_connected()?;
+        self.begin_request().await?;
         let state = self.state.lock();
         state.check_available()?;
         Ok(state.objects.get(key).cloned())
     }
 
     async fn create(&self, key: &str, body: Bytes) -> Result<Created, PlatformError> {
-        self.check_connected()?;
+        self.begin_request().await?;
         let mut state = self.state.lock();
         state.check_available()?;
         if state.objects.contains_key(key) {
@@ -155,7 +184,7 @@
         body: Bytes,
         expected: Revision,
     ) -> Result<Updated, PlatformError> {
-        self.check_connected()?;
+        self.begin_request().await?;
         let mut state = self.state.lock();
         state.check_available()?;
         let current = state.objects.get(key).map(|object| object.revision);
@@ -166,7 +195,7 @@
     }
 
     async fn remove(&self, key: &str, expected: Revision) -> Result<Updated, PlatformError> {
-        self.check_connected()?;
+        self.begin_request().await?;
         let mut state = self.state.lock();
         state.check_available()?;
         let current = state.objects.get(key).map(|object| object.revision);
@@ -186,7 +215,7 @@
         after: &str,
         limit: usize,
     ) -> Result<Listing, PlatformError> {
-        self.check_connected()?;
+        self.begin_request().await?;
         let state = self.state.lock();
         state.check_available()?;
         let mut objects: Vec<ObjectMeta> = state
--- a/crates/oleander-worklist/src/lib.rs
+++ b/crates/oleander-worklist/src/lib.rs
@@ -24,6 +24,7 @@
 mod item;
 mod job;
 mod lease;
+mod loading;
 mod manager;
 mod message;
 mod output;
--- a/crates/oleander-worklist/src/store.rs
+++ b/crates/oleander-worklist/src/store.rs
@@ -1,13 +1,17 @@
 //! Reads and writes jobs at the platform.
 
+use std::sync::Arc;
+
 use oleander_core::{JobId, Revision};
 use oleander_platform::{
     Created, ObjectStore, PlatformError, StoreError, Updated, decode_value, encode_value,
 };
+use tokio::sync::Semaphore;
 
 use crate::{
     item::NewItem,
     record::{JobRecord, Part, Segment},
+    window::{ReadWindow, SequenceReader},
 };
 
 /// Key prefix of all job records.
@@ -16,18 +20,23 @@
 const MAX_PARTS: u32 = 200;
 /// Number of reads after a create without a response, before its outcome counts as unknown.
 const CONFIRM_READS: u32 = 3;
+/// Maximum number of objects that are read ahead of the next ones, by all readers of a process
+/// together.
+const MAX_READ_AHEAD: usize = 32;
 
 /// Jobs stored at the platform.
 #[derive(Debug, Clone)]
 pub struct JobStore<S> {
     store: S,
+    /// Objects that may be read ahead, by all clones together.
+    read_ahead: Arc<Semaphore>,
 }
 
 impl<S: ObjectStore> JobStore<S> {
     /// Creates access to the jobs in `store`.
     #[must_use]
-    pub const fn new(store: S) -> Self {
-        Self { store }
+    pub fn new(store: S) -> Self {
+        Self { store, read_ahead: Arc::new(Semaphore::new(MAX_READ_AHEAD)) }
     }
 
     /// The underlying store.
@@ -98,7 +107,7 @@
     ///
     /// Returns an error if the part may be missing.
     pub async fn put_part(&self, job: &JobId, index: u32, part: &Part) -> Result<(), StoreError> {
-        self.store.create(&part_key(job, index), encode_value(part)?).await?;
+        self.store.create(&part_key(job, u64::from(index)), encode_value(part)?).await?;
         Ok(())
     }
 
@@ -110,18 +119,35 @@
     pub async fn items(&self, record: &JobRecord) -> Result<Vec<NewItem>, StoreError> {
         let mut items = Vec::new();
         for index in 0..record.parts {
-            let object = self.store.get(&part_key(&record.job, index)).await?;
-            let object =
-                object.ok_or_else(|| StoreError::InvalidValue("part is missing".to_owned()))?;
-            let part: Part = decode_value(&object.body)?;
-            for stored in part.items {
-                let item = NewItem::try_from(stored);
-                items.push(item.map_err(|e| StoreError::InvalidValue(e.to_string()))?);
-            }
+            items.extend(self.part(&record.job, u64::from(index)).await?);
         }
         Ok(items)
     }
 
+    /// Reads the items of one part of a job, in order.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the part is missing or can't be read.
+    pub async fn part(&self, job: &JobId, index: u64) -> Result<Vec<NewItem>, StoreError> {
+        let object = self.store.get(&part_key(job, index)).await?;
+        let object =
+            object.ok_or_else(|| StoreError::InvalidValue("part is missing".to_owned()))?;
+        let part: Part = decode_value(&object.body)?;
+        let items = part.items.into_iter().map(NewItem::try_from);
+        let items: Result<_, _> = items.collect();
+        items.map_err(|e| StoreError::InvalidValue(e.to_string()))
+    }
+
+    /// A reader of the parts or segments of a job before `end`.
+    pub(crate) fn sequence<V: Send + 'static>(
+        &self,
+        window: ReadWindow,
+        end: u64,
+    ) -> SequenceReader<V> {
+        SequenceReader::new(window, Arc::clone(&self.read_ahead), 0, end)
+    }
+
     /// Reads a segment of a job's result log.
     ///
     /// # Errors
@@ -164,7 +190,7 @@
     /// Returns an error if any object may be left.
     pub async fn remove(&self, revision: Revision, record: &JobRecord) -> Result<(), StoreError> {
         for index in 0..record.parts.min(MAX_PARTS) {
-            self.remove_object(&part_key(&record.job, index)).await?;
+            self.remove_object(&part_key(&record.job, u64::from(index))).await?;
         }
         for index in 0.. {
             if !self.remove_object(&segment_key(&record.job, index)).await? {
@@ -186,7 +212,7 @@
     format!("{JOB_PREFIX}{job}")
 }
 
-fn part_key(job: &JobId, index: u32) -> String {
+fn part_key(job: &JobId, index: u64) -> String {
     format!("jobparts/{job}.{index:04}")
 }
 
--- a/crates/oleander-worklist/src/takeover.rs
+++ b/crates/oleander-worklist/src/takeover.rs
@@ -1,4 +1,4 @@
-//! Ownership of jobs: take-over and loading.
+//! Ownership of jobs: take-over.
 //!
 //! The owner of a job is a process, named by its host and start time, so that a restarted host does
 //! not own the jobs of its earlier process. The owner runs the job's items, appends their results
@@ -14,16 +14,14 @@
 use std::{fmt, sync::Arc, time::Duration};
 
 use oleander_core::{JobId, Revision};
-use oleander_platform::{ObjectStore, StoreError};
+use oleander_platform::ObjectStore;
 use oleander_relay::TargetTransport;
 use tokio::time;
 
 use crate::{
-    backoff::Backoff,
-    job::Job,
     lease::{RecordSource, StartLease},
     manager::JobManager,
-    record::{JobRecord, Owner, Segment},
+    record::{JobRecord, Owner},
 };
 
 /// Time between two checks for jobs without a running owner process.
@@ -133,18 +131,10 @@
         }
         let manager = Arc::clone(self);
         tokio::spawn(async move {
-            let mut backoff = Backoff::default();
-            while manager.is_owned(&job) {
-                match manager.load(record.clone()).await {
-                    Ok(loaded) => {
-                        if manager.is_owned(&job) {
-                            manager.start_job(loaded, StartLease::default());
-                        }
-                        break;
-                    }
-                    Err(fault) => log::warn!(job:% = job, error:% = fault; "job load failed"),
-                }
-                backoff.wait().await;
+            if let Some(loaded) = manager.load(record).await
+                && manager.is_owned(&job)
+            {
+                manager.start_job(loaded, StartLease::default());
             }
             manager.starting.lock().remove(&job);
             manager.load_if_owned(&job);
@@ -157,30 +147,6 @@
         self.indexed(job).is_some_and(|(_, record)| self.is_owner(&record))
     }
 
-    /// Loads a job with its results, and fences off its former owner.
-    ///
-    /// The fence is an empty segment appended to the log. A former owner that still runs, for
-    /// example after a pause or a network partition, finds it at the index of its next segment,
-    /// reads the record and stops the job. It commits no result after the fence, so it returns none
-    /// to callers that this process doesn't know.
-    async fn load(&self, record: JobRecord) -> Result<Job, StoreError> {
-        let items = self.store.items(&record).await?;
-        let id = record.job.clone();
-        let mut job = self.new_job(record, items);
-        while let Some(segment) = self.store.segment(&id, job.segments()).await? {
-            job.apply(segment);
-        }
-        let fence = Segment { writer: self.writer("load"), results: Vec::new() };
-        loop {
-            let stored = self.store.append(&id, job.segments(), &fence).await?;
-            let is_own = stored.writer == fence.writer;
-            job.apply(stored);
-            if is_own {
-                return Ok(job);
-            }
-        }
-    }
-
     /// Writer of a segment: this process and a label of the write.
     ///
     /// The labels of two different segments that a process tries to append at the same index of a
--- a/crates/oleander-worklist/src/window.rs
+++ b/crates/oleander-worklist/src/window.rs
@@ -164,10 +164,12 @@
             if is_known || self.reading.contains(&index) {
                 continue;
             }
-            let ahead = Arc::clone(&self.ahead).try_acquire_owned().ok();
-            if index > self.next && ahead.is_none() {
-                break;
-            }
+            let ahead = if index > self.next {
+                let Ok(permit) = Arc::clone(&self.ahead).try_acquire_owned() else { break };
+                Some(permit)
+            } else {
+                None
+            };
             self.reading.insert(index);
             let (object, start) = (read(index), Instant::now());
             self.reads.spawn(async move {
