A part of a submitted job that can't be written is written again

What callers saw: a job of many parts is refused with 503, and so is each resend of it, at a store that refuses or loses one write in N.

Cause: one failed write of a part ended the whole submission, and a resend began with the first part. A job of more parts than writes succeed in a row is never accepted.

Now a failed write is repeated up to twice, within 2 s.

--- a/crates/oleander-worklist/src/admission.rs
+++ b/crates/oleander-worklist/src/admission.rs
@@ -10,9 +10,10 @@
 
 use crate::{
     backlog::Backlog,
+    backoff::Backoff,
     lease::{RecordSource, StartLease},
     manager::{JobManager, LoadedJob},
-    record::JobPhase,
+    record::{JobPhase, Part},
     submission::{Submission, SubmitError, TooLarge},
 };
 
@@ -25,6 +26,10 @@
 const OUTCOME_TIMEOUT: std::time::Duration = std::time::Duration::from_secs(1);
 /// Time between two checks for that outcome.
 const OUTCOME_POLL_INTERVAL: std::time::Duration = std::time::Duration::from_millis(20);
+/// Maximum number of attempts to write a part of a job, its first part excepted.
+const PART_ATTEMPTS: u32 = 3;
+/// Time after which the write of a part is not repeated: the caller is to know of an outage.
+const PART_REPEAT_TIME: std::time::Duration = std::time::Duration::from_secs(2);
 
 impl<S: ObjectStore, T: TargetTransport> JobManager<S, T> {
     /// Accepts a job: writes its items and creates its record.
@@ -109,6 +114,24 @@
         Tokens(done.fold(0, u64::saturating_add))
     }
 
+    /// Writes a part; a failed write is repeated if it isn't the first of the job, which shows whether
+    /// the platform takes writes.
+    async fn put_part(&self, job: &JobId, index: u32, part: &Part) -> Result<(), StoreError> {
+        let start = time::Instant::now();
+        let attempts = if index == 0 { 1 } else { PART_ATTEMPTS };
+        let mut backoff = Backoff::default();
+        for attempt in 1.. {
+            let Err(fault) = self.store.put_part(job, index, part).await else { break };
+            let is_last = attempt >= attempts || start.elapsed() >= PART_REPEAT_TIME;
+            if is_last || !is_repeatable(&fault) {
+                return Err(fault);
+            }
+            log::info!(job:% = job, part = index, error:% = fault; "part of a job is written again");
+            backoff.wait().await;
+        }
+        Ok(())
+    }
+
     async fn accept(
         self: &Arc<Self>,
         submission: Submission,
@@ -121,7 +144,7 @@
             SubmitError::TooLarge
         })?;
         for (index, part) in parts.iter().enumerate() {
-            let put = self.store.put_part(&submission.job, index as u32, part).await;
+            let put = self.put_part(&submission.job, index as u32, part).await;
             if let Err(fault) = put {
                 log::warn!(job:% = submission.job, error:% = fault;
                     "job refused: its items can't be written to the platform");
@@ -157,6 +180,11 @@
     }
 }
 
+/// Whether a write that failed this way may succeed when it is repeated.
+const fn is_repeatable(fault: &StoreError) -> bool {
+    matches!(fault, StoreError::Platform(error) if !matches!(error, PlatformError::Rejected(_)))
+}
+
 /// Refusal of a job of which nothing was written that accepts it.
 const fn refusal(fault: &StoreError) -> SubmitError {
     match fault {
--- a/crates/oleander-worklist/tests/manager/fixture.rs
+++ b/crates/oleander-worklist/tests/manager/fixture.rs
@@ -329,7 +329,8 @@
     store: SlowStore,
     memory: ResponseMemory,
 ) -> (Arc<JobManager<SlowStore, EchoTargets>>, Arc<EchoTargets>, Arc<Pools>) {
-    let Started { manager, targets, pools, relay } = start_with(name, store, memory);
+    let Started { manager, targets, pools, relay } =
+        start_with(name, store, memory, MAX_OBJECT_BYTES);
     relay.set_table(RouteTable::new(1, vec![route()]));
     (manager, targets, pools)
 }
@@ -344,10 +345,23 @@
 
 /// Starts a manager that knows no routes yet.
 pub(crate) fn start(name: &str, store: SlowStore) -> Started {
-    start_with(name, store, ResponseMemory::default())
+    start_with(name, store, ResponseMemory::default(), MAX_OBJECT_BYTES)
 }
 
-fn start_with(name: &str, store: SlowStore, memory: ResponseMemory) -> Started {
+/// Starts a manager whose platform stores only objects of up to `object_bytes`.
+pub(crate) fn start_with_objects(name: &str, store: SlowStore, object_bytes: usize) -> Started {
+    start_with(name, store, ResponseMemory::default(), object_bytes)
+}
+
+/// Maximum size of an object at the platform.
+const MAX_OBJECT_BYTES: usize = 1 << 20;
+
+fn start_with(
+    name: &str,
+    store: SlowStore,
+    memory: ResponseMemory,
+    object_bytes: usize,
+) -> Started {
     let (pools, yields) = Pools::new(host(name), zone(), 1);
     let mut targets = TargetList::default();
     targets.upsert(TargetEntry {
@@ -369,7 +383,7 @@
     let key = LinkKey::from_secret(b"a secret of the tests").expect("long enough");
     let cluster = Cluster::new(local, key, Arc::clone(&pools));
     let id_header = HeaderName::from_static("x-id");
-    let config = JobManagerConfig { id_header, object_bytes: 1 << 20, loaded_bytes: 1 << 20 };
+    let config = JobManagerConfig { id_header, object_bytes, loaded_bytes: 1 << 20 };
     tokio::spawn(Arc::clone(&relay).watch_links());
     tokio::spawn(Arc::clone(&cluster).follow_records(store.clone()));
     let manager = JobManager::new(config, store, Arc::clone(&relay), cluster);
--- a/crates/oleander-worklist/tests/manager/main.rs
+++ b/crates/oleander-worklist/tests/manager/main.rs
@@ -9,6 +9,7 @@
 mod placement;
 mod routes;
 mod sizes;
+mod submissions;
 
 use std::{
     sync::{Arc, atomic::Ordering},
