An interrupted removal of a job leaves no segments that no other removal finds

What happened: segments of ended jobs stay at the platform for good, and a later job with the same id would find them in its log (the latter by reading, not shown).

Cause: a removal went through the log from the first segment on, and ended at the first one that is missing. After an interrupted one (a failed call, a stopped host), the first one is missing, so that the next removal took the log for empty and removed the record, by which alone the job is found.

Now the segments are counted first and removed from the last one on, with as many calls as before. What is left begins with the first one, where the next removal finds it. Removal has a file of its own.

--- a/crates/oleander-worklist/src/lib.rs
+++ b/crates/oleander-worklist/src/lib.rs
@@ -32,6 +32,7 @@
 mod preemption;
 mod reads;
 mod record;
+mod removal;
 mod renewal;
 mod runner;
 mod size;
--- /dev/null
+++ b/crates/oleander-worklist/src/removal.rs
@@ -0,0 +1,51 @@
+//! Removal of a job from the platform.
+
+use oleander_core::Revision;
+use oleander_platform::{ObjectStore, StoreError};
+
+use crate::{
+    record::JobRecord,
+    store::{JobStore, part_key, record_key, segment_key},
+};
+
+/// Maximum number of parts of a job, which has no more items.
+const MAX_PARTS: u32 = 200;
+
+impl<S: ObjectStore> JobStore<S> {
+    /// Removes a job with its parts and segments, its record last.
+    ///
+    /// Segments are removed from the last one on: what an interrupted removal leaves begins with the
+    /// first one, where the next removal finds it.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if any object may be left.
+    pub async fn remove(&self, revision: Revision, record: &JobRecord) -> Result<(), StoreError> {
+        for index in 0..record.parts.min(MAX_PARTS) {
+            let key = part_key(&record.job, u64::from(index));
+            if let Some(revision) = self.revision(&key).await? {
+                self.remove_at(&key, revision).await?;
+            }
+        }
+        let mut segments = Vec::new();
+        while let Some(revision) =
+            self.revision(&segment_key(&record.job, segments.len() as u64)).await?
+        {
+            segments.push(revision);
+        }
+        while let Some(revision) = segments.pop() {
+            self.remove_at(&segment_key(&record.job, segments.len() as u64), revision).await?;
+        }
+        self.remove_at(&record_key(&record.job), revision).await
+    }
+
+    /// Revision of an object; `None` if there is none.
+    async fn revision(&self, key: &str) -> Result<Option<Revision>, StoreError> {
+        Ok(self.objects().get(key).await?.map(|object| object.revision))
+    }
+
+    async fn remove_at(&self, key: &str, revision: Revision) -> Result<(), StoreError> {
+        self.objects().remove(key, revision).await?;
+        Ok(())
+    }
+}
--- a/crates/oleander-worklist/src/store.rs
+++ b/crates/oleander-worklist/src/store.rs
@@ -16,8 +16,6 @@
 
 /// Key prefix of all job records.
 pub const JOB_PREFIX: &str = "joblist/";
-/// Maximum number of parts of a job, which has no more items.
-const MAX_PARTS: u32 = 200;
 /// Number of reads after a create without a response, before its outcome counts as unknown.
 const CONFIRM_READS: u32 = 3;
 /// Maximum number of objects that are read ahead of the next ones, by all readers of a process
@@ -182,40 +180,16 @@
             PlatformError::NoResponse("appended segment is not visible yet".to_owned()).into()
         })
     }
-
-    /// Removes a job with its parts and segments, its record last.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if any object may be left.
-    pub async fn remove(&self, revision: Revision, record: &JobRecord) -> Result<(), StoreError> {
-        for index in 0..record.parts.min(MAX_PARTS) {
-            self.remove_object(&part_key(&record.job, u64::from(index))).await?;
-        }
-        for index in 0.. {
-            if !self.remove_object(&segment_key(&record.job, index)).await? {
-                break;
-            }
-        }
-        self.store.remove(&record_key(&record.job), revision).await?;
-        Ok(())
-    }
-
-    async fn remove_object(&self, key: &str) -> Result<bool, StoreError> {
-        let Some(object) = self.store.get(key).await? else { return Ok(false) };
-        self.store.remove(key, object.revision).await?;
-        Ok(true)
-    }
 }
 
 pub(crate) fn record_key(job: &JobId) -> String {
     format!("{JOB_PREFIX}{job}")
 }
 
-fn part_key(job: &JobId, index: u64) -> String {
+pub(crate) fn part_key(job: &JobId, index: u64) -> String {
     format!("jobparts/{job}.{index:04}")
 }
 
-fn segment_key(job: &JobId, index: u64) -> String {
+pub(crate) fn segment_key(job: &JobId, index: u64) -> String {
     format!("jobresults/{job}.{index:06}")
 }
--- a/crates/oleander-worklist/tests/sweep.rs
+++ b/crates/oleander-worklist/tests/sweep.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use oleander_core::{Span, Time, Tokens};
-use oleander_platform::{MemoryPlatform, ObjectStore};
+use oleander_platform::{MemoryFaults, MemoryPlatform, ObjectStore};
 use oleander_worklist::{JobPhase, JobRecord, JobStore, Owner, Part, Segment, sweep_once};
 
 const KEEP: Span = Span::from_secs(180);
@@ -60,3 +60,34 @@
     );
     assert_eq!(sweep_once(&store, &owner(), NOW, KEEP).await, Ok(0));
 }
+
+/// Adds segments to the log of a job that has one.
+async fn add_segments(store: &JobStore<MemoryPlatform>, job: &str, count: u64) {
+    let job = job.parse().expect("name of a job");
+    let segment = Segment { writer: "w".to_owned(), results: Vec::new() };
+    for index in 1..=count {
+        store.append(&job, index, &segment).await.expect("store is up");
+    }
+}
+
+async fn object_count(memory: &MemoryPlatform, prefix: &str) -> usize {
+    memory.list(prefix, "", 1_000).await.expect("store is up").objects.len()
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_removal_that_was_interrupted_leaves_no_segments_behind() {
+    let memory = MemoryPlatform::new();
+    let store = JobStore::new(memory.clone());
+    put(&store, "old-done", JobPhase::Done, KEEP * 2).await;
+    add_segments(&store, "old-done", 30).await;
+    let latency = std::time::Duration::from_millis(10);
+    memory.set_faults(MemoryFaults { latency, ..MemoryFaults::default() });
+    let (swept, local) = (JobStore::new(memory.other_path()), owner());
+    let sweep = sweep_once(&swept, &local, NOW, KEEP);
+    assert!(tokio::time::timeout(latency * 50, sweep).await.is_err(), "interrupted");
+    memory.set_faults(MemoryFaults::default());
+    let left = object_count(&memory, "jobresults/").await;
+    assert!((1..31).contains(&left), "{left} of 31 segments are left by the first removal");
+    assert_eq!(sweep_once(&store, &owner(), NOW, KEEP).await, Ok(1));
+    assert_eq!(object_count(&memory, "job").await, 0, "objects that no removal finds");
+}
