--- a/crates/oleander-worklist/src/removal.rs
+++ b/crates/oleander-worklist/src/removal.rs
@@ -1,15 +1,18 @@
 //! Removal of a job from the platform.
 
 use oleander_core::Revision;
-use oleander_platform::{ObjectStore, StoreError};
+use oleander_platform::{ObjectStore, PlatformError, StoreError};
 
 use crate::{
+    backoff::Backoff,
     record::JobRecord,
     store::{JobStore, part_key, record_key, segment_key},
 };
 
 /// Maximum number of parts of a job, which has no more items.
 const MAX_PARTS: u32 = 200;
+/// Maximum number of attempts of one call.
+const ATTEMPTS: u32 = 3;
 
 impl<S: ObjectStore> JobStore<S> {
     /// Removes a job with its parts and segments, its record last.
@@ -41,11 +44,28 @@
 
     /// Revision of an object; `None` if there is none.
     async fn revision(&self, key: &str) -> Result<Option<Revision>, StoreError> {
-        Ok(self.objects().get(key).await?.map(|object| object.revision))
+        let object = repeat(|| self.objects().get(key)).await?;
+        Ok(object.map(|object| object.revision))
     }
 
     async fn remove_at(&self, key: &str, revision: Revision) -> Result<(), StoreError> {
-        self.objects().remove(key, revision).await?;
+        repeat(|| self.objects().remove(key, revision)).await?;
         Ok(())
     }
 }
+
+/// Repeats a call that fails, unless the platform rejects it for good.
+pub(crate) async fn repeat<V, F>(call: impl Fn() -> F) -> Result<V, PlatformError>
+where
+    F: Future<Output = Result<V, PlatformError>>,
+{
+    let mut backoff = Backoff::default();
+    for _ in 1..ATTEMPTS {
+        match call().await {
+            Ok(value) => return Ok(value),
+            Err(error @ PlatformError::Rejected(_)) => return Err(error),
+            Err(_) => backoff.wait().await,
+        }
+    }
+    call().await
+}
--- a/crates/oleander-worklist/src/sweep.rs
+++ b/crates/oleander-worklist/src/sweep.rs
@@ -14,11 +14,14 @@
 use crate::{
     index::JobIndex,
     record::{JobRecord, Owner},
+    removal::repeat,
     store::{JOB_PREFIX, JobStore, record_key},
 };
 
 /// Time between two scans; removal is not urgent.
 const SCAN_INTERVAL: Duration = Duration::from_secs(60);
+/// Number of jobs in a row that can't be removed after which a sweep ends: the platform is out.
+const MAX_FAILED: u32 = 3;
 
 /// Periodically removes ended jobs accepted longer than `keep` ago, whenever `is_turn`; never
 /// returns.
@@ -39,19 +42,44 @@
 
 /// Removes ended jobs accepted longer than `keep` before `now`; returns their number.
 ///
+/// A job that can't be removed holds up no other.
+///
 /// # Errors
 ///
-/// Returns an error if an object can't be read or removed.
+/// Returns an error if an object can't be read or removed by several attempts.
 pub async fn sweep_once<S: ObjectStore>(
     store: &JobStore<S>,
     local: &Owner,
     now: Time,
     keep: Span,
 ) -> Result<usize, StoreError> {
+    let index = read_records(store, local).await?;
+    let (mut removed, mut failed) = (0, 0);
+    let mut failure = Ok(());
+    for (revision, record) in index.removable(now - keep) {
+        match store.remove(*revision, record).await {
+            Ok(()) => (removed, failed) = (removed + 1, 0),
+            Err(fault) => {
+                log::warn!(job:% = record.job, error:% = fault; "ended job was not removed");
+                failed += 1;
+                failure = Err(fault);
+                if failed == MAX_FAILED {
+                    break;
+                }
+            }
+        }
+    }
+    failure.map(|()| removed)
+}
+
+async fn read_records<S: ObjectStore>(
+    store: &JobStore<S>,
+    local: &Owner,
+) -> Result<JobIndex, StoreError> {
     let mut index = JobIndex::default();
     let mut after = String::new();
     loop {
-        let page = store.objects().scan(JOB_PREFIX, &after).await?;
+        let page = repeat(|| store.objects().scan(JOB_PREFIX, &after)).await?;
         for (key, object) in page.objects {
             match decode_value::<JobRecord>(&object.body) {
                 Ok(record) if key == record_key(&record.job) => {
@@ -64,13 +92,7 @@
             after = key;
         }
         if !page.more {
-            break;
+            return Ok(index);
         }
     }
-    let mut removed = 0;
-    for (revision, record) in index.removable(now - keep) {
-        store.remove(*revision, record).await?;
-        removed += 1;
-    }
-    Ok(removed)
 }
--- a/crates/oleander-worklist/tests/sweep.rs
+++ b/crates/oleander-worklist/tests/sweep.rs
@@ -1,8 +1,11 @@
 //! Removal of ended jobs whose results are no longer available to callers.
 
 use bytes::Bytes;
-use oleander_core::{Span, Time, Tokens};
-use oleander_platform::{MemoryFaults, MemoryPlatform, ObjectStore};
+use oleander_core::{Revision, Span, Time, Tokens};
+use oleander_platform::{
+    Created, Listing, MemoryFaults, MemoryPlatform, Object, ObjectStore, Page, PlatformError,
+    Updated,
+};
 use oleander_worklist::{JobPhase, JobRecord, JobStore, Owner, Part, Segment, sweep_once};
 
 const KEEP: Span = Span::from_secs(180);
@@ -91,3 +94,89 @@
     assert_eq!(sweep_once(&store, &owner(), NOW, KEEP).await, Ok(1));
     assert_eq!(object_count(&memory, "job").await, 0, "objects that no removal finds");
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_refused_call_ends_no_sweep() {
+    let memory = MemoryPlatform::new();
+    let store = JobStore::new(memory.clone());
+    for number in 0..20 {
+        let job = format!("old-{number}");
+        put(&store, &job, JobPhase::Done, KEEP * 2).await;
+        add_segments(&store, &job, 10).await;
+    }
+    memory.set_faults(MemoryFaults { refuse_every: 50, ..MemoryFaults::default() });
+    let swept = sweep_once(&store, &owner(), NOW, KEEP).await;
+    memory.set_faults(MemoryFaults::default());
+    let left = object_count(&memory, "joblist/").await;
+    assert_eq!((swept, left), (Ok(20), 0), "records removed, records left of 20");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_sweep_ends_soon_while_the_platform_is_out() {
+    let memory = MemoryPlatform::new();
+    let store = JobStore::new(memory.clone());
+    for number in 0..50 {
+        put(&store, &format!("old-{number}"), JobPhase::Done, KEEP * 2).await;
+    }
+    let latency = std::time::Duration::from_millis(10);
+    memory.set_faults(MemoryFaults { latency, ..MemoryFaults::default() });
+    let (swept, local) = (JobStore::new(memory.clone()), owner());
+    let sweep = tokio::spawn(async move { sweep_once(&swept, &local, NOW, KEEP).await });
+    tokio::time::sleep(latency * 10).await;
+    memory.set_faults(MemoryFaults { down: true, ..MemoryFaults::default() });
+    let start = tokio::time::Instant::now();
+    assert!(sweep.await.expect("no panic").is_err());
+    assert!(start.elapsed() < std::time::Duration::from_secs(10), "{:?}", start.elapsed());
+}
+
+/// A store that refuses to read the segments of one job.
+#[derive(Debug, Clone)]
+struct StuckStore(MemoryPlatform);
+
+impl ObjectStore for StuckStore {
+    async fn get(&self, key: &str) -> Result<Option<Object>, PlatformError> {
+        if key.starts_with("jobresults/stuck") {
+            return Err(PlatformError::Busy("refused by the test".to_owned()));
+        }
+        self.0.get(key).await
+    }
+
+    async fn create(&self, key: &str, body: Bytes) -> Result<Created, PlatformError> {
+        self.0.create(key, body).await
+    }
+
+    async fn update(&self, key: &str, body: Bytes, at: Revision) -> Result<Updated, PlatformError> {
+        self.0.update(key, body, at).await
+    }
+
+    async fn remove(&self, key: &str, expected: Revision) -> Result<Updated, PlatformError> {
+        self.0.remove(key, expected).await
+    }
+
+    async fn list(&self, prefix: &str, after: &str, n: usize) -> Result<Listing, PlatformError> {
+        self.0.list(prefix, after, n).await
+    }
+
+    async fn changed(&self, prefix: &str, from: Revision) -> Result<Revision, PlatformError> {
+        self.0.changed(prefix, from).await
+    }
+
+    async fn scan(&self, prefix: &str, after: &str) -> Result<Page, PlatformError> {
+        self.0.scan(prefix, after).await
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_job_that_cannot_be_removed_holds_up_no_other() {
+    let memory = MemoryPlatform::new();
+    let store = JobStore::new(memory.clone());
+    put(&store, "stuck", JobPhase::Done, KEEP * 2).await;
+    for number in 0..20 {
+        put(&store, &format!("old-{number}"), JobPhase::Done, KEEP * 2).await;
+    }
+    let swept = sweep_once(&JobStore::new(StuckStore(memory.clone())), &owner(), NOW, KEEP).await;
+    assert!(swept.is_err(), "{swept:?}");
+    let left = memory.list("joblist/", "", 100).await.expect("store is up").objects;
+    let left: Vec<&str> = left.iter().map(|object| object.key.as_str()).collect();
+    assert_eq!(left, ["joblist/stuck"]);
+}
