A stopping host releases several jobs at a time

What callers saw: jobs of a host that was stopped as planned stand still until it is known to be gone, if the store is slow: it had not come to release them.

Cause: release_jobs wrote one record after another, at 0.5 s each; the grace of a stop is 8 s.

Evidence (tests/manager/handover.rs on the code before, 30 idle jobs, 0.5 s a call): all_idle_jobs_are_given_away_within_the_grace_of_a_stop: jobs given away, after 8s, left: 15 right: 30

Now four are written at a time. Each call is bounded by the client and by the other hosts through which it is tried; a job that can't be released is taken over later, as before.

--- a/crates/oleander-worklist/src/handover.rs
+++ b/crates/oleander-worklist/src/handover.rs
@@ -6,7 +6,7 @@
 use oleander_host::clock;
 use oleander_platform::ObjectStore;
 use oleander_relay::TargetTransport;
-use tokio::time;
+use tokio::{task::JoinSet, time};
 
 use crate::{
     backoff::RETRY_DELAY,
@@ -21,6 +21,14 @@
 const DRAIN_TIMEOUT: Span = Span::from_millis(4_500);
 /// Time before the end of the process that is left for the last writes.
 const RELEASE_MARGIN: Span = Span::from_millis(1_000);
+/// Maximum number of jobs that are released at a time.
+const MAX_RELEASES: usize = 4;
+
+/// Whether a job has no running items or pending results.
+fn is_idle(loaded: &LoadedJob) -> bool {
+    let job = loaded.job.lock();
+    job.running() == 0 && !job.has_pending()
+}
 
 impl<S: ObjectStore, T: TargetTransport> JobManager<S, T> {
     /// Releases each loaded open job once its running items have finished and their results are
@@ -52,18 +60,19 @@
             .iter()
             .map(|(id, loaded)| (id.clone(), Arc::clone(loaded)))
             .collect();
-        let mut owns_any = false;
-        for (id, loaded) in loaded {
-            let is_idle = {
-                let job = loaded.job.lock();
-                job.running() == 0 && !job.has_pending()
-            };
-            if all || is_idle {
-                self.release_job(&id).await;
+        let mut releases = JoinSet::new();
+        for (id, loaded) in &loaded {
+            if !all && !is_idle(loaded) {
+                continue;
+            }
+            if releases.len() == MAX_RELEASES {
+                releases.join_next().await;
             }
-            owns_any |= self.is_owned(&id);
+            let (manager, id) = (Arc::clone(self), id.clone());
+            releases.spawn(async move { manager.release_job(&id).await });
         }
-        owns_any
+        while releases.join_next().await.is_some() {}
+        loaded.iter().any(|(id, _)| self.is_owned(id))
     }
 
     /// Removes the owner from a job's record and notifies the next owner.
--- a/crates/oleander-worklist/tests/manager/main.rs
+++ b/crates/oleander-worklist/tests/manager/main.rs
@@ -3,6 +3,7 @@
 mod ends;
 mod fixture;
 mod forgotten;
+mod handover;
 mod loading;
 mod odd_records;
 mod outage_ends;
