Lists that a host reads once at its start keep the pages that they have read

What callers saw: a host that starts at a store that fails one page in N doesn't learn which parts of prompts are blocked, nor of which versions streams are, and resumed streams wait for the latter.

Cause: read_blocks and read_versions began with the first page again after any failed one.

Ages of versions are counted from the begin of the read, unless all pages were read by the last call, so that a version whose page was read early isn't taken for gone for longer than it is.

--- a/crates/oleander-cluster/src/lib.rs
+++ b/crates/oleander-cluster/src/lib.rs
@@ -26,6 +26,7 @@
 mod retirement;
 mod settled;
 mod sharing;
+mod stored;
 mod streams;
 mod versions;
 mod zone_load;
--- a/crates/oleander-cluster/src/quarantine.rs
+++ b/crates/oleander-cluster/src/quarantine.rs
@@ -9,9 +9,7 @@
 
 use oleander_core::{Revision, ServiceId, Span, Time, hash, value};
 use oleander_host::clock;
-use oleander_platform::{
-    Created, ObjectStore, PlatformError, StoreError, decode_value, encode_value,
-};
+use oleander_platform::{Created, ObjectStore, PlatformError, decode_value, encode_value};
 use oleander_quarantine::{BlockNews, QuarantineNews};
 use oleander_relay::Pool;
 use rand::seq::IndexedRandom;
@@ -20,6 +18,7 @@
 use crate::{
     cluster::{Cluster, PossiblePeer},
     message::{PeerRequest, ServiceQuarantine},
+    stored,
 };
 
 /// Prefix of the keys of stored blocks.
@@ -127,19 +126,20 @@
 
     /// Reads the stored blocks, repeating until it succeeds.
     async fn load_blocks<S: ObjectStore>(&self, store: &S) {
-        loop {
-            match read_blocks(store).await {
-                Ok(blocks) => {
-                    for (key, revision, stored) in blocks {
-                        if !self.apply_stored(stored) {
-                            remove_block(store, &key, revision).await;
-                        }
+        let read = stored::read_all(
+            store,
+            PREFIX,
+            |error| log::warn!(error:% = error; "blocked parts can't be read"),
+        );
+        for (key, object) in read.await.objects {
+            match decode_value::<StoredBlock>(&object.body) {
+                Ok(block) => {
+                    if !self.apply_stored(block) {
+                        remove_block(store, &key, object.revision).await;
                     }
-                    return;
                 }
-                Err(error) => log::warn!(error:% = error; "blocked parts can't be read"),
+                Err(error) => log::warn!(key:% = key, error:% = error; "stored block skipped"),
             }
-            time::sleep(RETRY_PAUSE).await;
         }
     }
 
@@ -165,26 +165,6 @@
     }
 }
 
-async fn read_blocks<S: ObjectStore>(
-    store: &S,
-) -> Result<Vec<(String, Revision, StoredBlock)>, StoreError> {
-    let mut blocks = Vec::new();
-    let mut after = String::new();
-    loop {
-        let page = store.scan(PREFIX, &after).await?;
-        for (key, object) in page.objects {
-            match decode_value::<StoredBlock>(&object.body) {
-                Ok(block) => blocks.push((key.clone(), object.revision, block)),
-                Err(error) => log::warn!(key:% = key, error:% = error; "stored block skipped"),
-            }
-            after = key;
-        }
-        if !page.more {
-            return Ok(blocks);
-        }
-    }
-}
-
 /// Stores a block unless another host has; each host that learns of the last crash begins it.
 async fn store_block<S: ObjectStore>(store: S, stored: StoredBlock) {
     let StoredBlock { service, block, .. } = &stored;
--- a/crates/oleander-cluster/src/versions.rs
+++ b/crates/oleander-cluster/src/versions.rs
@@ -21,6 +21,7 @@
 use crate::{
     begun::{self, StoredStream},
     cluster::Cluster,
+    stored::{self, Stored},
 };
 
 /// Prefix of the keys of these records.
@@ -123,26 +124,30 @@
 
     /// Reads the records of earlier processes, repeating until it succeeds.
     async fn recall_versions<S: ObjectStore>(&self, store: &S) {
-        loop {
-            match read_versions(store).await {
-                Ok(records) => {
-                    let now = clock::now();
-                    for StoredVersions { service, listed, streams } in records {
-                        let kept = begun::kept(now, &service, streams);
-                        let count: usize = kept.iter().map(|begun| begun.streams.len()).sum();
-                        log::info!(service:% = service, streams = count;
-                            "streams of earlier processes are known again");
-                        self.pools.streams.recall_streams(kept);
-                        let ages = listed.into_iter().map(|(version, at)| (version, age(now, at)));
-                        self.pools.streams.recall(&service, ages.collect());
-                    }
-                    self.pools.streams.end_recall();
-                    return;
-                }
-                Err(error) => log::warn!(error:% = error; "versions in service can't be read"),
+        let read = stored::read_all(
+            store,
+            PREFIX,
+            |error| log::warn!(error:% = error; "versions in service can't be read"),
+        );
+        let Stored { objects, since } = read.await;
+        for (key, object) in objects {
+            match decode_value(&object.body) {
+                Ok(record) => self.recall_record(since, record),
+                Err(error) => log::warn!(key:% = key, error:% = error; "stored versions skipped"),
             }
-            time::sleep(RETRY_PAUSE).await;
         }
+        self.pools.streams.end_recall();
+    }
+
+    fn recall_record(&self, now: Time, record: StoredVersions) {
+        let StoredVersions { service, listed, streams } = record;
+        let kept = begun::kept(now, &service, streams);
+        let count: usize = kept.iter().map(|begun| begun.streams.len()).sum();
+        log::info!(service:% = service, streams = count;
+            "streams of earlier processes are known again");
+        self.pools.streams.recall_streams(kept);
+        let ages = listed.into_iter().map(|(version, at)| (version, age(now, at)));
+        self.pools.streams.recall(&service, ages.collect());
     }
 }
 
@@ -152,24 +157,6 @@
     Span(now.since(at).0.saturating_sub(REFRESH_INTERVAL.as_micros() as u64))
 }
 
-async fn read_versions<S: ObjectStore>(store: &S) -> Result<Vec<StoredVersions>, StoreError> {
-    let mut records = Vec::new();
-    let mut after = String::new();
-    loop {
-        let page = store.scan(PREFIX, &after).await?;
-        for (key, object) in page.objects {
-            match decode_value(&object.body) {
-                Ok(record) => records.push(record),
-                Err(error) => log::warn!(key:% = key, error:% = error; "stored versions skipped"),
-            }
-            after = key;
-        }
-        if !page.more {
-            return Ok(records);
-        }
-    }
-}
-
 /// A record as this host wrote or read it last.
 struct LastRecord {
     revision: Revision,
