--- a/crates/oleander-worklist/src/row_reader.rs
+++ b/crates/oleander-worklist/src/row_reader.rs
@@ -75,7 +75,7 @@
         job: &JobId,
         object: usize,
     ) -> Result<Option<Vec<Self>>, StoreError> {
-        store.part_items(job, object as u32).await.map(Some)
+        store.part(job, object as u64).await.map(Some)
     }
 }
 
--- a/crates/oleander-worklist/tests/manager/main.rs
+++ b/crates/oleander-worklist/tests/manager/main.rs
@@ -3,11 +3,14 @@
 mod ends;
 mod fixture;
 mod forgotten;
+mod handover;
+mod loading;
 mod odd_records;
 mod outage_ends;
 mod placement;
 mod routes;
 mod sizes;
+mod submissions;
 
 use std::{
     sync::{Arc, atomic::Ordering},
