--- a/crates/oleander-worklist/tests/reads/fixture.rs
+++ b/crates/oleander-worklist/tests/reads/fixture.rs
@@ -176,7 +176,7 @@
     }
 }
 
-fn result(number: usize, bytes: usize) -> ItemResult {
+pub(crate) fn result(number: usize, bytes: usize) -> ItemResult {
     let (item, output) = (item_name(number), output(number, bytes));
     ItemResult { item, state: ItemOutcome::Completed, output }
 }
--- a/crates/oleander-worklist/tests/reads/main.rs
+++ b/crates/oleander-worklist/tests/reads/main.rs
@@ -1,5 +1,6 @@
 //! Reads of jobs that nobody has in memory, by callers who leave.
 
+mod answers;
 mod fixture;
 mod plays;
 mod store;
