--- a/crates/oleander-worklist/src/job.rs
+++ b/crates/oleander-worklist/src/job.rs
@@ -313,7 +313,8 @@
     /// One page of committed results from position `after` on.
     #[must_use]
     pub fn results(&self, after: usize) -> Vec<Arc<ItemResult>> {
-        fill_page(self.committed.iter().skip(after)).entries
+        let rest = self.committed.iter().skip(after);
+        fill_page(rest.map(|result| (result, result.json_len()))).entries
     }
 
     /// Request body of an item; `None` if its result is committed or the item is unknown.
--- a/crates/oleander-worklist/src/row.rs
+++ b/crates/oleander-worklist/src/row.rs
@@ -66,12 +66,14 @@
     pub(crate) is_full: bool,
 }
 
-/// Fills a page with entries; it has at least one if there are any.
-pub(crate) fn fill_page<'a, E: Entry>(entries: impl Iterator<Item = &'a Arc<E>>) -> Page<E> {
+/// Fills a page with entries, given with their sizes; it has at least one if there are any.
+pub(crate) fn fill_page<'a, E: Entry>(
+    entries: impl Iterator<Item = (&'a Arc<E>, usize)>,
+) -> Page<E> {
     let mut page = Page { entries: Vec::new(), is_full: false };
     let mut bytes = 0;
-    for entry in entries {
-        bytes += entry.json_len();
+    for (entry, json_len) in entries {
+        bytes += json_len;
         if !page.entries.is_empty() && bytes > PAGE_BYTES {
             page.is_full = true;
             break;
@@ -96,8 +98,8 @@
 struct Chunk<E> {
     /// Position of the first entry.
     first: usize,
-    /// The entries that count; `None` once released.
-    entries: Option<Vec<Arc<E>>>,
+    /// The entries that count, with their sizes in a page; `None` once released.
+    entries: Option<Vec<(Arc<E>, usize)>>,
     bytes: usize,
     used: Instant,
 }
@@ -180,10 +182,11 @@
         let mut kept = Vec::new();
         for entry in entries {
             if self.positions.get(entry.id()) == Some(&(chunk.first + kept.len())) {
-                kept.push(Arc::new(entry));
+                let json_len = entry.json_len();
+                kept.push((Arc::new(entry), json_len));
             }
         }
-        chunk.bytes = kept.iter().map(|entry| entry.bytes()).sum();
+        chunk.bytes = kept.iter().map(|(entry, _)| entry.bytes()).sum();
         chunk.entries = Some(kept);
         chunk.used = now;
         self.bytes += chunk.bytes;
@@ -212,7 +215,8 @@
         let Some(object) = self.object_of(position) else { return Found::Unknown };
         let offset = position - self.chunks[object].first;
         let held = self.chunks[object..].iter().map_while(|chunk| chunk.entries.as_ref());
-        let page = fill_page(held.flatten().skip(offset));
+        let held = held.flatten().map(|(entry, json_len)| (entry, *json_len));
+        let page = fill_page(held.skip(offset));
         if page.entries.is_empty() {
             return Found::Released(object);
         }
--- a/crates/oleander-worklist/src/row_reader.rs
+++ b/crates/oleander-worklist/src/row_reader.rs
@@ -172,18 +172,20 @@
     fn fetch<E: StoredEntry>(self: &Arc<Self>, job: &JobId, id: u64, object: usize) -> Fetch<E> {
         let (manager, job) = (Arc::clone(self), job.clone());
         let task = async move {
-            let mut backoff = Backoff::default();
+            let (mut backoff, mut failures) = (Backoff::default(), 0);
             loop {
-                match manager.fetch_once(&job, object).await {
+                let fault = match manager.fetch_once(&job, object).await {
                     Ok(fetched) => return Some(fetched),
-                    Err(fault) => {
-                        log::warn!(job:% = job, object, error:% = fault;
-                            "stored part of a job can't be read");
-                        let now = Instant::now();
-                        if !E::rows(&manager.reads).lock().note_fault(now, &job, id, &fault) {
-                            return None;
-                        }
-                    }
+                    Err(fault) => fault,
+                };
+                failures += 1;
+                if failures == 1 {
+                    log::warn!(job:% = job, object, error:% = fault;
+                        "stored part of a job can't be read");
+                }
+                let now = Instant::now();
+                if !E::rows(&manager.reads).lock().note_fault(now, &job, id, &fault) {
+                    return None;
                 }
                 // The pause stays at its maximum from then on.
                 let _ = time::timeout(MAX_PAUSE, backoff.wait()).await;
