--- a/crates/oleander-worklist/tests/reads/fixture.rs
+++ b/crates/oleander-worklist/tests/reads/fixture.rs
@@ -203,6 +203,13 @@
 
 /// A host that has just started, with nothing in its memory.
 pub(crate) fn start_host(name: &str, store: &SlowStore) -> Manager {
+    let manager = start_host_without_watch(name, store);
+    tokio::spawn(Arc::clone(&manager).follow_jobs());
+    manager
+}
+
+/// A host whose list of the jobs never comes.
+pub(crate) fn start_host_without_watch(name: &str, store: &SlowStore) -> Manager {
     let (pools, _yields) = Pools::new(name.parse().expect("name of a host"), zone(), 1);
     let pools = Arc::new(pools);
     let relay = Arc::new(Relay::new(Arc::clone(&pools), Arc::new(NoTargets)));
@@ -211,9 +218,7 @@
     let id_header = HeaderName::from_static("x-id");
     let config = JobManagerConfig { id_header, object_bytes: 1 << 20, loaded_bytes: 1 << 20 };
     tokio::spawn(Arc::clone(&cluster).follow_records(store.clone()));
-    let manager = JobManager::new(config, store.clone(), relay, cluster);
-    tokio::spawn(Arc::clone(&manager).follow_jobs());
-    manager
+    JobManager::new(config, store.clone(), relay, cluster)
 }
 
 /// What a reader has got so far.
--- a/crates/oleander-worklist/tests/reads/main.rs
+++ b/crates/oleander-worklist/tests/reads/main.rs
@@ -18,7 +18,7 @@
 
 use fixture::{
     PATIENCE, Reading, Shape, StoredJob, item_name, job, list_silent_host, output, owner_of,
-    start_host,
+    start_host, start_host_without_watch,
 };
 use plays::Play;
 use store::SlowStore;
@@ -72,6 +72,18 @@
     drop(silent);
 }
 
+/// Guards against a record that is never found because each read asks for it anew, and leaves before
+/// the answer.
+#[tokio::test(start_paused = true)]
+async fn a_job_comes_again_whole_though_each_reader_leaves_before_its_record_is_read() {
+    let job = StoredJob::write(&Shape::finished(vec![1; 3])).await;
+    let store = SlowStore::new(job.platform.clone(), Duration::from_secs(3));
+    let host = start_host_without_watch("entry-1", &store);
+    let reading = Reading::read_whole(&job, 9, || Arc::clone(&host)).await;
+    reading.expect_whole(&job);
+    assert_eq!(reading.left, 0, "each read is answered in time");
+}
+
 /// Guards against bodies that are never found because each read begins the log and the parts anew.
 #[tokio::test(start_paused = true)]
 async fn a_body_is_found_though_each_reader_leaves_before_the_log_is_read() {
