Rows of jobs that are being removed are forgotten; a read behind the last item needs no log

The contents of an object that had been released were asked for without end once their job was being removed. Tests of that, and of a job that is larger than what a host keeps.

--- a/crates/oleander-worklist/src/reads.rs
+++ b/crates/oleander-worklist/src/reads.rs
@@ -89,6 +89,9 @@
         mut owner: OwnerCall,
         trace: &mut ReadTrace,
     ) -> Result<Results, StateUnknown> {
+        if need.position >= record.total as usize {
+            return Ok(answer_stored(record, &[], trace));
+        }
         let asked_at = Instant::now();
         loop {
             let now = Instant::now();
--- a/crates/oleander-worklist/src/row_reader.rs
+++ b/crates/oleander-worklist/src/row_reader.rs
@@ -7,7 +7,7 @@
 use oleander_relay::TargetTransport;
 use parking_lot::Mutex;
 use tokio::{
-    task::JoinHandle,
+    task::{JoinError, JoinHandle},
     time::{self, Instant},
 };
 
@@ -139,33 +139,39 @@
                     let objects = first + ahead.len()..first + count;
                     ahead.extend(objects.map(|object| self.fetch::<E>(&job, id, object)));
                 }
-                RowStep::Restore(object) => {
-                    self.apply(&job, id, self.fetch::<E>(&job, id, object)).await;
-                    continue;
-                }
+                RowStep::Restore(object) => ahead.push_front(self.fetch::<E>(&job, id, object)),
                 RowStep::Stop => break,
             }
             let Some(next) = ahead.pop_front() else { continue };
-            if !self.apply(&job, id, next).await {
+            match self.apply(&job, id, next).await {
+                Ok(true) => {}
                 // What is behind an object that doesn't exist never counts.
-                ahead.clear();
+                Ok(false) => ahead.clear(),
+                Err(error) => {
+                    log::error!(job:% = job, error:% = error; "read of a stored part has failed");
+                    return;
+                }
             }
         }
         // The row has noted the end itself, and another task may have begun since.
         std::mem::forget(reading);
     }
 
-    /// Adds an object to a row once it has been read; returns whether it exists.
-    async fn apply<E: StoredEntry>(&self, job: &JobId, id: u64, mut fetch: Fetch<E>) -> bool {
-        // A task that ended without an object has noted the reason.
-        let Ok(Some(fetched)) = (&mut fetch.task).await else { return false };
+    /// Adds an object to a row once it has been read; returns whether it exists and is needed.
+    async fn apply<E: StoredEntry>(
+        &self,
+        job: &JobId,
+        id: u64,
+        mut fetch: Fetch<E>,
+    ) -> Result<bool, JoinError> {
+        let Some(fetched) = (&mut fetch.task).await? else { return Ok(false) };
         let mut rows = E::rows(&self.reads).lock();
         let Some(entries) = fetched.entries else {
-            rows.note_end(job, id, fetched.began);
-            return false;
+            rows.note_missing(job, id, fetch.object, fetched.began);
+            return Ok(false);
         };
         rows.note_pace(job, id, fetched.took);
-        rows.put(Instant::now(), job, id, fetch.object, entries)
+        Ok(rows.put(Instant::now(), job, id, fetch.object, entries))
     }
 
     /// Begins to read an object, until it has been read or the row is no longer needed.
--- a/crates/oleander-worklist/src/rows.rs
+++ b/crates/oleander-worklist/src/rows.rs
@@ -276,9 +276,13 @@
         true
     }
 
-    /// Notes that a read, begun then, found no further object.
-    pub(crate) fn note_end(&mut self, job: &JobId, id: u64, began: Instant) {
+    /// Notes that a read, begun then, did not find an object: the row ends there, or its job is being
+    /// removed.
+    pub(crate) fn note_missing(&mut self, job: &JobId, id: u64, object: usize, began: Instant) {
         let Some(tracked) = self.tracked(job, id) else { return };
+        if object < tracked.row.objects() {
+            return self.forget(job);
+        }
         tracked.end_seen = tracked.end_seen.max(Some(began));
         tracked.fault = None;
         tracked.changed.send_replace(());
