--- a/crates/oleander-worklist/src/rows.rs
+++ b/crates/oleander-worklist/src/rows.rs
@@ -9,6 +9,7 @@
 };
 
 use oleander_core::JobId;
+use oleander_platform::{PlatformError, StoreError};
 use tokio::{sync::watch, time::Instant};
 
 use crate::row::{Entry, Found, Row};
@@ -275,9 +276,13 @@
         true
     }
 
-    /// Notes that a read, begun then, found no further object.
-    pub(crate) fn note_end(&mut self, job: &JobId, id: u64, began: Instant) {
+    /// Notes that a read, begun then, did not find an object: the row ends there, or its job is being
+    /// removed.
+    pub(crate) fn note_missing(&mut self, job: &JobId, id: u64, object: usize, began: Instant) {
         let Some(tracked) = self.tracked(job, id) else { return };
+        if object < tracked.row.objects() {
+            return self.forget(job);
+        }
         tracked.end_seen = tracked.end_seen.max(Some(began));
         tracked.fault = None;
         tracked.changed.send_replace(());
@@ -297,10 +302,20 @@
     }
 
     /// Notes that a read failed; returns whether the row is still needed.
-    pub(crate) fn note_fault(&mut self, now: Instant, job: &JobId, id: u64, fault: String) -> bool {
+    ///
+    /// A platform that refuses calls gets fewer at the same time; one that loses them doesn't.
+    pub(crate) fn note_fault(
+        &mut self,
+        now: Instant,
+        job: &JobId,
+        id: u64,
+        fault: &StoreError,
+    ) -> bool {
         let Some(tracked) = self.tracked(job, id) else { return false };
-        tracked.fault = Some(fault);
-        tracked.window = 1;
+        tracked.fault = Some(fault.to_string());
+        if !matches!(fault, StoreError::Platform(PlatformError::NoResponse(_))) {
+            tracked.window = 1;
+        }
         now < tracked.asked + WANTED_TIME
     }
 
