Reads that wait leave workers of the link to everything else

Of 17 to 23 streams that were taken up again 4 to 8 went on, the rest got 503.

Cause: a read that waits for a result holds a worker of the owner's link for up to 1 s. From about 150 open jobs on all 32 workers waited, and probes, announcements and questions about streams queued behind them for longer than their senders wait.

Failing before: questions_are_answered_while_many_reads_wait_for_results, 14 of 16 questions without an answer.

Why it works: a quarter of the workers at most hold reads that wait; without a free one a read is answered at once with what there is, and its client reads again by itself. No message changed. The fixture of linked managers moves from outage_ends.rs to linked.rs, without a change to an assertion.

--- a/crates/oleander-cluster/src/lib.rs
+++ b/crates/oleander-cluster/src/lib.rs
@@ -31,7 +31,7 @@
 mod zone_load;
 
 pub use breaker::CircuitBreaker;
-pub use cluster::{Cluster, Handler, Identity, Liveness};
+pub use cluster::{Cluster, Handler, Identity, LINK_WORKERS, Liveness};
 pub use directory::{Directory, EntryHost};
 pub use disconnected::forward_address;
 pub use failover::{FailoverStore, StoreFallback, StoreRequest, StoreResponse};
--- a/crates/oleander-worklist/src/lib.rs
+++ b/crates/oleander-worklist/src/lib.rs
@@ -39,6 +39,7 @@
 mod sweep;
 mod takeover;
 mod unrouted;
+mod waits;
 
 pub use backlog::{Backlog, BacklogFull};
 pub use index::{JobAction, JobIndex};
--- a/crates/oleander-worklist/src/manager.rs
+++ b/crates/oleander-worklist/src/manager.rs
@@ -34,6 +34,7 @@
     record::{JobPhase, JobRecord, Owner},
     runner::Run,
     store::{JOB_PREFIX, JobStore},
+    waits::PeerWaits,
 };
 
 /// Pause between two watch calls, so that one call returns the changes of several jobs. What must
@@ -120,6 +121,8 @@
     pub(crate) starting: Mutex<HashSet<JobId>>,
     /// Results of jobs without a running owner, as read from the platform.
     pub(crate) result_cache: Mutex<HashMap<JobId, StoredResults>>,
+    /// Reads of other hosts that wait for results here.
+    pub(crate) peer_waits: PeerWaits,
     /// Ends of jobs, by the time since which this host knows them.
     pub(crate) ends: Mutex<JobEnds>,
     /// Items that are running, in order of their start.
@@ -154,6 +157,7 @@
             loaded: Mutex::default(),
             starting: Mutex::default(),
             result_cache: Mutex::default(),
+            peer_waits: PeerWaits::default(),
             ends: Mutex::default(),
             runs: Mutex::default(),
             run_count: AtomicU64::new(0),
--- a/crates/oleander-worklist/src/reads.rs
+++ b/crates/oleander-worklist/src/reads.rs
@@ -172,7 +172,8 @@
     async fn handle(self: Arc<Self>, _: HostId, request: JobRequest) -> JobResponse {
         match request {
             JobRequest::Read { job, after, wait } => {
-                let results = self.read_loaded(&job, after, wait.min(MAX_READ_WAIT)).await;
+                let (_permit, wait) = self.peer_waits.grant(wait.min(MAX_READ_WAIT));
+                let results = self.read_loaded(&job, after, wait).await;
                 results.map_or(JobResponse::NotHere, JobResponse::Results)
             }
             JobRequest::Yield { target, count, pass_on } => {
--- a/crates/oleander-worklist/tests/manager/main.rs
+++ b/crates/oleander-worklist/tests/manager/main.rs
@@ -3,11 +3,13 @@
 mod ends;
 mod fixture;
 mod forgotten;
+mod linked;
 mod odd_records;
 mod outage_ends;
 mod placement;
 mod routes;
 mod sizes;
+mod waiting_reads;
 
 use std::{
     sync::{Arc, atomic::Ordering},
--- a/crates/oleander-worklist/tests/manager/outage_ends.rs
+++ b/crates/oleander-worklist/tests/manager/outage_ends.rs
@@ -1,90 +1,22 @@
 //! Ends of jobs just before an outage of the platform, at hosts with real links.
 
-use std::{
-    sync::{Arc, atomic::Ordering},
-    time::Duration,
-};
+use std::{sync::atomic::Ordering, time::Duration};
 
-use http::HeaderName;
-use oleander_cluster::{Cluster, FailoverStore, HostRecord, join};
-use oleander_core::{Time, hash};
-use oleander_host::clock;
-use oleander_link::Server;
-use oleander_members::MemberRole;
+use oleander_core::hash;
 use oleander_platform::{MemoryFaults, MemoryPlatform};
-use oleander_ports::free_address;
-use oleander_relay::{Pools, Relay, RouteTable, TargetEntry, TargetList};
-use oleander_worklist::{JobManager, JobManagerConfig, JobPhase, JobStore};
-use tokio::task::JoinSet;
+use oleander_worklist::{JobPhase, JobStore};
 
-use crate::fixture::{
-    CALL_LATENCY, EchoTargets, SlowStore, host, job, route, submission_with, wait_until_ready, zone,
+use crate::{
+    fixture::{CALL_LATENCY, job, route, submission_with},
+    linked::{Linked, start},
 };
 
 /// Time from the acknowledgement of an end after which no item of the job may reach a target.
 const END_BOUND: Duration = Duration::from_secs(3);
 /// Time for which targets are watched, and in which hosts get to know each other.
 const WATCHED: Duration = Duration::from_secs(2);
-const ITEM_TIME: Duration = Duration::from_millis(150);
 const ITEMS: u32 = 400;
 
-struct Linked {
-    manager: Arc<JobManager<SlowStore, EchoTargets>>,
-    targets: Arc<EchoTargets>,
-    store: SlowStore,
-    _server: Server,
-    _tasks: JoinSet<()>,
-}
-
-fn targets() -> TargetList {
-    let mut list = TargetList::default();
-    list.upsert(TargetEntry {
-        id: "engine-1".parse().expect("name of a target"),
-        service: "llm".parse().expect("name of a service"),
-        address: ([127, 0, 0, 1], 1).into(),
-        zone: zone(),
-        version: "v1".parse().expect("version"),
-        slots: 8,
-        leaving: false,
-        started_at: None,
-    });
-    list
-}
-
-async fn start(name: &str, store: &MemoryPlatform) -> Linked {
-    let record = HostRecord {
-        host: host(name),
-        zone: zone(),
-        role: MemberRole::Entry,
-        link: free_address(),
-        callers: None,
-        started: Time(clock::now().0),
-    };
-    let (key, local) = join(store, record).await;
-    let (pools, yields) = Pools::new(host(name), zone(), 1);
-    pools.update_targets(&targets());
-    let pools = Arc::new(pools);
-    let targets = Arc::new(EchoTargets::default());
-    *targets.delay.lock() = ITEM_TIME;
-    let relay = Arc::new(Relay::new(Arc::clone(&pools), Arc::clone(&targets)));
-    relay.set_table(RouteTable::new(1, vec![route()]));
-    let cluster = Cluster::new(local, key, pools);
-    let id_header = HeaderName::from_static("x-id");
-    let config = JobManagerConfig { id_header, object_bytes: 1 << 20, loaded_bytes: 1 << 20 };
-    let slow = SlowStore::new(store.clone());
-    let manager = JobManager::new(config, slow.clone(), relay, Arc::clone(&cluster));
-    let failover = FailoverStore::<_, Cluster>::new(slow.clone());
-    let server = cluster.serve(Arc::clone(&manager), failover).expect("a free address");
-    let mut tasks = JoinSet::new();
-    tasks.spawn(Arc::clone(&cluster).follow_records(slow.clone()));
-    tasks.spawn(Arc::clone(&cluster).run_probes());
-    tasks.spawn(Arc::clone(&manager).follow_jobs());
-    tasks.spawn(Arc::clone(&manager).dispatch());
-    tasks.spawn(Arc::clone(&manager).handle_yields(yields));
-    wait_until_ready(&manager).await;
-    Linked { manager, targets, store: slow, _server: server, _tasks: tasks }
-}
-
 impl Linked {
     /// Starts the job at this host, whose watch is lost then.
     async fn run_job(&self) {
