Requests that a host makes for others leave workers of its link to everything else

Streams that are taken up again are refused while a host's probes, announcements and answers about streams are late.

Cause: a read or write of the platform for another host holds a worker for up to 1.5 s, and there was no bound but the workers.

Failing before (`--test served`): questions_are_answered_while_many_requests_of_others_wait_for_a_slow_platform, "of 18 questions, left: 13, right: 0"; a_busy_host_does_not_say_that_it_has_no_path, "200 read, 0 unknown"; a_busy_host_refuses_the_writes_of_others_at_once, "at once: Elapsed(())".

Why it works: at most three eighths of the workers make requests for others. A write beyond that is refused, which the sender takes to another host; a read of changes as well. A read of an object is answered as unknown: refused, it would say that this host has no path, by which others extend their leases in an outage. Messages are unchanged.

--- a/crates/oleander-cluster/src/failover.rs
+++ b/crates/oleander-cluster/src/failover.rs
@@ -13,12 +13,12 @@
 use oleander_core::{Revision, Span};
 use oleander_host::clock;
 use oleander_platform::{
-    Changes, Created, Listing, Object, ObjectStore, POLL_WAIT, Page, PlatformError, Updated,
+    Changes, Created, Listing, Object, ObjectStore, Page, PlatformError, Updated,
 };
 use parking_lot::{Mutex, RwLock};
 use serde::{Deserialize, Serialize};
 
-use crate::{breaker::CircuitBreaker, feed::ChangeFeeds};
+use crate::{breaker::CircuitBreaker, feed::ChangeFeeds, served::ServedRequests};
 
 /// Maximum wait for a request through another host: the store's response time and the link to the
 /// host.
@@ -94,15 +94,17 @@
 #[derive(Debug)]
 pub struct FailoverStore<S, F> {
     pub(crate) store: S,
-    breaker: Arc<Mutex<CircuitBreaker>>,
+    pub(crate) breaker: Arc<Mutex<CircuitBreaker>>,
     fallback: Arc<RwLock<Option<Arc<F>>>>,
-    feeds: ChangeFeeds,
+    pub(crate) feeds: ChangeFeeds,
+    pub(crate) served: ServedRequests,
 }
 
 impl<S: Clone, F> Clone for FailoverStore<S, F> {
     fn clone(&self) -> Self {
         let (breaker, fallback) = (Arc::clone(&self.breaker), Arc::clone(&self.fallback));
-        Self { store: self.store.clone(), breaker, fallback, feeds: self.feeds.clone() }
+        let (feeds, served) = (self.feeds.clone(), self.served.clone());
+        Self { store: self.store.clone(), breaker, fallback, feeds, served }
     }
 }
 
@@ -110,8 +112,9 @@
     /// Creates a store without a fallback.
     #[must_use]
     pub fn new(store: S) -> Self {
-        let (breaker, fallback, feeds) = (Arc::default(), Arc::default(), ChangeFeeds::default());
-        Self { store, breaker, fallback, feeds }
+        let (breaker, fallback) = (Arc::default(), Arc::default());
+        let (feeds, served) = (ChangeFeeds::default(), ServedRequests::default());
+        Self { store, breaker, fallback, feeds, served }
     }
 
     /// Change feeds that this host serves to others.
@@ -125,42 +128,6 @@
         *self.fallback.write() = Some(fallback);
     }
 
-    /// Makes a request for another host, if the direct path works.
-    pub async fn serve(&self, request: StoreRequest) -> StoreResponse {
-        match request {
-            StoreRequest::Watch(prefix, from, wait) => {
-                self.feeds.watch(&prefix, from, wait.to_duration()).await
-            }
-            _ if self.breaker.lock().is_open() => {
-                StoreResponse::Refused("this host has no path to the platform either".to_owned())
-            }
-            StoreRequest::Poll(prefix, from) => {
-                match self.record(self.store.watch(&prefix, from, POLL_WAIT).await) {
-                    Ok(changes) => StoreResponse::Changes(changes),
-                    Err(error) => failure_response(&error),
-                }
-            }
-            StoreRequest::Get(key) => match self.record(self.store.get(&key).await) {
-                Ok(object) => StoreResponse::Got(object),
-                Err(error) => failure_response(&error),
-            },
-            StoreRequest::Create(key, body) => {
-                match self.record(self.store.create(&key, body).await) {
-                    Ok(Created::New(revision)) => StoreResponse::Created(Some(revision)),
-                    Ok(Created::Exists) => StoreResponse::Created(None),
-                    Err(error) => failure_response(&error),
-                }
-            }
-            StoreRequest::Update(key, body, expected) => {
-                match self.record(self.store.update(&key, body, expected).await) {
-                    Ok(Updated::Done(revision)) => StoreResponse::Updated(revision),
-                    Ok(Updated::Stale(revision)) => StoreResponse::Stale(revision),
-                    Err(error) => failure_response(&error),
-                }
-            }
-        }
-    }
-
     /// Whether requests take the direct path, as far as known.
     pub(crate) fn is_path_open(&self) -> bool {
         !self.breaker.lock().is_open()
@@ -232,7 +199,7 @@
     }
 }
 
-fn failure_response(error: &PlatformError) -> StoreResponse {
+pub(crate) fn failure_response(error: &PlatformError) -> StoreResponse {
     match error {
         PlatformError::Rejected(reason) => StoreResponse::Rejected(reason.clone()),
         error if error.may_have_written() => StoreResponse::Unknown(error.to_string()),
--- a/crates/oleander-cluster/src/lib.rs
+++ b/crates/oleander-cluster/src/lib.rs
@@ -24,6 +24,7 @@
 mod rates;
 mod record;
 mod retirement;
+mod served;
 mod settled;
 mod sharing;
 mod streams;
