Changed jobs that are read leave workers of the link to everything else

Cause: a message of a changed job holds a worker until its record has been read or has failed on all paths, up to 3.5 s; its sender waits 500 ms.

Failing before: questions_are_answered_while_many_changed_jobs_are_read_at_a_silent_platform, "of 6 questions, left: 6, right: 0".

Why it works: an eighth of the workers at most read changed records, and a message waits 500 ms; the read goes on and stops the job. Without a free one the lease ends at once, as after a failed read, so the promise of an acknowledged end is as it was: the owner says that it knows only once it has read the record. a_changed_job_whose_record_is_read_late_is_stopped_all_the_same guards the read that goes on; it passed before.

--- a/crates/oleander-worklist/src/lib.rs
+++ b/crates/oleander-worklist/src/lib.rs
@@ -14,6 +14,7 @@
 mod admission;
 mod backlog;
 mod backoff;
+mod changes;
 mod commit;
 mod dispatch;
 mod ending;
--- a/crates/oleander-worklist/src/manager.rs
+++ b/crates/oleander-worklist/src/manager.rs
@@ -25,6 +25,7 @@
 use tokio::sync::{Notify, watch};
 
 use crate::{
+    changes::ChangeReads,
     ends::JobEnds,
     index::{JobAction, JobIndex},
     item::NewItem,
@@ -123,6 +124,8 @@
     pub(crate) result_cache: Mutex<HashMap<JobId, StoredResults>>,
     /// Reads of other hosts that wait for results here.
     pub(crate) peer_waits: PeerWaits,
+    /// Reads of records that other hosts have changed.
+    pub(crate) change_reads: ChangeReads,
     /// Ends of jobs, by the time since which this host knows them.
     pub(crate) ends: Mutex<JobEnds>,
     /// Items that are running, in order of their start.
@@ -158,6 +161,7 @@
             starting: Mutex::default(),
             result_cache: Mutex::default(),
             peer_waits: PeerWaits::default(),
+            change_reads: ChangeReads::default(),
             ends: Mutex::default(),
             runs: Mutex::default(),
             run_count: AtomicU64::new(0),
--- a/crates/oleander-worklist/src/reads.rs
+++ b/crates/oleander-worklist/src/reads.rs
@@ -5,14 +5,12 @@
 use bytes::Bytes;
 use oleander_cluster::{Handler, Liveness};
 use oleander_core::{HostId, JobId, Span};
-use oleander_host::clock;
 use oleander_platform::ObjectStore;
 use oleander_relay::TargetTransport;
 use tokio::time;
 
 use crate::{
     job::result_page,
-    lease::RecordSource,
     manager::{JobManager, StateUnknown},
     message::{JobRequest, JobResponse, Results},
     record::{ItemResult, JobPhase, JobRecord, Segment},
@@ -184,12 +182,11 @@
                 JobResponse::Yielded
             }
             JobRequest::Changed { job } => {
-                // The sender takes the job's items for stopped once the record has been read.
-                if self.refresh(&job, RecordSource::Message).await {
-                    return JobResponse::Noted;
+                if self.read_changed(job).await {
+                    JobResponse::Noted
+                } else {
+                    JobResponse::NotHere
                 }
-                self.contest_lease(&job, clock::since_boot());
-                JobResponse::NotHere
             }
             JobRequest::Body { job, item } => {
                 let loaded = self.loaded.lock().get(&job).cloned();
--- a/crates/oleander-worklist/tests/manager/fixture.rs
+++ b/crates/oleander-worklist/tests/manager/fixture.rs
@@ -45,6 +45,8 @@
     pub(crate) ends_unanswered: Arc<AtomicBool>,
     /// Whether objects can't be read.
     pub(crate) read_refused: Arc<AtomicBool>,
+    /// Whether reads of objects get no answer.
+    pub(crate) read_blocked: Arc<AtomicBool>,
     /// Reads of segments of results.
     pub(crate) segment_reads: Arc<AtomicUsize>,
 }
@@ -57,6 +59,7 @@
             history_gone: Arc::default(),
             ends_unanswered: Arc::default(),
             read_refused: Arc::default(),
+            read_blocked: Arc::default(),
             segment_reads: Arc::default(),
         }
     }
@@ -68,6 +71,9 @@
             self.segment_reads.fetch_add(1, Ordering::Relaxed);
         }
         tokio::time::sleep(CALL_LATENCY).await;
+        while self.read_blocked.load(Ordering::Relaxed) {
+            tokio::time::sleep(CALL_LATENCY).await;
+        }
         if self.read_refused.load(Ordering::Relaxed) {
             return Err(PlatformError::Busy("refused by the test".to_owned()));
         }
--- a/crates/oleander-worklist/tests/manager/main.rs
+++ b/crates/oleander-worklist/tests/manager/main.rs
@@ -9,6 +9,7 @@
 mod placement;
 mod routes;
 mod sizes;
+mod waiting_changes;
 mod waiting_reads;
 
 use std::{
