Batch work goes on in an outage in which the store answers no call

Cause: a renewal of a lease was given up after 2.5 s, while its read takes up to 3.5 s to fail on all paths (1.5 s directly, 2 s through another host). So it was never known as failed, no host was asked whether the platform is out, and after 5.5 s nothing may extend the lease any more. That hosts call the store when they are asked delays the verdict by up to 4 s, but does not prevent it.

Failing before: items_go_on_in_an_outage_in_which_no_call_is_answered, "no item of 1 jobs started, though nobody can end them".

Why it works: a renewal lasts as long as an extension is possible, 5.5 s. What a host says of its path, when a lease may be extended and for how long are unchanged, so an acknowledged end is kept as before: the extension still needs a read that has failed on all paths, then the word of more than half of the hosts that they have no path and of none that it has one, at an age of 5.5 s at most. A late read renews as of its begin, which allows nothing; one that finds the end stops the job, which was dropped before. The account has the argument, and why hosts do not say "fails" on a call that is merely late: that would take a slow store for a silent one.

--- a/crates/oleander-worklist/src/lease.rs
+++ b/crates/oleander-worklist/src/lease.rs
@@ -14,6 +14,8 @@
 const RENEWAL_AGE: Span = Span::from_millis(1_500);
 /// Time that a read may take to fail on all paths when an outage of the platform begins.
 const OUTAGE_DELAY: Span = Span::from_secs(3);
+/// Age at which a lease can no longer be extended in an outage.
+pub(crate) const EXTENSION_LIMIT: Span = Span(START_LEASE.0 + OUTAGE_DELAY.0);
 
 /// How a job's record reached this process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -70,7 +72,7 @@
     /// Extends the lease without a call of the platform, unless it has long been over at `asked`;
     /// returns whether it is extended.
     pub fn extend(&mut self, asked: Time) -> bool {
-        let is_recent = self.age(asked).is_some_and(|age| age < START_LEASE + OUTAGE_DELAY);
+        let is_recent = self.age(asked).is_some_and(|age| age < EXTENSION_LIMIT);
         if is_recent {
             self.confirmed = self.confirmed.max(Some(asked));
         }
--- a/crates/oleander-worklist/src/renewal.rs
+++ b/crates/oleander-worklist/src/renewal.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     backoff::RETRY_DELAY,
-    lease::{RecordSource, START_LEASE},
+    lease::{EXTENSION_LIMIT, RecordSource},
     manager::{JobManager, LoadedJob},
     record::{JobPhase, JobRecord},
 };
@@ -43,9 +43,10 @@
         let Some(renewal) = Renewal::begin(loaded) else { return };
         let manager = Arc::clone(self);
         tokio::spawn(async move {
-            // An answer that comes later renews nothing.
+            // Later, neither a read nor an outage renews the lease. A read that fails takes longer than
+            // a lease lasts where nobody answers; cut off before, it would never be known as failed.
             let renewing = manager.renew(&renewal.loaded);
-            match time::timeout(START_LEASE.to_duration(), renewing).await {
+            match time::timeout(EXTENSION_LIMIT.to_duration(), renewing).await {
                 Ok(true) => {
                     drop(renewal);
                     manager.wake.notify_one();
--- a/crates/oleander-worklist/tests/ends/main.rs
+++ b/crates/oleander-worklist/tests/ends/main.rs
@@ -5,6 +5,7 @@
 mod earlier_build;
 mod fleet;
 mod jobs;
+mod outage;
 mod plays;
 mod process;
 mod single;
--- a/crates/oleander-worklist/tests/ends/store.rs
+++ b/crates/oleander-worklist/tests/ends/store.rs
@@ -14,6 +14,8 @@
 const CALL_LATENCY: Duration = Duration::from_millis(5);
 /// Time after which a call without an answer fails.
 const NO_ANSWER: Duration = Duration::from_millis(600);
+/// Time for which the client of the platform waits for an answer.
+const CLIENT_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Time after which a delayed write is carried out.
 const WRITE_DELAY: Duration = Duration::from_millis(900);
 /// Prefix of the keys of job records.
@@ -26,6 +28,8 @@
     Open,
     Refused,
     Silent,
+    /// As silent, for as long as the client of the platform waits.
+    Unanswered,
 }
 
 /// What becomes of the next write of a job record.
@@ -73,6 +77,10 @@
                 sleep(NO_ANSWER).await;
                 Err(no_answer())
             }
+            Path::Unanswered => {
+                sleep(CLIENT_TIMEOUT).await;
+                Err(no_answer())
+            }
         }
     }
 
