--- a/crates/oleander-cluster/src/lib.rs
+++ b/crates/oleander-cluster/src/lib.rs
@@ -24,6 +24,7 @@
 mod rates;
 mod record;
 mod retirement;
+mod served;
 mod settled;
 mod sharing;
 mod stored;
@@ -32,7 +33,7 @@
 mod zone_load;
 
 pub use breaker::CircuitBreaker;
-pub use cluster::{Cluster, Handler, Identity, Liveness};
+pub use cluster::{Cluster, Handler, Identity, LINK_WORKERS, Liveness};
 pub use directory::{Directory, EntryHost};
 pub use disconnected::forward_address;
 pub use failover::{FailoverStore, StoreFallback, StoreRequest, StoreResponse};
--- a/crates/oleander-worklist/src/lib.rs
+++ b/crates/oleander-worklist/src/lib.rs
@@ -15,6 +15,7 @@
 mod backlog;
 mod backoff;
 mod bodies;
+mod changes;
 mod commit;
 mod dispatch;
 mod ending;
@@ -50,6 +51,7 @@
 mod sweep;
 mod takeover;
 mod unrouted;
+mod waits;
 mod window;
 
 pub use backlog::{Backlog, BacklogFull};
--- a/crates/oleander-worklist/src/manager.rs
+++ b/crates/oleander-worklist/src/manager.rs
@@ -25,6 +25,7 @@
 use tokio::sync::{Notify, watch};
 
 use crate::{
+    changes::ChangeReads,
     ends::JobEnds,
     index::{JobAction, JobIndex},
     item::NewItem,
@@ -34,6 +35,7 @@
     record::{JobPhase, JobRecord, Owner},
     runner::Run,
     store::{JOB_PREFIX, JobStore},
+    waits::PeerWaits,
 };
 
 /// Pause between two watch calls, so that one call returns the changes of several jobs. What must
@@ -127,6 +129,10 @@
     pub(crate) starting: Mutex<HashSet<JobId>>,
     /// What is kept for reads of jobs that are not loaded.
     pub(crate) reads: ReadState,
+    /// Reads of other hosts that wait for results here.
+    pub(crate) peer_waits: PeerWaits,
+    /// Reads of records that other hosts have changed.
+    pub(crate) change_reads: ChangeReads,
     /// Ends of jobs, by the time since which this host knows them.
     pub(crate) ends: Mutex<JobEnds>,
     /// Items that are running, in order of their start.
@@ -161,6 +167,8 @@
             loaded: Mutex::default(),
             starting: Mutex::default(),
             reads: ReadState::default(),
+            peer_waits: PeerWaits::default(),
+            change_reads: ChangeReads::default(),
             ends: Mutex::default(),
             runs: Mutex::default(),
             run_count: AtomicU64::new(0),
--- a/crates/oleander-worklist/src/reads.rs
+++ b/crates/oleander-worklist/src/reads.rs
@@ -7,13 +7,11 @@
 
 use oleander_cluster::Handler;
 use oleander_core::{HostId, JobId, Span};
-use oleander_host::clock;
 use oleander_platform::ObjectStore;
 use oleander_relay::TargetTransport;
 use tokio::time::{self, Instant};
 
 use crate::{
-    lease::RecordSource,
     manager::{JobManager, StateUnknown},
     message::{JobRequest, JobResponse, Results},
     owner_calls::OwnerCall,
@@ -174,7 +172,8 @@
     async fn handle(self: Arc<Self>, _: HostId, request: JobRequest) -> JobResponse {
         match request {
             JobRequest::Read { job, after, wait } => {
-                let results = self.read_loaded(&job, after, wait.min(MAX_READ_WAIT)).await;
+                let (_permit, wait) = self.peer_waits.grant(wait.min(MAX_READ_WAIT));
+                let results = self.read_loaded(&job, after, wait).await;
                 results.map_or(JobResponse::NotHere, JobResponse::Results)
             }
             JobRequest::Yield { target, count, pass_on } => {
@@ -185,12 +184,11 @@
                 JobResponse::Yielded
             }
             JobRequest::Changed { job } => {
-                // The sender takes the job's items for stopped once the record has been read.
-                if self.refresh(&job, RecordSource::Message).await {
-                    return JobResponse::Noted;
+                if self.read_changed(job).await {
+                    JobResponse::Noted
+                } else {
+                    JobResponse::NotHere
                 }
-                self.contest_lease(&job, clock::since_boot());
-                JobResponse::NotHere
             }
             JobRequest::Body { job, item } => {
                 let loaded = self.loaded.lock().get(&job).cloned();
--- a/crates/oleander-worklist/tests/manager/main.rs
+++ b/crates/oleander-worklist/tests/manager/main.rs
@@ -4,6 +4,7 @@
 mod fixture;
 mod forgotten;
 mod handover;
+mod linked;
 mod loading;
 mod odd_records;
 mod outage_ends;
@@ -11,6 +12,8 @@
 mod routes;
 mod sizes;
 mod submissions;
+mod waiting_changes;
+mod waiting_reads;
 
 use std::{
     sync::{Arc, atomic::Ordering},
