A read that confirms the list of targets goes on after those who ask have left

What callers saw: at a store that takes longer than 150 ms a call, what asks for the present list (a stream that breaks off, a target that may have been replaced) never gets it, however often it is asked.

Cause: the read was dropped with the 150 ms that those who ask wait, and the next one began anew.

Now reads are tasks, at most four at a time. Those who ask are answered after 150 ms as before; a read that is answered later still gives the list its age, or has the changes read. An answer to an earlier request no longer replaces that to a later one. What needs a read begun after its own request, and waits 150 ms for it, still gets none at such a store.

--- a/crates/oleander-relay/src/confirmations.rs
+++ b/crates/oleander-relay/src/confirmations.rs
@@ -73,8 +73,15 @@
         }
     }
 
-    /// Answers all requests up to `number`, which the read began after.
+    /// Answers all requests up to `number`, which the read began after, unless a later one is answered
+    /// already.
     pub(crate) fn answer(&self, number: u64, is_confirmed: bool) {
-        self.answered.send_replace(Answer { number, is_confirmed });
+        self.answered.send_if_modified(|answer| {
+            let is_new = number >= answer.number;
+            if is_new {
+                *answer = Answer { number, is_confirmed };
+            }
+            is_new
+        });
     }
 }
--- a/crates/oleander-relay/src/follow.rs
+++ b/crates/oleander-relay/src/follow.rs
@@ -11,7 +11,10 @@
 use oleander_platform::{
     Change, Changes, FollowEvent, Follower, ObjectStore, POLL_WAIT, PlatformError, SHORT_WAIT,
 };
-use tokio::time::{self, Instant};
+use tokio::{
+    task::JoinSet,
+    time::{self, Instant},
+};
 
 use crate::{
     confirmations::ConfirmRequests,
@@ -26,8 +29,11 @@
 /// within which a leaving target must get no more work.
 const TARGET_WATCH_PAUSE: Duration = Duration::from_millis(200);
 
-/// Time limit for a read that confirms the list; those who ask don't wait longer.
+/// Time after which a read that confirms the list counts as failed for those who asked, who don't wait
+/// longer; it still gives the list its age, if it is answered.
 const CONFIRM_TIMEOUT: Duration = Duration::from_millis(150);
+/// Maximum number of such reads at a time; some may never be answered.
+const MAX_READS: usize = 4;
 
 /// Parses the entry of a target from its name and body.
 pub type ParseTarget = fn(&str, &[u8]) -> Result<TargetEntry, String>;
@@ -42,11 +48,13 @@
     let mut requests = pools.streams.confirm_requests();
     let mut follow = Follower::new(store.clone(), prefix, SHORT_WAIT).pause(TARGET_WATCH_PAUSE);
     let mut listing = Listing { prefix, parse, pools, list: TargetList::default() };
+    let mut reads = ConfirmReads::default();
     loop {
         let from = follow.revision();
         let step = {
             let next = follow.next();
-            listing.wait(next, &mut requests, |number| confirm(&store, prefix, from, number)).await
+            let read = |number| confirm(store.clone(), prefix.to_owned(), from, number);
+            listing.wait(next, &mut requests, &mut reads, read).await
         };
         match step {
             Step::Followed(event) => listing.apply(event),
@@ -73,30 +81,79 @@
     Outdated(u64),
 }
 
-/// Outcome of a read that confirms the list, for the requests up to a number.
-enum Confirmed {
+/// Outcome of a read that confirms the list.
+enum Outcome {
     /// Nothing has changed.
-    Unchanged(u64),
+    Unchanged,
     /// Something has.
-    Changed(u64),
-    /// The platform was not reached in time.
-    Unknown(u64, String),
+    Changed,
+    /// The platform was not reached.
+    Unknown(String),
+}
+
+/// A read that confirms the list for the requests up to a number.
+struct Confirmed {
+    number: u64,
+    began: Time,
+    outcome: Outcome,
+}
+
+/// Reads that confirm the list.
+#[derive(Default)]
+struct ConfirmReads {
+    reads: JoinSet<Confirmed>,
+    /// The last request, until it is answered, and when it is to be answered at the latest.
+    unanswered: Option<(u64, Instant)>,
+}
+
+impl ConfirmReads {
+    fn can_start(&self) -> bool {
+        self.unanswered.is_none() && self.reads.len() < MAX_READS
+    }
+
+    fn start(&mut self, number: u64, read: impl Future<Output = Confirmed> + Send + 'static) {
+        self.unanswered = Some((number, Instant::now() + CONFIRM_TIMEOUT));
+        self.reads.spawn(read);
+    }
+
+    /// Waits until a read ends; forever if there is none.
+    async fn next(&mut self) -> Confirmed {
+        loop {
+            match self.reads.join_next().await {
+                Some(Ok(confirmed)) => return confirmed,
+                Some(Err(error)) => {
+                    log::error!(error:% = error; "list of targets is not confirmed");
+                }
+                None => std::future::pending().await,
+            }
+        }
+    }
+
+    /// Answers the last request if it is `number`.
+    fn answer(&mut self, requests: &ConfirmRequests, number: u64, is_confirmed: bool) {
+        if self.unanswered.take_if(|(unanswered, _)| *unanswered == number).is_some() {
+            requests.answer(number, is_confirmed);
+        }
+    }
 }
 
 /// Reads whether anything below `prefix` has changed since `from`.
 async fn confirm<S: ObjectStore>(
-    store: &S,
-    prefix: &str,
+    store: S,
+    prefix: String,
     from: Option<Revision>,
     number: u64,
 ) -> Confirmed {
-    let Some(from) = from else { return Confirmed::Unknown(number, "not listed yet".to_owned()) };
-    match time::timeout(CONFIRM_TIMEOUT, store.watch(prefix, from, POLL_WAIT)).await {
-        Ok(Ok(Changes { changes, .. })) if changes.is_empty() => Confirmed::Unchanged(number),
-        Ok(Ok(_) | Err(PlatformError::HistoryGone)) => Confirmed::Changed(number),
-        Ok(Err(error)) => Confirmed::Unknown(number, error.to_string()),
-        Err(_) => Confirmed::Unknown(number, "timed out".to_owned()),
-    }
+    let began = clock::steady();
+    let outcome = match from {
+        None => Outcome::Unknown("not listed yet".to_owned()),
+        Some(from) => match store.watch(&prefix, from, POLL_WAIT).await {
+            Ok(Changes { changes, .. }) if changes.is_empty() => Outcome::Unchanged,
+            Ok(_) | Err(PlatformError::HistoryGone) => Outcome::Changed,
+            Err(error) => Outcome::Unknown(error.to_string()),
+        },
+    };
+    Confirmed { number, began, outcome }
 }
 
 /// The list of targets, and what it is applied to.
@@ -110,35 +167,55 @@
 impl Listing<'_> {
     /// Waits for the next event; meanwhile removes entries that expire, and answers requests to
     /// confirm the list, neither of which cancels the watch in progress.
-    async fn wait<F, C, R>(&mut self, next: F, requests: &mut ConfirmRequests, confirm: C) -> Step
+    async fn wait<F, C, R>(
+        &mut self,
+        next: F,
+        requests: &mut ConfirmRequests,
+        reads: &mut ConfirmReads,
+        confirm: C,
+    ) -> Step
     where
         F: Future<Output = FollowEvent>,
         C: Fn(u64) -> R,
-        R: Future<Output = Confirmed>,
+        R: Future<Output = Confirmed> + Send + 'static,
     {
         tokio::pin!(next);
         loop {
             let expiry = self.list.next_expiry().map_or(IDLE_WAIT, |at| at.since(clock::steady()));
             let end = Instant::now() + expiry.to_duration();
-            let number = tokio::select! {
+            let answer_by = reads.unanswered.map_or(end, |(_, by)| by.min(end));
+            let can_start = reads.can_start();
+            let confirmed = tokio::select! {
                 biased;
                 event = &mut next => return Step::Followed(event),
-                () = time::sleep_until(end) => {
+                confirmed = reads.next() => confirmed,
+                () = time::sleep_until(answer_by) => {
                     self.expire_entries();
+                    if let Some((number, by)) = reads.unanswered && by <= Instant::now() {
+                        log::info!(reason = "timed out"; "list of targets is not confirmed");
+                        reads.answer(requests, number, false);
+                    }
+                    continue;
+                }
+                number = requests.next(), if can_start => {
+                    reads.start(number, confirm(number));
                     continue;
                 }
-                number = requests.next() => number,
             };
-            let began = clock::steady();
-            match confirm(number).await {
-                Confirmed::Unchanged(number) => {
+            let Confirmed { number, began, outcome } = confirmed;
+            match outcome {
+                Outcome::Unchanged => {
                     self.pools.record_list_time(began);
-                    requests.answer(number, true);
+                    reads.answer(requests, number, true);
+                }
+                Outcome::Changed => {
+                    // Whoever asked is answered once the changes are read.
+                    reads.unanswered.take_if(|(unanswered, _)| *unanswered == number);
+                    return Step::Outdated(number);
                 }
-                Confirmed::Changed(number) => return Step::Outdated(number),
-                Confirmed::Unknown(number, reason) => {
+                Outcome::Unknown(reason) => {
                     log::info!(reason; "list of targets is not confirmed");
-                    requests.answer(number, false);
+                    reads.answer(requests, number, false);
                 }
             }
         }
