A stored object that is late makes the next ones be read beside it

Cause: more objects were read at a time only once a slow call had been answered, so that a host that has just started gets 1, 2 and 4 segments in the time of one read. A read that begins behind these finds nothing at any host.

Now a call that has not ended for 50 ms doubles the number of objects that are read at the same time, up to 32, unless it is repeated after a failure. Calls at a fast store are as before: the tests that count them are unchanged.

--- a/crates/oleander-worklist/src/row_reader.rs
+++ b/crates/oleander-worklist/src/row_reader.rs
@@ -18,7 +18,7 @@
     read_state::ReadState,
     record::{ItemResult, JobRecord},
     row::{Entry, Found, Row},
-    rows::{Asked, Need, RowEnd, RowStep, Rows},
+    rows::{Asked, Need, RowEnd, RowStep, Rows, SLOW_READ},
     store::JobStore,
 };
 
@@ -134,16 +134,25 @@
         let mut ahead = VecDeque::new();
         loop {
             let step = reading.rows.lock().next_step(Instant::now(), &job, id);
-            match step {
+            let (object, read) = match step {
                 RowStep::Read { first, count } => {
                     let objects = first + ahead.len()..first + count;
                     ahead.extend(objects.map(|object| self.fetch::<E>(&job, id, object)));
+                    let Some(mut next) = ahead.pop_front() else { continue };
+                    let Ok(read) = time::timeout(SLOW_READ, &mut next.task).await else {
+                        reading.rows.lock().note_waiting(&job, id);
+                        ahead.push_front(next);
+                        continue;
+                    };
+                    (next.object, read)
+                }
+                RowStep::Restore(object) => {
+                    let mut fetch = self.fetch::<E>(&job, id, object);
+                    (object, (&mut fetch.task).await)
                 }
-                RowStep::Restore(object) => ahead.push_front(self.fetch::<E>(&job, id, object)),
                 RowStep::Stop => break,
-            }
-            let Some(next) = ahead.pop_front() else { continue };
-            match self.apply(&job, id, next).await {
+            };
+            match self.note_read(&job, id, object, read) {
                 Ok(true) => {}
                 // What is behind an object that doesn't exist never counts.
                 Ok(false) => ahead.clear(),
@@ -157,21 +166,22 @@
         std::mem::forget(reading);
     }
 
-    /// Adds an object to a row once it has been read; returns whether it exists and is needed.
-    async fn apply<E: StoredEntry>(
+    /// Adds an object that was read to a row; returns whether it exists and is needed.
+    fn note_read<E: StoredEntry>(
         &self,
         job: &JobId,
         id: u64,
-        mut fetch: Fetch<E>,
+        object: usize,
+        read: Result<Option<Fetched<E>>, JoinError>,
     ) -> Result<bool, JoinError> {
-        let Some(fetched) = (&mut fetch.task).await? else { return Ok(false) };
+        let Some(fetched) = read? else { return Ok(false) };
         let mut rows = E::rows(&self.reads).lock();
         let Some(entries) = fetched.entries else {
-            rows.note_missing(job, id, fetch.object, fetched.began);
+            rows.note_missing(job, id, object, fetched.began);
             return Ok(false);
         };
         rows.note_pace(job, id, fetched.took);
-        Ok(rows.put(Instant::now(), job, id, fetch.object, entries))
+        Ok(rows.put(Instant::now(), job, id, object, entries))
     }
 
     /// Begins to read an object, until it has been read or the row is no longer needed.
--- a/crates/oleander-worklist/src/rows.rs
+++ b/crates/oleander-worklist/src/rows.rs
@@ -21,7 +21,7 @@
 /// Time between two searches for rows to forget.
 const FORGET_INTERVAL: Duration = Duration::from_secs(5);
 /// Time of a read at the platform from which the next objects are read several at a time.
-const SLOW_READ: Duration = Duration::from_millis(50);
+pub(crate) const SLOW_READ: Duration = Duration::from_millis(50);
 /// Maximum number of objects of a row that are read at the same time.
 const MAX_WINDOW: usize = 32;
 /// Size of the contents that are read ahead of all readers, in bytes.
@@ -301,6 +301,15 @@
         tracked.window = window.clamp(1, MAX_WINDOW);
     }
 
+    /// Notes that a read has not ended for [`SLOW_READ`]: more objects are read beside it, unless it is
+    /// repeated after a failure.
+    pub(crate) fn note_waiting(&mut self, job: &JobId, id: u64) {
+        let Some(tracked) = self.tracked(job, id) else { return };
+        if tracked.fault.is_none() {
+            tracked.window = MAX_WINDOW.min(tracked.window * 2);
+        }
+    }
+
     /// Notes that a read failed; returns whether the row is still needed.
     ///
     /// A platform that refuses calls gets fewer at the same time; one that loses them doesn't.
--- a/crates/oleander-worklist/tests/reads/main.rs
+++ b/crates/oleander-worklist/tests/reads/main.rs
@@ -11,6 +11,7 @@
     time::Duration,
 };
 
+use oleander_core::Span;
 use tokio::{
     runtime::Builder,
     time::{sleep, timeout},
@@ -56,6 +57,24 @@
     reading.expect_whole(&job);
 }
 
+/// Guards against results that no host reaches in the time of one read, if each read is at another host.
+#[tokio::test(start_paused = true)]
+async fn a_job_comes_again_whole_though_each_read_meets_a_host_that_has_just_started() {
+    let stored = StoredJob::write(&Shape::finished(vec![1; SEGMENTS])).await;
+    let store = SlowStore::new(stored.platform.clone(), SLOW_CALL);
+    let (mut after, mut unanswered) = (0, 0);
+    for number in 0..READS {
+        let host = start_host(&format!("entry-{number}"), &store);
+        let job = job();
+        let read = host.read_results(&job, after, Span::from_secs(1));
+        match timeout(PATIENCE, read).await {
+            Ok(Ok(Some(page))) => after += page.results.len(),
+            _ => unanswered += 1,
+        }
+    }
+    assert_eq!(after, SEGMENTS, "{unanswered} of {READS} reads without an answer");
+}
+
 /// Guards against reads that first wait for an owner which never answers, each one anew, and then
 /// have no time left for the store.
 #[tokio::test(start_paused = true)]
