--- a/scripts/reread.py
+++ b/scripts/reread.py
@@ -29,6 +29,7 @@
 import shutil
 import signal
 import sys
+from collections import Counter
 
 from reread_jobs import Job, Reader, call
 from reread_store import ROOT, FaultyStore
@@ -46,6 +47,7 @@
 FORMER_PART, FORMER_S = 0.25, 10
 IDLE_S = 3
 TEXT = "x" * 40
+SIGNALS = {"hang": signal.SIGSTOP, "gone": signal.SIGKILL}
 
 
 class Play:
@@ -143,7 +145,7 @@
         began = self.clock()
         for machine in machines:
             await machine.start()
-        fronts = [machine for machine in self.readable]
+        fronts = self.readable
         while wait and not all(await asyncio.gather(*[front.ready() for front in fronts])):
             if self.clock() - began > READY_S:
                 print("  not all hosts are ready again", flush=True)
@@ -155,12 +157,16 @@
         self.readable = self.readable[:int(number)]
         self.store.paths = {host.name: mode for host in self.readable}
 
-    async def until_answered(self, host):
-        """Seconds until reads of any job at this host are answered again."""
+    async def probe(self, host):
+        """Status of a read of a job that doesn't exist, which no memory answers: 404 if known."""
+        path = f"/api/lots/{self.rng.getrandbits(64):016x}?after=0"
+        return (await call(host, "GET", path, [("Wait-Ms", "0")]))[0]
+
+    async def until_known(self, host):
+        """How long until a host knows again that a job doesn't exist."""
         began = self.clock()
-        reader = Reader(self.rng, [host], self.clock)
         while self.clock() - began < RECOVERY_S:
-            if await reader.read_page(self.rng.choice(self.jobs), 0, host) is not None:
+            if await self.probe(host) == 404:
                 return f"{self.clock() - began:.2f} s"
             await asyncio.sleep(0.1)
         return "never"
@@ -168,17 +174,17 @@
     async def back(self):
         """Reads while the path is cut, then mends it; and the same without reads."""
         await self.check()
+        probes = [await asyncio.gather(*map(self.probe, self.readable)) for _ in range(10)]
         paths, self.store.paths = self.store.paths, {}
-        times = await asyncio.gather(*[self.until_answered(host) for host in self.readable])
-        print(f"  path back, under reads: answered after {', '.join(times)}", flush=True)
+        times = await asyncio.gather(*map(self.until_known, self.readable))
+        print(f"  path cut, reads of no job: {dict(Counter(sum(probes, [])))}; path back, under "
+              f"reads: known after {', '.join(times)}", flush=True)
         self.store.paths = paths
         await asyncio.sleep(IDLE_S)
         self.store.paths = {}
         await asyncio.sleep(IDLE_S)
-        reader = Reader(self.rng, self.readable, self.clock)
-        for host in self.readable:
-            await reader.read_page(self.rng.choice(self.jobs), 0, host)
-        print(f"  path back for {IDLE_S} s without reads: {reader.count}", flush=True)
+        once = await asyncio.gather(*map(self.probe, self.readable))
+        print(f"  path back for {IDLE_S} s without reads: {once}", flush=True)
 
     async def former(self, frozen_s):
         """Owners of half-done jobs are frozen, others finish the jobs, and the owners go on."""
@@ -224,9 +230,9 @@
             field = {"slow": "delay_s"}.get(name, name)
             setattr(store, field, float(values[0]))
         elif name in ("hang", "gone"):
-            self.disturb(spread, float(values[0]), signals[name])
+            self.disturb(spread, float(values[0]), SIGNALS[name])
         elif name in ("owners-hang", "owners-gone"):
-            self.disturb(self.owners(), float(values[0]), signals[name.removeprefix("owners-")])
+            self.disturb(self.owners(), float(values[0]), SIGNALS[name.removeprefix("owners-")])
         elif name in ("restart", "restart-now"):
             await self.restart(name == "restart")
         elif name == "former":
@@ -281,9 +287,6 @@
         await self.system.stop()
 
 
-signals = {"hang": signal.SIGSTOP, "gone": signal.SIGKILL}
-
-
 def parse_options():
     parser = argparse.ArgumentParser(usage=__doc__)
     parser.add_argument("folder")
--- a/scripts/reread_store.py
+++ b/scripts/reread_store.py
@@ -3,6 +3,7 @@
 import bisect
 import collections
 import contextvars
+import json
 import os
 import random
 import sys
@@ -43,9 +44,17 @@
         return server.sockets[0].getsockname()[:2]
 
     async def change(self, kind, name, obj, deleted=False):
-        await super().change(kind, name, obj, deleted)
-        revision, _, _, stored = self.history.pop()
-        self.of_kind[kind].append((revision, {"object": stored, "deleted": deleted}))
+        """As the parent's, which keeps the changes of all kinds in one list."""
+        self.revision += 1
+        obj["metadata"]["revision"] = self.revision
+        if deleted:
+            del self.objects[(kind, name)]
+        else:
+            self.objects[(kind, name)] = obj
+        event = {"object": json.loads(json.dumps(obj)), "deleted": deleted}
+        self.of_kind[kind].append((self.revision, event))
+        async with self.changed:
+            self.changed.notify_all()
 
     async def watch(self, kind, since, wait_ms):
         loop = asyncio.get_running_loop()
