--- a/crates/oleander-worklist/tests/reads/main.rs
+++ b/crates/oleander-worklist/tests/reads/main.rs
@@ -1,6 +1,7 @@
 //! Reads of jobs that nobody has in memory, by callers who leave.
 
 mod answers;
+mod bodies;
 mod fixture;
 mod plays;
 mod store;
