--- a/crates/oleander-cluster/src/cluster.rs
+++ b/crates/oleander-cluster/src/cluster.rs
@@ -46,7 +46,7 @@
 const MESSAGE_TIMEOUT: Duration = Duration::from_millis(400);
 /// Concurrent peer requests on a host. Those that may take long have bounds of their own, which
 /// together leave some workers to the others.
-pub const LINK_WORKERS: usize = 128;
+pub const LINK_WORKERS: usize = 64;
 /// Concurrent peer requests on a feeder, where most of them are waiting watches: four from each of
 /// some hundred hosts.
 const FEED_WORKERS: usize = 512;
